--- /dev/null
+++ b/src/coordination/intents.ts
@@ -0,0 +1,194 @@
+/**
+ * Intents: an operator states what is wanted, gets a plan, and confirms it.
+ *
+ * Plans and confirmations are records of the log, so any entry can answer for
+ * any plan, and of two racing confirmations the log's order takes one.
+ *
+ * @module
+ */
+import {
+	Err, Ok, createFailure, createId, type Change, type EventLog, type Failure, type Intent, type Result,
+} from '../protocol/mod.js';
+import type {Configuration, Plan} from '../state/mod.js';
+import type {LogFollower} from './log-follower.js';
+import type {LogWriter} from './log-writer.js';
+
+/** One line of a plan: what is there and what would be. */
+export type PlanDifference = {
+	readonly what: string;
+	readonly before?: unknown;
+	readonly after?: unknown;
+	readonly effect: string;
+};
+
+/** A plan as an operator sees it. */
+export type PlanView = {
+	readonly plan: string;
+	readonly state: Plan['state'];
+	/** The version it rests on. */
+	readonly basis: number;
+	/** The version it made. */
+	readonly version?: number;
+	readonly reason?: string;
+	readonly differences: readonly PlanDifference[];
+};
+
+/** Options of {@linkcode createIntents}. */
+export type CreateIntentsOptions = {
+	readonly follower: LogFollower;
+	readonly writer: LogWriter;
+	readonly events: EventLog;
+	/** Longest wait for the log, in milliseconds; default 10000. */
+	readonly bound?: number;
+};
+
+/** Plans and confirms intents. */
+export type Intents = ReturnType<typeof createIntents>;
+
+const defaultBound = 10_000;
+
+/** @internal */
+function describeChange(change: Change, configuration: Configuration): PlanDifference {
+	switch (change.change) {
+		case 'put-customer': {
+			return {
+				what: `customer ${change.customer.id}`, before: configuration.findCustomer(change.customer.id), after: change.customer, effect: 'The customer exists',
+			};
+		}
+
+		case 'put-key': {
+			return {
+				what: `key ${change.key.digest.slice(0, 12)}`, before: configuration.findKey(change.key.digest), after: change.key, effect: `Callers with this key draw on budget "${change.key.budget}"`,
+			};
+		}
+
+		case 'remove-key': {
+			return {what: `key ${change.digest.slice(0, 12)}`, before: configuration.findKey(change.digest), effect: 'Callers with this key are refused'};
+		}
+
+		case 'put-budget': {
+			return {
+				what: `budget ${change.budget.id}`, before: configuration.findBudget(change.budget.id), after: change.budget,
+				effect: `Entries claim ahead as for "${change.budget.weighs}"`,
+			};
+		}
+
+		case 'top-up': {
+			return {what: `budget ${change.budget}`, after: {tokens: change.tokens}, effect: `${change.tokens} tokens more can be spent; this cannot be undone`};
+		}
+
+		case 'put-model': {
+			return {
+				what: `model ${change.model.name}`, before: configuration.findModel(change.model.name), after: change.model, effect: 'Callers may ask for the model',
+			};
+		}
+
+		case 'put-service': {
+			return {
+				what: `service ${change.service.name}`, before: configuration.findService(change.service.name), after: change.service, effect: `One call is billed ${change.service.cost} tokens`,
+			};
+		}
+
+		case 'put-class': {
+			return {
+				what: `class ${change.class.name}`, before: configuration.findClass(change.class.name), after: change.class, effect: `Requests of the class have priority ${change.class.priority}`,
+			};
+		}
+
+		case 'order': {
+			return {what: `upstream ${change.order.upstream}`, after: change.order, effect: 'The upstream daemon gives its engine the order, with the version as fencing number'};
+		}
+	}
+}
+
+/**
+ * Creates the intents of an entry daemon.
+ *
+ * @example
+ * ```ts
+ * const planned = await intents.plan({changes: [{change: 'top-up', budget: 'b1', tokens: 1000}]}, 'ana');
+ * ```
+ *
+ * @param options The log
+ * @returns The intents
+ */
+export function createIntents(options: CreateIntentsOptions) {
+	const {follower, writer, events} = options;
+	const bound = options.bound ?? defaultBound;
+
+	function view(plan: Readonly<Plan>): PlanView {
+		const {configuration} = follower.state();
+		return {
+			plan: plan.id, state: plan.state, basis: plan.basis, version: plan.version, reason: plan.reason,
+			differences: plan.changes.map(change => describeChange(change, configuration)),
+		};
+	}
+
+	function findView(id: string): Result<PlanView, Failure> {
+		const plan = follower.state().configuration.findPlan(id);
+		return plan ? Ok(view(plan)) : Err(createFailure('unknown-object', `There is no plan "${id}"`));
+	}
+
+	function judge(plan: PlanView): Result<PlanView, Failure> {
+		if (plan.state === 'stale') {
+			events.write('planRefused', {plan: plan.plan, reason: 'stale'});
+			return Err(createFailure('plan-stale', `Plan "${plan.plan}" is stale: ${plan.reason ?? ''}`));
+		}
+
+		if (plan.state === 'refused') {
+			events.write('planRefused', {plan: plan.plan, reason: 'refused'});
+			return Err(createFailure('plan-refused', `Plan "${plan.plan}" is refused: ${plan.reason ?? ''}`));
+		}
+
+		return Ok(plan);
+	}
+
+	return {
+		find: findView,
+		list: (): PlanView[] => [...follower.state().configuration.listPlans()].map(plan => view(plan)),
+
+		/** Makes a plan; changes nothing. */
+		async plan(intent: Intent, by: string): Promise<Result<PlanView, Failure>> {
+			const {configuration} = follower.state();
+			const refusals = configuration.listRefusals(intent.changes);
+			if (refusals.length > 0) {
+				return Err(createFailure('plan-refused', refusals.join('; ')));
+			}
+
+			const plan = createId('p');
+			const committed = await writer.commit({
+				kind: 'plan', plan, basis: configuration.version(), by, changes: intent.changes,
+			}, {isFolded: state => state.configuration.findPlan(plan) !== undefined, signal: AbortSignal.timeout(bound)});
+			if (committed.err) {
+				// Nothing is in force without a confirmation, whatever became of the append.
+				return Err(createFailure('log-unavailable', committed.val.detail, {retryAfterMs: committed.val.retryAfterMs}));
+			}
+
+			events.write('planRecorded', {plan, by});
+			return findView(plan);
+		},
+
+		/** Confirms a plan; says "accepted" only after the confirmation was read back. */
+		async confirm(id: string, by: string): Promise<Result<PlanView, Failure>> {
+			const known = findView(id);
+			if (known.err || known.val.state !== 'open') {
+				return known.err ? known : judge(known.val);
+			}
+
+			const committed = await writer.commit({kind: 'confirm', plan: id, by}, {
+				isFolded: state => (state.configuration.findPlan(id)?.state ?? 'open') !== 'open',
+				signal: AbortSignal.timeout(bound),
+			});
+			if (committed.err) {
+				return Err(createFailure('log-unavailable', `Whether plan "${id}" was confirmed is not known; ask for its status and confirm again, which has no second effect`, {ran: 'unknown', retryAfterMs: 2000}));
+			}
+
+			const outcome = findView(id);
+			if (outcome.ok && outcome.val.state === 'accepted') {
+				events.write('planAccepted', {plan: id, version: outcome.val.version, by});
+			}
+
+			return outcome.err ? outcome : judge(outcome.val);
+		},
+	};
+}
--- /dev/null
+++ b/src/coordination/loan-desk.ts
@@ -0,0 +1,269 @@
+/**
+ * Loans between entry daemons, which even out their grants without the log.
+ *
+ * A loan is work under the lender's grant: receipts name that grant, so
+ * closing it closes its loans too. The lender subtracts before it answers, the
+ * loan is numbered, and the borrower repeats the number until it is answered;
+ * tokens can be locked by a lost answer but never exist twice.
+ *
+ * @module
+ */
+import {createId, type EventLog, type GrantShare} from '../protocol/mod.js';
+import type {GrantHolder, Member, Source} from '../state/mod.js';
+import type {Clock, FleetClient} from '../transport/mod.js';
+import type {Membership} from './membership.js';
+
+/** A request for a loan, as a peer sends it. */
+export type LoanRequest = {
+	readonly loan: string;
+	readonly budget: string;
+	readonly amount: number;
+	readonly from: string;
+	readonly incarnation: string;
+};
+
+/** An answer to a request for a loan. */
+export type LoanAnswer = {
+	readonly shares: readonly GrantShare[];
+	/** Tokens that the lender's running requests may yet free. */
+	readonly reserved: number;
+};
+
+/** Options of {@linkcode createLoanDesk}. */
+export type CreateLoanDeskOptions = {
+	readonly holder: GrantHolder;
+	readonly membership: Membership;
+	readonly fleet: FleetClient;
+	readonly clock: Clock;
+	readonly events: EventLog;
+	readonly listMembers: () => Iterable<Readonly<Member>>;
+	/** Tokens of a budget that waiting requests of this daemon ask for. */
+	readonly countWanted: (budget: string) => number;
+};
+
+type GivenLoan = {readonly shares: readonly GrantShare[]; readonly to: string; readonly incarnation: string};
+type AskedLoan = {readonly loan: string; readonly budget: string; readonly amount: number; readonly lender: string};
+type Repayment = {readonly loan: string; readonly lender: string; readonly unspent: readonly GrantShare[]};
+
+/** Loans of one entry daemon. */
+export type LoanDesk = ReturnType<typeof createLoanDesk>;
+
+const askTimeout = 1000;
+const idleBeforeRepay = 3000;
+const extraLoans = 8;
+const answeredLimit = 10_000;
+
+/**
+ * Creates the loans of an entry daemon.
+ *
+ * @example
+ * ```ts
+ * const reserved = await loans.borrow('b1', 500);
+ * ```
+ *
+ * @param options Grants and the ways to peers
+ * @returns The loans
+ */
+export function createLoanDesk(options: CreateLoanDeskOptions) {
+	const {
+		holder, membership, fleet, clock, events,
+	} = options;
+	const given = new Map<string, GivenLoan>();
+	const ended = new Set<string>();
+	const asked = new Map<string, AskedLoan>();
+	const repayments = new Map<string, Repayment>();
+	const usedAt = new Map<string, number>();
+
+	function noteEnded(loan: string): void {
+		ended.add(loan);
+		for (const old of ended) {
+			if (ended.size <= answeredLimit) {
+				return;
+			}
+
+			ended.delete(old);
+		}
+	}
+
+	function giveLoan(request: LoanRequest): readonly GrantShare[] {
+		const free = Math.max(0, holder.countFree(request.budget) - options.countWanted(request.budget));
+		// A little more than asked, so that the next request need not ask again.
+		const generous = Math.min(request.amount * extraLoans, Math.floor(free / 2));
+		const shares = holder.withdraw(request.budget, Math.min(free, Math.max(request.amount, generous)));
+		if (shares.length > 0) {
+			holder.markLent(shares);
+			given.set(request.loan, {shares, to: request.from, incarnation: request.incarnation});
+			events.write('loanGiven', {budget: request.budget, to: request.from, amount: sumShares(shares)});
+		}
+
+		return shares;
+	}
+
+	function takeLoan(loan: AskedLoan, shares: readonly GrantShare[]): void {
+		for (const share of shares) {
+			holder.add(share.grant, {
+				budget: loan.budget, amount: share.amount, lender: loan.lender, loan: loan.loan,
+			});
+		}
+
+		if (shares.length > 0) {
+			usedAt.set(loan.loan, clock.now());
+			events.write('loanTaken', {budget: loan.budget, from: loan.lender, amount: sumShares(shares)});
+		}
+	}
+
+	function findAddress(daemon: string): string | undefined {
+		return [...options.listMembers()].find(member => member.daemon === daemon)?.address ?? membership.get(daemon)?.address;
+	}
+
+	// Repeats one numbered request; the lender answers the same number with the same shares.
+	async function askLender(loan: AskedLoan): Promise<LoanAnswer | undefined> {
+		const address = findAddress(loan.lender);
+		if (!address) {
+			return undefined;
+		}
+
+		try {
+			const {self} = membership;
+			const reply = await fleet.connect(address).peer.borrow({
+				loan: loan.loan, budget: loan.budget, amount: loan.amount, from: self.id, incarnation: self.incarnation,
+			}, {timeoutMs: askTimeout});
+			if (asked.delete(loan.loan)) {
+				takeLoan(loan, reply.shares);
+			}
+
+			return reply;
+		} catch {
+			return undefined;
+		}
+	}
+
+	async function sendRepayment(repayment: Repayment): Promise<void> {
+		const address = findAddress(repayment.lender);
+		if (!address) {
+			repayments.delete(repayment.loan);
+			return;
+		}
+
+		try {
+			await fleet.connect(address).peer.repay({loan: repayment.loan, unspent: [...repayment.unspent]}, {timeoutMs: askTimeout});
+			repayments.delete(repayment.loan);
+		} catch {
+			// Repeated by the next round; the lender takes each number once.
+		}
+	}
+
+	function listLoans(): Map<string, Source[]> {
+		const loans = new Map<string, Source[]>();
+		for (const budget of holder.listBudgets()) {
+			for (const source of holder.listSources(budget)) {
+				if (source.loan) {
+					loans.set(source.loan, [...loans.get(source.loan) ?? [], source]);
+				}
+			}
+		}
+
+		return loans;
+	}
+
+	function endIdleLoans(minIdle: number): void {
+		for (const [loan, sources] of listLoans()) {
+			const isRunning = sources.some(source => source.reserved > 0);
+			if (isRunning) {
+				usedAt.set(loan, clock.now());
+				continue;
+			}
+
+			if (clock.now() - (usedAt.get(loan) ?? 0) >= minIdle) {
+				repayments.set(loan, {loan, lender: sources[0]!.lender!, unspent: sources.map(source => ({grant: source.grant, amount: source.free}))});
+				usedAt.delete(loan);
+				for (const source of sources) {
+					holder.dropLoan(source);
+				}
+			}
+		}
+	}
+
+	return {
+		/** Answers a peer's request; the same number gets the same answer. */
+		lend(request: LoanRequest): LoanAnswer {
+			const known = given.get(request.loan)?.shares ?? (ended.has(request.loan) ? [] : undefined);
+			return {shares: known ?? giveLoan(request), reserved: holder.countReserved(request.budget)};
+		},
+
+		/** Takes a repayment; a repeated one does nothing. */
+		takeRepayment(loan: string, unspent: readonly GrantShare[]): void {
+			const known = given.get(loan);
+			if (known) {
+				given.delete(loan);
+				noteEnded(loan);
+				holder.settleLoan(known.shares, unspent);
+			}
+		},
+
+		/** Grants lent to an incarnation, which must be closed when it has ended. */
+		listLentTo(isEnded: (daemon: string, incarnation: string) => boolean): Set<string> {
+			const grants = new Set<string>();
+			for (const [loan, {shares, to, incarnation}] of given) {
+				if (isEnded(to, incarnation)) {
+					given.delete(loan);
+					for (const share of shares) {
+						grants.add(share.grant);
+					}
+				}
+			}
+
+			return grants;
+		},
+
+		/** Borrows from live peers until enough is free; returns what their running requests may yet free. */
+		async borrow(budget: string, amount: number): Promise<number> {
+			let reserved = 0;
+			for (const lender of membership.listLiveEntries(options.listMembers())) {
+				const missing = amount - holder.countFree(budget);
+				if (missing <= 0) {
+					break;
+				}
+
+				const loan: AskedLoan = {
+					loan: createId('l'), budget, amount: missing, lender: lender.daemon,
+				};
+				asked.set(loan.loan, loan);
+				const answer = await askLender(loan);
+				reserved += answer?.reserved ?? 0;
+			}
+
+			return reserved;
+		},
+
+		/** One round: asks again for unanswered loans and repays idle ones. */
+		async keepUp(): Promise<void> {
+			endIdleLoans(idleBeforeRepay);
+			await Promise.all([
+				...[...asked.values()].map(async loan => askLender(loan)),
+				...[...repayments.values()].map(async repayment => sendRepayment(repayment)),
+			]);
+		},
+
+		/** Repays every loan that no request uses, for a stop. */
+		async repayAll(): Promise<void> {
+			endIdleLoans(0);
+			await Promise.all([...repayments.values()].map(async repayment => sendRepayment(repayment)));
+		},
+	};
+}
+
+/**
+ * Sums the tokens of shares.
+ *
+ * @example
+ * ```ts
+ * sumShares([{grant: 'g', amount: 2}, {grant: 'h', amount: 3}]); // 5
+ * ```
+ *
+ * @param shares Tokens of grants
+ * @returns Their sum
+ */
+export function sumShares(shares: ReadonlyArray<{readonly amount: number}>): number {
+	return shares.reduce((total, share) => total + share.amount, 0);
+}
--- /dev/null
+++ b/src/coordination/mod.ts
@@ -0,0 +1,29 @@
+/**
+ * How the daemons act together: the log, grants, membership, routing, retries,
+ * stopping. Calls the state, transport and protocol layers.
+ *
+ * @module
+ */
+export * from './enrolment.js';
+export * from './grant-keeper.js';
+export * from './grant-policy.js';
+export * from './intents.js';
+export * from './loan-desk.js';
+export * from './log-follower.js';
+export * from './log-writer.js';
+export * from './membership.js';
+export * from './metrics.js';
+export * from './model-runner.js';
+export * from './order-sender.js';
+export * from './receipt-reporter.js';
+export * from './reclaimer.js';
+export * from './rendezvous.js';
+export * from './request-router.js';
+export * from './retry-budget.js';
+export * from './route-book.js';
+export * from './routing-policy.js';
+export * from './service-runner.js';
+export * from './settler.js';
+export * from './snapshotter.js';
+export * from './upstream-desk.js';
+export * from './work-queue.js';
--- /dev/null
+++ b/src/coordination/reclaimer.ts
@@ -0,0 +1,86 @@
+/**
+ * Ends incarnations that were lost, so that their grants come back.
+ *
+ * A wrong suspicion does no harm: the ended daemon's grants are refused by
+ * every upstream daemon before anyone else gets their rest, and it joins again
+ * under a new incarnation.
+ *
+ * @module
+ */
+import type {EventLog} from '../protocol/mod.js';
+import type {Member} from '../state/mod.js';
+import type {Clock} from '../transport/mod.js';
+import type {LogFollower} from './log-follower.js';
+import type {LogWriter} from './log-writer.js';
+import type {Membership} from './membership.js';
+import {rankByRendezvous} from './rendezvous.js';
+
+/** Options of {@linkcode createReclaimer}. */
+export type CreateReclaimerOptions = {
+	readonly follower: LogFollower;
+	readonly writer: LogWriter;
+	readonly membership: Membership;
+	readonly clock: Clock;
+	readonly events: EventLog;
+};
+
+/** Ends lost incarnations. */
+export type Reclaimer = ReturnType<typeof createReclaimer>;
+
+const roundPause = 500;
+const appendBound = 5000;
+
+/**
+ * Creates the reclaimer; `run` is its task.
+ *
+ * @example
+ * ```ts
+ * void createReclaimer({follower, writer, membership, clock, events}).run(signal);
+ * ```
+ *
+ * @param options Log and peers
+ * @returns The reclaimer
+ */
+export function createReclaimer(options: CreateReclaimerOptions) {
+	const {
+		follower, writer, membership, clock, events,
+	} = options;
+
+	// One live entry does the work; the log's order keeps a second one harmless.
+	function isMyTask(lost: string): boolean {
+		const live = membership.listLiveEntries(follower.state().placement.list()).map(member => member.daemon);
+		return rankByRendezvous(lost, [...live, membership.self.id])[0] === membership.self.id;
+	}
+
+	function isLost(member: Readonly<Member>): boolean {
+		const peer = membership.get(member.daemon);
+		const isSilent = peer !== undefined && peer.isSuspected && peer.incarnation === member.incarnation;
+		if (member.role === 'entry') {
+			return isSilent;
+		}
+
+		// Ending an upstream daemon gives up on receipts it has not appended, so the host list must have lost it too.
+		return isSilent && membership.isGone(member.daemon);
+	}
+
+	async function endMember(member: Readonly<Member>): Promise<void> {
+		const {daemon, incarnation} = member;
+		await writer.commit({
+			kind: 'leave', daemon, incarnation, graceful: false, by: membership.self.id,
+		}, {isFolded: state => !state.placement.isCurrent(daemon, incarnation), signal: AbortSignal.timeout(appendBound)});
+		events.write('grantClosed', {holder: daemon, incarnation});
+	}
+
+	return {
+		async run(signal: AbortSignal): Promise<void> {
+			while (!signal.aborted) {
+				if (follower.isLogUp()) {
+					const lost = [...follower.state().placement.list()].filter(member => member.daemon !== membership.self.id && isLost(member) && isMyTask(member.daemon));
+					await Promise.all(lost.map(async member => endMember(member)));
+				}
+
+				await clock.sleep(roundPause, signal);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/daemon/caller-interface.ts
@@ -0,0 +1,419 @@
+/**
+ * What an entry daemon answers callers: chat completions and plain services.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type restana from 'restana';
+import type {LogFollower, Metrics, RequestRouter, RoutedCall, Self} from '../coordination/mod.js';
+import {
+	Err, Ok, Work, boundPromptTokens, chatRequestSchema, computeDigest, computeRequestId, createFailure, createId, formatProblem, readSpan,
+	type CallerKey, type ChatRequest, type EntrySettings, type EventLog, type Failure, type Result,
+} from '../protocol/mod.js';
+import type {AnswerEnd} from '../state/mod.js';
+import {
+	readBody, sendFailure, sendJson, type Clock,
+} from '../transport/mod.js';
+import {
+	formatCompletion, formatStreamEvent, parseChunk, type ChatChunk,
+} from './chat-answer.js';
+
+/** Options of {@linkcode createCallerInterface}. */
+export type CreateCallerInterfaceOptions = {
+	readonly self: Self;
+	readonly settings: EntrySettings['requests'];
+	readonly follower: LogFollower;
+	readonly router: RequestRouter;
+	readonly metrics: Metrics;
+	readonly clock: Clock;
+	readonly events: EventLog;
+};
+
+type Caller = {
+	readonly key: CallerKey;
+	readonly class: string;
+	readonly priority: number;
+	readonly requestId: (target: string) => string;
+	readonly isKeyed: boolean;
+	readonly deadline: number;
+	readonly signal: AbortSignal;
+	readonly startedAt: number;
+};
+
+type Timing = {firstAt?: number; lastAt?: number; gapMs: number};
+
+const defaultClass = 'default';
+const defaultPriority = 5;
+const patience = 5000;
+const prefixLength = 512;
+const longestKey = 256;
+const keepAliveEvery = 5000;
+
+/** @internal */
+function readHeader(request: IncomingMessage, name: string): string | undefined {
+	const value = request.headers[name];
+	return Array.isArray(value) ? value[0] : value;
+}
+
+/** @internal */
+function parseJson(body: Uint8Array): Result<unknown, Failure> {
+	try {
+		return Ok(JSON.parse(Buffer.from(body).toString()) as unknown);
+	} catch (error) {
+		return Err(createFailure('malformed-json', `The body is not JSON: ${(error as Error).message}`));
+	}
+}
+
+/** @internal */
+function parseChat(body: unknown): Result<ChatRequest, Failure> {
+	const parsed = chatRequestSchema.safeParse(body);
+	if (parsed.success) {
+		return Ok(parsed.data);
+	}
+
+	const [issue] = parsed.error.issues;
+	return Err(createFailure('invalid-request', `Member "${issue?.path.join('.') ?? ''}" is wrong: ${issue?.message ?? ''}`));
+}
+
+/**
+ * Creates the routes for callers.
+ *
+ * @example
+ * ```ts
+ * await startHttpServer(address, createCallerInterface(options).addRoutes);
+ * ```
+ *
+ * @param options Log, router and metrics
+ * @returns The routes, and the count of running requests
+ */
+export function createCallerInterface(options: CreateCallerInterfaceOptions) {
+	const {
+		self, settings, follower, router, metrics, clock, events,
+	} = options;
+	const running = new Set<ServerResponse>();
+
+	function findKey(request: IncomingMessage): CallerKey | undefined {
+		const header = readHeader(request, 'authorization') ?? '';
+		const secret = header.startsWith('Bearer ') ? header.slice('Bearer '.length) : '';
+		return secret ? follower.state().configuration.findKey(computeDigest(secret)) : undefined;
+	}
+
+	function readDeadline(request: IncomingMessage): Result<number, Failure> {
+		const header = readHeader(request, 'x-deadline');
+		if (header === undefined) {
+			return Ok(clock.now() + settings.deadline);
+		}
+
+		const span = readSpan(header);
+		return span === undefined || span <= 0
+			? Err(createFailure('invalid-request', `Header "x-deadline" has "${header}": write a span of time such as 2500ms or 30s`))
+			: Ok(clock.now() + Math.min(span, settings.longestDeadline));
+	}
+
+	function watchCaller(response: ServerResponse): AbortSignal {
+		const left = new AbortController();
+		response.on('close', () => {
+			if (!response.writableFinished) {
+				left.abort();
+			}
+		});
+		return left.signal;
+	}
+
+	function identifyCaller(request: IncomingMessage, response: ServerResponse): Result<Caller, Failure> {
+		if (self.isLeaving) {
+			return Err(createFailure('leaving', `Entry daemon "${self.id}" is stopping`, {retryAfterMs: 1000}));
+		}
+
+		if (!follower.isReady()) {
+			return Err(createFailure('not-ready', `Entry daemon "${self.id}" has no configuration yet`, {retryAfterMs: 1000}));
+		}
+
+		const key = findKey(request);
+		if (!key) {
+			return Err(createFailure('unknown-key', 'The bearer key is missing or unknown'));
+		}
+
+		const deadline = readDeadline(request);
+		if (deadline.err) {
+			return deadline;
+		}
+
+		const idempotencyKey = readHeader(request, 'idempotency-key');
+		if (idempotencyKey !== undefined && (idempotencyKey === '' || idempotencyKey.length > longestKey)) {
+			return Err(createFailure('invalid-request', `Header "idempotency-key" has ${idempotencyKey.length} characters: write 1 to ${longestKey}`));
+		}
+
+		const {configuration} = follower.state();
+		const className = readHeader(request, 'x-request-class') ?? defaultClass;
+		const requestClass = configuration.findClass(className);
+		return Ok({
+			key,
+			class: requestClass ? className : defaultClass,
+			priority: requestClass?.priority ?? configuration.findCustomer(key.customer)?.priority ?? defaultPriority,
+			isKeyed: idempotencyKey !== undefined,
+			requestId: target => computeRequestId(key.customer, idempotencyKey ?? createId('once'), {target}),
+			deadline: deadline.val,
+			signal: watchCaller(response),
+			startedAt: clock.now(),
+		});
+	}
+
+	function refuse(response: ServerResponse, failure: Failure, caller?: Caller): void {
+		if (caller) {
+			metrics.noteRefused({customer: caller.key.customer, class: caller.class}, failure.type);
+		}
+
+		events.write('requestRefused', {type: failure.type, customer: caller?.key.customer, ran: failure.ran});
+		if (!response.headersSent) {
+			sendFailure(response, failure);
+		}
+	}
+
+	function noteServed(caller: Caller, timing: Timing, end: AnswerEnd): void {
+		const now = clock.now();
+		metrics.noteServed({customer: caller.key.customer, class: caller.class}, {
+			firstMs: (timing.firstAt ?? now) - caller.startedAt, totalMs: now - caller.startedAt, gapMs: timing.gapMs, tokens: end.promptTokens + end.completionTokens,
+		});
+	}
+
+	function noteChunk(timing: Timing): void {
+		const now = clock.now();
+		timing.firstAt ??= now;
+		timing.gapMs = Math.max(timing.gapMs, now - (timing.lastAt ?? now));
+		timing.lastAt = now;
+	}
+
+	function buildChatCall(caller: Caller, chat: ChatRequest): Result<RoutedCall, Failure> {
+		const model = follower.state().configuration.findModel(chat.model);
+		if (!model) {
+			return Err(createFailure('unknown-model', `Model "${chat.model}" is not configured`));
+		}
+
+		const maxTokens = Math.min(chat.max_completion_tokens ?? chat.max_tokens ?? model.maxTokens, model.maxTokens);
+		/* eslint-disable @typescript-eslint/naming-convention */
+		const payload = Buffer.from(JSON.stringify({
+			...chat,
+			max_tokens: maxTokens,
+			max_completion_tokens: undefined,
+			stream: true,
+			stream_options: {include_usage: true, continuous_usage_stats: true},
+		}));
+		/* eslint-enable @typescript-eslint/naming-convention */
+		return Ok({
+			requestId: caller.requestId(chat.model),
+			isKeyed: caller.isKeyed,
+			work: Work.MODEL,
+			target: chat.model,
+			mayRepeat: true,
+			customer: caller.key.customer,
+			budget: caller.key.budget,
+			worstCase: boundPromptTokens(chat) + maxTokens,
+			priority: caller.priority,
+			payload,
+			prefix: computeDigest(JSON.stringify(chat.messages).slice(0, prefixLength)),
+			deadline: caller.deadline,
+			patience,
+			signal: caller.signal,
+		});
+	}
+
+	// Collects a whole answer, or returns why there is none.
+	async function collect(call: RoutedCall, onChunk: (chunk: Uint8Array) => void): Promise<Result<AnswerEnd, Failure>> {
+		const run = router.run(call);
+		for (let item = await run.next(); ; item = await run.next()) {
+			if (item.done) {
+				return item.value;
+			}
+
+			onChunk(item.value);
+		}
+	}
+
+	async function answerWhole(call: RoutedCall, caller: Caller, response: ServerResponse): Promise<void> {
+		const chunks: ChatChunk[] = [];
+		const timing: Timing = {gapMs: 0};
+		const result = await collect(call, chunk => {
+			noteChunk(timing);
+			chunks.push(parseChunk(chunk));
+		});
+		if (result.err) {
+			refuse(response, result.val, caller);
+			return;
+		}
+
+		noteServed(caller, timing, result.val);
+		sendJson(response, formatCompletion({id: call.requestId, model: call.target}, {chunks, end: result.val}));
+	}
+
+	// Comments keep a quiet stream's connection known to whatever stands between.
+	function startKeepAlive(response: ServerResponse): () => void {
+		const timer = setInterval(() => {
+			if (response.headersSent) {
+				response.write(': waiting\n\n');
+			}
+		}, keepAliveEvery);
+		return () => {
+			clearInterval(timer);
+		};
+	}
+
+	// A stream that has begun cannot change its status any more: the failure is its last event, and `[DONE]` is not sent.
+	function endStream(response: ServerResponse, result: Result<AnswerEnd, Failure>, caller: Caller): void {
+		if (result.ok) {
+			response.end('data: [DONE]\n\n');
+			return;
+		}
+
+		refuse(response, result.val, caller);
+		response.end(`data: ${JSON.stringify({error: formatProblem(result.val)})}\n\n`);
+	}
+
+	async function answerStream(call: RoutedCall, caller: Caller, {response, wantsUsage}: {response: ServerResponse; wantsUsage: boolean}): Promise<void> {
+		const timing: Timing = {gapMs: 0};
+		const stopKeepAlive = startKeepAlive(response);
+		const result = await collect(call, chunk => {
+			noteChunk(timing);
+			if (!response.headersSent) {
+				response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-store'});
+			}
+
+			const text = formatStreamEvent(parseChunk(chunk), {wantsUsage});
+			if (text !== undefined) {
+				response.write(text);
+			}
+		});
+		stopKeepAlive();
+		if (result.err && !response.headersSent) {
+			refuse(response, result.val, caller);
+			return;
+		}
+
+		if (result.ok) {
+			noteServed(caller, timing, result.val);
+		}
+
+		endStream(response, result, caller);
+	}
+
+	async function answerChat(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const caller = identifyCaller(request, response);
+		if (caller.err) {
+			refuse(response, caller.val);
+			return;
+		}
+
+		const body = await readBody(request, settings.largestBody);
+		const chat = body.andThen(bytes => parseJson(bytes)).andThen(value => parseChat(value));
+		const call = chat.andThen(value => buildChatCall(caller.val, value));
+		if (chat.err || call.err) {
+			refuse(response, (chat.err ? chat : call).val as Failure, caller.val);
+			return;
+		}
+
+		if (chat.val.stream) {
+			await answerStream(call.val, caller.val, {response, wantsUsage: chat.val.stream_options?.include_usage === true});
+		} else {
+			await answerWhole(call.val, caller.val, response);
+		}
+	}
+
+	function buildServiceCall(caller: Caller, name: string, payload: Uint8Array): Result<RoutedCall, Failure> {
+		const service = follower.state().configuration.findService(name);
+		if (!service) {
+			return Err(createFailure('unknown-service', `Service "${name}" is not configured`));
+		}
+
+		const json = parseJson(payload);
+		if (json.err) {
+			return json;
+		}
+
+		return Ok({
+			requestId: caller.requestId(name),
+			isKeyed: caller.isKeyed,
+			work: Work.SERVICE,
+			target: name,
+			mayRepeat: service.idempotent,
+			customer: caller.key.customer,
+			budget: caller.key.budget,
+			worstCase: service.cost,
+			priority: caller.priority,
+			payload,
+			prefix: '',
+			deadline: caller.deadline,
+			patience,
+			// A call that may not be repeated goes on when its caller has left, and waits for the caller's retry.
+			signal: service.idempotent ? caller.signal : new AbortController().signal,
+		});
+	}
+
+	async function answerService(request: IncomingMessage, response: ServerResponse, name: string): Promise<void> {
+		const caller = identifyCaller(request, response);
+		if (caller.err) {
+			refuse(response, caller.val);
+			return;
+		}
+
+		const body = await readBody(request, settings.largestBody);
+		const call = body.andThen(bytes => buildServiceCall(caller.val, name, bytes));
+		if (call.err) {
+			refuse(response, call.val, caller.val);
+			return;
+		}
+
+		const chunks: Uint8Array[] = [];
+		const result = await collect(call.val, chunk => {
+			chunks.push(chunk);
+		});
+		if (result.err) {
+			refuse(response, result.val, caller.val);
+			return;
+		}
+
+		noteServed(caller.val, {gapMs: 0}, result.val);
+		response.writeHead(result.val.status, {'content-type': 'application/json'});
+		response.end(Buffer.concat(chunks));
+	}
+
+	// Counts the request until its answer has been handed to the system, for a stop that cuts none.
+	async function track(response: ServerResponse, answer: Promise<void>): Promise<void> {
+		running.add(response);
+		if (self.isLeaving) {
+			response.setHeader('connection', 'close');
+		}
+
+		try {
+			await answer;
+		} catch (error) {
+			refuse(response, createFailure('internal', `The daemon failed: ${(error as Error).message}`, {ran: 'unknown'}));
+			response.destroy();
+		} finally {
+			running.delete(response);
+		}
+	}
+
+	return {
+		addRoutes(service: restana.Service<restana.Protocol.HTTP>): void {
+			service.post('/v1/chat/completions', async (request, response) => track(response, answerChat(request, response)));
+			service.post('/v1/services/:name', async (request, response) => track(response, answerService(request, response, request.params.name ?? '')));
+			service.get('/v1/models', (_request, response) => {
+				const data = [...follower.state().configuration.listModels()].map(model => ({id: model.name, object: 'model'}));
+				sendJson(response, {object: 'list', data});
+			});
+			service.get('/healthz', (_request, response) => {
+				sendJson(response, {alive: true});
+			});
+			service.get('/readyz', (_request, response) => {
+				if (follower.isReady() && !self.isLeaving) {
+					sendJson(response, {ready: true});
+				} else {
+					sendFailure(response, createFailure(self.isLeaving ? 'leaving' : 'not-ready', `Entry daemon "${self.id}" takes no requests`, {retryAfterMs: 1000}));
+				}
+			});
+		},
+
+		countRunning: () => running.size,
+	};
+}
--- /dev/null
+++ b/src/daemon/core.ts
@@ -0,0 +1,123 @@
+/**
+ * What entry and upstream daemons have in common: log, peers and enrolment.
+ *
+ * @module
+ */
+import type {ConnectRouter} from '@connectrpc/connect';
+import {
+	createEnrolment, createLogFollower, createLogWriter, createMembership, createMetrics, type Self,
+} from '../coordination/mod.js';
+import {
+	FailureError, createEventLog, createFailure, createId, readSecret, type Join, type Settings,
+} from '../protocol/mod.js';
+import {
+	createFleetClient, createHostListClient, createLogClient, createSystemClock, startFleetServer,
+} from '../transport/mod.js';
+
+/** A running daemon. */
+export type RunningDaemon = {
+	/** Addresses that it listens on, as its ready line gives them. */
+	readonly addresses: Readonly<Record<string, string>>;
+	/** Stops gracefully: nothing new, running requests finish, grants and receipts go to the log. */
+	readonly stop: () => Promise<void>;
+	/** Stops at once and logs what was cut. */
+	readonly cut: () => void;
+	/** Resolves when another process has taken this daemon's name. */
+	readonly superseded: Promise<void>;
+};
+
+/** The common parts of one daemon. */
+export type Core = ReturnType<typeof createCore>;
+
+/** @internal */
+function requireSecret(source: Settings['fleetKey']): string {
+	const secret = readSecret(source);
+	if (secret.err) {
+		throw new FailureError(createFailure('settings-invalid', secret.val));
+	}
+
+	return secret.val;
+}
+
+/**
+ * Creates the common parts of a daemon.
+ *
+ * @example
+ * ```ts
+ * const core = createCore(settings);
+ * ```
+ *
+ * @param settings Checked settings
+ * @returns The parts
+ * @throws {FailureError} When a secret cannot be read
+ */
+export function createCore(settings: Settings) {
+	const fleetKey = requireSecret(settings.fleetKey);
+	const operatorKey = requireSecret(settings.operatorKey);
+	const events = createEventLog(settings.id);
+	const clock = createSystemClock();
+	const self: Self = {
+		id: settings.id, role: settings.role, incarnation: createId('i'), isLeaving: false,
+	};
+	const log = createLogClient({url: settings.log.url, stream: settings.log.stream, timeout: settings.log.timeout});
+	const hostList = settings.hostList && createHostListClient(settings.hostList.url);
+	const fleet = createFleetClient(fleetKey);
+	const stopper = new AbortController();
+	const follower = createLogFollower({
+		log, clock, events, window: settings.log.window, fetchFromPeers: async from => membership.fetchRecords(from),
+	});
+	const membership = createMembership({
+		self, fleet, clock, events, seeds: settings.peers, hostList,
+		hostListEvery: settings.hostList?.every ?? 0,
+		heartbeatEvery: settings.heartbeat.every,
+		suspectAfter: settings.heartbeat.suspectAfter,
+		listMembers: () => follower.state().placement.list(),
+		countNext: () => follower.state().next(),
+	});
+	const writer = createLogWriter({
+		log, follower, clock, events,
+	});
+	let supersede: () => void = () => undefined;
+	const superseded = new Promise<void>(resolve => {
+		supersede = resolve;
+	});
+
+	return {
+		settings, fleetKey, operatorKey, events, clock, self, fleet, follower, membership, writer, superseded,
+		metrics: createMetrics(),
+		signal: stopper.signal,
+
+		async startFleet(routes: (router: ConnectRouter) => void) {
+			return startFleetServer(settings.listen.peers, {
+				fleetKey,
+				routes,
+				onRefused() {
+					events.write('peerRefused');
+				},
+			});
+		},
+
+		enrol(join: Pick<Join, 'address' | 'serves' | 'work'>) {
+			const enrolment = createEnrolment({
+				self, follower, writer, clock, events,
+				join: {...join, failureDomain: settings.failureDomain},
+				onSuperseded() {
+					supersede();
+				},
+			});
+			for (const task of [follower, membership, enrolment]) {
+				void task.run(stopper.signal);
+			}
+
+			return enrolment;
+		},
+
+		async close(): Promise<void> {
+			stopper.abort();
+			fleet.close();
+			await log.close();
+			await hostList?.close();
+			events.write('daemonStopped');
+		},
+	};
+}
--- /dev/null
+++ b/src/daemon/entry-daemon.ts
@@ -0,0 +1,114 @@
+/**
+ * Wires an entry daemon.
+ *
+ * @module
+ */
+import {
+	AheadGrantPolicy, PrefixRoutingPolicy, createGrantKeeper, createIntents, createLoanDesk, createReclaimer, createRequestRouter,
+	createRetryBudget, createRouteBook, createSettler, startSnapshotter, type GrantPolicy, type RoutingPolicy,
+} from '../coordination/mod.js';
+import {Peer, type EntrySettings} from '../protocol/mod.js';
+import {createGrantHolder} from '../state/mod.js';
+import {startHttpServer} from '../transport/mod.js';
+import {createCallerInterface} from './caller-interface.js';
+import {createCore, type RunningDaemon} from './core.js';
+import {createOperatorInterface} from './operator-interface.js';
+import {createPeerInterface} from './peer-interface.js';
+import {waitUntilIdle} from './wait-until-idle.js';
+
+/** Parts that measurements and proofs may replace. */
+export type EntryParts = {
+	/** Default {@linkcode AheadGrantPolicy}. */
+	readonly grantPolicy?: GrantPolicy;
+	/** Default {@linkcode PrefixRoutingPolicy}. */
+	readonly routingPolicy?: RoutingPolicy;
+};
+
+/**
+ * Starts an entry daemon.
+ *
+ * @example
+ * ```ts
+ * const daemon = await startEntryDaemon(settings);
+ * ```
+ *
+ * @param settings Checked settings
+ * @param parts Parts in place of the default ones
+ * @returns The running daemon
+ * @throws {FailureError} When a secret cannot be read
+ */
+export async function startEntryDaemon(settings: EntrySettings, parts: EntryParts = {}): Promise<RunningDaemon> {
+	const core = createCore(settings);
+	const {
+		self, follower, membership, writer, fleet, clock, events, metrics, signal,
+	} = core;
+	const listMembers = () => follower.state().placement.list();
+	const holder = createGrantHolder();
+	const loans = createLoanDesk({
+		holder, membership, fleet, clock, events, listMembers, countWanted: budget => keeper.countWanted(budget),
+	});
+	const keeper = createGrantKeeper({
+		follower, writer, membership, holder, loans, clock, events,
+		policy: parts.grantPolicy ?? new AheadGrantPolicy({horizon: settings.grants.horizon, shortHorizon: settings.grants.shortHorizon}),
+		every: settings.grants.every,
+	});
+	const settler = createSettler({
+		follower, membership, fleet, keeper, clock,
+	});
+	const router = createRequestRouter({
+		follower, membership, fleet, keeper, settler, clock, events,
+		book: createRouteBook({membership, failureDomain: settings.failureDomain, listUpstreams: () => follower.state().placement.listUpstreams()}),
+		policy: parts.routingPolicy ?? new PrefixRoutingPolicy(),
+		retries: createRetryBudget({share: settings.requests.retryShare}),
+		resumeWithin: settings.heartbeat.suspectAfter,
+	});
+	const callers = createCallerInterface({
+		self, settings: settings.requests, follower, router, metrics, clock, events,
+	});
+	const operators = createOperatorInterface({
+		operatorKey: core.operatorKey, follower, writer, membership, events, metrics, holder, keeper,
+		intents: createIntents({follower, writer, events}),
+		isReady: () => follower.isReady() && !self.isLeaving,
+		countFigures: () => ({running: callers.countRunning(), openAttempts: settler.count()}),
+	});
+
+	const fleetServer = await core.startFleet(connect => {
+		connect.service(Peer, createPeerInterface({self, follower, loans}));
+	});
+	const callerServer = await startHttpServer(settings.listen.callers, callers.addRoutes);
+	const operatorServer = await startHttpServer(settings.listen.operators, operators.addRoutes);
+	const enrolment = core.enrol({address: fleetServer.address, serves: [], work: 'none'});
+	const stopSnapshots = startSnapshotter({
+		follower, writer, membership, events, every: settings.log.snapshotEvery,
+	});
+	const reclaimer = createReclaimer({
+		follower, writer, membership, clock, events,
+	});
+	for (const task of [keeper, settler, reclaimer]) {
+		void task.run(signal);
+	}
+
+	events.write('daemonStarted', {role: self.role, incarnation: self.incarnation});
+	return {
+		addresses: {callers: callerServer.url, operators: operatorServer.url, peers: fleetServer.address},
+		superseded: core.superseded,
+		async stop() {
+			events.write('daemonStopping', {running: callers.countRunning()});
+			self.isLeaving = true;
+			await waitUntilIdle(() => callers.countRunning() + settler.count(), {within: settings.stopWithin, clock});
+			if (follower.isLogUp()) {
+				await keeper.returnAll();
+				await enrolment.leave();
+			}
+
+			stopSnapshots();
+			await callerServer.close();
+			operatorServer.cut();
+			await fleetServer.close();
+			await core.close();
+		},
+		cut() {
+			events.write('requestCut', {running: callers.countRunning()});
+		},
+	};
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,106 @@
+/**
+ * Reads settings, starts the daemon they describe, and stops it on a signal.
+ *
+ * @module
+ */
+import process from 'node:process';
+import createDebug from 'debug';
+import {FailureError, failureTable, readSettings, type Settings} from '../protocol/mod.js';
+import type {RunningDaemon} from './core.js';
+import {startEntryDaemon} from './entry-daemon.js';
+import {startUpstreamDaemon} from './upstream-daemon.js';
+
+/** Options of {@linkcode runDaemon}. */
+export type RunDaemonOptions = {
+	/** The settings file. */
+	readonly settings: string;
+	/** Only check the settings; default false. */
+	readonly check?: boolean;
+	/** Starts the daemon; default by the settings' role. */
+	readonly start?: StartDaemon;
+};
+
+/** Starts a daemon from checked settings. */
+export type StartDaemon = (settings: Settings) => Promise<RunningDaemon>;
+
+const cutExitCode = 1;
+
+/**
+ * Starts the daemon that the settings describe.
+ *
+ * @example
+ * ```ts
+ * const daemon = await startDaemon(settings);
+ * ```
+ *
+ * @param settings Checked settings
+ * @returns The running daemon
+ */
+export async function startDaemon(settings: Settings): Promise<RunningDaemon> {
+	return settings.role === 'entry' ? startEntryDaemon(settings) : startUpstreamDaemon(settings);
+}
+
+/** @internal */
+function installSignals(daemon: RunningDaemon): void {
+	let isStopping = false;
+	const stop = async () => {
+		// A second signal ends the stop at once, and the log says what it cut.
+		if (isStopping) {
+			daemon.cut();
+			process.exit(cutExitCode); // eslint-disable-line unicorn/no-process-exit
+		}
+
+		isStopping = true;
+		await daemon.stop();
+		process.exit(0); // eslint-disable-line unicorn/no-process-exit
+	};
+
+	process.on('SIGTERM', stop);
+	process.on('SIGINT', stop);
+	void daemon.superseded.then(stop); // eslint-disable-line promise/prefer-await-to-then
+}
+
+/** @internal */
+function refuseToStart(lines: readonly string[]): void {
+	for (const line of lines) {
+		process.stderr.write(`${line}\n`);
+	}
+
+	process.exitCode = failureTable['settings-invalid'].exitCode;
+}
+
+/**
+ * Runs a daemon until a signal stops it. Its first line on the standard output
+ * is a JSON document with the addresses it listens on.
+ *
+ * @example
+ * ```ts
+ * await runDaemon({settings: 'settings/entry.yaml'});
+ * ```
+ *
+ * @param options The settings file
+ */
+export async function runDaemon(options: RunDaemonOptions): Promise<void> {
+	const settings = readSettings(options.settings);
+	if (settings.err) {
+		refuseToStart(settings.val.map(issue => `${options.settings}:${issue.line}: ${issue.path}: ${issue.message}`));
+		return;
+	}
+
+	if (options.check) {
+		process.stdout.write(`${options.settings} is valid\n`);
+		return;
+	}
+
+	if (process.env.DEBUG === undefined) {
+		createDebug.enable('fireflylane:*');
+	}
+
+	try {
+		const daemon = await (options.start ?? startDaemon)(settings.val);
+		installSignals(daemon);
+		process.stdout.write(`${JSON.stringify({ready: settings.val.id, pid: process.pid, ...daemon.addresses})}\n`);
+	} catch (error) {
+		refuseToStart([error instanceof FailureError ? error.failure.detail : `Cannot start: ${(error as Error).message}`]);
+	}
+}
--- /dev/null
+++ b/src/daemon/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The daemon: interfaces to callers, operators and peers, and the wiring.
+ *
+ * @module
+ */
+export * from './core.js';
+export * from './entry-daemon.js';
+export * from './main.js';
+export * from './upstream-daemon.js';
--- /dev/null
+++ b/src/daemon/peer-interface.ts
@@ -0,0 +1,85 @@
+/**
+ * What every daemon answers its peers.
+ *
+ * @module
+ */
+import {Code, ConnectError, type ServiceImpl} from '@connectrpc/connect';
+import type {LoanDesk, LogFollower, Self} from '../coordination/mod.js';
+import type {Peer} from '../protocol/mod.js';
+
+/** Load as told to peers. */
+export type TellLoad = () => {
+	running: number;
+	queued: number;
+	capacity: number;
+	ageMs: number;
+	upstreamAlive: boolean;
+};
+
+/** Options of {@linkcode createPeerInterface}. */
+export type CreatePeerInterfaceOptions = {
+	readonly self: Self;
+	readonly follower: LogFollower;
+	/** Set on entry daemons. */
+	readonly loans?: LoanDesk;
+	/** Set on upstream daemons. */
+	readonly tellLoad?: TellLoad;
+};
+
+/**
+ * Creates the answers to peers.
+ *
+ * @example
+ * ```ts
+ * router.service(Peer, createPeerInterface({self, follower}));
+ * ```
+ *
+ * @param options This daemon, its log and its loans
+ * @returns The service
+ */
+export function createPeerInterface(options: CreatePeerInterfaceOptions): ServiceImpl<typeof Peer> {
+	const {self, follower, loans} = options;
+
+	function requireLoans(): LoanDesk {
+		if (!loans) {
+			throw new ConnectError(`Daemon "${self.id}" holds no grants`, Code.Unimplemented);
+		}
+
+		return loans;
+	}
+
+	return {
+		heartbeat() {
+			const state = follower.state();
+			return {
+				id: self.id,
+				incarnation: self.incarnation,
+				role: self.role,
+				leaving: self.isLeaving,
+				nextOffset: state.next(),
+				version: state.configuration.version(),
+				load: options.tellLoad?.(),
+			};
+		},
+
+		records(request) {
+			const relayed = follower.listRecent(request.from);
+			return {
+				first: relayed.entries[0]?.offset ?? 0,
+				next: follower.state().next(),
+				records: relayed.entries.map(entry => JSON.stringify(entry)),
+				snapshot: relayed.snapshot ? JSON.stringify(relayed.snapshot) : '',
+			};
+		},
+
+		borrow(request) {
+			const answer = requireLoans().lend(request);
+			return {shares: [...answer.shares], reserved: answer.reserved};
+		},
+
+		repay(request) {
+			requireLoans().takeRepayment(request.loan, request.unspent);
+			return {};
+		},
+	};
+}
--- /dev/null
+++ b/src/daemon/upstream-daemon.ts
@@ -0,0 +1,124 @@
+/**
+ * Wires an upstream daemon.
+ *
+ * @module
+ */
+import {
+	createModelRunner, createOrderSender, createReceiptReporter, createServiceRunner, createUpstreamDesk, createWorkQueue,
+} from '../coordination/mod.js';
+import {Peer, Upstream, type UpstreamSettings} from '../protocol/mod.js';
+import {createRequestTable} from '../state/mod.js';
+import {createEngineClient, createServiceClient, startHttpServer} from '../transport/mod.js';
+import {createCore, type Core, type RunningDaemon} from './core.js';
+import {createOperatorInterface} from './operator-interface.js';
+import {createPeerInterface} from './peer-interface.js';
+import {createUpstreamInterface} from './upstream-interface.js';
+import {createUpstreamWatch} from './upstream-watch.js';
+import {waitUntilIdle} from './wait-until-idle.js';
+
+const leaveNotice = 1000;
+
+/** @internal */
+function createWork(core: Core, settings: UpstreamSettings) {
+	const {
+		self, follower, writer, clock, events,
+	} = core;
+	const {upstream} = settings;
+	const table = createRequestTable({bytes: settings.answers});
+	const queue = createWorkQueue({capacity: upstream.capacity, limit: upstream.queue, clock});
+	const reporter = createReceiptReporter({
+		self, follower, writer, table, clock, events, every: settings.receipts.every,
+	});
+	const engine = upstream.work === 'model' ? createEngineClient({url: upstream.url, silence: upstream.silence}) : undefined;
+	const client = upstream.work === 'service' ? createServiceClient(upstream.url) : undefined;
+	const models = engine && createModelRunner({
+		engine, reporter, clock, events,
+	});
+	const services = client && createServiceRunner({
+		self, client, follower, writer, reporter, clock, events,
+	});
+	const desk = createUpstreamDesk({
+		self, table, queue, follower, reporter, models, services, clock, events,
+	});
+	const watch = createUpstreamWatch({
+		clock, capacity: upstream.capacity,
+		countRunning: () => table.countRunning(),
+		countQueued: () => queue.countWaiting(),
+		fetchLoad: async () => engine?.fetchLoad(),
+		isAlive: async () => client ? client.isAlive() : true,
+	});
+	const orders = engine && createOrderSender({
+		self, follower, engine, clock, events,
+	});
+	const tasks = [reporter.run, watch.run, ...services ? [services.runRecorder] : [], ...orders ? [orders.run] : []];
+	return {
+		table, queue, reporter, desk, watch, tasks,
+		async close() {
+			await engine?.close();
+			await client?.close();
+		},
+	};
+}
+
+/**
+ * Starts an upstream daemon.
+ *
+ * @example
+ * ```ts
+ * const daemon = await startUpstreamDaemon(settings);
+ * ```
+ *
+ * @param settings Checked settings
+ * @returns The running daemon
+ * @throws {FailureError} When a secret cannot be read
+ */
+export async function startUpstreamDaemon(settings: UpstreamSettings): Promise<RunningDaemon> {
+	const core = createCore(settings);
+	const {
+		self, follower, membership, writer, clock, events, metrics, signal,
+	} = core;
+	const work = createWork(core, settings);
+	const {table, queue, reporter, desk} = work;
+	const fleetServer = await core.startFleet(connect => {
+		connect.service(Peer, createPeerInterface({self, follower, tellLoad: work.watch.tellLoad}));
+		connect.service(Upstream, createUpstreamInterface(self, desk));
+	});
+	const enrolment = core.enrol({address: fleetServer.address, serves: settings.upstream.serves, work: settings.upstream.work});
+	const operators = createOperatorInterface({
+		operatorKey: core.operatorKey, follower, writer, membership, events, metrics,
+		isReady: () => enrolment.isJoined() && !self.isLeaving,
+		countFigures: () => ({
+			running: table.countRunning(), queued: queue.countWaiting(), answerBytes: table.countFinishedBytes(), receiptsWaiting: reporter.countWaiting(),
+		}),
+	});
+	const operatorServer = await startHttpServer(settings.listen.operators, operators.addRoutes);
+	for (const run of work.tasks) {
+		void run(signal);
+	}
+
+	events.write('daemonStarted', {role: self.role, incarnation: self.incarnation});
+	return {
+		addresses: {operators: operatorServer.url, peers: fleetServer.address},
+		superseded: core.superseded,
+		async stop() {
+			events.write('daemonStopping', {running: table.countRunning()});
+			self.isLeaving = true;
+			// Entries learn of it by their next heartbeat; until then what they send is refused as not run and goes elsewhere.
+			await clock.sleep(leaveNotice);
+			await waitUntilIdle(() => table.countRunning() + queue.countWaiting(), {within: settings.stopWithin, clock});
+			// The last frames of the streams that just ended are still on their way to the entries.
+			await clock.sleep(leaveNotice);
+			if (follower.isLogUp() && await reporter.flush()) {
+				await enrolment.leave();
+			}
+
+			operatorServer.cut();
+			await fleetServer.close();
+			await work.close();
+			await core.close();
+		},
+		cut() {
+			events.write('requestCut', {running: table.countRunning()});
+		},
+	};
+}
--- /dev/null
+++ b/src/daemon/upstream-interface.ts
@@ -0,0 +1,78 @@
+/**
+ * What an upstream daemon answers entry daemons.
+ *
+ * @module
+ */
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import type {ServiceImpl} from '@connectrpc/connect';
+import type {Self, UpstreamDesk} from '../coordination/mod.js';
+import type {
+	Failure, RunFrameSchema, RunRequest, Upstream,
+} from '../protocol/mod.js';
+import type {TrackedRequest} from '../state/mod.js';
+
+type Frame = MessageInitShape<typeof RunFrameSchema>;
+
+/** @internal */
+function formatRefused(failure: Failure): Frame['body'] {
+	return {
+		case: 'refused',
+		value: {
+			code: failure.type, detail: failure.detail, ran: failure.ran, retryAfterMs: Math.round(failure.retryAfterMs ?? 0), heldBy: failure.heldBy ?? '',
+		},
+	};
+}
+
+/** @internal */
+function formatEnd(request: TrackedRequest): Frame['body'] {
+	if (!request.end) {
+		return formatRefused(request.failure!);
+	}
+
+	return {case: 'done', value: {...request.end, billed: [...request.end.billed], billedAttempt: request.attempt}};
+}
+
+/**
+ * Creates the answers to entry daemons.
+ *
+ * @example
+ * ```ts
+ * router.service(Upstream, createUpstreamInterface(self, desk));
+ * ```
+ *
+ * @param self This daemon
+ * @param desk Its requests
+ * @returns The service
+ */
+export function createUpstreamInterface(self: Self, desk: UpstreamDesk): ServiceImpl<typeof Upstream> {
+	async function * streamFrames(run: RunRequest): AsyncGenerator<Frame> {
+		const name = {requestId: run.requestId, attempt: run.attempt};
+		const opened = await desk.open(run);
+		if (opened.err) {
+			yield {...name, body: formatRefused(opened.val)};
+			return;
+		}
+
+		const request = opened.val;
+		yield {...name, body: {case: 'accepted', value: {upstream: self.id, incarnation: request.incarnation}}};
+		for await (const item of desk.follow(request, run.fromSequence)) {
+			yield item.kind === 'chunk'
+				? {...name, sequence: item.sequence, body: {case: 'chunk', value: item.chunk as Uint8Array<ArrayBuffer>}}
+				: {...name, body: {case: 'progress', value: {}}};
+		}
+
+		yield {...name, sequence: request.chunks.length, body: formatEnd(request)};
+	}
+
+	return {
+		run: streamFrames,
+		fence(request) {
+			const outcome = desk.fence(request.requestId, request.attempt);
+			return {state: outcome.state, billed: [...outcome.billed]};
+		},
+		cancel(request) {
+			desk.cancel(request.requestId, request.attempt);
+			return {};
+		},
+	};
+}
--- /dev/null
+++ b/src/protocol/failures.ts
@@ -0,0 +1,216 @@
+/**
+ * Every failure the product can answer with, one tagged type each, and the one
+ * table that maps a failure to HTTP status, retryability and exit code.
+ *
+ * @module
+ */
+import {z} from 'zod';
+
+/** Whether the request ran: `no` is only said when it never will. */
+export const ranSchema = z.enum(['no', 'yes', 'unknown']);
+
+/** Whether the request ran. */
+export type Ran = z.infer<typeof ranSchema>;
+
+type FailureRow = {
+	/** HTTP status of the answer. */
+	readonly status: number;
+	readonly title: string;
+	/** True when the same request may succeed later. */
+	readonly retryable: boolean;
+	/** Exit code of the command line. */
+	readonly exitCode: number;
+};
+
+/** Failure types with their HTTP status, title, retryability and exit code. */
+export const failureTable = {
+
+	'malformed-json': {
+		status: 400, title: 'The body is not JSON', retryable: false, exitCode: 3,
+	},
+	'invalid-request': {
+		status: 422, title: 'The request breaks the schema', retryable: false, exitCode: 3,
+	},
+	'body-too-large': {
+		status: 413, title: 'The body is too large', retryable: false, exitCode: 3,
+	},
+	'unknown-key': {
+		status: 401, title: 'The key is unknown', retryable: false, exitCode: 4,
+	},
+	'unknown-model': {
+		status: 404, title: 'The model is unknown', retryable: false, exitCode: 3,
+	},
+	'unknown-service': {
+		status: 404, title: 'The service is unknown', retryable: false, exitCode: 3,
+	},
+	'unknown-object': {
+		status: 404, title: 'There is no such object', retryable: false, exitCode: 3,
+	},
+	'key-reused': {
+		status: 422, title: 'The idempotency key belongs to another request body', retryable: false, exitCode: 3,
+	},
+	'budget-spent': {
+		status: 429, title: 'The budget has no tokens left', retryable: true, exitCode: 5,
+	},
+	'budget-busy': {
+		status: 429, title: 'The remaining tokens are reserved by running requests', retryable: true, exitCode: 5,
+	},
+	overloaded: {
+		status: 503, title: 'Every upstream is busy', retryable: true, exitCode: 6,
+	},
+	'no-upstream': {
+		status: 503, title: 'No upstream for this can be reached', retryable: true, exitCode: 6,
+	},
+	'deadline-passed': {
+		status: 504, title: 'The deadline passed', retryable: true, exitCode: 6,
+	},
+	'log-unavailable': {
+		status: 503, title: 'The log service does not answer', retryable: true, exitCode: 6,
+	},
+	'outcome-unknown': {
+		status: 502, title: 'Whether the request ran is unknown', retryable: false, exitCode: 7,
+	},
+	'answer-cut': {
+		status: 502, title: 'The answer was cut off before its end', retryable: true, exitCode: 7,
+	},
+	'upstream-refused': {
+		status: 502, title: 'The upstream refused the request', retryable: false, exitCode: 6,
+	},
+	'answer-gone': {
+		status: 410, title: 'The request ran and its answer is no longer kept', retryable: false, exitCode: 7,
+	},
+	leaving: {
+		status: 503, title: 'The daemon is stopping', retryable: true, exitCode: 6,
+	},
+	'not-ready': {
+		status: 503, title: 'The daemon has no configuration yet', retryable: true, exitCode: 6,
+	},
+	'plan-stale': {
+		status: 409, title: 'Another change came first', retryable: false, exitCode: 8,
+	},
+	'plan-refused': {
+		status: 422, title: 'The plan breaks a rule', retryable: false, exitCode: 8,
+	},
+	'grant-closed': {
+		status: 503, title: 'The grant is closed', retryable: true, exitCode: 6,
+	},
+	'settings-invalid': {
+		status: 500, title: 'The settings are invalid', retryable: false, exitCode: 2,
+	},
+	internal: {
+		status: 500, title: 'The daemon failed', retryable: true, exitCode: 1,
+	},
+
+} as const satisfies Record<string, FailureRow>;
+
+/** The tag of a failure. */
+export type FailureType = keyof typeof failureTable;
+
+/** A failure as it travels between functions and, as a problem, to callers. */
+export type Failure = {
+	readonly type: FailureType;
+	/** A sentence naming the value and the reason. */
+	readonly detail: string;
+	readonly ran: Ran;
+	/** When to come back, in milliseconds; undefined when coming back is of no use. */
+	readonly retryAfterMs?: number;
+	/** The incarnation of an upstream daemon that holds the request, as `daemon/incarnation`. */
+	readonly heldBy?: string;
+};
+
+/** Options of {@linkcode createFailure}. */
+export type CreateFailureOptions = {
+	/** Whether the request ran; default `no`. */
+	readonly ran?: Ran;
+	/** When to come back, in milliseconds; default undefined. */
+	readonly retryAfterMs?: number;
+	/** The incarnation that holds the request; default undefined. */
+	readonly heldBy?: string;
+};
+
+/**
+ * Builds a failure.
+ *
+ * @example A spent budget
+ * ```ts
+ * createFailure('budget-spent', 'Budget "b1" has 0 tokens left', {retryAfterMs: 5000});
+ * ```
+ *
+ * @param type The tag, a row of {@linkcode failureTable}
+ * @param detail A sentence naming the value and the reason
+ * @param options Whether the request ran and when to come back
+ * @returns The failure
+ */
+export function createFailure(type: FailureType, detail: string, options: CreateFailureOptions = {}): Failure {
+	return {
+		type, detail, ran: options.ran ?? 'no', retryAfterMs: options.retryAfterMs, heldBy: options.heldBy,
+	};
+}
+
+/**
+ * Tells whether a text is the tag of a failure.
+ *
+ * @example
+ * ```ts
+ * isFailureType('overloaded'); // true
+ * ```
+ *
+ * @param text The text, for example from another daemon
+ * @returns True when it is a row of {@linkcode failureTable}
+ */
+export function isFailureType(text: string): text is FailureType {
+	return Object.hasOwn(failureTable, text);
+}
+
+/** A failure thrown where a `Result` cannot be returned. */
+export class FailureError extends Error {
+	override get name() {
+		return 'FailureError';
+	}
+
+	constructor(readonly failure: Failure) {
+		super(`${failure.type}: ${failure.detail}`);
+	}
+}
+
+/** Schema of an `application/problem+json` body. */
+export const problemSchema = z.object({
+	type: z.string(),
+	title: z.string(),
+	status: z.number(),
+	detail: z.string(),
+	ran: ranSchema,
+	retryAfterSeconds: z.number().optional(),
+});
+
+/** An `application/problem+json` body. */
+export type Problem = z.infer<typeof problemSchema>;
+
+const millisecondsPerSecond = 1000;
+
+/**
+ * Turns a failure into the body that callers receive.
+ *
+ * @example
+ * ```ts
+ * formatProblem(createFailure('overloaded', 'All 4 upstreams are full')).status; // 503
+ * ```
+ *
+ * @param failure The failure
+ * @returns The problem; `type` is a stable URN
+ */
+export function formatProblem(failure: Failure): Problem {
+	const row = failureTable[failure.type];
+	const problem: Problem = {
+		type: `urn:fireflylane:${failure.type}`,
+		title: row.title,
+		status: row.status,
+		detail: failure.detail,
+		ran: failure.ran,
+	};
+	if (failure.retryAfterMs !== undefined) {
+		problem.retryAfterSeconds = Math.max(1, Math.ceil(failure.retryAfterMs / millisecondsPerSecond));
+	}
+
+	return problem;
+}
--- /dev/null
+++ b/src/protocol/mod.ts
@@ -0,0 +1,18 @@
+/**
+ * What daemons, callers, operators and the log say to each other: schemas,
+ * generated messages, failures and events. The lowest layer; calls none.
+ *
+ * @module
+ */
+export * from './changes.js';
+export * from './chat.js';
+export * from './event-catalogue.js';
+export * from './event-log.js';
+export * from './failures.js';
+export * from './gen/fleet_pb.js';
+export * from './read-settings.js';
+export * from './records.js';
+export * from './request-id.js';
+export * from './results.js';
+export * from './settings.js';
+export * from './units.js';
--- /dev/null
+++ b/src/state/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * What is folded from the log, and what one daemon keeps in memory. Calls
+ * only the protocol layer.
+ *
+ * @module
+ */
+export * from './configuration.js';
+export * from './fleet-state.js';
+export * from './grant-holder.js';
+export * from './ledger.js';
+export * from './placement.js';
+export * from './receipt-book.js';
+export * from './request-table.js';
+export * from './run-register.js';
--- /dev/null
+++ b/src/state/placement.ts
@@ -0,0 +1,74 @@
+/**
+ * Which incarnations of which daemons the log knows.
+ *
+ * Ownership read from here is a hint for cheap routing; what counts is decided
+ * by the log's order. Ending an incarnation in the log fences it, as epochs do
+ * in the jaque cluster design (docs/DECISIONS.md).
+ *
+ * @module
+ */
+import type {Join, RecordOf} from '../protocol/mod.js';
+import {formatIncarnation} from './ledger.js';
+
+/** A daemon's current incarnation. */
+export type Member = Join & {offset: number};
+
+/** Serialisable form of the placement. */
+export type PlacementSnapshot = {members: Member[]};
+
+/** An incarnation that ended, and whether all its receipts are on the log. */
+export type EndedIncarnation = {readonly member: Member; readonly graceful: boolean};
+
+/** The placement; each `fold…` takes one record. */
+export type Placement = ReturnType<typeof createPlacement>;
+
+/**
+ * Creates a placement.
+ *
+ * @example
+ * ```ts
+ * const placement = createPlacement();
+ * placement.isCurrent('up-1', 'i-1'); // false
+ * ```
+ *
+ * @param snapshot Snapshot to start from; default empty
+ * @returns The placement
+ */
+export function createPlacement(snapshot?: PlacementSnapshot) {
+	const members = new Map(snapshot?.members.map(member => [member.daemon, member]));
+
+	function listUpstreams(): Member[] {
+		return [...members.values()].filter(member => member.role === 'upstream');
+	}
+
+	return {
+		/** Folds a join and returns the incarnation that it ended, if any. */
+		foldJoin(record: Join, offset: number): EndedIncarnation | undefined {
+			const before = members.get(record.daemon);
+			if (before?.incarnation === record.incarnation) {
+				return undefined;
+			}
+
+			members.set(record.daemon, {...record, offset});
+			return before && {member: before, graceful: false};
+		},
+
+		/** Folds a leave and returns the incarnation that it ended, if any. */
+		foldLeave(record: RecordOf<'leave'>): EndedIncarnation | undefined {
+			const before = members.get(record.daemon);
+			if (before?.incarnation !== record.incarnation) {
+				return undefined;
+			}
+
+			members.delete(record.daemon);
+			return {member: before, graceful: record.graceful};
+		},
+
+		isCurrent: (daemon: string, incarnation: string): boolean => members.get(daemon)?.incarnation === incarnation,
+		get: (daemon: string): Readonly<Member> | undefined => members.get(daemon),
+		list: (): Iterable<Readonly<Member>> => members.values(),
+		listUpstreams,
+		listUpstreamIncarnations: (): string[] => listUpstreams().map(member => formatIncarnation(member.daemon, member.incarnation)),
+		buildSnapshot: (): PlacementSnapshot => ({members: [...members.values()]}),
+	};
+}
--- /dev/null
+++ b/src/transport/log-client.ts
@@ -0,0 +1,107 @@
+/**
+ * Client of the platform's log service.
+ *
+ * @module
+ */
+import {Agent, request} from 'undici';
+import {
+	Err, Ok, createFailure, pageSchema, type Failure, type LogPage, type LogRecord, type Result,
+} from '../protocol/mod.js';
+
+/** Why a read failed: the log is away, or it no longer keeps the offset asked for. */
+export type ReadFailure =
+	| {readonly kind: 'away'; readonly failure: Failure}
+	| {readonly kind: 'gone'; readonly first: number; readonly next: number};
+
+/** Options of {@linkcode createLogClient}. */
+export type CreateLogClientOptions = {
+	readonly url: string;
+	readonly stream: string;
+	/** How long an append or a read may take, in milliseconds. */
+	readonly timeout: number;
+};
+
+/** Options of {@linkcode LogClient.read}. */
+export type ReadLogOptions = {
+	/** How long the log may hold the answer back for a new record, in milliseconds; default 0. */
+	readonly wait?: number;
+	readonly signal?: AbortSignal;
+};
+
+/** Client of the log service; an interface so that tests can stand in for it. */
+export type LogClient = {
+	/** Appends records in order, at adjoining offsets. After a failure the records may stand on the log all the same. */
+	readonly append: (records: readonly LogRecord[]) => Promise<Result<undefined, Failure>>;
+	readonly read: (from: number, options?: ReadLogOptions) => Promise<Result<LogPage, ReadFailure>>;
+	readonly close: () => Promise<void>;
+};
+
+const goneStatus = 410;
+const okStatus = 200;
+const pageLimit = 1000;
+
+/**
+ * Creates a client of the log service.
+ *
+ * @example
+ * ```ts
+ * const log = createLogClient({url: 'http://127.0.0.1:7000', stream: 'fleet', timeout: 3000});
+ * await log.read(0);
+ * ```
+ *
+ * @param options Address, stream and time bound
+ * @returns The client
+ */
+export function createLogClient(options: CreateLogClientOptions): LogClient {
+	const dispatcher = new Agent({connections: 4, pipelining: 1, connect: {timeout: options.timeout}});
+	const address = `${options.url}/v1/streams/${options.stream}/records`;
+
+	function explainAway(error: unknown): Failure {
+		return createFailure('log-unavailable', `The log service at ${options.url} does not answer: ${(error as Error).message}`);
+	}
+
+	// A connection can go silent for good; the bound turns that into a failed call and the dropped connection is not used again.
+	function boundCall(extra: number, signal?: AbortSignal): AbortSignal {
+		const bound = AbortSignal.timeout(options.timeout + extra);
+		return signal ? AbortSignal.any([bound, signal]) : bound;
+	}
+
+	return {
+		async append(records) {
+			try {
+				const answer = await request(address, {
+					method: 'POST', dispatcher, signal: boundCall(0),
+					headers: {'content-type': 'application/json'},
+					body: JSON.stringify({records}),
+				});
+				const text = await answer.body.text();
+				return answer.statusCode === okStatus ? Ok(undefined) : Err(explainAway(new Error(`status ${answer.statusCode} ${text}`)));
+			} catch (error) {
+				return Err(explainAway(error));
+			}
+		},
+
+		async read(from, {wait = 0, signal} = {}) {
+			try {
+				const answer = await request(`${address}?from=${from}&wait=${wait}&limit=${pageLimit}`, {dispatcher, signal: boundCall(wait, signal)});
+				const body = await answer.body.json();
+				if (answer.statusCode === goneStatus) {
+					const {first, next} = pageSchema.parse(body);
+					return Err({kind: 'gone', first, next});
+				}
+
+				if (answer.statusCode !== okStatus) {
+					return Err({kind: 'away', failure: explainAway(new Error(`status ${answer.statusCode}`))});
+				}
+
+				return Ok(pageSchema.parse(body));
+			} catch (error) {
+				return Err({kind: 'away', failure: explainAway(error)});
+			}
+		},
+
+		async close() {
+			await dispatcher.destroy();
+		},
+	};
+}
--- /dev/null
+++ b/src/transport/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Sockets, servers and clients; knows no budgets. Calls only the protocol
+ * layer.
+ *
+ * @module
+ */
+export * from './clock.js';
+export * from './engine-client.js';
+export * from './fleet-client.js';
+export * from './fleet-server.js';
+export * from './host-list-client.js';
+export * from './http-server.js';
+export * from './log-client.js';
+export * from './service-client.js';
--- /dev/null
+++ b/tools/harness/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Real processes for the demo, the measurements and the proofs.
+ *
+ * @module
+ */
+export * from './caller.js';
+export * from './fleet.js';
+export * from './process.js';
+export * from './relay.js';
--- /dev/null
+++ b/tools/harness/process.ts
@@ -0,0 +1,110 @@
+/**
+ * Processes of a test fleet: started, killed, frozen and stopped by id.
+ *
+ * @module
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+
+/** What a process printed as its ready line. */
+export type ReadyLine = {readonly pid: number; readonly url: string; readonly callers: string; readonly operators: string; readonly peers: string};
+
+/** A process of the fleet. */
+export type FleetProcess = {
+	readonly name: string;
+	readonly ready: ReadyLine;
+	/** Everything it wrote to its standard error. */
+	readonly readLog: () => string;
+	readonly kill: () => Promise<void>;
+	readonly freeze: () => void;
+	readonly resume: () => void;
+	/** Sends SIGTERM and returns the exit code. */
+	readonly stop: () => Promise<number>;
+	readonly hasExited: () => boolean;
+};
+
+/** Options of {@linkcode startProcess}. */
+export type StartProcessOptions = {
+	/** Path from the build folder. */
+	readonly file: string;
+	readonly args?: readonly string[];
+	readonly environment?: Readonly<Record<string, string>>;
+	/** Writes the process's log to this one's standard error; default false. */
+	readonly showLog?: boolean;
+};
+
+const logLimit = 4_000_000;
+
+/** @internal */
+async function readReadyLine(child: ChildProcess, name: string, readLog: () => string): Promise<ReadyLine> {
+	const lines = createInterface({input: child.stdout!});
+	const first = await Promise.race([
+		once(lines, 'line') as Promise<[string]>,
+		once(child, 'exit') as Promise<[number]>,
+	]);
+	if (typeof first[0] !== 'string') {
+		throw new TypeError(`Process "${name}" ended with code ${String(first[0])} before it was ready: ${readLog()}`);
+	}
+
+	return JSON.parse(first[0]) as ReadyLine;
+}
+
+/**
+ * Starts a process and waits for its ready line.
+ *
+ * @example
+ * ```ts
+ * const log = await startProcess('log', {file: 'stand-ins/log-service.js'});
+ * ```
+ *
+ * @param name What to call it
+ * @param options The program
+ * @returns The running process
+ * @throws When it ends before it is ready
+ */
+export async function startProcess(name: string, options: StartProcessOptions): Promise<FleetProcess> {
+	const file = fileURLToPath(new URL(`../../${options.file}`, import.meta.url));
+	const child = spawn(process.execPath, ['--enable-source-maps', file, ...options.args ?? []], {
+		stdio: ['ignore', 'pipe', 'pipe'],
+		env: {...process.env, ...options.environment},
+	});
+	let log = '';
+	child.stderr.on('data', (data: Uint8Array) => {
+		log = (log + String(data)).slice(-logLimit);
+		if (options.showLog) {
+			process.stderr.write(data);
+		}
+	});
+	const exited = once(child, 'exit') as Promise<[number | null]>;
+	const readLog = () => log;
+	const ready = await readReadyLine(child, name, readLog);
+	return {
+		name,
+		ready,
+		readLog,
+		hasExited: () => child.exitCode !== null || child.signalCode !== null,
+		async kill() {
+			child.kill('SIGKILL');
+			await exited;
+		},
+		freeze() {
+			child.kill('SIGSTOP');
+		},
+		resume() {
+			child.kill('SIGCONT');
+		},
+		async stop() {
+			if (child.exitCode !== null || child.signalCode !== null) {
+				return child.exitCode ?? -1;
+			}
+
+			child.kill('SIGCONT');
+			child.kill('SIGTERM');
+			const [code] = await exited;
+			return code ?? -1;
+		},
+	};
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,12 @@
+import {defineConfig} from 'vitest/config';
+
+export default defineConfig({
+	test: {
+		include: ['src/**/*.test.ts', 'tools/**/*.test.ts'],
+		testTimeout: 60_000,
+		hookTimeout: 60_000,
+		// The process proofs measure time bounds, so test files take turns on a small machine.
+		maxWorkers: 2,
+		minWorkers: 1,
+	},
+});
