--- /dev/null
+++ b/src/cli.ts
@@ -0,0 +1,31 @@
+#!/usr/bin/env node
+/**
+ * `fireflylane`: the operators' command line. It talks to any entry daemon.
+ *
+ * Exit codes are those of docs/ERRORS.md: 0 for success, 1 for wrong usage.
+ *
+ * @module
+ */
+import process from 'node:process';
+import {run, subcommands} from 'cmd-ts';
+import {
+	budgetCommand, hostCommand, metricsCommand, requestCommand, statusCommand, upstreamCommand,
+} from './cli/inspect-commands.js';
+import {intentCommand, keyCommand} from './cli/intent-commands.js';
+
+const program = subcommands({
+	name: 'fireflylane',
+	description: 'Operate a fleet of fireflylane daemons',
+	cmds: {
+		status: statusCommand,
+		budget: budgetCommand,
+		intent: intentCommand,
+		upstream: upstreamCommand,
+		host: hostCommand,
+		request: requestCommand,
+		metrics: metricsCommand,
+		key: keyCommand,
+	},
+});
+
+await run(program, process.argv.slice(2));
--- a/src/coordination/intents.ts
+++ b/src/coordination/intents.ts
@@ -58,7 +58,8 @@
 
 		case 'put-key': {
 			return {
-				what: `key ${change.key.digest.slice(0, 12)}`, before: configuration.findKey(change.key.digest), after: change.key, effect: `Callers with this key draw on budget "${change.key.budget}"`,
+				what: `key ${change.key.digest.slice(0, 12)}`, before: configuration.findKey(change.key.digest), after: change.key,
+				effect: `Callers with this key draw on budget "${change.key.budget}"`,
 			};
 		}
 
@@ -85,7 +86,8 @@
 
 		case 'put-service': {
 			return {
-				what: `service ${change.service.name}`, before: configuration.findService(change.service.name), after: change.service, effect: `One call is billed ${change.service.cost} tokens`,
+				what: `service ${change.service.name}`, before: configuration.findService(change.service.name), after: change.service,
+				effect: `One call is billed ${change.service.cost} tokens`,
 			};
 		}
 
@@ -144,7 +146,7 @@
 	}
 
 	return {
-		find: findView,
+		findPlan: findView,
 		list: (): PlanView[] => [...follower.state().configuration.listPlans()].map(plan => view(plan)),
 
 		/** Makes a plan; changes nothing. */
@@ -180,7 +182,8 @@
 				signal: AbortSignal.timeout(bound),
 			});
 			if (committed.err) {
-				return Err(createFailure('log-unavailable', `Whether plan "${id}" was confirmed is not known; ask for its status and confirm again, which has no second effect`, {ran: 'unknown', retryAfterMs: 2000}));
+				const detail = `Whether plan "${id}" was confirmed is not known; ask for its status and confirm again, which has no second effect`;
+				return Err(createFailure('log-unavailable', detail, {ran: 'unknown', retryAfterMs: 2000}));
 			}
 
 			const outcome = findView(id);
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -6,7 +6,7 @@
  */
 import process from 'node:process';
 import {
-	command, flag, option, run, string,
+	command, flag, option, optional, run, string,
 } from 'cmd-ts';
 import {runDaemon} from './daemon/mod.js';
 
@@ -15,6 +15,7 @@
 	description: 'Runs one daemon of the fleet until SIGTERM or SIGINT',
 	args: {
 		settings: option({long: 'settings', type: string, description: 'the settings file, YAML'}),
+		daemon: option({long: 'daemon', type: optional(string), description: 'the daemon wanted of a deployment file'}),
 		check: flag({long: 'check', description: 'only check the settings'}),
 	},
 	async handler(options) {
--- a/src/daemon/caller-interface.ts
+++ b/src/daemon/caller-interface.ts
@@ -6,7 +6,9 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type restana from 'restana';
-import type {LogFollower, Metrics, RequestRouter, RoutedCall, Self} from '../coordination/mod.js';
+import type {
+	LogFollower, Metrics, RequestRouter, RoutedCall, Self,
+} from '../coordination/mod.js';
 import {
 	Err, Ok, Work, boundPromptTokens, chatRequestSchema, computeDigest, computeRequestId, createFailure, createId, formatProblem, readSpan,
 	type CallerKey, type ChatRequest, type EntrySettings, type EventLog, type Failure, type Result,
@@ -312,11 +314,7 @@
 			return;
 		}
 
-		if (chat.val.stream) {
-			await answerStream(call.val, caller.val, {response, wantsUsage: chat.val.stream_options?.include_usage === true});
-		} else {
-			await answerWhole(call.val, caller.val, response);
-		}
+		await (chat.val.stream ? answerStream(call.val, caller.val, {response, wantsUsage: chat.val.stream_options?.include_usage === true}) : answerWhole(call.val, caller.val, response));
 	}
 
 	function buildServiceCall(caller: Caller, name: string, payload: Uint8Array): Result<RoutedCall, Failure> {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -5,7 +5,9 @@
  */
 import process from 'node:process';
 import createDebug from 'debug';
-import {FailureError, failureTable, readSettings, type Settings} from '../protocol/mod.js';
+import {
+	FailureError, checkSettings, failureTable, readSettings, type Settings, type SettingsIssue,
+} from '../protocol/mod.js';
 import type {RunningDaemon} from './core.js';
 import {startEntryDaemon} from './entry-daemon.js';
 import {startUpstreamDaemon} from './upstream-daemon.js';
@@ -14,6 +16,8 @@
 export type RunDaemonOptions = {
 	/** The settings file. */
 	readonly settings: string;
+	/** The daemon wanted of a deployment file; default the only one. */
+	readonly daemon?: string;
 	/** Only check the settings; default false. */
 	readonly check?: boolean;
 	/** Starts the daemon; default by the settings' role. */
@@ -60,6 +64,22 @@
 	void daemon.superseded.then(stop); // eslint-disable-line promise/prefer-await-to-then
 }
 
+/** @internal */
+function formatIssues(file: string, issues: readonly SettingsIssue[]): string[] {
+	return issues.map(issue => `${file}:${issue.line}: ${issue.path}: ${issue.message}`);
+}
+
+/** @internal */
+function checkOnly(file: string): void {
+	const checked = checkSettings(file);
+	if (checked.err) {
+		refuseToStart(formatIssues(file, checked.val));
+		return;
+	}
+
+	process.stdout.write(`${file} is valid: ${checked.val.map(daemon => daemon.id).join(', ')}\n`);
+}
+
 /** @internal */
 function refuseToStart(lines: readonly string[]): void {
 	for (const line of lines) {
@@ -81,14 +101,14 @@
  * @param options The settings file
  */
 export async function runDaemon(options: RunDaemonOptions): Promise<void> {
-	const settings = readSettings(options.settings);
-	if (settings.err) {
-		refuseToStart(settings.val.map(issue => `${options.settings}:${issue.line}: ${issue.path}: ${issue.message}`));
+	if (options.check) {
+		checkOnly(options.settings);
 		return;
 	}
 
-	if (options.check) {
-		process.stdout.write(`${options.settings} is valid\n`);
+	const settings = readSettings(options.settings, {daemon: options.daemon});
+	if (settings.err) {
+		refuseToStart(formatIssues(options.settings, settings.val));
 		return;
 	}
 
--- a/src/daemon/operator-interface.ts
+++ b/src/daemon/operator-interface.ts
@@ -162,8 +162,7 @@
 	}
 
 	function sendPlan(response: ServerResponse, id: string): void {
-		const found = intents!.find(id);
-		sendResult(response, found.map(plan => describeSpread(plan)));
+		sendResult(response, intents!.findPlan(id).map(plan => describeSpread(plan)));
 	}
 
 	function addIntentRoutes(service: restana.Service<restana.Protocol.HTTP>): void {
--- a/src/daemon/upstream-interface.ts
+++ b/src/daemon/upstream-interface.ts
@@ -57,7 +57,7 @@
 		yield {...name, body: {case: 'accepted', value: {upstream: self.id, incarnation: request.incarnation}}};
 		for await (const item of desk.follow(request, run.fromSequence)) {
 			yield item.kind === 'chunk'
-				? {...name, sequence: item.sequence, body: {case: 'chunk', value: item.chunk as Uint8Array<ArrayBuffer>}}
+				? {...name, sequence: item.sequence, body: {case: 'chunk', value: item.chunk}}
 				: {...name, body: {case: 'progress', value: {}}};
 		}
 
--- a/stand-ins/log-service.ts
+++ b/stand-ins/log-service.ts
@@ -22,7 +22,9 @@
 	/** Records kept; 0 for all. */
 	retention: 0,
 };
-const counts = {appends: 0, records: 0, bytes: 0, reads: 0};
+const counts = {
+	appends: 0, records: 0, bytes: 0, reads: 0,
+};
 const records: Stored[] = [];
 const waiters = new Set<() => void>();
 let next = 0;
--- a/stand-ins/model-engine.ts
+++ b/stand-ins/model-engine.ts
@@ -6,7 +6,6 @@
  * @module
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
 import {readDocument, sendDocument, serveStandIn} from './serve.js';
 
@@ -26,11 +25,11 @@
 
 const control = {
 	/** Milliseconds between two tokens. */
-	tokenPause: Number(process.env.TOKEN_PAUSE ?? 2),
+	tokenPause: 2,
 	/** Milliseconds before the first token when the prompt's beginning is not cached. */
-	prefill: Number(process.env.PREFILL ?? 10),
+	prefill: 10,
 	/** Requests that run at full pace together. */
-	capacity: Number(process.env.CAPACITY ?? 64),
+	capacity: 64,
 	/** Load reports are this old, in milliseconds. */
 	lag: 1000,
 	/** Streams open now fall silent for good; new connections work. */
--- a/stand-ins/serve.ts
+++ b/stand-ins/serve.ts
@@ -43,10 +43,10 @@
 	const {port} = server.address() as AddressInfo;
 	process.stdout.write(`${JSON.stringify({ready: name, pid: process.pid, url: `http://127.0.0.1:${port}`})}\n`);
 	process.on('SIGTERM', () => {
-		process.exit(0); // eslint-disable-line unicorn/no-process-exit
+		process.exit(0);
 	});
 	process.on('SIGINT', () => {
-		process.exit(0); // eslint-disable-line unicorn/no-process-exit
+		process.exit(0);
 	});
 }
 
--- a/tools/demo/main.ts
+++ b/tools/demo/main.ts
@@ -67,7 +67,8 @@
 
 async function waitForReceipts(fleet: TestFleet): Promise<void> {
 	for (;;) {
-		const statuses = await Promise.all(fleet.upstreams.map(async upstream => fetchDocument<{figures: {receiptsWaiting: number; running: number}}>(`${upstream.process.ready.operators}/v1/status`)));
+		const urls = fleet.upstreams.map(upstream => `${upstream.process.ready.operators}/v1/status`);
+		const statuses = await Promise.all(urls.map(async url => fetchDocument<{figures: {receiptsWaiting: number; running: number}}>(url)));
 		if (statuses.every(({figures}) => figures.receiptsWaiting === 0 && figures.running === 0)) {
 			return;
 		}
--- a/tools/harness/caller.ts
+++ b/tools/harness/caller.ts
@@ -66,8 +66,8 @@
 
 		const blocks = (rest + decoder.decode(bytes as Uint8Array, {stream: true})).split('\n\n');
 		rest = blocks.pop() ?? '';
-		for (const block of blocks.filter(item => item.startsWith('data: '))) {
-			const data = block.slice('data: '.length);
+		for (const line of blocks.flatMap(block => block.split('\n')).filter(item => item.startsWith('data: '))) {
+			const data = line.slice('data: '.length);
 			if (data === '[DONE]') {
 				isWhole = true;
 				continue;
@@ -102,8 +102,13 @@
 	const startedAt = performance.now();
 	const answer = await fetch(`${url}/v1/chat/completions`, {
 		method: 'POST', headers: buildHeaders(options), signal: options.signal,
-		// eslint-disable-next-line @typescript-eslint/naming-convention
-		body: JSON.stringify({model: 'assistant', messages: [{role: 'user', content: options.content}], max_tokens: options.maxTokens ?? 40, stream: options.stream ?? false}),
+
+		body: JSON.stringify({
+			model: 'assistant',
+			messages: [{role: 'user', content: options.content}],
+			max_tokens: options.maxTokens ?? 40, // eslint-disable-line @typescript-eslint/naming-convention
+			stream: options.stream ?? false,
+		}),
 	});
 	const head = {status: answer.status, retryAfter: answer.headers.get('retry-after') ?? undefined};
 	if (answer.ok && options.stream) {
--- a/tools/harness/fleet.ts
+++ b/tools/harness/fleet.ts
@@ -23,7 +23,8 @@
 	readonly engines: number;
 	/** Booking services, each with its upstream daemon. */
 	readonly bookings: number;
-	readonly engineEnvironment?: Readonly<Record<string, string>>;
+	/** What every engine is told at its start, such as its pace. */
+	readonly engine?: Readonly<Record<string, unknown>>;
 	/** Settings laid over every daemon's. */
 	readonly settings?: Record<string, unknown>;
 	/** Settings laid over every entry daemon's. */
@@ -49,9 +50,15 @@
 /** An upstream: its stand-in and its daemon. */
 export type FleetUpstream = FleetDaemon & {readonly standIn: FleetProcess};
 
+/** A budget as an entry daemon shows it; all amounts in tokens. */
+export type BudgetFigures = Readonly<Record<'bought' | 'billed' | 'burnt' | 'refunded' | 'retired' | 'remaining' | 'granted' | 'locked', number>>;
+
 /** A running test fleet. */
 export type TestFleet = Awaited<ReturnType<typeof startFleet>>;
 
+/* eslint-disable @typescript-eslint/naming-convention -- names of environment variables */
+const secrets = {FIREFLYLANE_FLEET_KEY: fleetKeys.fleet, FIREFLYLANE_OPERATOR_KEY: fleetKeys.operator};
+/* eslint-enable @typescript-eslint/naming-convention */
 const program = 'src/daemon.js';
 const readyPause = 50;
 const readyBound = 20_000;
@@ -138,7 +145,7 @@
 		writeFileSync(path, stringify(settings));
 		const daemon = await startProcess(id, {
 			file, args: ['--settings', path], showLog,
-			environment: {FIREFLYLANE_FLEET_KEY: fleetKeys.fleet, FIREFLYLANE_OPERATOR_KEY: fleetKeys.operator},
+			environment: secrets,
 		});
 		started.push(daemon);
 		return daemon;
@@ -176,9 +183,12 @@
 	async function addUpstream(index: number, work: 'model' | 'service'): Promise<FleetUpstream> {
 		const standIn = await startProcess(`${work}-${index}`, {
 			file: work === 'model' ? 'stand-ins/model-engine.js' : 'stand-ins/plain-service.js',
-			environment: options.engineEnvironment,
 		});
 		started.push(standIn);
+		if (work === 'model' && options.engine) {
+			await fetchDocument(`${standIn.ready.url}/control`, options.engine);
+		}
+
 		const logRelay = await openLogWay();
 		const any = {host: '127.0.0.1', port: 0};
 		const settings: Record<string, unknown> = {
@@ -226,14 +236,16 @@
 
 	async function waitForVersion(version: number): Promise<void> {
 		await waitUntil(async () => {
-			const statuses = await Promise.all([...entries, ...upstreams].map(async daemon => fetchDocument<{version: number; isReady: boolean}>(`${daemon.process.ready.operators}/v1/status`)));
+			const urls = [...entries, ...upstreams].map(daemon => `${daemon.process.ready.operators}/v1/status`);
+			const statuses = await Promise.all(urls.map(async url => fetchDocument<{version: number; isReady: boolean}>(url)));
 			return statuses.every(status => status.isReady && status.version >= version);
 		}, 'every daemon is ready with the version');
 	}
 
 	async function waitForPeers(): Promise<void> {
 		await waitUntil(async () => {
-			const answers = await Promise.all(entries.map(async entry => fetchDocument<{hosts: Array<{isAlive: boolean}>}>(`${entry.process.ready.operators}/v1/hosts`)));
+			const urls = entries.map(entry => `${entry.process.ready.operators}/v1/hosts`);
+			const answers = await Promise.all(urls.map(async url => fetchDocument<{hosts: Array<{isAlive: boolean}>}>(url)));
 			return answers.every(({hosts}) => hosts.length === entries.length + upstreams.length && hosts.every(host => host.isAlive));
 		}, 'every entry hears every daemon');
 	}
@@ -274,7 +286,7 @@
 		},
 
 		async findBudget(budget: string) {
-			return fetchDocument<{bought: number; billed: number; burnt: number; refunded: number; retired: number; remaining: number; granted: number; locked: number}>(`${pickOperator()}/v1/budgets/${budget}`);
+			return fetchDocument<BudgetFigures>(`${pickOperator()}/v1/budgets/${budget}`);
 		},
 
 		/** Ends every process that this fleet started. */
--- a/tools/harness/process.ts
+++ b/tools/harness/process.ts
@@ -28,7 +28,7 @@
 
 /** Options of {@linkcode startProcess}. */
 export type StartProcessOptions = {
-	/** Path from the build folder. */
+	/** The program's path from the build folder. */
 	readonly file: string;
 	readonly args?: readonly string[];
 	readonly environment?: Readonly<Record<string, string>>;
@@ -37,6 +37,8 @@
 };
 
 const logLimit = 4_000_000;
+/** The build folder, whether this module runs from it or from its source. */
+const buildFolder = new URL(import.meta.url.includes('/dist/') ? '../../' : '../../dist/', import.meta.url);
 
 /** @internal */
 async function readReadyLine(child: ChildProcess, name: string, readLog: () => string): Promise<ReadyLine> {
@@ -66,7 +68,7 @@
  * @throws When it ends before it is ready
  */
 export async function startProcess(name: string, options: StartProcessOptions): Promise<FleetProcess> {
-	const file = fileURLToPath(new URL(`../../${options.file}`, import.meta.url));
+	const file = fileURLToPath(new URL(options.file, buildFolder));
 	const child = spawn(process.execPath, ['--enable-source-maps', file, ...options.args ?? []], {
 		stdio: ['ignore', 'pipe', 'pipe'],
 		env: {...process.env, ...options.environment},
@@ -78,7 +80,7 @@
 			process.stderr.write(data);
 		}
 	});
-	const exited = once(child, 'exit') as Promise<[number | null]>;
+	const exited = once(child, 'exit') as Promise<[number | undefined]>;
 	const readLog = () => log;
 	const ready = await readReadyLine(child, name, readLog);
 	return {
