--- a/src/coordination/grant-keeper.ts
+++ b/src/coordination/grant-keeper.ts
@@ -9,11 +9,11 @@
 	Err, Ok, createFailure, createId, type EventLog, type Failure, type GrantShare, type RecordOf, type Result,
 } from '../protocol/mod.js';
 import {
-	formatGrant, type GrantHolder, type Reservation, type Source,
+	formatGrant, sumShares, type GrantHolder, type Reservation, type Source,
 } from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 import type {BudgetView, GrantPolicy} from './grant-policy.js';
-import {sumShares, type LoanDesk} from './loan-desk.js';
+import type {LoanDesk} from './loan-desk.js';
 import type {LogFollower} from './log-follower.js';
 import type {LogWriter} from './log-writer.js';
 import type {Membership} from './membership.js';
--- a/src/coordination/loan-desk.ts
+++ b/src/coordination/loan-desk.ts
@@ -9,7 +9,9 @@
  * @module
  */
 import {createId, type EventLog, type GrantShare} from '../protocol/mod.js';
-import type {GrantHolder, Member, Source} from '../state/mod.js';
+import {
+	sumShares, type GrantHolder, type Member, type Source,
+} from '../state/mod.js';
 import type {Clock, FleetClient} from '../transport/mod.js';
 import type {Membership} from './membership.js';
 
@@ -252,18 +254,3 @@
 		},
 	};
 }
-
-/**
- * Sums the tokens of shares.
- *
- * @example
- * ```ts
- * sumShares([{grant: 'g', amount: 2}, {grant: 'h', amount: 3}]); // 5
- * ```
- *
- * @param shares Tokens of grants
- * @returns Their sum
- */
-export function sumShares(shares: ReadonlyArray<{readonly amount: number}>): number {
-	return shares.reduce((total, share) => total + share.amount, 0);
-}
--- a/src/coordination/model-runner.ts
+++ b/src/coordination/model-runner.ts
@@ -8,11 +8,9 @@
 import {
 	Err, Ok, chatChunkSchema, createFailure, type EventLog, type Failure, type Result, type Usage,
 } from '../protocol/mod.js';
-import type {TrackedRequest} from '../state/mod.js';
+import {allocateShares, sumShares, type TrackedRequest} from '../state/mod.js';
 import type {Clock, EngineCall, EngineClient} from '../transport/mod.js';
-import {sumShares} from './loan-desk.js';
 import type {ReceiptReporter} from './receipt-reporter.js';
-import {allocateShares} from './settler.js';
 
 /** One model request to run. */
 export type ModelWork = {
--- a/src/coordination/service-runner.ts
+++ b/src/coordination/service-runner.ts
@@ -6,14 +6,13 @@
 import {
 	Ok, createFailure, type EventLog, type Failure, type Result, type Service,
 } from '../protocol/mod.js';
-import type {RegisteredRun, TrackedRequest} from '../state/mod.js';
+import {allocateShares, type RegisteredRun, type TrackedRequest} from '../state/mod.js';
 import type {Clock, ServiceClient} from '../transport/mod.js';
 import type {LogFollower} from './log-follower.js';
 import type {LogWriter} from './log-writer.js';
 import type {Self} from './membership.js';
 import type {ReceiptReporter} from './receipt-reporter.js';
 import {rankByRendezvous} from './rendezvous.js';
-import {allocateShares} from './settler.js';
 
 /** One service call to run. */
 export type ServiceWork = {
--- a/src/coordination/settler.ts
+++ b/src/coordination/settler.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import type {GrantShare} from '../protocol/mod.js';
-import type {Reservation} from '../state/mod.js';
+import {allocateShares, type Reservation} from '../state/mod.js';
 import type {Clock, FleetClient} from '../transport/mod.js';
 import type {GrantKeeper} from './grant-keeper.js';
 import type {LogFollower} from './log-follower.js';
@@ -101,30 +101,3 @@
 		},
 	};
 }
-
-/**
- * Lays a cost on shares, in their order. Upstream daemons and entries use the
- * same order, so both come to the same bill.
- *
- * @example
- * ```ts
- * allocateShares([{grant: 'g', amount: 10}, {grant: 'h', amount: 10}], 15); // 10 of g, 5 of h
- * ```
- *
- * @param shares What was reserved
- * @param cost Tokens to bill; never more than the shares' sum is billed
- * @returns The billed part of each share, without empty ones
- */
-export function allocateShares(shares: readonly GrantShare[], cost: number): GrantShare[] {
-	const billed: GrantShare[] = [];
-	let rest = cost;
-	for (const share of shares) {
-		const amount = Math.min(share.amount, rest);
-		rest -= amount;
-		if (amount > 0) {
-			billed.push({grant: share.grant, amount});
-		}
-	}
-
-	return billed;
-}
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -12,3 +12,4 @@
 export * from './receipt-book.js';
 export * from './request-table.js';
 export * from './run-register.js';
+export * from './shares.js';
