Show the need for numbered batches by a told order of events

Ruled out: a ledger that holds without the number; the told order overspends. Change: the order is written down and played with and without the number. Conclusion: holds with the guard, fails without it.

--- a/src/state/spend.test.ts
+++ b/src/state/spend.test.ts
@@ -253,11 +253,26 @@
 	}), parameters);
 });
 
+// A customer sees more answers than it bought: an upstream daemon appends its
+// receipts, the answer of the append is lost, it appends them again, and the
+// copies look like requests that ran twice, whose cost is given back.
+const repeatedBatch: Step[] = [
+	world => world.claim(0, 300),
+	...[0, 1, 2, 3].map((index): Step => world => world.sync(index, 1000)),
+	world => world.spend(0, 0, {amount: 200, cost: 200, isHeard: true}),
+	world => world.flush(0, 2),
+	world => world.claim(1, 300),
+	...[0, 1, 2, 3].map((index): Step => world => world.sync(index, 1000)),
+	world => world.spend(1, 0, {amount: 200, cost: 200, isHeard: true}),
+];
+
+test('createLedger() folds a repeated batch of receipts once', () => {
+	play(repeatedBatch);
+});
+
 test('createLedger() would overspend if batches of receipts had no number', () => {
 	expect(() => {
-		fc.assert(fc.property(stepsArbitrary, steps => {
-			play(steps, {hasBatchGuard: false});
-		}), failingParameters);
+		play(repeatedBatch, {hasBatchGuard: false});
 	}).toThrow();
 });
 
