Let one of two short entries give way to the other

Cause: in the demo's small budget 180 tokens stayed unspent though a request needs 105: two entries held 90 each, both had requests waiting, and each kept its own tokens for them, so both refused. Ruled out: fragmentation over grants; a reservation may span several. Change: an entry too short for any of its waiting requests lends everything to an entry with an earlier name.

--- a/src/coordination/grant-keeper.ts
+++ b/src/coordination/grant-keeper.ts
@@ -67,7 +67,7 @@
 		follower, writer, membership, holder, loans, policy, clock, events,
 	} = options;
 	const appendBound = options.appendBound ?? defaultAppendBound;
-	const wanted = new Map<string, number>();
+	const waiting = new Map<string, number[]>();
 	const claims = new Map<string, Promise<void>>();
 	const seeks = new Map<string, Promise<number>>();
 	const rates = new Map<string, {rate: number; at: number}>();
@@ -75,8 +75,21 @@
 	const finished = new Set<string>();
 	const releasing = new Set<string>();
 
+	function listWanted(budget: string): readonly number[] {
+		return waiting.get(budget) ?? [];
+	}
+
 	function countWanted(budget: string): number {
-		return wanted.get(budget) ?? 0;
+		return sumShares(listWanted(budget).map(amount => ({amount})));
+	}
+
+	function startWaiting(budget: string, amount: number): () => void {
+		const amounts = waiting.get(budget) ?? [];
+		amounts.push(amount);
+		waiting.set(budget, amounts);
+		return () => {
+			amounts.splice(amounts.indexOf(amount), 1);
+		};
 	}
 
 	function findRate(budget: string): number {
@@ -316,7 +329,7 @@
 	}
 
 	return {
-		countWanted,
+		listWanted,
 		noteSpent,
 		syncGrants,
 
@@ -327,11 +340,11 @@
 				return Ok(reservation);
 			}
 
-			wanted.set(budget, countWanted(budget) + amount);
+			const stopWaiting = startWaiting(budget, amount);
 			try {
 				return await waitForTokens(budget, amount, acquire);
 			} finally {
-				wanted.set(budget, countWanted(budget) - amount);
+				stopWaiting();
 			}
 		},
 
--- a/src/coordination/loan-desk.ts
+++ b/src/coordination/loan-desk.ts
@@ -39,8 +39,8 @@
 	readonly clock: Clock;
 	readonly events: EventLog;
 	readonly listMembers: () => Iterable<Readonly<Member>>;
-	/** Tokens of a budget that waiting requests of this daemon ask for. */
-	readonly countWanted: (budget: string) => number;
+	/** What each waiting request of this daemon asks for, in tokens. */
+	readonly listWanted: (budget: string) => readonly number[];
 };
 
 type GivenLoan = {readonly shares: readonly GrantShare[]; readonly to: string; readonly incarnation: string};
@@ -87,8 +87,21 @@
 		}
 	}
 
+	// Near the end two entries may each have too little for a request of theirs, and together enough for one.
+	// Were each to keep its own, both would refuse; so the one with the later name gives way.
+	function countLendable(request: LoanRequest): number {
+		const free = holder.countFree(request.budget);
+		const wanted = options.listWanted(request.budget);
+		const isShort = wanted.length > 0 && free < Math.min(...wanted);
+		if (isShort && request.from < membership.self.id) {
+			return free;
+		}
+
+		return Math.max(0, free - sumNumbers(wanted));
+	}
+
 	function giveLoan(request: LoanRequest): readonly GrantShare[] {
-		const free = Math.max(0, holder.countFree(request.budget) - options.countWanted(request.budget));
+		const free = countLendable(request);
 		// A little more than asked, so that the next request need not ask again.
 		const generous = Math.min(request.amount * extraLoans, Math.floor(free / 2));
 		const shares = holder.withdraw(request.budget, Math.min(free, Math.max(request.amount, generous)));
@@ -254,3 +267,13 @@
 		},
 	};
 }
+
+/** @internal */
+function sumNumbers(numbers: readonly number[]): number {
+	let sum = 0;
+	for (const number of numbers) {
+		sum += number;
+	}
+
+	return sum;
+}
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -45,7 +45,7 @@
 	const listMembers = () => follower.state().placement.list();
 	const holder = createGrantHolder();
 	const loans = createLoanDesk({
-		holder, membership, fleet, clock, events, listMembers, countWanted: budget => keeper.countWanted(budget),
+		holder, membership, fleet, clock, events, listMembers, listWanted: budget => keeper.listWanted(budget),
 	});
 	const keeper = createGrantKeeper({
 		follower, writer, membership, holder, loans, clock, events,
