Prove delivery under failure, and mend four faults that the proofs found

Cause: 1. frozen-executor: the entry's process ended: connect-node pings an abandoned HTTP/2 session from its timer, and that throws outside any call. 2. silent-engine-link: a stream whose engine is silent went on past its deadline for good, since progress frames kept the connection alive. 3. silent-log-link: after one silent connection was dropped, the next call took another idle one of the pool, silent as well: four times the bound. Ruled out: for 1, our own abort order (the library keeps its timer). Change: library pings off, heartbeats and frames find silence; deadlines end streams on both daemons; a failed log call drops the pool's connections.

--- a/src/coordination/model-runner.ts
+++ b/src/coordination/model-runner.ts
@@ -112,7 +112,8 @@
 	async function readWhole(work: ModelWork, progress: Progress): Promise<Result<undefined, Failure>> {
 		const {request} = work;
 		const call: EngineCall = {
-			requestId: request.id, body: Buffer.from(work.payload).toString(), priority: work.priority, signal: request.stopper.signal,
+			requestId: request.id, body: Buffer.from(work.payload).toString(), priority: work.priority,
+			signal: AbortSignal.any([request.stopper.signal, AbortSignal.timeout(Math.max(1, Math.ceil(work.deadline - clock.now())))]),
 		};
 		for (let tries = 0; tries < resumeLimit && clock.now() < work.deadline; tries++) {
 			try {
--- a/src/coordination/request-router.ts
+++ b/src/coordination/request-router.ts
@@ -212,7 +212,8 @@
 		}, silenceBound);
 		try {
 			attempt.isSent = true;
-			for await (const frame of openStream(attempt, AbortSignal.any([silence.signal, call.signal]))) {
+			const deadline = AbortSignal.timeout(Math.max(1, Math.ceil(call.deadline - clock.now())));
+			for await (const frame of openStream(attempt, AbortSignal.any([silence.signal, call.signal, deadline]))) {
 				clearTimeout(timer);
 				timer = setTimeout(() => {
 					silence.abort();
@@ -264,12 +265,16 @@
 		settler.add({
 			requestId: call.requestId, attempt: number, reservation, daemon: member.daemon, incarnation: member.incarnation,
 		});
-		if (call.signal.aborted && !call.isKeyed) {
+		if ((call.signal.aborted || clock.now() >= call.deadline) && !call.isKeyed && call.mayRepeat) {
 			void cancelUpstream(attempt);
 		}
 
 		events.write('upstreamLost', {request: call.requestId, upstream: member.daemon, chunks: attempt.next});
 		const isCut = attempt.next > 0;
+		if (clock.now() >= call.deadline) {
+			return {kind: 'lost', failure: createFailure('deadline-passed', `The deadline passed after ${attempt.next} chunks`, {ran: isCut ? 'yes' : 'unknown'})};
+		}
+
 		return {
 			kind: 'lost',
 			failure: createFailure(isCut ? 'answer-cut' : 'no-upstream', `Upstream daemon "${member.daemon}" was lost after ${attempt.next} chunks`, {ran: isCut ? 'yes' : 'unknown', retryAfterMs}),
--- a/src/transport/fleet-client.ts
+++ b/src/transport/fleet-client.ts
@@ -22,8 +22,6 @@
 	readonly close: () => void;
 };
 
-const pingInterval = 1000;
-const pingTimeout = 1500;
 const idleTimeout = 300_000;
 
 /** @internal */
@@ -38,10 +36,9 @@
 function openConnection(address: string, fleetKey: string): PeerConnection {
 	const baseUrl = `http://${address}`;
 	// Something between two hosts can lose track of a connection, which then stays silent for good while new ones work.
-	// Pings find that within 2.5 s and end the calls on it; the next call opens a new connection.
-	const sessionManager = new Http2SessionManager(baseUrl, {
-		pingIntervalMs: pingInterval, pingTimeoutMs: pingTimeout, pingIdleConnection: true, idleConnectionTimeoutMs: idleTimeout,
-	});
+	// Heartbeats and the frames of running streams find that, and abandon it; the next call opens a new connection.
+	// The library's own pings stay off: one that fires on an abandoned connection ends the process.
+	const sessionManager = new Http2SessionManager(baseUrl, {idleConnectionTimeoutMs: idleTimeout});
 	const transport = createConnectTransport({
 		baseUrl, httpVersion: '2', sessionManager, interceptors: [createKeyInterceptor(fleetKey)],
 	});
--- a/src/transport/log-client.ts
+++ b/src/transport/log-client.ts
@@ -40,6 +40,11 @@
 const okStatus = 200;
 const pageLimit = 1000;
 
+/** @internal */
+function openDispatcher(timeout: number): Agent {
+	return new Agent({connections: 4, pipelining: 1, connect: {timeout}});
+}
+
 /**
  * Creates a client of the log service.
  *
@@ -53,14 +58,23 @@
  * @returns The client
  */
 export function createLogClient(options: CreateLogClientOptions): LogClient {
-	const dispatcher = new Agent({connections: 4, pipelining: 1, connect: {timeout: options.timeout}});
+	let dispatcher = openDispatcher(options.timeout);
+	let isClosed = false;
 	const address = `${options.url}/v1/streams/${options.stream}/records`;
 
 	function explainAway(error: unknown): Failure {
 		return createFailure('log-unavailable', `The log service at ${options.url} does not answer: ${(error as Error).message}`);
 	}
 
-	// A connection can go silent for good; the bound turns that into a failed call and the dropped connection is not used again.
+	// Connections can go silent for good, all that are open together, while new ones work. A call that fails shows it
+	// within its bound; every open connection is dropped then, so that the next call opens a new one.
+	function dropConnections(used: Agent, signal?: AbortSignal): void {
+		if (used === dispatcher && !signal?.aborted && !isClosed) {
+			dispatcher = openDispatcher(options.timeout);
+			void used.destroy();
+		}
+	}
+
 	function boundCall(extra: number, signal?: AbortSignal): AbortSignal {
 		const bound = AbortSignal.timeout(options.timeout + extra);
 		return signal ? AbortSignal.any([bound, signal]) : bound;
@@ -68,22 +82,25 @@
 
 	return {
 		async append(records) {
+			const used = dispatcher;
 			try {
 				const answer = await request(address, {
-					method: 'POST', dispatcher, signal: boundCall(0),
+					method: 'POST', dispatcher: used, signal: boundCall(0),
 					headers: {'content-type': 'application/json'},
 					body: JSON.stringify({records}),
 				});
 				const text = await answer.body.text();
 				return answer.statusCode === okStatus ? Ok(undefined) : Err(explainAway(new Error(`status ${answer.statusCode} ${text}`)));
 			} catch (error) {
+				dropConnections(used);
 				return Err(explainAway(error));
 			}
 		},
 
 		async read(from, {wait = 0, signal} = {}) {
+			const used = dispatcher;
 			try {
-				const answer = await request(`${address}?from=${from}&wait=${wait}&limit=${pageLimit}`, {dispatcher, signal: boundCall(wait, signal)});
+				const answer = await request(`${address}?from=${from}&wait=${wait}&limit=${pageLimit}`, {dispatcher: used, signal: boundCall(wait, signal)});
 				const body = await answer.body.json();
 				if (answer.statusCode === goneStatus) {
 					const {first, next} = pageSchema.parse(body);
@@ -96,11 +113,13 @@
 
 				return Ok(pageSchema.parse(body));
 			} catch (error) {
+				dropConnections(used, signal);
 				return Err({kind: 'away', failure: explainAway(error)});
 			}
 		},
 
 		async close() {
+			isClosed = true;
 			await dispatcher.destroy();
 		},
 	};
--- a/tools/harness/caller.ts
+++ b/tools/harness/caller.ts
@@ -37,6 +37,9 @@
 	readonly stream?: boolean;
 };
 
+/** Longest wait of a caller without a signal of its own, in milliseconds. */
+const callBound = 40_000;
+
 /** @internal */
 function buildHeaders(options: CallOptions): Record<string, string> {
 	return {
@@ -101,7 +104,7 @@
 export async function askChat(url: string, options: AskChatOptions): Promise<CallerAnswer> {
 	const startedAt = performance.now();
 	const answer = await fetch(`${url}/v1/chat/completions`, {
-		method: 'POST', headers: buildHeaders(options), signal: options.signal,
+		method: 'POST', headers: buildHeaders(options), signal: options.signal ?? AbortSignal.timeout(callBound),
 
 		body: JSON.stringify({
 			model: 'assistant',
@@ -143,7 +146,7 @@
 export async function bookSlot(url: string, options: BookSlotOptions): Promise<CallerAnswer> {
 	const startedAt = performance.now();
 	const answer = await fetch(`${url}/v1/services/bookings`, {
-		method: 'POST', headers: buildHeaders(options), signal: options.signal, body: JSON.stringify({booking: options.booking}),
+		method: 'POST', headers: buildHeaders(options), signal: options.signal ?? AbortSignal.timeout(callBound), body: JSON.stringify({booking: options.booking}),
 	});
 	const text = await answer.text();
 	const totalMs = performance.now() - startedAt;
--- a/tools/harness/fleet.ts
+++ b/tools/harness/fleet.ts
@@ -82,6 +82,7 @@
 		method: body === undefined ? 'GET' : 'POST',
 		headers: {'content-type': 'application/json', authorization: `Bearer ${fleetKeys.operator}`},
 		body: body === undefined ? undefined : JSON.stringify(body),
+		signal: AbortSignal.timeout(readyBound),
 	});
 	return await answer.json() as Document;
 }
--- a/tools/prove/proofs.ts
+++ b/tools/prove/proofs.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import {budgetProofs} from './budget-proofs.js';
+import {deliveryProofs} from './delivery-proofs.js';
 import type {Proof} from './proof.js';
 
 /** All proofs, by the matter they are about. */
-export const proofs: readonly Proof[] = [...budgetProofs];
+export const proofs: readonly Proof[] = [...budgetProofs, ...deliveryProofs];
