--- a/src/coordination/request-router.ts
+++ b/src/coordination/request-router.ts
@@ -347,7 +347,7 @@
 		for (;;) {
 			const member = pickMember(call, tried);
 			const isPointless = last !== undefined && last.type !== 'no-upstream' && last.type !== 'answer-cut';
-			if (member || isPointless || clock.now() >= until || call.signal.aborted) {
+			if (member !== undefined || isPointless || clock.now() >= until || call.signal.aborted) {
 				return member;
 			}
 
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -105,7 +105,10 @@
 			// The balancer learns from /readyz; what it still sends meanwhile is served like any request.
 			await clock.sleep(leaveNotice);
 			refusesNew = true;
-			await waitUntilIdle(() => callers.countRunning() + settler.count(), {within: settings.stopWithin, clock});
+			if (!await waitUntilIdle(() => callers.countRunning() + settler.count(), {within: settings.stopWithin, clock})) {
+				events.write('requestCut', {running: callers.countRunning()});
+			}
+
 			if (follower.isLogUp()) {
 				await keeper.returnAll();
 				await enrolment.leave();
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -6,7 +6,7 @@
 import process from 'node:process';
 import createDebug from 'debug';
 import {
-	FailureError, checkSettings, failureTable, readSettings, type Settings, type SettingsIssue,
+	FailureError, checkSettings, createEventLog, failureTable, readSettings, type Settings, type SettingsIssue,
 } from '../protocol/mod.js';
 import type {RunningDaemon} from './core.js';
 import {startEntryDaemon} from './entry-daemon.js';
@@ -64,6 +64,16 @@
 	void daemon.superseded.then(stop); // eslint-disable-line promise/prefer-await-to-then
 }
 
+// A fault that no call caught leaves the state in doubt: the process says so and ends, and its host starts a new one.
+/** @internal */
+function installFailureLog(daemon: string): void {
+	const events = createEventLog(daemon);
+	process.on('uncaughtException', error => {
+		events.write('daemonFailed', {error: error.stack ?? error.message});
+		process.exit(failureTable.internal.exitCode); // eslint-disable-line unicorn/no-process-exit
+	});
+}
+
 /** @internal */
 function formatIssues(file: string, issues: readonly SettingsIssue[]): string[] {
 	return issues.map(issue => `${file}:${issue.line}: ${issue.path}: ${issue.message}`);
@@ -116,6 +126,7 @@
 		createDebug.enable('fireflylane:*');
 	}
 
+	installFailureLog(settings.val.id);
 	try {
 		const daemon = await (options.start ?? startDaemon)(settings.val);
 		installSignals(daemon);
--- a/src/daemon/upstream-daemon.ts
+++ b/src/daemon/upstream-daemon.ts
@@ -105,7 +105,10 @@
 			self.isLeaving = true;
 			// Entries learn of it by their next heartbeat; until then what they send is refused as not run and goes elsewhere.
 			await clock.sleep(leaveNotice);
-			await waitUntilIdle(() => table.countRunning() + queue.countWaiting(), {within: settings.stopWithin, clock});
+			if (!await waitUntilIdle(() => table.countRunning() + queue.countWaiting(), {within: settings.stopWithin, clock})) {
+				events.write('requestCut', {running: table.countRunning()});
+			}
+
 			// The last frames of the streams that just ended are still on their way to the entries.
 			await clock.sleep(leaveNotice);
 			if (follower.isLogUp() && await reporter.flush()) {
--- a/tools/measure/budget-world.ts
+++ b/tools/measure/budget-world.ts
@@ -216,7 +216,9 @@
 		fetch: async () => Ok({hosts: [...listed].map(id => ({id, state: 'live' as const}))}),
 		close: async () => undefined,
 	};
-	const upstream = createDaemonParts('up', 'upstream', {time, log: log.createClient('up'), fleet: createFakeFleet('up', actors, {time, links}), hostList});
+	const upstream = createDaemonParts('up', 'upstream', {
+		time, log: log.createClient('up'), fleet: createFakeFleet('up', actors, {time, links}), hostList,
+	});
 	const table = createRequestTable({bytes: 1000});
 	const reporter = createReceiptReporter({...upstream, table, every: 500});
 	void reporter.run(upstream.stopper.signal);
--- a/tools/measure/budgets.ts
+++ b/tools/measure/budgets.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
-import {AheadGrantPolicy, LogFirstGrantPolicy, SplitOnceGrantPolicy, type GrantPolicy} from '../../src/coordination/mod.js';
+import {
+	AheadGrantPolicy, LogFirstGrantPolicy, SplitOnceGrantPolicy, type GrantPolicy,
+} from '../../src/coordination/mod.js';
 import {createBudgetWorld, type BudgetWorld, type MeasuredCall} from './budget-world.js';
 import {createRandom} from './random.js';
 import {roundTo} from './report.js';
@@ -49,23 +51,39 @@
 	{
 		name: 'log-down', span: 90_000, rate: () => 8, tokens: 260_000, weighs: 'refusals', place: share => share < 0.7 ? 0 : -1,
 		faults: [
-			{at: 0.1, act(world) {
-				world.links.isLogDown = true;
-			}},
-			{at: 0.8, act(world) {
-				world.links.isLogDown = false;
-			}},
+			{
+				at: 0.1, act(world) {
+					world.links.isLogDown = true;
+				},
+			},
+			{
+				at: 0.8, act(world) {
+					world.links.isLogDown = false;
+				},
+			},
 		],
 	},
 	{
 		name: 'holder-killed', span: 60_000, rate: () => 8, tokens: 200_000, weighs: 'refusals',
-		faults: [{at: 0.3, act: world => world.kill(0)}],
+		faults: [{
+			at: 0.3, act(world) {
+				world.kill(0);
+			},
+		}],
 	},
 	{
 		name: 'paused-holder', span: 60_000, rate: () => 8, tokens: 200_000, weighs: 'refusals',
 		faults: [
-			{at: 0.2, act: world => world.setPaused(0, true)},
-			{at: 0.6, act: world => world.setPaused(0, false)},
+			{
+				at: 0.2, act(world) {
+					world.setPaused(0, true);
+				},
+			},
+			{
+				at: 0.6, act(world) {
+					world.setPaused(0, false);
+				},
+			},
 		],
 	},
 	{
@@ -77,12 +95,16 @@
 	{
 		name: 'night-trickle', span: 120_000, rate: () => 0.5, tokens: 30_000, weighs: 'refusals',
 		faults: [
-			{at: 0.2, act(world) {
-				world.links.isLogDown = true;
-			}},
-			{at: 0.9, act(world) {
-				world.links.isLogDown = false;
-			}},
+			{
+				at: 0.2, act(world) {
+					world.links.isLogDown = true;
+				},
+			},
+			{
+				at: 0.9, act(world) {
+					world.links.isLogDown = false;
+				},
+			},
 		],
 	},
 ];
@@ -108,12 +130,13 @@
 	const time = createVirtualTime();
 	const tally = createTally(arrivals.length);
 	let free = scenario.tokens;
-	const waiting: Array<{until: number; start: () => void}> = [];
+	const waiting: Array<{worst: number; until: number; start: () => void}> = [];
 
 	function serveWaiting(): void {
-		while (waiting.length > 0 && free >= 1000) {
-			const next = waiting.shift()!;
-			if (next.until >= time.now()) {
+		for (const next of waiting.splice(0)) {
+			if (free < next.worst) {
+				waiting.push(next);
+			} else if (next.until >= time.now()) {
 				next.start();
 			}
 		}
@@ -136,6 +159,7 @@
 		}
 
 		waiting.push({
+			worst: call.worst,
 			until: time.now() + call.patience,
 			start() {
 				void run(call);
--- a/tools/measure/configuration.ts
+++ b/tools/measure/configuration.ts
@@ -40,7 +40,9 @@
 
 async function measureSize(daemons: number) {
 	const entries = Math.max(2, Math.round(daemons / 4));
-	const fleet = await startFleet({entries, engines: daemons - entries, bookings: 0, settings: {heartbeat: {every: `${secondPerDaemon}ms`, suspectAfter: '5s'}}});
+	const fleet = await startFleet({
+		entries, engines: daemons - entries, bookings: 0, settings: {heartbeat: {every: `${secondPerDaemon}ms`, suspectAfter: '5s'}},
+	});
 	try {
 		await fleet.setHosts();
 		await fleet.waitForVersion(0);
--- a/tools/measure/random.ts
+++ b/tools/measure/random.ts
@@ -4,23 +4,25 @@
  * @module
  */
 
+const multiplier = 48_271;
+const modulus = 2_147_483_647;
+
 /**
- * Creates a source of random numbers in [0, 1) (the mulberry32 generator).
+ * Creates a source of random numbers in [0, 1) (the minimal standard generator
+ * of Park and Miller, 1988).
  *
  * @example
  * ```ts
  * const random = createRandom(1);
  * ```
  *
- * @param seed A whole number
+ * @param seed A whole number above 0
  * @returns The source
  */
 export function createRandom(seed: number): () => number {
-	let state = seed;
+	let state = seed % modulus;
 	return () => {
-		state = Math.trunc(state + 0x6D_2B_79_F5);
-		let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-		mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-		return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+		state = (state * multiplier) % modulus;
+		return state / modulus;
 	};
 }
--- a/tools/measure/slopes.ts
+++ b/tools/measure/slopes.ts
@@ -105,7 +105,9 @@
 		for (let batch = 0; batch < size / 100; batch++) {
 			const record: LogRecord = {
 				kind: 'receipts', sequence: batch + 1, daemon: 'u', incarnation: 'i',
-				receipts: Array.from({length: 100}, (_, index) => ({request: `request-${batch}-${index}-abcdef`, attempt: 1, shares: [{grant: 'g-0123456789abcdef0123456789abcdef@budget-0', amount: 310}]})),
+				receipts: Array.from({length: 100}, (_, index) => ({
+					request: `request-${batch}-${index}-abcdef`, attempt: 1, shares: [{grant: 'g-0123456789abcdef0123456789abcdef@budget-0', amount: 310}],
+				})),
 			};
 			size0 += JSON.stringify(record).length;
 			fold(record);
--- a/tools/prove/count.ts
+++ b/tools/prove/count.ts
@@ -52,7 +52,7 @@
 
 /** Reads a daemon's status. */
 export async function readStatus(daemon: FleetDaemon) {
-	return fetchDocument<{isLogUp: boolean; isReady: boolean; version: number; nextOffset: number; figures: Record<string, number>; events: Record<string, number>}>(`${daemon.process.ready.operators}/v1/status`);
+	return fetchDocument<{isReady: boolean; version: number; figures: Record<string, number>; events: Record<string, number>}>(`${daemon.process.ready.operators}/v1/status`);
 }
 
 /** Waits until the daemons' receipts are on the log and every entry has folded them. */
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,7 +6,8 @@
 		testTimeout: 60_000,
 		hookTimeout: 60_000,
 		// The process proofs measure time bounds, so test files take turns on a small machine.
-		maxWorkers: 2,
+		maxWorkers: 1,
+		maxConcurrency: 3,
 		minWorkers: 1,
 	},
 });
