Make the streams of leaving-upstream outlast a stop that does not wait

Cause: in one of two runs the proof did not fail without its guard: streams of 2 s ended before the unguarded stop, at 2 s, could cut them. Change: 15 ms a token, so streams last over 6 s.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -70,7 +70,7 @@
 	const events = createEventLog(daemon);
 	process.on('uncaughtException', error => {
 		events.write('daemonFailed', {error: error.stack ?? error.message});
-		process.exit(failureTable.internal.exitCode); // eslint-disable-line unicorn/no-process-exit
+		process.exit(failureTable.internal.exitCode);
 	});
 }
 
--- a/tools/prove/delivery-proofs.ts
+++ b/tools/prove/delivery-proofs.ts
@@ -297,7 +297,7 @@
 they must finish, nothing new may reach it, and it must exit with 0.`,
 	isInCi: true,
 	fleet: {
-		entries: 2, engines: 2, bookings: 0, settings: quick, engine: {tokenPause: 5},
+		entries: 2, engines: 2, bookings: 0, settings: quick, engine: {tokenPause: 15},
 	},
 	withoutGuard: replaceModule('src/daemon/wait-until-idle', 'stop-that-does-not-wait'),
 	async run(fleet) {
