Look for a lost append with a read of its own; split files with two jobs

Cause: top-up-mid-stream took 2442 to 4297 ms after a lost answer: the writer waited for two reads of the follower, each a long poll of up to 2 s. Ruled out: the log (it answers a read at once). Change: the writer reads without waiting, after the loss.

--- a/src/coordination/grant-keeper.ts
+++ b/src/coordination/grant-keeper.ts
@@ -12,6 +12,7 @@
 	formatGrant, sumShares, type GrantHolder, type Reservation, type Source,
 } from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
+import {createDemand} from './demand.js';
 import type {BudgetView, GrantPolicy} from './grant-policy.js';
 import type {LoanDesk} from './loan-desk.js';
 import type {LogFollower} from './log-follower.js';
@@ -47,8 +48,6 @@
 const defaultAppendBound = 10_000;
 const claimPatience = 300;
 const waitStep = 250;
-const shortMemory = 5000;
-const rateWindow = 10_000;
 const spentRetryAfter = 30_000;
 const busyRetryAfter = 2000;
 
@@ -68,42 +67,13 @@
 		follower, writer, membership, holder, loans, policy, clock, events,
 	} = options;
 	const appendBound = options.appendBound ?? defaultAppendBound;
-	const waiting = new Map<string, number[]>();
+	const demand = createDemand(clock);
 	const claims = new Map<string, Promise<void>>();
 	const seeks = new Map<string, Promise<number>>();
-	const rates = new Map<string, {rate: number; at: number}>();
 	const claimed = new Set<string>();
-	const shortAt = new Map<string, number>();
 	const finished = new Set<string>();
 	const releasing = new Set<string>();
 
-	function listWanted(budget: string): readonly number[] {
-		return waiting.get(budget) ?? [];
-	}
-
-	function countWanted(budget: string): number {
-		return sumShares(listWanted(budget).map(amount => ({amount})));
-	}
-
-	function startWaiting(budget: string, amount: number): () => void {
-		const amounts = waiting.get(budget) ?? [];
-		amounts.push(amount);
-		waiting.set(budget, amounts);
-		return () => {
-			amounts.splice(amounts.indexOf(amount), 1);
-		};
-	}
-
-	function findRate(budget: string): number {
-		const known = rates.get(budget);
-		return known ? known.rate * Math.exp((known.at - clock.now()) / rateWindow) : 0;
-	}
-
-	// Exponentially decaying average of tokens a millisecond.
-	function noteSpent(budget: string, tokens: number): void {
-		rates.set(budget, {rate: findRate(budget) + (tokens / rateWindow), at: clock.now()});
-	}
-
 	function buildView(budget: string): BudgetView {
 		const {ledger, configuration, placement} = follower.state();
 		const remaining = ledger.computeRemaining(budget);
@@ -117,8 +87,8 @@
 			unspent,
 			free: holder.countFree(budget),
 			reserved: holder.countReserved(budget),
-			wanted: countWanted(budget),
-			rate: findRate(budget),
+			wanted: demand.countWanted(budget),
+			rate: demand.findRate(budget),
 			entries: membership.listLiveEntries(placement.list()).length + 1,
 			hasClaimed: claimed.has(budget),
 			weighs: configuration.findBudget(budget)?.weighs ?? 'refusals',
@@ -278,7 +248,7 @@
 			}
 		}
 
-		return holder.countFree(budget) < countWanted(budget) ? loans.borrow(budget, countWanted(budget)) : 0;
+		return holder.countFree(budget) < demand.countWanted(budget) ? loans.borrow(budget, demand.countWanted(budget)) : 0;
 	}
 
 	async function seekOnce(budget: string): Promise<number> {
@@ -330,7 +300,7 @@
 				return Ok(reservation);
 			}
 
-			shortAt.set(budget, clock.now());
+			demand.noteShort(budget);
 			isBusy = holder.countReserved(budget) + reservedElsewhere > 0 || claims.has(budget) || isHeldAway(budget);
 			// Nothing in flight can free tokens: waiting would only hold the answer back.
 			if (!isBusy) {
@@ -345,10 +315,8 @@
 	}
 
 	return {
-		listWanted,
-		/** True when requests here were short of the budget's tokens in the last seconds. */
-		isShort: (budget: string): boolean => clock.now() - (shortAt.get(budget) ?? Number.NEGATIVE_INFINITY) < shortMemory,
-		noteSpent,
+		listWanted: demand.listWanted,
+		isShort: demand.isShort,
 		syncGrants,
 
 		/** Reserves tokens for a request, waiting for some to become free if that can happen. */
@@ -358,7 +326,7 @@
 				return Ok(reservation);
 			}
 
-			const stopWaiting = startWaiting(budget, amount);
+			const stopWaiting = demand.startWaiting(budget, amount);
 			try {
 				return await waitForTokens(budget, amount, acquire);
 			} finally {
@@ -369,7 +337,7 @@
 		/** Ends a reservation with what was billed to it. */
 		settle(reservation: Reservation, billed: readonly GrantShare[]): void {
 			holder.settle(reservation, billed);
-			noteSpent(reservation.budget, sumShares(billed));
+			demand.noteSpent(reservation.budget, sumShares(billed));
 		},
 
 		async run(signal: AbortSignal): Promise<void> {
--- a/src/coordination/log-follower.ts
+++ b/src/coordination/log-follower.ts
@@ -70,7 +70,6 @@
 	const recent: LogEntry[] = [];
 	let isReady = false;
 	let isLogUp = false;
-	let reads = 0;
 
 	function keepRecent(entry: LogEntry): void {
 		recent.push(entry);
@@ -169,7 +168,6 @@
 	function foldPage(page: LogPage): void {
 		foldAdjoining(page.records);
 		isReady ||= state.next() >= page.next;
-		reads += 1;
 		void emitter.emit('caughtUp');
 	}
 
@@ -203,8 +201,6 @@
 		/** True once this daemon has a version to work with. */
 		isReady: () => isReady,
 		isLogUp: () => isLogUp,
-		/** Successful reads so far; grows while the log answers. */
-		countReads: () => reads,
 
 		async run(signal: AbortSignal): Promise<void> {
 			while (!signal.aborted) {
@@ -212,6 +208,16 @@
 			}
 		},
 
+		/** Reads what is new without waiting for more; false when the log does not answer. */
+		async catchUp(): Promise<boolean> {
+			const page = await log.read(state.next());
+			if (page.ok) {
+				foldPage(page.val);
+			}
+
+			return page.ok;
+		},
+
 		/** Waits until the state satisfies the condition; false when the signal was aborted first. */
 		async waitFor(condition: (state: FleetState) => boolean, signal: AbortSignal): Promise<boolean> {
 			const ended = new AbortController();
--- a/src/coordination/log-writer.ts
+++ b/src/coordination/log-writer.ts
@@ -81,9 +81,10 @@
 	}
 
 	// The answer was lost, not necessarily the record: only a read that began later can tell.
-	async function waitForReads(count: number, signal: AbortSignal): Promise<void> {
-		const target = follower.countReads() + count;
-		await follower.waitFor(() => follower.countReads() >= target, signal);
+	async function readAfterLoss(signal: AbortSignal): Promise<void> {
+		do {
+			await clock.sleep(retryPause, signal);
+		} while (!signal.aborted && !await follower.catchUp());
 	}
 
 	return {
@@ -110,8 +111,7 @@
 				}
 
 				events.write('answerLost', {kind: record.kind});
-				await clock.sleep(retryPause, signal);
-				await waitForReads(2, signal);
+				await readAfterLoss(signal);
 				if (isFolded(follower.state())) {
 					return Ok(undefined);
 				}
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from './attempt-runner.js';
 export * from './enrolment.js';
 export * from './grant-keeper.js';
 export * from './grant-policy.js';
--- a/src/daemon/caller-interface.ts
+++ b/src/daemon/caller-interface.ts
@@ -10,16 +10,18 @@
 	LogFollower, Metrics, RequestRouter, RoutedCall, Self,
 } from '../coordination/mod.js';
 import {
-	Err, Ok, Work, boundPromptTokens, chatRequestSchema, computeDigest, computeRequestId, createFailure, createId, formatProblem, readSpan,
-	type CallerKey, type ChatRequest, type EntrySettings, type EventLog, type Failure, type Result,
+	Err, Ok, Work, boundPromptTokens, computeDigest, createFailure, formatProblem,
+	type ChatRequest, type EntrySettings, type EventLog, type Failure, type Result,
 } from '../protocol/mod.js';
 import type {AnswerEnd} from '../state/mod.js';
 import {
 	readBody, sendFailure, sendJson, type Clock,
 } from '../transport/mod.js';
+import {createCallerIdentity, type Caller} from './caller-identity.js';
 import {
 	formatCompletion, formatStreamEvent, parseChunk, type ChatChunk,
 } from './chat-answer.js';
+import {parseChat, parseJson} from './parse-body.js';
 
 /** Options of {@linkcode createCallerInterface}. */
 export type CreateCallerInterfaceOptions = {
@@ -34,52 +36,12 @@
 	readonly events: EventLog;
 };
 
-type Caller = {
-	readonly key: CallerKey;
-	readonly class: string;
-	readonly priority: number;
-	readonly requestId: (target: string) => string;
-	readonly isKeyed: boolean;
-	readonly deadline: number;
-	readonly signal: AbortSignal;
-	readonly startedAt: number;
-};
-
 type Timing = {firstAt?: number; lastAt?: number; gapMs: number};
 
-const defaultClass = 'default';
-const defaultPriority = 5;
 const patience = 5000;
 const prefixLength = 512;
-const longestKey = 256;
 const keepAliveEvery = 5000;
 
-/** @internal */
-function readHeader(request: IncomingMessage, name: string): string | undefined {
-	const value = request.headers[name];
-	return Array.isArray(value) ? value[0] : value;
-}
-
-/** @internal */
-function parseJson(body: Uint8Array): Result<unknown, Failure> {
-	try {
-		return Ok(JSON.parse(Buffer.from(body).toString()) as unknown);
-	} catch (error) {
-		return Err(createFailure('malformed-json', `The body is not JSON: ${(error as Error).message}`));
-	}
-}
-
-/** @internal */
-function parseChat(body: unknown): Result<ChatRequest, Failure> {
-	const parsed = chatRequestSchema.safeParse(body);
-	if (parsed.success) {
-		return Ok(parsed.data);
-	}
-
-	const [issue] = parsed.error.issues;
-	return Err(createFailure('invalid-request', `Member "${issue?.path.join('.') ?? ''}" is wrong: ${issue?.message ?? ''}`));
-}
-
 /**
  * Creates the routes for callers.
  *
@@ -95,75 +57,9 @@
 	const {
 		self, settings, follower, router, metrics, clock, events,
 	} = options;
+	const {identifyCaller} = createCallerIdentity(options);
 	const running = new Set<ServerResponse>();
 
-	function findKey(request: IncomingMessage): CallerKey | undefined {
-		const header = readHeader(request, 'authorization') ?? '';
-		const secret = header.startsWith('Bearer ') ? header.slice('Bearer '.length) : '';
-		return secret ? follower.state().configuration.findKey(computeDigest(secret)) : undefined;
-	}
-
-	function readDeadline(request: IncomingMessage): Result<number, Failure> {
-		const header = readHeader(request, 'x-deadline');
-		if (header === undefined) {
-			return Ok(clock.now() + settings.deadline);
-		}
-
-		const span = readSpan(header);
-		return span === undefined || span <= 0
-			? Err(createFailure('invalid-request', `Header "x-deadline" has "${header}": write a span of time such as 2500ms or 30s`))
-			: Ok(clock.now() + Math.min(span, settings.longestDeadline));
-	}
-
-	function watchCaller(response: ServerResponse): AbortSignal {
-		const left = new AbortController();
-		response.on('close', () => {
-			if (!response.writableFinished) {
-				left.abort();
-			}
-		});
-		return left.signal;
-	}
-
-	function identifyCaller(request: IncomingMessage, response: ServerResponse): Result<Caller, Failure> {
-		if (options.refusesNew()) {
-			return Err(createFailure('leaving', `Entry daemon "${self.id}" is stopping`, {retryAfterMs: 1000}));
-		}
-
-		if (!follower.isReady()) {
-			return Err(createFailure('not-ready', `Entry daemon "${self.id}" has no configuration yet`, {retryAfterMs: 1000}));
-		}
-
-		const key = findKey(request);
-		if (!key) {
-			return Err(createFailure('unknown-key', 'The bearer key is missing or unknown'));
-		}
-
-		const deadline = readDeadline(request);
-		if (deadline.err) {
-			return deadline;
-		}
-
-		const idempotencyKey = readHeader(request, 'idempotency-key');
-		if (idempotencyKey !== undefined && (idempotencyKey === '' || idempotencyKey.length > longestKey)) {
-			return Err(createFailure('invalid-request', `Header "idempotency-key" has ${idempotencyKey.length} characters: write 1 to ${longestKey}`));
-		}
-
-		const {configuration} = follower.state();
-		const className = readHeader(request, 'x-request-class') ?? defaultClass;
-		const requestClass = configuration.findClass(className);
-		return Ok({
-			key,
-			class: requestClass ? className : defaultClass,
-			priority: requestClass?.priority ?? configuration.findCustomer(key.customer)?.priority ?? defaultPriority,
-			isKeyed: idempotencyKey !== undefined,
-			requestId: target => computeRequestId(key.customer, idempotencyKey ?? createId('once'), {target}),
-			deadline: deadline.val,
-			signal: watchCaller(response),
-			startedAt: clock.now(),
-		});
-	}
-
 	function refuse(response: ServerResponse, failure: Failure, caller?: Caller): void {
 		if (caller) {
 			metrics.noteRefused({customer: caller.key.customer, class: caller.class}, failure.type);
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	AheadGrantPolicy, PrefixRoutingPolicy, createGrantKeeper, createIntents, createLoanDesk, createReclaimer, createRequestRouter,
+	AheadGrantPolicy, PrefixRoutingPolicy, createAttemptRunner, createGrantKeeper, createIntents, createLoanDesk, createReclaimer, createRequestRouter,
 	createRetryBudget, createRouteBook, createSettler, startSnapshotter, type GrantPolicy, type RoutingPolicy,
 } from '../coordination/mod.js';
 import {Peer, type EntrySettings} from '../protocol/mod.js';
@@ -62,12 +62,15 @@
 	const settler = createSettler({
 		follower, membership, fleet, keeper, clock,
 	});
+	const book = createRouteBook({membership, failureDomain: settings.failureDomain, listUpstreams: () => follower.state().placement.listUpstreams()});
+	const resumeWithin = settings.heartbeat.suspectAfter * resumeFactor;
+	const attempts = createAttemptRunner({
+		follower, membership, fleet, keeper, settler, book, clock, events, resumeWithin,
+	});
 	const router = createRequestRouter({
-		follower, membership, fleet, keeper, settler, clock, events,
-		book: createRouteBook({membership, failureDomain: settings.failureDomain, listUpstreams: () => follower.state().placement.listUpstreams()}),
+		follower, attempts, book, clock, events, resumeWithin,
 		policy: parts.routingPolicy ?? new PrefixRoutingPolicy(),
 		retries: createRetryBudget({share: settings.requests.retryShare}),
-		resumeWithin: settings.heartbeat.suspectAfter * resumeFactor,
 	});
 	const callers = createCallerInterface({
 		self, settings: settings.requests, refusesNew: () => refusesNew, follower, router, metrics, clock, events,
--- a/tools/prove/budget-proofs.ts
+++ b/tools/prove/budget-proofs.ts
@@ -9,7 +9,7 @@
 	fetchDocument, waitUntil, type TestFleet,
 } from '../harness/mod.js';
 import {
-	city, countEngines, listen, readStatus, setLog, spendUntilRefused, sumTokens, tryChat, waitForReceipts,
+	city, configureCity, countEngines, listen, readStatus, setLog, spendUntilRefused, sumTokens, tryChat, waitForReceipts,
 } from './count.js';
 import {replaceModule, type Proof, type ProofOutcome} from './proof.js';
 
@@ -68,7 +68,7 @@
 	},
 	withoutGuard: replaceModule('src/coordination/receipt-reporter', 'reporter-without-fence'),
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 2000}]);
+		await configureCity(fleet, 2000);
 		return spendApart(fleet);
 	},
 };
@@ -85,7 +85,7 @@
 		...replaceModule('src/state/ledger', 'ledger-without-batch-numbers'),
 	},
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 20_000}]);
+		await configureCity(fleet, 20_000);
 		await setLog(fleet, {loseAnswers: 3, loseKind: 'receipts'});
 		const answers = await spendUntilRefused(listen(fleet.entries[0]), {limit: 20});
 		await waitForReceipts(fleet);
@@ -111,7 +111,7 @@
 	},
 	withoutGuard: replaceModule('src/coordination/reclaimer', 'reclaimer-that-rests'),
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 4000}]);
+		await configureCity(fleet, 4000);
 		const before = await spendUntilRefused(listen(fleet.entries[0]), {limit: 10});
 		const cut = [1, 2, 3].map(async index => tryChat(listen(fleet.entries[0]), {content: `long ${index} answer 300`, maxTokens: 300, stream: true}));
 		await wait(100);
@@ -140,7 +140,7 @@
 	fleet: {entries: 2, engines: 1, bookings: 0},
 	withoutGuard: replaceModule('src/coordination/grant-policy', 'policy-that-asks-first'),
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 8000}]);
+		await configureCity(fleet, 8000);
 		await tryChat(listen(fleet.entries[0]), {content: 'answer 20', maxTokens: 20});
 		await wait(1500);
 		await setLog(fleet, {isDown: true});
@@ -170,7 +170,7 @@
 	},
 	withoutGuard: replaceModule('src/state/request-table', 'table-that-forgets'),
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 20_000}]);
+		await configureCity(fleet, 20_000);
 		const call = {
 			content: 'answer 300', maxTokens: 300, stream: true, idempotencyKey: 'letter-7',
 		};
@@ -206,7 +206,7 @@
 	},
 	withoutGuard: replaceModule('src/coordination/settler', 'settler-that-rests'),
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 2000}]);
+		await configureCity(fleet, 2000);
 		const call = tryChat(listen(fleet.entries[0]), {content: 'answer 300', maxTokens: 300});
 		let victim = fleet.upstreams[0]!;
 		await waitUntil(async () => {
@@ -243,7 +243,7 @@
 	},
 	withoutGuard: replaceModule('src/coordination/engine-limit', 'engine-limit-unread'),
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 5000}]);
+		await configureCity(fleet, 5000);
 		const answer = await tryChat(listen(fleet.entries[0]), {content: 'answer 200', maxTokens: 40, stream: true});
 		await waitForReceipts(fleet);
 		const budget = await fleet.findBudget(city.budget);
@@ -263,7 +263,7 @@
 	fleet: {entries: 2, engines: 1, bookings: 0},
 	withoutGuard: replaceModule('src/state/configuration', 'configuration-without-basis'),
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 1000}]);
+		await configureCity(fleet, 1000);
 		const stream = tryChat(listen(fleet.entries[0]), {content: 'answer 300', maxTokens: 300, stream: true});
 		const spent = await spendUntilRefused(listen(fleet.entries[1]), {limit: 60});
 		const {operators} = fleet.entries[0]!.process.ready;
@@ -298,7 +298,7 @@
 	},
 	withoutGuard: replaceModule('src/coordination/reclaimer', 'reclaimer-that-rests'),
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 4000}]);
+		await configureCity(fleet, 4000);
 		const before = await spendUntilRefused(listen(fleet.entries[0]), {limit: 10});
 		await setLog(fleet, {isDown: true});
 		await fleet.entries[0]!.process.kill();
--- a/tools/prove/configuration-proofs.ts
+++ b/tools/prove/configuration-proofs.ts
@@ -7,7 +7,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {fetchDocument, waitUntil, type FleetDaemon} from '../harness/mod.js';
 import {
-	city, listen, readStatus, setLog, tryChat,
+	configureCity, listen, readStatus, setLog, tryChat,
 } from './count.js';
 import {replaceModule, type Proof} from './proof.js';
 
@@ -33,7 +33,7 @@
 	fleet: {entries: 2, engines: 1, bookings: 0},
 	withoutGuard: replaceModule('src/state/configuration', 'configuration-without-basis'),
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 1000}]);
+		await configureCity(fleet, 1000);
 		let winners = 0;
 		let stale = 0;
 		const rounds = 10;
@@ -59,7 +59,7 @@
 	},
 	withoutGuard: replaceModule('src/coordination/membership', 'membership-without-relay'),
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 1000}]);
+		await configureCity(fleet, 1000);
 		fleet.entries[1]!.logRelay!.setCut(true);
 		fleet.upstreams[0]!.logRelay!.setCut(true);
 		await wait(500);
@@ -87,7 +87,7 @@
 		...replaceModule('src/coordination/membership', 'membership-without-relay'),
 	},
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 1000}]);
+		await configureCity(fleet, 1000);
 		fleet.entries[1]!.process.freeze();
 		await setLog(fleet, {retention: 40});
 		let version = 0;
@@ -122,7 +122,7 @@
 		...replaceModule('src/coordination/membership', 'membership-without-relay'),
 	},
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 1000}]);
+		await configureCity(fleet, 1000);
 		await setLog(fleet, {retention: 40});
 		let version = 0;
 		for (let round = 1; round <= 60; round++) {
@@ -152,7 +152,7 @@
 	},
 	withoutGuard: replaceModule('src/coordination/membership', 'membership-without-relay'),
 	async run(fleet) {
-		await fleet.configure([{name: city.name, key: city.key, tokens: 100_000}]);
+		await configureCity(fleet, 100_000);
 		await wait(1000);
 		await setLog(fleet, {isDown: true});
 		await fleet.entries[1]!.process.kill();
--- a/tools/prove/count.ts
+++ b/tools/prove/count.ts
@@ -11,6 +11,13 @@
 /** The customer of most proofs. */
 export const city = {name: 'city', key: 'city-key', budget: 'city-budget'} as const;
 
+const ampleTokens = 1_000_000;
+
+/** Sets up the city with an ample budget. */
+export async function configureCity(fleet: TestFleet, tokens = ampleTokens): Promise<void> {
+	await fleet.configure([{name: city.name, key: city.key, tokens}]);
+}
+
 /** What the engines counted. */
 export type EngineCounts = Readonly<Record<'runs' | 'tokens' | 'cancelled' | 'resumed' | 'repeats' | 'cacheHits', number>>;
 
