--- a/tools/harness/process.ts
+++ b/tools/harness/process.ts
@@ -77,6 +77,8 @@
 	const replacing = options.replace ? ['--import', fileURLToPath(new URL('tools/prove/replace.js', buildFolder))] : [];
 	const child = spawn(process.execPath, [...replacing, file, ...options.args ?? []], {
 		stdio: ['ignore', 'pipe', 'pipe'],
+		// A terminal's Ctrl-C goes to the whole process group; the fleet is stopped in order by the one that started it.
+		detached: true,
 		env: {...process.env, ...options.environment, [replaceVariable]: JSON.stringify(options.replace ?? {})},
 	});
 	let log = '';
--- a/tools/prove/budget-proofs.ts
+++ b/tools/prove/budget-proofs.ts
@@ -159,6 +159,31 @@
 	},
 };
 
+const slowLog: Proof = {
+	name: 'slow-log',
+	promise: refusalMeasure,
+	story: `Callers wait seconds for each answer because the log answers late. An entry that asks the log for each request
+adds the log's delay to every answer; one that claimed ahead does not feel it.`,
+	isInCi: true,
+	fleet: {entries: 2, engines: 1, bookings: 0},
+	withoutGuard: replaceModule('src/coordination/grant-policy', 'policy-that-asks-first'),
+	async run(fleet) {
+		await configureCity(fleet, 20_000);
+		await tryChat(listen(fleet.entries[0]), {content: 'answer 20', maxTokens: 20});
+		await wait(1500);
+		await setLog(fleet, {delay: 1500});
+		const answers = await spendUntilRefused(listen(fleet.entries[0]), {limit: 8, refusals: 1});
+		await setLog(fleet, {delay: 0});
+		await waitForReceipts(fleet);
+		const budget = await fleet.findBudget(city.budget);
+		const slowest = Math.max(...answers.map(answer => answer.totalMs));
+		return {
+			holds: answers.length === 8 && answers.every(answer => answer.isWhole) && slowest < 1000 && budget.billed === sumTokens(answers) + 30,
+			figures: {served: answers.filter(answer => answer.isWhole).length, slowestMs: Math.round(slowest), billed: budget.billed},
+		};
+	},
+};
+
 const retryElsewhere: Proof = {
 	name: 'retry-elsewhere',
 	promise: billPromise,
@@ -320,5 +345,5 @@
 
 /** Proofs of budgets. */
 export const budgetProofs: readonly Proof[] = [
-	pausedHolder, lostReceipts, killedHolder, logDown, retryElsewhere, killedUpstream, overrunningEngine, topUpMidStream, logDownHolderKilled,
+	pausedHolder, lostReceipts, killedHolder, logDown, slowLog, retryElsewhere, killedUpstream, overrunningEngine, topUpMidStream, logDownHolderKilled,
 ];
