Bound calls with timers that cannot be collected

Cause: in a fresh clone silent-log-link failed once (9000 ms in vain). A read of the log was bounded by AbortSignal.any over AbortSignal.timeout; Node.js 20 holds the sources of any() weakly, and a timeout collected before it fires never does. So a call on a silent connection could wait for good, now and then. Change: createBound holds timer and controller until the call ends; used for log calls, streams between daemons and engine streams; waiting on the follower listens to the signal itself. No AbortSignal.any is left in src. Besides: members nobody read are gone (RunRequest.customer, attach_only, the setting checksFencing), and proofs share one way to begin a stream. Conclusion: the cause is found and mended; the proof is the test of it.

--- a/src/coordination/attempt-runner.ts
+++ b/src/coordination/attempt-runner.ts
@@ -10,7 +10,7 @@
 	type Done, type EventLog, type Failure, type GrantShare, type Refused, type Result, type RunFrame, type Work,
 } from '../protocol/mod.js';
 import type {AnswerEnd, Member, Reservation} from '../state/mod.js';
-import type {Clock, FleetClient} from '../transport/mod.js';
+import {createBound, type Clock, type FleetClient} from '../transport/mod.js';
 import {isWantedFrame, isWholeAnswer} from './frame-check.js';
 import type {GrantKeeper} from './grant-keeper.js';
 import type {LogFollower} from './log-follower.js';
@@ -28,7 +28,6 @@
 	readonly target: string;
 	/** True when two runs do no harm but cost. */
 	readonly mayRepeat: boolean;
-	readonly customer: string;
 	readonly budget: string;
 	/** Worst case, in tokens. */
 	readonly worstCase: number;
@@ -132,7 +131,6 @@
 			attempt: number,
 			work: call.work,
 			target: call.target,
-			customer: call.customer,
 			shares: [...reservation.shares],
 			remainingMs: Math.max(1, Math.round(call.deadline - clock.now())),
 			priority: call.priority,
@@ -173,12 +171,12 @@
 	async function * readConnection(attempt: Attempt): AsyncGenerator<Uint8Array, AttemptOutcome | undefined> {
 		const {call} = attempt;
 		const silence = new AbortController();
+		const bound = createBound(call.deadline - clock.now(), [silence.signal, call.signal]);
 		let timer = setTimeout(() => {
 			silence.abort();
 		}, silenceBound);
 		try {
-			const deadline = AbortSignal.timeout(Math.max(1, Math.ceil(call.deadline - clock.now())));
-			for await (const frame of openStream(attempt, AbortSignal.any([silence.signal, call.signal, deadline]))) {
+			for await (const frame of openStream(attempt, bound.signal)) {
 				clearTimeout(timer);
 				timer = setTimeout(() => {
 					silence.abort();
@@ -212,6 +210,7 @@
 			// The connection broke; the caller of this function resumes or gives up.
 		} finally {
 			clearTimeout(timer);
+			bound.clear();
 		}
 
 		return undefined;
--- a/src/coordination/log-follower.ts
+++ b/src/coordination/log-follower.ts
@@ -220,15 +220,18 @@
 
 		/** Waits until the state satisfies the condition; false when the signal was aborted first. */
 		async waitFor(condition: (state: FleetState) => boolean, signal: AbortSignal): Promise<boolean> {
-			const ended = new AbortController();
-			const aborted = waitForAbort(AbortSignal.any([signal, ended.signal]));
+			let end: () => void = () => undefined;
+			const aborted = new Promise<void>(resolve => {
+				end = resolve;
+				signal.addEventListener('abort', end);
+			});
 			while (!condition(state) && !signal.aborted) {
 				const progress = emitter.once(['folded', 'replaced', 'caughtUp']);
 				await Promise.race([progress, aborted]);
 				progress.off();
 			}
 
-			ended.abort();
+			signal.removeEventListener('abort', end);
 			return condition(state);
 		},
 
@@ -241,16 +244,3 @@
 		},
 	};
 }
-
-/** @internal */
-async function waitForAbort(signal: AbortSignal): Promise<void> {
-	if (signal.aborted) {
-		return;
-	}
-
-	await new Promise<void>(resolve => {
-		signal.addEventListener('abort', () => {
-			resolve();
-		}, {once: true});
-	});
-}
--- a/src/coordination/model-runner.ts
+++ b/src/coordination/model-runner.ts
@@ -9,7 +9,9 @@
 	Err, Ok, chatChunkSchema, createFailure, type EventLog, type Failure, type Result, type Usage,
 } from '../protocol/mod.js';
 import {allocateShares, sumShares, type TrackedRequest} from '../state/mod.js';
-import type {Clock, EngineCall, EngineClient} from '../transport/mod.js';
+import {
+	createBound, type Clock, type EngineCall, type EngineClient,
+} from '../transport/mod.js';
 import {readLimit} from './engine-limit.js';
 import type {ReceiptReporter} from './receipt-reporter.js';
 
@@ -111,15 +113,19 @@
 	// A stream that fell silent is resumed on a new connection at the next event, without a second run.
 	async function readWhole(work: ModelWork, progress: Progress): Promise<Result<undefined, Failure>> {
 		const {request} = work;
+		const bound = createBound(work.deadline - clock.now(), [request.stopper.signal]);
 		const call: EngineCall = {
 			requestId: request.id, body: Buffer.from(work.payload).toString(), priority: work.priority,
-			signal: AbortSignal.any([request.stopper.signal, AbortSignal.timeout(Math.max(1, Math.ceil(work.deadline - clock.now())))]),
+			signal: bound.signal,
 		};
 		for (let tries = 0; tries < resumeLimit && clock.now() < work.deadline; tries++) {
 			try {
-				return await readStream(call, request, progress);
+				const outcome = await readStream(call, request, progress);
+				bound.clear();
+				return outcome;
 			} catch (error) {
 				if (request.stopper.signal.aborted) {
+					bound.clear();
 					void engine.cancel(request.id);
 					return Err(createFailure('answer-cut', 'The request was cancelled', {ran: 'yes'}));
 				}
@@ -131,6 +137,7 @@
 			}
 		}
 
+		bound.clear();
 		void engine.cancel(request.id);
 		return Err(createFailure('answer-cut', `The engine's stream broke at event ${progress.next}`, {ran: progress.next > 0 ? 'yes' : 'unknown', retryAfterMs: 1000}));
 	}
--- a/src/coordination/receipt-reporter.ts
+++ b/src/coordination/receipt-reporter.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import {
-	createId, type EventLog, type GrantShare, type Receipt, type RecordOf,
+import type {
+	EventLog, GrantShare, Receipt, RecordOf,
 } from '../protocol/mod.js';
 import {
 	createReceiptBook, formatIncarnation, type ReceiptBook, type RequestTable,
@@ -127,7 +127,7 @@
 			isFolded: state => due.every(grant => !state.ledger.findGrant(grant)?.waitsFor?.includes(me)),
 			signal: AbortSignal.timeout(appendBound),
 		});
-		events.write('grantReported', {grants: due.length, id: createId('n')});
+		events.write('grantReported', {grants: due.length});
 	}
 
 	async function runRound(): Promise<void> {
--- a/src/coordination/upstream-desk.ts
+++ b/src/coordination/upstream-desk.ts
@@ -76,10 +76,6 @@
 	}
 
 	function explainRefusal(run: RunRequest): Failure | undefined {
-		if (run.attachOnly) {
-			return createFailure('unknown-object', 'The request is not known here');
-		}
-
 		if (self.isLeaving) {
 			return createFailure('leaving', `Upstream daemon "${self.id}" is stopping`, {retryAfterMs: 1000});
 		}
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -76,7 +76,7 @@
 		self, settings: settings.requests, refusesNew: () => refusesNew, follower, router, metrics, clock, events,
 	});
 	const operators = createOperatorInterface({
-		operatorKey: core.operatorKey, follower, writer, membership, events, metrics, holder, keeper,
+		operatorKey: core.operatorKey, follower, writer, membership, events, metrics, holder,
 		intents: createIntents({follower, writer, events}),
 		isReady: () => follower.isReady() && !self.isLeaving,
 		countFigures: () => ({running: callers.countRunning(), openAttempts: settler.count()}),
--- a/src/daemon/operator-interface.ts
+++ b/src/daemon/operator-interface.ts
@@ -7,7 +7,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type restana from 'restana';
 import type {
-	GrantKeeper, Intents, LogFollower, LogWriter, Membership, Metrics, PlanView,
+	Intents, LogFollower, LogWriter, Membership, Metrics, PlanView,
 } from '../coordination/mod.js';
 import {
 	createFailure, intentSchema, isSameSecret, type EventLog, type Failure, type Result,
@@ -27,8 +27,6 @@
 	readonly intents?: Intents;
 	/** Set on entry daemons. */
 	readonly holder?: GrantHolder;
-	/** Set on entry daemons. */
-	readonly keeper?: GrantKeeper;
 	readonly isReady: () => boolean;
 	/** Figures of the daemon's own, for status. */
 	readonly countFigures: () => Readonly<Record<string, number>>;
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -90,8 +90,6 @@
 		queue: z.number().int().nonnegative().default(256),
 		/** Silence after which the upstream's connection counts as lost. */
 		silence: spanSchema.default(5000),
-		/** Whether the upstream itself refuses orders with an old fencing number. */
-		checksFencing: z.boolean().default(false),
 	}),
 	/** Memory for finished answers. */
 	answers: sizeSchema.default(33_554_432),
--- a/src/transport/log-client.ts
+++ b/src/transport/log-client.ts
@@ -7,6 +7,7 @@
 import {
 	Err, Ok, createFailure, pageSchema, type Failure, type LogPage, type LogRecord, type Result,
 } from '../protocol/mod.js';
+import {createBound} from './bound.js';
 
 /** Why a read failed: the log is away, or it no longer keeps the offset asked for. */
 export type ReadFailure =
@@ -75,17 +76,13 @@
 		}
 	}
 
-	function boundCall(extra: number, signal?: AbortSignal): AbortSignal {
-		const bound = AbortSignal.timeout(options.timeout + extra);
-		return signal ? AbortSignal.any([bound, signal]) : bound;
-	}
-
 	return {
 		async append(records) {
 			const used = dispatcher;
+			const bound = createBound(options.timeout);
 			try {
 				const answer = await request(address, {
-					method: 'POST', dispatcher: used, signal: boundCall(0),
+					method: 'POST', dispatcher: used, signal: bound.signal,
 					headers: {'content-type': 'application/json'},
 					body: JSON.stringify({records}),
 				});
@@ -94,13 +91,16 @@
 			} catch (error) {
 				dropConnections(used);
 				return Err(explainAway(error));
+			} finally {
+				bound.clear();
 			}
 		},
 
 		async read(from, {wait = 0, signal} = {}) {
 			const used = dispatcher;
+			const bound = createBound(options.timeout + wait, signal ? [signal] : []);
 			try {
-				const answer = await request(`${address}?from=${from}&wait=${wait}&limit=${pageLimit}`, {dispatcher: used, signal: boundCall(wait, signal)});
+				const answer = await request(`${address}?from=${from}&wait=${wait}&limit=${pageLimit}`, {dispatcher: used, signal: bound.signal});
 				const body = await answer.body.json();
 				if (answer.statusCode === goneStatus) {
 					const {first, next} = pageSchema.parse(body);
@@ -115,6 +115,8 @@
 			} catch (error) {
 				dropConnections(used, signal);
 				return Err({kind: 'away', failure: explainAway(error)});
+			} finally {
+				bound.clear();
 			}
 		},
 
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from './bound.js';
 export * from './clock.js';
 export * from './engine-client.js';
 export * from './fleet-client.js';
--- a/tools/demo/main.ts
+++ b/tools/demo/main.ts
@@ -8,6 +8,7 @@
 import {
 	askChat, bookSlot, fetchDocument, fleetKeys, startFleet, type CallerAnswer, type TestFleet,
 } from '../harness/mod.js';
+import {pickPercentile, roundTo} from '../measure/report.js';
 
 const customers = [
 	{
@@ -25,11 +26,6 @@
 const rounds = 60;
 const bookingsEach = 12;
 
-function pickPercentile(values: readonly number[], percentile: number): number {
-	const sorted = values.toSorted((left, right) => left - right);
-	return Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * percentile / 100))] ?? 0);
-}
-
 async function callAll(fleet: TestFleet): Promise<Map<string, Tally>> {
 	const tallies = new Map<string, Tally>();
 	await Promise.all(customers.map(async customer => {
@@ -79,9 +75,9 @@
 	}
 }
 
-function sumTokens(tally: Tally): number {
-	// Streamed answers carry their count only at the engine; the whole ones are enough to compare with.
-	return tally.answers.filter(answer => answer.isWhole).length;
+// Streamed answers do not tell the caller their cost, so a bill is checked against one token for each whole answer.
+function countWhole(answers: readonly CallerAnswer[]): number {
+	return answers.filter(answer => answer.isWhole).length;
 }
 
 async function buildRows(fleet: TestFleet, tallies: Map<string, Tally>): Promise<{rows: Row[]; faults: string[]}> {
@@ -95,20 +91,21 @@
 		const served = all.filter(answer => answer.isWhole);
 		const refused = all.filter(answer => answer.status === 429);
 		const mine = [...executions].filter(([booking]) => booking.startsWith(customer.name));
-		const booked = tally.bookings.filter(answer => answer.isWhole).length;
+		const booked = countWhole(tally.bookings);
 		const executed = mine.reduce((sum, [, count]) => sum + count, 0);
+		const spans = tally.answers.filter(answer => answer.isWhole).map(answer => answer.firstMs);
 		rows.push({
 			customer: customer.name, served: served.length, refused: refused.length, spent: budget.billed, bought: budget.bought,
 			bookings: booked, executions: executed,
-			firstP50: pickPercentile(tally.answers.filter(answer => answer.isWhole).map(answer => answer.firstMs), 50),
-			firstP99: pickPercentile(tally.answers.filter(answer => answer.isWhole).map(answer => answer.firstMs), 99),
+			firstP50: roundTo(pickPercentile(spans, 50), 0),
+			firstP99: roundTo(pickPercentile(spans, 99), 0),
 		});
 		const expectations: Array<[boolean, string]> = [
 			[budget.billed <= budget.bought, 'spent more than was bought'],
 			[served.length + refused.length === all.length, 'an answer was neither whole nor refused'],
 			[executed === booked && mine.every(([, count]) => count === 1), 'bookings and executions differ'],
 			[refused.every(answer => answer.retryAfter !== undefined && answer.problem?.ran === 'no'), 'a refusal lacks Retry-After or ran'],
-			[budget.billed >= (booked * bookingCost) + sumTokens(tally), 'an answer was not billed'],
+			[budget.billed >= (booked * bookingCost) + countWhole(tally.answers), 'an answer was not billed'],
 		];
 		faults.push(...expectations.filter(([holds]) => !holds).map(([, fault]) => `${customer.name}: ${fault}`));
 	}
--- a/tools/prove/budget-proofs.ts
+++ b/tools/prove/budget-proofs.ts
@@ -9,7 +9,7 @@
 	fetchDocument, waitUntil, type TestFleet,
 } from '../harness/mod.js';
 import {
-	city, configureCity, countEngines, listen, readStatus, setLog, spendUntilRefused, sumTokens, tryChat, waitForReceipts,
+	beginStream, city, configureCity, countEngines, listen, readStatus, setLog, spendUntilRefused, sumTokens, tryChat, waitForReceipts,
 } from './count.js';
 import {replaceModule, type Proof, type ProofOutcome} from './proof.js';
 
@@ -199,14 +199,9 @@
 		const call = {
 			content: 'answer 300', maxTokens: 300, stream: true, idempotencyKey: 'letter-7',
 		};
-		let begun: () => void = () => undefined;
-		const hasBegun = new Promise<void>(resolve => {
-			begun = resolve;
-		});
-		const first = tryChat(listen(fleet.entries[0]), {...call, onFirst: begun});
-		await hasBegun;
+		const first = await beginStream(listen(fleet.entries[0]), call);
 		await fleet.entries[0]!.process.kill();
-		await first;
+		await first.outcome;
 		const second = await tryChat(listen(fleet.entries[1]), call);
 		await waitForReceipts(fleet);
 		const {runs} = await countEngines(fleet);
--- a/tools/prove/count.ts
+++ b/tools/prove/count.ts
@@ -81,6 +81,17 @@
 	}
 }
 
+/** Starts a stream and waits for its first chunk; returns the promise of its outcome. */
+export async function beginStream(url: string, options: Omit<AskChatOptions, 'key'>): Promise<{readonly outcome: Promise<CallerAnswer | undefined>}> {
+	let begin: () => void = () => undefined;
+	const hasBegun = new Promise<void>(resolve => {
+		begin = resolve;
+	});
+	const outcome = tryChat(url, {...options, stream: true, onFirst: begin});
+	await hasBegun;
+	return {outcome};
+}
+
 /** Options of {@linkcode spendUntilRefused}. */
 export type SpendOptions = {
 	/** Requests at most. */
--- a/tools/prove/delivery-proofs.ts
+++ b/tools/prove/delivery-proofs.ts
@@ -6,7 +6,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {fetchDocument, waitUntil, type TestFleet} from '../harness/mod.js';
 import {
-	city, configureCity, countEngines, isOwnText, listen, readStatus, tryChat, waitForReceipts,
+	beginStream, city, configureCity, countEngines, isOwnText, listen, readStatus, tryChat, waitForReceipts,
 } from './count.js';
 import {replaceModule, type Proof} from './proof.js';
 
@@ -136,19 +136,14 @@
 		const call = {
 			content: 'answer 300', maxTokens: 300, stream: true, idempotencyKey: 'letter-9', deadline: '20s',
 		};
-		let begun: () => void = () => undefined;
-		const hasBegun = new Promise<void>(resolve => {
-			begun = resolve;
-		});
-		const first = tryChat(listen(fleet.entries[0]), {...call, onFirst: begun});
-		await hasBegun;
+		const first = await beginStream(listen(fleet.entries[0]), call);
 		for (const upstream of fleet.upstreams) {
 			upstream.peerRelay!.silenceOpen();
 		}
 
 		await wait(300);
 		await fleet.entries[0]!.process.kill();
-		await first;
+		await first.outcome;
 		const second = await tryChat(listen(fleet.entries[1]), call);
 		await waitForReceipts(fleet);
 		const {runs} = await countEngines(fleet);
