--- a/tools/prove/booking-proofs.ts
+++ b/tools/prove/booking-proofs.ts
@@ -10,12 +10,14 @@
 import {
 	city, configureCity, countBookings, listen, setLog,
 } from './count.js';
-import {replaceModule, type Proof} from './proof.js';
+import {
+	quick, replaceModule, type Proof,
+} from './proof.js';
 
 const oncePromise = 'A non-idempotent request runs at most once.';
 const notRunPromise = 'When a request is refused as "not run", it truly did not run.';
 const bookingFleet = {
-	entries: 2, engines: 0, bookings: 2, settings: {heartbeat: {every: '200ms', suspectAfter: '1s'}},
+	entries: 2, engines: 0, bookings: 2, settings: quick,
 };
 
 async function tryBook(url: string, booking: string, deadline = '5s'): Promise<CallerAnswer | undefined> {
--- a/tools/prove/budget-proofs.ts
+++ b/tools/prove/budget-proofs.ts
@@ -11,9 +11,10 @@
 import {
 	beginStream, city, configureCity, countEngines, listen, readStatus, setLog, spendUntilRefused, sumTokens, tryChat, waitForReceipts,
 } from './count.js';
-import {replaceModule, type Proof, type ProofOutcome} from './proof.js';
+import {
+	quick, replaceModule, type Proof, type ProofOutcome,
+} from './proof.js';
 
-const quick = {heartbeat: {every: '200ms', suspectAfter: '1s'}};
 const spendPromise = 'A customer\'s spend never exceeds its prepaid budget.';
 const billPromise = 'Each caller request is billed exactly once.';
 const refusalMeasure = 'False refusals: requests refused although budget remained.';
--- a/tools/prove/configuration-proofs.ts
+++ b/tools/prove/configuration-proofs.ts
@@ -9,9 +9,10 @@
 import {
 	configureCity, listen, readStatus, setLog, tryChat,
 } from './count.js';
-import {replaceModule, type Proof} from './proof.js';
+import {
+	quick, replaceModule, type Proof,
+} from './proof.js';
 
-const quick = {heartbeat: {every: '200ms', suspectAfter: '1s'}};
 const promise = 'An accepted configuration is in force everywhere within seconds and never reverts.';
 
 type PlanAnswer = {readonly plan: string; readonly state?: string; readonly version?: number; readonly type?: string};
--- a/tools/prove/delivery-proofs.ts
+++ b/tools/prove/delivery-proofs.ts
@@ -8,9 +8,10 @@
 import {
 	beginStream, city, configureCity, countEngines, isOwnText, listen, readStatus, tryChat, waitForReceipts,
 } from './count.js';
-import {replaceModule, type Proof} from './proof.js';
+import {
+	quick, replaceModule, type Proof,
+} from './proof.js';
 
-const quick = {heartbeat: {every: '200ms', suspectAfter: '1s'}};
 const wholePromise = 'A caller receives the whole answer to its own request and no one else\'s.';
 
 const crossedAnswers: Proof = {
--- a/tools/prove/proof.ts
+++ b/tools/prove/proof.ts
@@ -5,6 +5,9 @@
  */
 import {startFleet, type StartFleetOptions, type TestFleet} from '../harness/mod.js';
 
+/** Settings that suspect a silent peer within a second, so that proofs are short. */
+export const quick = {heartbeat: {every: '200ms', suspectAfter: '1s'}};
+
 /** Figures that a proof counted. */
 export type ProofFigures = Readonly<Record<string, number | string | boolean>>;
 
--- a/tools/prove/stop-proofs.ts
+++ b/tools/prove/stop-proofs.ts
@@ -11,9 +11,10 @@
 import {
 	city, configureCity, listen, readStatus, tryChat, waitForReceipts,
 } from './count.js';
-import {replaceModule, type Proof} from './proof.js';
+import {
+	quick, replaceModule, type Proof,
+} from './proof.js';
 
-const quick = {heartbeat: {every: '200ms', suspectAfter: '1s'}};
 const leavingPromise = 'An upstream that is leaving receives no new work after a few seconds.';
 const stopPromise = 'Every planned stop is a graceful shutdown, cutting off no request in progress.';
 
