Give the right to run a booking once

Cause: found by reading the whole change. The run register knows a run for the log's window, the request table only as long as its bounds allow; a retry that the table had forgotten found the right still its own, and would have run again. Ruled out: a larger table; any bound is passed at some rate. Change: a right that this incarnation had before is taken up again only for what is known not to have run; forgetting there makes the answer unknown. Conclusion: at most once no longer rests on the table's size.

--- /dev/null
+++ b/src/coordination/service-runner.test.ts
@@ -0,0 +1,64 @@
+import {expect, test} from 'vitest';
+import {
+	Ok, createEventLog, type LogEntry, type LogRecord,
+} from '../protocol/mod.js';
+import {createRequestTable} from '../state/mod.js';
+import {createSystemClock, type LogClient} from '../transport/mod.js';
+import {
+	createLogFollower, createLogWriter, createReceiptReporter, createServiceRunner, type Self,
+} from './mod.js';
+
+const service = {
+	name: 'slots', cost: 50, idempotent: false, withoutLog: 'refuse' as const,
+};
+
+function createFakeLog(): LogClient {
+	const entries: LogEntry[] = [];
+	return {
+		async append(records: readonly LogRecord[]) {
+			for (const data of records) {
+				entries.push({offset: entries.length, at: 0, data});
+			}
+
+			return Ok(undefined);
+		},
+		read: async from => Ok({records: entries.slice(from), first: 0, next: entries.length}),
+		close: async () => undefined,
+	};
+}
+
+// A family's slot is booked twice: the executor ran the booking, its bounded
+// table forgot it, and the caller's retry finds the run record on the log still
+// naming this executor. It must not run again.
+test('obtainRight() gives a right once, and again only for what has not run', async () => {
+	const clock = createSystemClock();
+	const events = createEventLog('up-1');
+	const log = createFakeLog();
+	const self: Self = {
+		id: 'up-1', role: 'upstream', incarnation: 'i-1', isLeaving: false,
+	};
+	const follower = createLogFollower({
+		log, clock, events, window: 1000, fetchFromPeers: async () => undefined, longPoll: 5,
+	});
+	const stopper = new AbortController();
+	void follower.run(stopper.signal);
+	await follower.waitFor(() => follower.isLogUp(), AbortSignal.timeout(5000));
+	const writer = createLogWriter({
+		log, follower, clock, events,
+	});
+	const reporter = createReceiptReporter({
+		self, follower, writer, table: createRequestTable({bytes: 1}), clock, events, every: 1000,
+	});
+	const runner = createServiceRunner({
+		self, follower, writer, reporter, clock, events,
+		client: {call: async () => Ok({status: 200, body: new Uint8Array()}), isAlive: async () => true, close: async () => undefined},
+	});
+	const first = await runner.obtainRight('r1', service);
+	const second = await runner.obtainRight('r1', service);
+	runner.noteNotRun('r1');
+	const third = await runner.obtainRight('r1', service);
+	stopper.abort();
+	expect(first.kind).toBe('mine');
+	expect(second).toMatchObject({kind: 'refused', failure: {type: 'outcome-unknown', ran: 'unknown'}});
+	expect(third.kind).toBe('mine');
+});
--- a/src/coordination/service-runner.ts
+++ b/src/coordination/service-runner.ts
@@ -47,6 +47,7 @@
 
 const defaultRecordBound = 3000;
 const roundPause = 500;
+const notRunLimit = 10_000;
 
 /**
  * Creates a runner.
@@ -65,6 +66,7 @@
 	} = options;
 	const recordBound = options.recordBound ?? defaultRecordBound;
 	const unrecorded = new Map<string, string>();
+	const notRun = new Set<string>();
 
 	function readRight(request: string): RunRight | undefined {
 		const run = follower.state().runs.get(request);
@@ -92,6 +94,33 @@
 		return rankByRendezvous(request, placed)[0] === self.id;
 	}
 
+	/**
+	 * Takes up a right that this incarnation has had before.
+	 *
+	 * The register outlives the request table, which is bounded: a retry that
+	 * the table has forgotten would find the right still its own and run
+	 * again. Only what is known not to have run may start; that memory is
+	 * bounded too, and forgetting there only makes the answer "unknown".
+	 */
+	function takeUpRight(request: string): RunRight {
+		if (notRun.delete(request)) {
+			return {kind: 'mine'};
+		}
+
+		return {kind: 'refused', failure: createFailure('outcome-unknown', 'The request was given to this upstream daemon before and is no longer known to it', {ran: 'unknown'})};
+	}
+
+	function noteNotRun(request: string): void {
+		notRun.add(request);
+		for (const oldest of notRun) {
+			if (notRun.size <= notRunLimit) {
+				return;
+			}
+
+			notRun.delete(oldest);
+		}
+	}
+
 	/**
 	 * Asks the log who may run a request.
 	 *
@@ -102,7 +131,7 @@
 	async function obtainRight(request: string, service: Service): Promise<RunRight> {
 		const known = readRight(request);
 		if (known) {
-			return known;
+			return known.kind === 'mine' ? takeUpRight(request) : known;
 		}
 
 		if (!follower.isLogUp()) {
@@ -112,7 +141,13 @@
 		await writer.commit({
 			kind: 'run', request, daemon: self.id, incarnation: self.incarnation,
 		}, {isFolded: state => state.runs.has(request), signal: AbortSignal.timeout(recordBound)});
-		return readRight(request) ?? obtainWithoutLog(request, service);
+		const right = readRight(request) ?? obtainWithoutLog(request, service);
+		// The record may still come to stand on the log; the request has not run under it.
+		if (right.kind === 'refused') {
+			noteNotRun(request);
+		}
+
+		return right;
 	}
 
 	async function callService(work: ServiceWork): Promise<Result<undefined, Failure>> {
@@ -143,11 +178,14 @@
 
 	return {
 		obtainRight,
+		/** Notes that a request with the right to run was refused before it ran. */
+		noteNotRun,
 
 		/** Runs one call; the outcome is in the request. */
 		async run(work: ServiceWork): Promise<void> {
 			const {request} = work;
 			if (clock.now() >= work.deadline) {
+				noteNotRun(request.id);
 				request.fail(createFailure('deadline-passed', 'The deadline passed before the call was sent'));
 				return;
 			}
@@ -158,6 +196,10 @@
 					events.write('outcomeUnknown', {request: request.id, service: work.service.name});
 				}
 
+				if (outcome.val.ran === 'no') {
+					noteNotRun(request.id);
+				}
+
 				request.fail(outcome.val);
 			}
 		},
--- a/src/coordination/upstream-desk.ts
+++ b/src/coordination/upstream-desk.ts
@@ -161,6 +161,7 @@
 
 		const refusal = explainRefusal(run);
 		if (refusal) {
+			options.services!.noteNotRun(run.requestId);
 			return Err(refusal);
 		}
 
--- a/tools/prove/booking-proofs.ts
+++ b/tools/prove/booking-proofs.ts
@@ -98,7 +98,11 @@
 caller asks again, and the daemon, which saw only a failure, would call the registry again.`,
 	isInCi: true,
 	fleet: {...bookingFleet, bookings: 1},
-	withoutGuard: replaceModule('src/state/request-table', 'table-that-forgets-failures'),
+	// Two guards stand here: the table keeps the failure, and the right to run is not given twice.
+	withoutGuard: {
+		...replaceModule('src/state/request-table', 'table-that-forgets-failures'),
+		...replaceModule('src/coordination/service-runner', 'runner-without-register'),
+	},
 	async run(fleet) {
 		await configureCity(fleet);
 		await fetchDocument(`${fleet.upstreams[0]!.standIn.ready.url}/control`, {loseAnswers: 1});
