Run on the users' platform, thin: a gateway behind an adapter

The gateway finds route and customer, reserves tokens from a grant that was appended to a keyed log under a condition, and forwards to engines directly.

--- /dev/null
+++ b/src/coordination/budget-keeper.ts
@@ -0,0 +1,275 @@
+/**
+ * Keeps a gateway in tokens of its customers' budgets: claims ahead on the
+ * grants' log as much as the next seconds need, and gives back what is idle.
+ *
+ * @module
+ */
+import {
+	Err, Ok, createFailure, type EventLog, type Failure, type KeyedLog, type Result,
+} from '../protocol/mod.js';
+import {
+	type GrantBook, type HolderRecord, type RouteTable, type TokenAccount, type TokenReservation,
+} from '../state/mod.js';
+import type {Clock} from '../transport/mod.js';
+import {createDemand} from './demand.js';
+import {computeGrant} from './grant-size.js';
+import type {KeyedFollower} from './keyed-follower.js';
+
+/** Who holds the grants of one gateway. */
+export type HolderIdentity = Pick<HolderRecord, 'daemon' | 'incarnation' | 'address' | 'failureDomain'>;
+
+/** Borrows tokens from other gateways; returns how many came. */
+export type BorrowTokens = (customer: string, amount: number) => Promise<number>;
+
+/** Options of {@linkcode createBudgetKeeper}. */
+export type CreateBudgetKeeperOptions = {
+	readonly self: HolderIdentity;
+	readonly log: KeyedLog;
+	readonly follower: KeyedFollower;
+	readonly book: GrantBook;
+	readonly account: TokenAccount;
+	/** The deployment in force; undefined before the first is known. */
+	readonly findTable: () => RouteTable | undefined;
+	readonly borrow: BorrowTokens;
+	readonly clock: Clock;
+	readonly events: EventLog;
+	readonly signal: AbortSignal;
+};
+
+/** Keeps a gateway in tokens. */
+export type BudgetKeeper = ReturnType<typeof createBudgetKeeper>;
+
+/** Pause between rounds of claims, in milliseconds; a request that is short does not wait for it. */
+const roundEvery = 1000;
+/** Times that an append is tried against other writers before it is left to the next round. */
+const appendTries = 6;
+/** Longest that a request waits for a claim, in milliseconds; the store answers in 4 ms when it is well. */
+const claimPatience = 300;
+/** When a caller may come back whose tokens are held by requests still running, in milliseconds. */
+const busyRetryAfter = 1000;
+
+/**
+ * Formats the key under which an incarnation's grants stand.
+ *
+ * @example
+ * ```ts
+ * formatHolderKey({daemon: 'entry-1', incarnation: 'i-9'}); // 'entry-1/i-9'
+ * ```
+ *
+ * @param holder The incarnation
+ * @returns The key
+ */
+export function formatHolderKey(holder: Pick<HolderRecord, 'daemon' | 'incarnation'>): string {
+	return `${holder.daemon}/${holder.incarnation}`;
+}
+
+/**
+ * Creates the keeper; `run` is its task.
+ *
+ * @example
+ * ```ts
+ * const reservation = await keeper.acquire('city-1', 1540);
+ * ```
+ *
+ * @param options The log of grants, the account and the deployment
+ * @returns The keeper
+ */
+export function createBudgetKeeper(options: CreateBudgetKeeperOptions) {
+	const {
+		self, log, follower, book, account, findTable, clock, events, signal,
+	} = options;
+	const key = formatHolderKey(self);
+	const demand = createDemand(clock);
+	const largest = new Map<string, number>();
+	let sequence = 0;
+	let isEnding = false;
+	let writing: Promise<void> | undefined;
+
+	function planGrant(customer: string, bought: number): number {
+		const {granted} = account.get(customer);
+		return computeGrant({
+			granted,
+			bound: account.countBound(customer),
+			free: account.countFree(customer),
+			wanted: demand.countWanted(customer),
+			rate: demand.findRate(customer),
+			largest: largest.get(customer) ?? 0,
+			available: bought - book.sumGranted(customer, key),
+			isEnding,
+		});
+	}
+
+	// The next record, or undefined when nothing changes. A writer that knows an older deployment than another writer
+	// waits: the amounts it would claim may have been lowered since.
+	function planRecord(): HolderRecord | undefined {
+		const table = findTable();
+		if (!table || book.findNewestVersion() > table.version) {
+			return undefined;
+		}
+
+		const granted: Record<string, number> = {};
+		let hasChanged = book.get(key) === undefined || (isEnding && !book.get(key)!.hasEnded);
+		for (const customer of new Set([...account.listCustomers(), ...(table.deployment.customers ?? []).map(({id}) => id)])) {
+			const bought = table.findCustomer(customer)?.bought;
+			// Compared with what stands on the log: a decrease applies here before it stands there.
+			const standing = book.get(key)?.granted[customer] ?? 0;
+			const wanted = bought === undefined ? account.get(customer).granted : planGrant(customer, bought);
+			hasChanged ||= wanted !== standing;
+			if (wanted > 0) {
+				granted[customer] = wanted;
+			}
+		}
+
+		return hasChanged
+			? {
+				...self, version: table.version, sequence: sequence + 1, granted, hasEnded: isEnding,
+			}
+			: undefined;
+	}
+
+	// Tokens are given back by not having them first: a record whose answer is lost may stand or not.
+	function applyDecreases(record: HolderRecord): void {
+		for (const customer of account.listCustomers()) {
+			const next = record.granted[customer] ?? 0;
+			if (next < account.get(customer).granted) {
+				account.setGranted(customer, next);
+			}
+		}
+	}
+
+	async function writeOnce(): Promise<'done' | 'again'> {
+		if (!await follower.catchUp(signal)) {
+			return 'done';
+		}
+
+		const record = planRecord();
+		const at = follower.next();
+		if (!record || at === undefined) {
+			return 'done';
+		}
+
+		sequence = record.sequence;
+		applyDecreases(record);
+		const value = JSON.stringify(record);
+		const outcome = await log.append({key, value}, {at});
+		switch (outcome.kind) {
+			case 'appended': {
+				follower.takeOwn({key, value, offset: outcome.offset});
+				return 'done';
+			}
+
+			case 'behind': {
+				return 'again';
+			}
+
+			case 'unknown':
+			case 'refused': {
+				events.write('answerLost', {log: log.name, kind: outcome.kind, detail: outcome.failure.detail});
+				return 'again';
+			}
+		}
+	}
+
+	async function writeGrants(): Promise<void> {
+		for (let attempt = 0; attempt < appendTries && !signal.aborted; attempt += 1) {
+			if (await writeOnce() === 'done') {
+				return;
+			}
+		}
+	}
+
+	// One writer at a time; whoever asks meanwhile waits for the same round.
+	async function writeShared(): Promise<void> {
+		writing ??= (async () => {
+			try {
+				await writeGrants();
+			} finally {
+				writing = undefined;
+			}
+		})();
+		return writing;
+	}
+
+	async function claim(customer: string, amount: number): Promise<TokenReservation | undefined> {
+		const until = clock.now() + claimPatience;
+		// A round that was under way when the request came may not have counted it.
+		for (let round = 0; round < 2 && clock.now() < until; round += 1) {
+			await Promise.race([writeShared(), clock.sleep(until - clock.now())]);
+			const reservation = account.reserve(customer, amount);
+			if (reservation) {
+				return reservation;
+			}
+		}
+
+		return undefined;
+	}
+
+	function refuse(customer: string, amount: number): Failure {
+		const bought = findTable()?.findCustomer(customer)?.bought ?? 0;
+		const rest = bought - book.sumGranted(customer, key) - account.countBound(customer);
+		events.write('budgetShort', {
+			customer, amount, free: account.countFree(customer), bound: account.countBound(customer), bought, elsewhere: book.sumGranted(customer, key), isStoreUp: follower.isUp(),
+		});
+		return follower.isUp() && bought < amount
+			? createFailure('budget-exhausted', `Customer "${customer}" bought ${bought} tokens, fewer than the ${amount} that the request may need`)
+			: createFailure('budget-busy', `Customer "${customer}" has ${Math.max(0, rest)} tokens left here and the request may need ${amount}`, {retryAfterMs: busyRetryAfter});
+	}
+
+	return {
+		/** Folds an own record that was read back or confirmed: only then may its increases be used. */
+		takeOwnRecord(record: HolderRecord): void {
+			for (const customer of new Set([...account.listCustomers(), ...Object.keys(record.granted)])) {
+				account.setGranted(customer, record.granted[customer] ?? 0);
+			}
+
+			sequence = Math.max(sequence, record.sequence);
+			events.write('grantClaimed', {sequence: record.sequence, version: record.version});
+		},
+
+		/** Reserves a request's worst case: from what is free, by a claim, or from other gateways. */
+		async acquire(customer: string, amount: number): Promise<Result<TokenReservation, Failure>> {
+			largest.set(customer, Math.max(largest.get(customer) ?? 0, amount));
+			const atOnce = account.reserve(customer, amount);
+			if (atOnce) {
+				return Ok(atOnce);
+			}
+
+			const stopWaiting = demand.startWaiting(customer, amount);
+			try {
+				const claimed = follower.isUp() ? await claim(customer, amount) : undefined;
+				if (claimed) {
+					return Ok(claimed);
+				}
+
+				await options.borrow(customer, amount - account.countFree(customer));
+				const borrowed = account.reserve(customer, amount);
+				return borrowed ? Ok(borrowed) : Err(refuse(customer, amount));
+			} finally {
+				stopWaiting();
+			}
+		},
+
+		/** Ends a reservation with what was used. */
+		settle(reservation: TokenReservation, used: number): void {
+			account.settle(reservation, used);
+			demand.noteSpent(reservation.customer, used);
+		},
+
+		/** Free tokens that the next seconds here do not need. */
+		countSpare: (customer: string): number => Math.max(0, account.countFree(customer) - (demand.findRate(customer) * roundEvery)),
+
+		async run(): Promise<void> {
+			while (!signal.aborted) {
+				await writeShared();
+				await clock.sleep(roundEvery, signal);
+			}
+		},
+
+		/** Gives back everything that was not used, for a stop. */
+		async end(): Promise<void> {
+			isEnding = true;
+			await writing;
+			await writeShared();
+		},
+	};
+}
--- /dev/null
+++ b/src/coordination/grant-size.ts
@@ -0,0 +1,73 @@
+/**
+ * How large a gateway's grant of one budget should be.
+ *
+ * What a grant covers must last through the store's absences; what lies idle
+ * in a grant is lost if its holder dies, and is missing elsewhere near the end
+ * of the budget.
+ *
+ * @module
+ */
+
+/** What a gateway knows of one budget; amounts in tokens. */
+export type GrantView = {
+	/** Total granted to it. */
+	readonly granted: number;
+	/** Part of the grant that cannot be given back. */
+	readonly bound: number;
+	readonly free: number;
+	/** What waiting requests ask for. */
+	readonly wanted: number;
+	/** Tokens a millisecond spent of late. */
+	readonly rate: number;
+	/** The largest worst case of a request seen. */
+	readonly largest: number;
+	/** What was bought less what was granted to others. */
+	readonly available: number;
+	/** The gateway stops. */
+	readonly isEnding: boolean;
+};
+
+/** Demand that a grant covers, in milliseconds: the store is away for up to 9 s at a time. */
+const horizon = 10_000;
+/** Requests of the largest size that a grant covers besides, since few large requests come unevenly. */
+const spareRequests = 2;
+/** A grant is renewed when less than this share of what it should cover is free. */
+const renewBelow = 0.6;
+/** A grant is reduced when more than this multiple of what it should cover is free. */
+const reduceAbove = 2;
+/** Share of what is left that one gateway may hold free, so that the rest can be claimed where it is needed. */
+const shareOfRest = 0.35;
+
+/**
+ * Computes the total that a gateway should be granted.
+ *
+ * @example
+ * ```ts
+ * computeGrant({granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, largest: 500, available: 10_000, isEnding: false}); // 1500
+ * ```
+ *
+ * @param view What it knows
+ * @returns The total, never more than is available
+ */
+export function computeGrant(view: GrantView): number {
+	const available = Math.max(0, Math.floor(view.available));
+	const {granted, bound, free, wanted} = view;
+	if (view.isEnding) {
+		return Math.min(granted, bound);
+	}
+
+	// What was bought has been lowered: what is not bound goes back.
+	if (granted > available) {
+		return Math.max(Math.min(granted, bound), available);
+	}
+
+	const rest = Math.max(0, available - bound);
+	const cover = Math.min((view.rate * horizon) + (view.largest * spareRequests), rest * shareOfRest);
+	const isShort = free < wanted || free < cover * renewBelow;
+	const isIdle = free > cover * reduceAbove && granted > bound;
+	if (!isShort && !isIdle) {
+		return granted;
+	}
+
+	return Math.max(Math.min(bound, granted), Math.min(available, Math.ceil(bound + wanted + cover)));
+}
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -4,11 +4,17 @@
  *
  * @module
  */
+export * from './answer-relay.js';
 export * from './attempt-runner.js';
+export * from './budget-keeper.js';
 export * from './enrolment.js';
+export * from './event-splitter.js';
+export type * from './forward-types.js';
 export * from './grant-keeper.js';
 export * from './grant-policy.js';
+export * from './grant-size.js';
 export * from './intents.js';
+export * from './keyed-follower.js';
 export * from './loan-desk.js';
 export * from './log-follower.js';
 export * from './log-writer.js';
@@ -19,6 +25,7 @@
 export * from './receipt-reporter.js';
 export * from './reclaimer.js';
 export * from './rendezvous.js';
+export * from './request-forwarder.js';
 export * from './request-router.js';
 export * from './retry-budget.js';
 export * from './route-book.js';
@@ -26,5 +33,6 @@
 export * from './service-runner.js';
 export * from './settler.js';
 export * from './snapshotter.js';
+export * from './upstream-book.js';
 export * from './upstream-desk.js';
 export * from './work-queue.js';
--- /dev/null
+++ b/src/coordination/request-forwarder.ts
@@ -0,0 +1,283 @@
+/**
+ * Takes an admitted request to upstreams until one has answered it.
+ *
+ * A request that may not be repeated is sent again only after a promise that
+ * it has not run, or when nothing was sent.
+ *
+ * @module
+ */
+import {
+	createFailure, type AnswerFacts, type EventLog, type Failure, type GatewayWire,
+} from '../protocol/mod.js';
+import {
+	type CallFailure, type Clock, type UpstreamAnswer, type UpstreamClient, createBound,
+} from '../transport/mod.js';
+import {
+	StreamAnswerRelay, WholeAnswerRelay, type AnswerRelay, type RelayOutcome,
+} from './answer-relay.js';
+import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
+import type {RetryBudget} from './retry-budget.js';
+import type {RoutingPolicy} from './routing-policy.js';
+import type {UpstreamBook, UpstreamVisit} from './upstream-book.js';
+
+/** Options of {@linkcode createRequestForwarder}. */
+export type CreateRequestForwarderOptions = {
+	readonly wire: GatewayWire;
+	readonly client: UpstreamClient;
+	readonly book: UpstreamBook;
+	readonly policy: RoutingPolicy;
+	/** The retry budget of a service. */
+	readonly findRetries: (service: string) => RetryBudget;
+	readonly clock: Clock;
+	readonly events: EventLog;
+};
+
+/** Takes requests to upstreams. */
+export type RequestForwarder = ReturnType<typeof createRequestForwarder>;
+
+/** What one sending came to. */
+type SendOutcome =
+	| {readonly kind: 'not-run'; readonly detail: string; readonly wasSent: boolean}
+	| RelayOutcome;
+
+type Progress = {sends: number; mayHaveRun: boolean; upstream: string | undefined; firstMs: number | undefined};
+
+/** One request on its way. */
+type Forwarding = {readonly request: ForwardRequest; readonly relay: AnswerRelay; readonly progress: Progress};
+
+/** The least urgent rank that an upstream knows. */
+const lastUrgency = 9;
+/** What a sending brings to the receipt of its answer. */
+type ReceiveOptions = {readonly visit: UpstreamVisit; readonly onProgress: () => void};
+
+/** Less time than this, in milliseconds, is not worth a sending: a round trip alone takes some of it. */
+const leastTime = 15;
+/** When a caller may come back after every upstream was full or away, in milliseconds. */
+const fullRetryAfter = 500;
+/** A silent upstream is given up on after this many objectives of the route, when the request may go elsewhere. */
+const silenceObjectives = 3;
+/** Shortest silence, in milliseconds, that makes an upstream be given up on. */
+const leastSilence = 1200;
+
+/**
+ * Creates a forwarder.
+ *
+ * @example
+ * ```ts
+ * const report = await forwarder.forward(request);
+ * ```
+ *
+ * @param options Upstreams, routing and retries
+ * @returns The forwarder
+ */
+export function createRequestForwarder(options: CreateRequestForwarderOptions) {
+	const {
+		wire, client, book, policy, findRetries, clock, events,
+	} = options;
+
+	function createRelay(request: ForwardRequest): AnswerRelay {
+		return request.route.kind === 'stream' ? new StreamAnswerRelay(request, wire) : new WholeAnswerRelay(request, wire);
+	}
+
+	function pickUpstream(request: ForwardRequest, tried: ReadonlySet<string>): string | undefined {
+		const candidates = book.listCandidates(request.service.id, tried);
+		const parts = request.generation?.parts ?? [];
+		// The last part is the request's own or its session's; the one before it is what requests share.
+		const prefix = (parts.at(-2) ?? parts.at(-1))?.id ?? request.id ?? '';
+		return candidates.length === 0 ? undefined : policy.pick({prefix}, candidates).daemon;
+	}
+
+	// An answer to another request shows that the connection carries extra answers; whatever follows on it is in doubt.
+	function isOther(request: ForwardRequest, facts: AnswerFacts): boolean {
+		return facts.requestId !== undefined && facts.requestId !== request.id;
+	}
+
+	async function receive({request, relay, progress}: Forwarding, answer: UpstreamAnswer, {visit, onProgress}: ReceiveOptions): Promise<SendOutcome> {
+		const sentAt = clock.now();
+		const facts = wire.readAnswer(answer.status, answer.headers);
+		if (facts.load) {
+			visit.noteLoad(facts.load);
+		}
+
+		if (isOther(request, facts)) {
+			answer.abandon();
+			return {kind: 'broken', detail: 'The answer belongs to another request'};
+		}
+
+		if (facts.hasNotRun) {
+			answer.abandon();
+			return {kind: 'not-run', detail: `status ${answer.status}`, wasSent: true};
+		}
+
+		progress.mayHaveRun = true;
+		if (answer.status < 300 && (!facts.isMarked || answer.headers['content-encoding'] !== undefined)) {
+			answer.abandon();
+			return {kind: 'broken', detail: 'The answer does not bear the upstream\'s mark or is encoded'};
+		}
+
+		return relay.relay(answer, {
+			onProgress,
+			onFirst() {
+				progress.firstMs ??= clock.now() - request.startedAt;
+				visit.noteFirst(clock.now() - sentAt);
+			},
+		});
+	}
+
+	// Ends a sending whose upstream went silent, if the request may go elsewhere. Only progress moves the end.
+	function createSilenceBound(request: ForwardRequest, relay: AnswerRelay) {
+		const span = Math.max(leastSilence, request.route.objective * silenceObjectives);
+		const controller = new AbortController();
+		const abort = () => {
+			if (relay.canGoOn()) {
+				controller.abort(new Error(`The upstream was silent for ${span} ms`));
+			}
+		};
+
+		let timer = setTimeout(abort, span);
+		return {
+			signal: controller.signal,
+			noteProgress() {
+				clearTimeout(timer);
+				timer = setTimeout(abort, span);
+			},
+			clear() {
+				clearTimeout(timer);
+			},
+		};
+	}
+
+	async function sendTo(forwarding: Forwarding, id: string): Promise<SendOutcome> {
+		const {request, relay, progress} = forwarding;
+		const upstream = book.get(id);
+		if (!upstream) {
+			return {kind: 'not-run', detail: 'The upstream has just left', wasSent: false};
+		}
+
+		const visit = book.start(id);
+		const silence = createSilenceBound(request, relay);
+		const remaining = request.deadline - clock.now();
+		const bound = createBound(remaining, [request.signal, silence.signal]);
+		try {
+			const called = await client.call({
+				address: upstream.address,
+				method: request.method,
+				path: request.path,
+				headers: wire.buildForwardHeaders(request.rawHeaders, {
+					requestId: request.id, upstream: id, customer: request.customer, remaining, lastEvent: relay.lastEvent, urgency: Math.min(lastUrgency, request.priority),
+				}),
+				body: request.body,
+				signal: bound.signal,
+				isAlone: !relay.canGoOn(),
+			});
+			const outcome = called.ok ? await receive(forwarding, called.val, {visit, onProgress: silence.noteProgress}) : readCallFailure(called.val, progress);
+			if (outcome.kind === 'broken' && !request.signal.aborted) {
+				visit.noteFailure();
+			} else if (outcome.kind === 'not-run' && !outcome.wasSent) {
+				visit.noteFailure();
+			}
+
+			return outcome;
+		} finally {
+			silence.clear();
+			bound.clear();
+			visit.end();
+		}
+	}
+
+	function readCallFailure(failure: CallFailure, progress: Progress): SendOutcome {
+		if (failure.kind === 'unsent') {
+			return {kind: 'not-run', detail: failure.detail, wasSent: false};
+		}
+
+		progress.mayHaveRun = true;
+		return {kind: 'broken', detail: failure.detail};
+	}
+
+	function describeEnd(request: ForwardRequest, progress: Progress, detail: string): Failure {
+		const isLate = request.deadline - clock.now() < leastTime;
+		if (progress.mayHaveRun) {
+			return isLate
+				? createFailure('deadline-passed', `No upstream answered in time: ${detail}`, {ran: 'unknown'})
+				: createFailure('outcome-unknown', `The upstream did not answer: ${detail}`, {ran: 'unknown'});
+		}
+
+		return createFailure('overloaded', `No upstream took the request: ${detail}`, {retryAfterMs: fullRetryAfter});
+	}
+
+	function finish({relay, progress}: Forwarding, result: ForwardResult, reason?: string): ForwardReport {
+		return {
+			result, reason, events: relay.events, ...progress,
+		};
+	}
+
+	function giveUp(forwarding: Forwarding, detail: string): ForwardReport {
+		const {request, progress} = forwarding;
+		if (request.answer.hasStarted()) {
+			request.answer.cut();
+			return finish(forwarding, 'cut', detail);
+		}
+
+		const failure = describeEnd(request, progress, detail);
+		request.answer.refuse(failure);
+		return finish(forwarding, failure.ran === 'no' ? 'refused' : 'failed', detail);
+	}
+
+	return {
+		/** Takes a request to its end; the caller has its final answer when this resolves. */
+		async forward(request: ForwardRequest): Promise<ForwardReport> {
+			const relay = createRelay(request);
+			const retries = findRetries(request.service.id);
+			const progress: Progress = {
+				sends: 0, mayHaveRun: false, upstream: undefined, firstMs: undefined,
+			};
+			const forwarding: Forwarding = {request, relay, progress};
+			const tried = new Set<string>();
+			let passOn: (() => void) | undefined;
+			let detail = 'no upstream of the service is known';
+			retries.earn();
+			for (;;) {
+				const id = pickUpstream(request, tried);
+				const isFirst = progress.sends === 0;
+				if (id === undefined || request.deadline - clock.now() < leastTime || progress.sends >= request.route.attempts || !(isFirst || retries.take())) {
+					break;
+				}
+
+				tried.add(id);
+				progress.upstream = id;
+				const outcome = await sendTo(forwarding, id);
+				// A connection that was refused carried nothing, so the upstream was not sent to.
+				progress.sends += outcome.kind === 'not-run' && !outcome.wasSent ? 0 : 1;
+				if (request.signal.aborted && outcome.kind !== 'complete') {
+					detail = String((request.signal.reason as Error).message);
+					break;
+				}
+
+				if (outcome.kind === 'complete') {
+					return finish(forwarding, 'served');
+				}
+
+				if (outcome.kind === 'failed') {
+					passOn = outcome.passOn;
+					detail = 'the upstream failed';
+				} else {
+					detail = outcome.detail;
+				}
+
+				events.write('requestRetried', {
+					request: request.id, upstream: id, outcome: outcome.kind, detail,
+				});
+				if (outcome.kind !== 'not-run' && !relay.canGoOn()) {
+					break;
+				}
+			}
+
+			if (passOn && !request.answer.hasStarted()) {
+				passOn();
+				return finish(forwarding, 'passed-on', detail);
+			}
+
+			return giveUp(forwarding, detail);
+		},
+	};
+}
--- /dev/null
+++ b/src/daemon/gateway-interface.ts
@@ -0,0 +1,239 @@
+/**
+ * Serves callers' requests: finds route and customer, reserves tokens, has
+ * the request forwarded, and settles what it used.
+ *
+ * @module
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {
+	BudgetKeeper, CallerAnswer, ForwardReport, ForwardRequest, Metrics, RequestForwarder,
+} from '../coordination/mod.js';
+import {
+	Err, Ok, createFailure, type GatewayCustomer, type EventLog, type Failure, type GatewayWire, type RequestFacts, type Result, type Route, type GatewayService,
+} from '../protocol/mod.js';
+import type {RouteTable, TokenReservation} from '../state/mod.js';
+import {readBody, type Clock} from '../transport/mod.js';
+import {createCallerAnswer} from './caller-answer.js';
+
+/** Options of {@linkcode createGatewayInterface}. */
+export type CreateGatewayInterfaceOptions = {
+	readonly wire: GatewayWire;
+	readonly findTable: () => RouteTable | undefined;
+	readonly keeper: BudgetKeeper;
+	readonly forwarder: RequestForwarder;
+	readonly metrics: Metrics;
+	readonly clock: Clock;
+	readonly events: EventLog;
+};
+
+/** A request whose route and customer are known. */
+type Admitted = {
+	readonly facts: RequestFacts;
+	readonly route: Route;
+	readonly service: GatewayService;
+	readonly customer: GatewayCustomer | undefined;
+};
+
+/** Serves callers' requests. */
+export type GatewayInterface = ReturnType<typeof createGatewayInterface>;
+
+/** When a caller may come back to a gateway that has just started, in milliseconds. */
+const notReadyRetryAfter = 1000;
+const callerLeft = 'The caller has left';
+const deadlinePassed = 'The time limit has passed';
+
+/** @internal Picks a service by weight; the request's id decides, so that a repeated look picks the same. */
+function pickService(route: Route, id: string): string {
+	const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+	let hash = 0;
+	for (const character of id) {
+		hash = ((hash * 31) + character.codePointAt(0)!) % 1_000_003;
+	}
+
+	let point = (hash / 1_000_003) * total;
+	for (const target of route.targets) {
+		point -= target.weight;
+		if (point < 0) {
+			return target.service;
+		}
+	}
+
+	return route.targets.at(-1)!.service;
+}
+
+/** @internal The tokens that a request used: its prompt once if it may have been read, and what was delivered. */
+function computeUsed(request: ForwardRequest, report: ForwardReport): number {
+	const {generation, service} = request;
+	if (!generation || !report.mayHaveRun) {
+		return 0;
+	}
+
+	const perEvent = service.engine?.tokensPerEvent ?? 1;
+	return generation.promptTokens + Math.min(generation.outputTokens, report.events * perEvent);
+}
+
+/**
+ * Creates the interface to callers.
+ *
+ * @example
+ * ```ts
+ * await startCallerServer(address, createGatewayInterface(options).serve);
+ * ```
+ *
+ * @param options Parts of the gateway
+ * @returns The interface
+ */
+export function createGatewayInterface(options: CreateGatewayInterfaceOptions) {
+	const {
+		wire, findTable, keeper, forwarder, metrics, clock, events,
+	} = options;
+	let running = 0;
+
+	function identify(table: RouteTable, route: Route, key: string | undefined): Result<GatewayCustomer | undefined, Failure> {
+		const customer = key === undefined ? undefined : table.findCustomerByKey(key);
+		const isAllowed = customer !== undefined || !table.needsKeys || route.isOpen;
+		return isAllowed
+			? Ok(customer)
+			: Err(createFailure('unknown-key', 'The request carries no key of a customer'));
+	}
+
+	function admit(request: IncomingMessage): Result<Admitted, Failure> {
+		const table = findTable();
+		if (!table) {
+			return Err(createFailure('not-ready', 'This gateway has no configuration yet', {retryAfterMs: notReadyRetryAfter}));
+		}
+
+		const facts = wire.readRequest(request.headers);
+		if (facts.err) {
+			return facts;
+		}
+
+		const path = (request.url ?? '/').split('?', 1)[0]!;
+		const route = table.findRoute(request.headers.host ?? '', path);
+		if (!route) {
+			return Err(createFailure('unknown-route', `No route has the host "${request.headers.host ?? ''}" and begins "${path}"`));
+		}
+
+		const customer = identify(table, route, facts.val.key);
+		if (customer.err) {
+			return customer;
+		}
+
+		const id = pickService(route, facts.val.id ?? '');
+		const service = table.findService(id);
+		return service
+			? Ok({
+				facts: facts.val, route, service, customer: customer.val,
+			})
+			: Err(createFailure('no-upstream', `Service "${id}" is not configured`, {retryAfterMs: notReadyRetryAfter}));
+	}
+
+	async function reserve({facts, customer}: Admitted): Promise<Result<TokenReservation | undefined, Failure>> {
+		const {generation} = facts;
+		return generation && customer?.bought !== undefined
+			? keeper.acquire(customer.id, generation.promptTokens + generation.outputTokens)
+			: Ok(undefined);
+	}
+
+	function note(request: ForwardRequest, report: ForwardReport): void {
+		const {route, customer, startedAt} = request;
+		events.write('requestEnded', {
+			request: request.id, route: route.id, customer, ...report, ms: Math.round(clock.now() - startedAt),
+		});
+		const labels = {customer: customer ?? '-', class: route.id};
+		if (report.result === 'served') {
+			metrics.noteServed(labels, {
+				firstMs: report.firstMs ?? 0, totalMs: clock.now() - startedAt, gapMs: 0, tokens: computeUsed(request, report),
+			});
+		} else {
+			metrics.noteRefused(labels, report.mayHaveRun ? 'outcome-unknown' : 'overloaded');
+		}
+	}
+
+	function refuse(answer: CallerAnswer, id: string | undefined, failure: Failure): void {
+		answer.refuse(failure);
+		events.write('requestRefused', {request: id, type: failure.type, detail: failure.detail});
+	}
+
+	async function serveAdmitted(request: IncomingMessage, admitted: Admitted, answer: CallerAnswer, leaving: AbortController): Promise<void> {
+		const {facts, route, service, customer} = admitted;
+		const startedAt = clock.now();
+		const span = Math.min(route.timeout, facts.patience ?? route.timeout);
+		const timer = setTimeout(() => {
+			leaving.abort(new Error(deadlinePassed));
+		}, span);
+		try {
+			const limit = findTable()!.deployment.limits.bodyBytes;
+			const body = await readBody(request, limit);
+			if (body.err) {
+				refuse(answer, facts.id, body.val);
+				return;
+			}
+
+			const reservation = await reserve(admitted);
+			if (reservation.err) {
+				refuse(answer, facts.id, reservation.val);
+				return;
+			}
+
+			const forward: ForwardRequest = {
+				id: facts.id,
+				route,
+				service,
+				customer: customer?.id,
+				priority: customer?.priority ?? route.priority,
+				method: request.method ?? 'GET',
+				path: request.url ?? '/',
+				rawHeaders: request.rawHeaders,
+				body: body.val.length > 0 ? body.val : undefined,
+				generation: facts.generation,
+				lastEvent: facts.lastEvent,
+				startedAt,
+				deadline: startedAt + span,
+				signal: leaving.signal,
+				answer,
+			};
+			const report = await forwarder.forward(forward);
+			if (reservation.val) {
+				keeper.settle(reservation.val, computeUsed(forward, report));
+			}
+
+			note(forward, report);
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+
+	return {
+		countRunning: () => running,
+
+		/** Answers one request; never rejects. */
+		async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+			const answer = createCallerAnswer(response, wire);
+			const leaving = new AbortController();
+			response.on('close', () => {
+				if (!response.writableFinished) {
+					leaving.abort(new Error(callerLeft));
+				}
+			});
+			response.on('error', error => {
+				events.write('callerLost', {detail: error.message});
+			});
+			running += 1;
+			try {
+				const admitted = admit(request);
+				if (admitted.err) {
+					refuse(answer, undefined, admitted.val);
+				} else {
+					await serveAdmitted(request, admitted.val, answer, leaving);
+				}
+			} catch (error) {
+				// The caller broke off while its body was read, or the gateway is at fault; either way only this request ends.
+				events.write('requestFailed', {detail: (error as Error).stack ?? String(error)});
+				answer.cut();
+			} finally {
+				running -= 1;
+			}
+		},
+	};
+}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -6,7 +6,7 @@
 import process from 'node:process';
 import createDebug from 'debug';
 import {
-	FailureError, checkSettings, createEventLog, failureTable, readSettings, type Settings, type SettingsIssue,
+	FailureError, checkSettings, createEventLog, failureTable, readSettings, type EventLog, type Settings, type SettingsIssue,
 } from '../protocol/mod.js';
 import type {RunningDaemon} from './core.js';
 import {startEntryDaemon} from './entry-daemon.js';
@@ -44,8 +44,8 @@
 	return settings.role === 'entry' ? startEntryDaemon(settings) : startUpstreamDaemon(settings);
 }
 
-/** @internal */
-function installSignals(daemon: RunningDaemon): void {
+/** Stops a daemon on SIGTERM and SIGINT, or when another process takes its name. */
+export function installSignals(daemon: RunningDaemon): void {
 	let isStopping = false;
 	const stop = async () => {
 		// A second signal ends the stop at once, and the log says what it cut.
@@ -65,9 +65,8 @@
 }
 
 // A fault that no call caught leaves the state in doubt: the process says so and ends, and its host starts a new one.
-/** @internal */
-function installFailureLog(daemon: string): void {
-	const events = createEventLog(daemon);
+/** Ends the process after a fault that no call caught, with a log line. */
+export function installFailureLog(events: EventLog): void {
 	process.on('uncaughtException', error => {
 		events.write('daemonFailed', {error: error.stack ?? error.message});
 		process.exit(failureTable.internal.exitCode);
@@ -126,7 +125,7 @@
 		createDebug.enable('fireflylane:*');
 	}
 
-	installFailureLog(settings.val.id);
+	installFailureLog(createEventLog(settings.val.id));
 	try {
 		const daemon = await (options.start ?? startDaemon)(settings.val);
 		installSignals(daemon);
--- a/src/protocol/failures.ts
+++ b/src/protocol/failures.ts
@@ -28,6 +28,15 @@
 	'malformed-json': {
 		status: 400, title: 'The body is not JSON', retryable: false, exitCode: 3,
 	},
+	'malformed-request': {
+		status: 400, title: 'A field of the request cannot be read', retryable: false, exitCode: 3,
+	},
+	'budget-exhausted': {
+		status: 402, title: 'The amount bought does not cover the request', retryable: false, exitCode: 5,
+	},
+	'unknown-route': {
+		status: 404, title: 'No route has this host and path', retryable: false, exitCode: 3,
+	},
 	'invalid-request': {
 		status: 422, title: 'The request breaks the schema', retryable: false, exitCode: 3,
 	},
--- /dev/null
+++ b/src/protocol/gateway-settings.ts
@@ -0,0 +1,41 @@
+/**
+ * The settings of a gateway daemon.
+ *
+ * @module
+ */
+import {z} from 'zod';
+
+const addressSchema = z.object({host: z.string(), port: z.number().int().min(0).max(65_535)});
+
+/** Schema of a gateway daemon's settings. */
+export const gatewaySettingsSchema = z.object({
+	/** The daemon's name, kept when its process restarts. */
+	id: z.string().min(1),
+	failureDomain: z.string().min(1),
+	listen: z.object({
+		callers: addressSchema,
+		/** Where the balancer asks for readiness. */
+		readiness: addressSchema,
+		/** Where other gateways reach this one. */
+		peers: addressSchema,
+		/** Where metrics are read; port 0 lets the system choose. */
+		metrics: addressSchema,
+	}),
+	/** Addresses of other gateways to ask first: IP number and port. */
+	seeds: z.array(z.string()),
+	/** The store's address: IP number and port. */
+	store: z.string(),
+	/** Time that a stop may take before the process is killed, in milliseconds. */
+	stopWithin: z.number().positive(),
+	/** Milliseconds after the end of a request during which its worst case still counts as used. */
+	settleWithin: z.number().nonnegative(),
+	/** Repeated sends as a share of requests, fleet-wide. */
+	retryShare: z.number().min(0).max(1),
+	/** Repeated sends allowed beyond the share, fleet-wide, in any retry window. */
+	retrySlack: z.number().nonnegative(),
+	/** Descriptors that sockets may use. */
+	sockets: z.number().int().positive(),
+});
+
+/** Settings of a gateway daemon. */
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/src/protocol/mod.ts
+++ b/src/protocol/mod.ts
@@ -6,10 +6,15 @@
  */
 export * from './changes.js';
 export * from './chat.js';
+export * from './deployment.js';
 export * from './event-catalogue.js';
 export * from './event-log.js';
 export * from './failures.js';
+export * from './gateway-settings.js';
+export type * from './gateway-wire.js';
 export * from './gen/fleet_pb.js';
+export type * from './keyed-log.js';
+export * from './line-log.js';
 export * from './read-settings.js';
 export * from './records.js';
 export * from './request-id.js';
--- /dev/null
+++ b/src/state/grant-book.ts
@@ -0,0 +1,96 @@
+/**
+ * What every gateway was granted of each customer's budget.
+ *
+ * Each incarnation of a gateway owns one record in a keyed log; it holds the
+ * total granted to it, ever, of each budget. A record is appended only if the
+ * log ends where its writer had read to, so the writer knows every other
+ * total and the sum never passes what was bought. A grant is used up and never
+ * expires: a paused holder cannot know that time passed. The totals of
+ * incarnations that are gone stay counted.
+ *
+ * @module
+ */
+import {z} from 'zod';
+
+/** Schema of a holder's record. */
+export const holderRecordSchema = z.object({
+	/** The gateway's name. */
+	daemon: z.string(),
+	/** One run of its process. */
+	incarnation: z.string(),
+	/** Where other gateways reach it: IP number and port. */
+	address: z.string(),
+	failureDomain: z.string(),
+	/** The deployment version whose amounts the writer had seen. */
+	version: z.number().int(),
+	/** Rises with each record of the incarnation. */
+	sequence: z.number().int(),
+	/** Total tokens granted to it, by customer. */
+	granted: z.record(z.string(), z.number().nonnegative()),
+	/** It has stopped; only what it used stays granted. */
+	hasEnded: z.boolean(),
+});
+
+/** What one incarnation of a gateway was granted. */
+export type HolderRecord = z.infer<typeof holderRecordSchema>;
+
+/** What every gateway was granted. */
+export type GrantBook = ReturnType<typeof createGrantBook>;
+
+/**
+ * Creates an empty book.
+ *
+ * @example
+ * ```ts
+ * const book = createGrantBook();
+ * book.put('entry-1/i-9', record);
+ * book.sumGranted('city-1');
+ * ```
+ *
+ * @returns The book
+ */
+export function createGrantBook() {
+	const holders = new Map<string, HolderRecord>();
+
+	return {
+		put(key: string, record: HolderRecord): void {
+			holders.set(key, record);
+		},
+
+		get: (key: string): HolderRecord | undefined => holders.get(key),
+		list: (): HolderRecord[] => [...holders.values()],
+
+		/** Tokens of a customer's budget that were granted to holders other than the one named. */
+		sumGranted(customer: string, except?: string): number {
+			let sum = 0;
+			for (const [key, holder] of holders) {
+				sum += key === except ? 0 : holder.granted[customer] ?? 0;
+			}
+
+			return sum;
+		},
+
+		/** The newest deployment version that any writer had seen. */
+		findNewestVersion(): number {
+			let newest = Number.NEGATIVE_INFINITY;
+			for (const {version} of holders.values()) {
+				newest = Math.max(newest, version);
+			}
+
+			return newest;
+		},
+
+		/** The newest incarnation of each gateway that has not stopped. */
+		listRunning(): HolderRecord[] {
+			const newest = new Map<string, HolderRecord>();
+			for (const holder of holders.values()) {
+				const known = newest.get(holder.daemon);
+				if (!known || known.incarnation < holder.incarnation) {
+					newest.set(holder.daemon, holder);
+				}
+			}
+
+			return [...newest.values()].filter(holder => !holder.hasEnded);
+		},
+	};
+}
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -6,10 +6,14 @@
  */
 export * from './configuration.js';
 export * from './fleet-state.js';
+export * from './grant-book.js';
 export * from './grant-holder.js';
 export * from './ledger.js';
 export * from './placement.js';
 export * from './receipt-book.js';
 export * from './request-table.js';
+export * from './route-table.js';
 export * from './run-register.js';
 export * from './shares.js';
+export * from './token-account.js';
+export * from './upstream-directory.js';
--- /dev/null
+++ b/src/state/upstream-directory.ts
@@ -0,0 +1,82 @@
+/**
+ * The upstreams that registered themselves, folded from their records.
+ *
+ * @module
+ */
+import type {UpstreamEntry} from '../protocol/mod.js';
+
+/** Upstreams whose entry went while the store was away may be back within this many milliseconds. */
+const lapseGrace = 2000;
+
+type Entry = {upstream: UpstreamEntry; lapsesAt?: number; warmAt: number};
+
+/** An upstream that takes requests. */
+export type LiveUpstream = {readonly upstream: UpstreamEntry; readonly isWarm: boolean};
+
+/** The upstreams that registered themselves. */
+export type UpstreamDirectory = ReturnType<typeof createUpstreamDirectory>;
+
+/**
+ * Creates an empty directory.
+ *
+ * @example
+ * ```ts
+ * const directory = createUpstreamDirectory();
+ * directory.put(upstream, 0);
+ * directory.listLive('beds', 10);
+ * ```
+ *
+ * @returns The directory
+ */
+export function createUpstreamDirectory() {
+	const entries = new Map<string, Entry>();
+
+	function isLive(entry: Entry, now: number): boolean {
+		return !entry.upstream.isDraining && (entry.lapsesAt === undefined || now < entry.lapsesAt);
+	}
+
+	return {
+		put(upstream: UpstreamEntry, now: number): void {
+			const known = entries.get(upstream.id);
+			// An upstream that is leaving never takes work again; an older record read late must not bring it back.
+			const isDraining = upstream.isDraining || known?.upstream.isDraining === true;
+			entries.set(upstream.id, {upstream: {...upstream, isDraining}, warmAt: now + upstream.warmUp});
+		},
+
+		/**
+		 * Takes an entry out. One that went while the store was away gets a
+		 * short grace: its upstream may live and register itself again, and
+		 * without the grace all of a service could be gone at once.
+		 */
+		drop(id: string, now: number, wasStoreAway: boolean): void {
+			const known = entries.get(id);
+			if (!known) {
+				return;
+			}
+
+			if (wasStoreAway) {
+				known.lapsesAt ??= now + lapseGrace;
+				return;
+			}
+
+			entries.delete(id);
+		},
+
+		get: (id: string): UpstreamEntry | undefined => entries.get(id)?.upstream,
+		/** True for an upstream that may still get requests. */
+		isLive(id: string, now: number): boolean {
+			const entry = entries.get(id);
+			return entry !== undefined && isLive(entry, now);
+		},
+
+		/** The upstreams of a service that take requests. */
+		listLive(service: string, now: number): LiveUpstream[] {
+			return [...entries.values()]
+				.filter(entry => entry.upstream.service === service && isLive(entry, now))
+				.map(entry => ({upstream: entry.upstream, isWarm: now >= entry.warmAt}));
+		},
+
+		listIds: (): string[] => [...entries.keys()],
+		count: (): number => entries.size,
+	};
+}
--- /dev/null
+++ b/src/transport/caller-server.ts
@@ -0,0 +1,81 @@
+/**
+ * The HTTP server that a gateway's callers reach.
+ *
+ * @module
+ */
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import restana from 'restana';
+import type {CallerLimits} from '../protocol/mod.js';
+import {listen, type ListenAddress} from './http-server.js';
+
+/** Answers one request of a caller. */
+export type ServeCaller = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+/** A running server for callers. */
+export type CallerServer = {
+	readonly url: string;
+	/** Puts the limits of a deployment in force for new requests. */
+	readonly setLimits: (limits: CallerLimits) => void;
+	/** Stops accepting; answers ask callers to close, and idle connections are closed. */
+	readonly drain: () => void;
+	readonly isDraining: () => boolean;
+	/** Ends all connections at once. */
+	readonly cut: () => void;
+};
+
+/** Callers reuse a connection up to their own idle limit; closing it later than that crosses no request. */
+const idleReserve = 1000;
+/** How often timeouts of connections are looked at, in milliseconds. */
+const checkEvery = 1000;
+/** Largest headers before a deployment's limit is known, in bytes. */
+const headerLimit = 65_536;
+
+/**
+ * Starts the server.
+ *
+ * @example
+ * ```ts
+ * const server = await startCallerServer({host: '127.0.0.1', port: 0}, async (request, response) => {
+ * 	response.end('ok');
+ * });
+ * ```
+ *
+ * @param address Where to listen
+ * @param serve Answers requests; never rejects
+ * @returns The running server
+ * @throws When the address cannot be listened on
+ */
+export async function startCallerServer(address: ListenAddress, serve: ServeCaller): Promise<CallerServer> {
+	const server = createServer({
+		requestTimeout: 0, connectionsCheckingInterval: checkEvery, maxHeaderSize: headerLimit, noDelay: true,
+	});
+	let isDraining = false;
+	restana({
+		server,
+		prioRequestsProcessing: false,
+		defaultRoute(request, response) {
+			if (isDraining) {
+				response.setHeader('connection', 'close');
+			}
+
+			void serve(request, response);
+		},
+	});
+	const url = await listen(server, address);
+	return {
+		url,
+		setLimits(limits) {
+			server.headersTimeout = limits.headerTimeout;
+			server.keepAliveTimeout = limits.idleTimeout + idleReserve;
+		},
+		drain() {
+			isDraining = true;
+			server.close();
+			server.closeIdleConnections();
+		},
+		isDraining: () => isDraining,
+		cut() {
+			server.closeAllConnections();
+		},
+	};
+}
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -32,7 +32,7 @@
 const closeBound = 500;
 
 /** @internal */
-async function listen(server: Server, address: ListenAddress): Promise<string> {
+export async function listen(server: Server, address: ListenAddress): Promise<string> {
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(address.port, address.host, resolve);
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from './bound.js';
+export * from './caller-server.js';
 export * from './clock.js';
 export * from './engine-client.js';
 export * from './fleet-client.js';
@@ -13,3 +14,4 @@
 export * from './http-server.js';
 export * from './log-client.js';
 export * from './service-client.js';
+export * from './upstream-client.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -23,5 +23,10 @@
 			'no-await-in-loop': 'off',
 		},
 	},
+	{
+		// The platform's names are translated here and nowhere else.
+		files: ['platform/**/*.ts'],
+		rules: {'@typescript-eslint/naming-convention': 'off', camelcase: 'off'},
+	},
 	...layerRules,
 ];
