--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -14,12 +14,13 @@
 import {createDemand} from './demand.js';
 import {computeGrant} from './grant-size.js';
 import type {KeyedFollower} from './keyed-follower.js';
+import type {BorrowOutcome} from './token-lending.js';
 
 /** Who holds the grants of one gateway. */
 export type HolderIdentity = Pick<HolderRecord, 'daemon' | 'incarnation' | 'address' | 'failureDomain'>;
 
-/** Borrows tokens from other gateways; returns how many came. */
-export type BorrowTokens = (customer: string, amount: number) => Promise<number>;
+/** Borrows tokens from other gateways. */
+export type BorrowTokens = (customer: string, amount: number) => Promise<BorrowOutcome>;
 
 /** Options of {@linkcode createBudgetKeeper}. */
 export type CreateBudgetKeeperOptions = {
@@ -39,6 +40,8 @@
 /** Keeps a gateway in tokens. */
 export type BudgetKeeper = ReturnType<typeof createBudgetKeeper>;
 
+/** Shortest span over which a new rate is taken, in milliseconds; a single first request must not look like a rush. */
+const rateWarmUp = 2000;
 /** Pause between rounds of claims, in milliseconds; a request that is short does not wait for it. */
 const roundEvery = 1000;
 /** Times that an append is tried against other writers before it is left to the next round. */
@@ -79,7 +82,7 @@
 		self, log, follower, book, account, findTable, clock, events, signal,
 	} = options;
 	const key = formatHolderKey(self);
-	const demand = createDemand(clock);
+	const demand = createDemand(clock, {warmUp: rateWarmUp});
 	const largest = new Map<string, number>();
 	let sequence = 0;
 	let isEnding = false;
@@ -204,15 +207,16 @@
 		return undefined;
 	}
 
-	function refuse(customer: string, amount: number): Failure {
+	// The rest is known to be too small only if the store and every gateway have just said so.
+	function refuse(customer: string, amount: number, isComplete: boolean): Failure {
 		const bought = findTable()?.findCustomer(customer)?.bought ?? 0;
-		const rest = bought - book.sumGranted(customer, key) - account.countBound(customer);
+		const rest = Math.max(0, bought - book.sumGranted(customer, key) - account.countBound(customer));
 		events.write('budgetShort', {
-			customer, amount, free: account.countFree(customer), bound: account.countBound(customer), bought, elsewhere: book.sumGranted(customer, key), isStoreUp: follower.isUp(),
+			customer, amount, free: account.countFree(customer), bound: account.countBound(customer), bought, elsewhere: book.sumGranted(customer, key), isStoreUp: follower.isUp(), isComplete,
 		});
-		return follower.isUp() && bought < amount
-			? createFailure('budget-exhausted', `Customer "${customer}" bought ${bought} tokens, fewer than the ${amount} that the request may need`)
-			: createFailure('budget-busy', `Customer "${customer}" has ${Math.max(0, rest)} tokens left here and the request may need ${amount}`, {retryAfterMs: busyRetryAfter});
+		return follower.isUp() && isComplete && rest < amount
+			? createFailure('budget-exhausted', `Customer "${customer}" has ${rest} of ${bought} tokens left and the request may need ${amount}`)
+			: createFailure('budget-busy', `Customer "${customer}" has ${rest} tokens left here and the request may need ${amount}`, {retryAfterMs: busyRetryAfter});
 	}
 
 	return {
@@ -241,9 +245,9 @@
 					return Ok(claimed);
 				}
 
-				await options.borrow(customer, amount - account.countFree(customer));
+				const {isComplete} = await options.borrow(customer, demand.countWanted(customer) - account.countFree(customer));
 				const borrowed = account.reserve(customer, amount);
-				return borrowed ? Ok(borrowed) : Err(refuse(customer, amount));
+				return borrowed ? Ok(borrowed) : Err(refuse(customer, amount, isComplete));
 			} finally {
 				stopWaiting();
 			}
@@ -255,6 +259,9 @@
 			demand.noteSpent(reservation.customer, used);
 		},
 
+		/** What waiting requests ask for, in tokens. */
+		countWanted: demand.countWanted,
+
 		/** Free tokens that the next seconds here do not need. */
 		countSpare: (customer: string): number => Math.max(0, account.countFree(customer) - (demand.findRate(customer) * roundEvery)),
 
--- a/src/coordination/demand.ts
+++ b/src/coordination/demand.ts
@@ -6,6 +6,15 @@
 import {sumShares} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 
+/** Options of {@linkcode createDemand}. */
+export type CreateDemandOptions = {
+	/**
+	 * Shortest span, in milliseconds, over which a new budget's rate is taken;
+	 * the average is then not too low at the start. Default: it starts from 0.
+	 */
+	readonly warmUp?: number;
+};
+
 /** Demand at one entry daemon. */
 export type Demand = ReturnType<typeof createDemand>;
 
@@ -23,11 +32,12 @@
  * ```
  *
  * @param clock Time
+ * @param options How a new budget's rate is taken
  * @returns The account
  */
-export function createDemand(clock: Clock) {
+export function createDemand(clock: Clock, options: CreateDemandOptions = {}) {
 	const waiting = new Map<string, number[]>();
-	const rates = new Map<string, {rate: number; at: number}>();
+	const rates = new Map<string, {rate: number; at: number; since: number}>();
 	const shortAt = new Map<string, number>();
 
 	function listWanted(budget: string): readonly number[] {
@@ -36,7 +46,13 @@
 
 	function findRate(budget: string): number {
 		const known = rates.get(budget);
-		return known ? known.rate * Math.exp((known.at - clock.now()) / rateWindow) : 0;
+		if (!known) {
+			return 0;
+		}
+
+		const rate = known.rate * Math.exp((known.at - clock.now()) / rateWindow);
+		const span = Math.max(options.warmUp ?? 0, clock.now() - known.since);
+		return options.warmUp === undefined ? rate : rate / (1 - Math.exp(-span / rateWindow));
 	}
 
 	return {
@@ -58,7 +74,10 @@
 		/** Tokens a millisecond spent of late, an exponentially decaying average. */
 		findRate,
 		noteSpent(budget: string, tokens: number): void {
-			rates.set(budget, {rate: findRate(budget) + (tokens / rateWindow), at: clock.now()});
+			const known = rates.get(budget);
+			const now = clock.now();
+			const decayed = known ? known.rate * Math.exp((known.at - now) / rateWindow) : 0;
+			rates.set(budget, {rate: decayed + (tokens / rateWindow), at: now, since: known?.since ?? now});
 		},
 
 		noteShort(budget: string): void {
--- /dev/null
+++ b/src/coordination/peer-exchange.ts
@@ -0,0 +1,126 @@
+/**
+ * What gateways tell each other several times a second: free tokens, own
+ * requests at upstreams, and newer deployments. Goes on while the store is
+ * away.
+ *
+ * @module
+ */
+import type {EventLog} from '../protocol/mod.js';
+import type {Clock} from '../transport/mod.js';
+
+/** A gateway's own requests at one upstream. */
+export type UpstreamUse = {readonly upstream: string; readonly inFlight: number; readonly waitingTokens: number};
+
+/** What one gateway has. */
+export type PeerView = {
+	readonly daemon: string;
+	readonly incarnation: string;
+	readonly address: string;
+	readonly free: Array<{readonly customer: string; readonly tokens: number}>;
+	readonly uses: UpstreamUse[];
+	readonly version: number;
+	readonly isLeaving: boolean;
+};
+
+/** Where a gateway is reached. */
+export type PeerAddress = {readonly daemon: string; readonly address: string};
+
+/** Options of {@linkcode createPeerExchange}. */
+export type CreatePeerExchangeOptions = {
+	readonly clock: Clock;
+	readonly events: EventLog;
+	readonly daemon: string;
+	/** Gateways that the log of grants names, without this one. */
+	readonly listPeers: () => PeerAddress[];
+	/** Sends this gateway's view and takes the peer's; throws when the peer does not answer. */
+	readonly exchange: (address: string) => Promise<PeerView>;
+	/** Abandons the connection to a peer that went silent. */
+	readonly abandon: (address: string) => void;
+	/** Pause between exchanges with one peer, in milliseconds. */
+	readonly every: number;
+};
+
+/** What gateways tell each other. */
+export type PeerExchange = ReturnType<typeof createPeerExchange>;
+
+type Known = {view: PeerView; at: number};
+
+/** A view older than this counts for nothing, in milliseconds. */
+const viewLife = 1500;
+/** Pause before a peer that does not answer is asked again, in milliseconds. */
+const silentPause = 500;
+
+/**
+ * Creates the exchange; `run` is its task.
+ *
+ * @example
+ * ```ts
+ * void exchange.run(signal);
+ * exchange.listViews();
+ * ```
+ *
+ * @param options Peers and the way to them
+ * @returns The exchange
+ */
+export function createPeerExchange(options: CreatePeerExchangeOptions) {
+	const {clock, events} = options;
+	const known = new Map<string, Known>();
+	const running = new Set<string>();
+
+	function take(view: PeerView): void {
+		if (!known.has(view.daemon)) {
+			events.write('peerBack', {peer: view.daemon, incarnation: view.incarnation});
+		}
+
+		known.set(view.daemon, {view, at: clock.now()});
+	}
+
+	// One task a peer: it ends when the log no longer names the peer at this address.
+	async function follow(peer: PeerAddress, signal: AbortSignal): Promise<void> {
+		const isNamed = () => options.listPeers().some(({daemon, address}) => daemon === peer.daemon && address === peer.address);
+		while (!signal.aborted && isNamed()) {
+			try {
+				take(await options.exchange(peer.address));
+				await clock.sleep(options.every, signal);
+			} catch (error) {
+				if (known.delete(peer.daemon)) {
+					events.write('peerSuspected', {peer: peer.daemon, detail: (error as Error).message});
+				}
+
+				options.abandon(peer.address);
+				await clock.sleep(silentPause, signal);
+			}
+		}
+	}
+
+	function startTasks(signal: AbortSignal): void {
+		for (const peer of options.listPeers()) {
+			const name = `${peer.daemon} ${peer.address}`;
+			if (peer.daemon !== options.daemon && !running.has(name)) {
+				running.add(name);
+				void (async () => {
+					await follow(peer, signal);
+					running.delete(name);
+				})();
+			}
+		}
+	}
+
+	return {
+		/** Takes the view that a peer sent along with its own call. */
+		take,
+
+		/** The views of gateways that answered lately. */
+		listViews(): PeerView[] {
+			const now = clock.now();
+			return [...known.values()].filter(({at}) => now - at < viewLife).map(({view}) => view);
+		},
+
+		async run(signal: AbortSignal): Promise<void> {
+			while (!signal.aborted) {
+				startTasks(signal);
+				await clock.sleep(options.every, signal);
+			}
+		},
+	};
+}
--- a/src/coordination/upstream-book.ts
+++ b/src/coordination/upstream-book.ts
@@ -7,6 +7,7 @@
 import type {ToldLoad, UpstreamEntry} from '../protocol/mod.js';
 import type {LiveUpstream, UpstreamDirectory} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
+import type {UpstreamUse} from './peer-exchange.js';
 import type {RouteCandidate} from './routing-policy.js';
 
 /** Options of {@linkcode createUpstreamBook}. */
@@ -112,6 +113,10 @@
 			};
 		},
 
+		/** This gateway's own requests at upstreams. */
+		listUses: (): UpstreamUse[] => [...seen].filter(([, item]) => item.inFlight > 0)
+			.map(([upstream, {inFlight}]) => ({upstream, inFlight, waitingTokens: 0})),
+
 		/** Forgets upstreams that are gone and have no request left. */
 		prune(): void {
 			for (const [id, item] of seen) {
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -5,46 +5,38 @@
  * @module
  */
 import {
-	PrefixRoutingPolicy, createBudgetKeeper, createKeyedFollower, createMetrics, createRequestForwarder, createRetryBudget, createUpstreamBook, formatHolderKey,
-	type RetryBudget,
+	PrefixRoutingPolicy, createBudgetKeeper, createMetrics, createPeerExchange, createRequestForwarder, createRetryBudget, createTokenLending, createUpstreamBook,
+	type HolderIdentity, type PeerView, type RetryBudget,
 } from '../coordination/mod.js';
 import {
-	createId, type Deployment, type EventLog, type GatewaySettings, type GatewayWire, type KeyedLog, type UpstreamEntry,
+	Gateway, createId, type EventLog, type GatewaySettings,
 } from '../protocol/mod.js';
 import {
-	createGrantBook, createRouteTable, createTokenAccount, createUpstreamDirectory, holderRecordSchema, type RouteTable,
-} from '../state/mod.js';
-import {
-	createSystemClock, createUpstreamClient, startCallerServer, startHttpServer,
+	createFleetClient, createSystemClock, createUpstreamClient, startCallerServer, startFleetServer, startHttpServer,
 } from '../transport/mod.js';
 import type {RunningDaemon} from './core.js';
 import {createGatewayInterface} from './gateway-interface.js';
+import {createGatewayPeerInterface, type GatewayMessage} from './gateway-peer-interface.js';
+import {createGatewayState, type GatewayAdapter} from './gateway-state.js';
 import {waitUntilIdle} from './wait-until-idle.js';
 
-/** What an adapter brings: the logs of a deployment, their decoding, and the wire. */
-export type GatewayAdapter = {
-	readonly wire: GatewayWire;
-	readonly logs: {readonly deployment: KeyedLog; readonly upstreams: KeyedLog; readonly grants: KeyedLog};
-	/** Key of the record that holds the deployment. */
-	readonly deploymentKey: string;
-	readonly decodeDeployment: (text: string) => Deployment;
-	readonly decodeUpstream: (id: string, text: string) => UpstreamEntry;
-	readonly close: () => Promise<void>;
-};
-
 /** Options of {@linkcode startGatewayDaemon}. */
 export type StartGatewayOptions = {readonly adapter: GatewayAdapter; readonly events: EventLog};
 
-/** A read of the deployment waits this long for a change, in milliseconds; longer would hide a silent connection. */
-const deploymentWait = 1500;
-/** Pause between reads of the upstreams' records, in milliseconds: each upstream writes about once a second. */
-const upstreamsEvery = 500;
-/** Pause between reads of the grants, in milliseconds; claims read by themselves. */
-const grantsEvery = 2000;
-/** A store that failed within this span, in milliseconds, may have let entries lapse. */
-const unstableSpan = 3000;
+/** A running gateway daemon. */
+export type RunningGateway = RunningDaemon & {
+	/** Puts changed settings in force; addresses stay until the process starts again. */
+	readonly reload: (settings: GatewaySettings) => void;
+};
+
 /** How long a new connection to an upstream may take, in milliseconds. */
 const connectTimeout = 400;
+/** Connections to one upstream: as many as a model engine runs at once. */
+const upstreamConnections = 64;
+/** Pause between exchanges with one peer, in milliseconds. */
+const exchangeEvery = 250;
+/** A call to a peer may take this long, in milliseconds: many times the way between two failure domains. */
+const peerTimeout = 300;
 /** How long a stopping gateway still accepts connections, in milliseconds; the balancer needs two of its questions. */
 const leaveNotice = 2500;
 /** Time kept at the end of a stop for giving grants back, in milliseconds. */
@@ -52,6 +44,18 @@
 /** Share of the fleet's retries that one gateway may use, before the number of gateways is known. */
 const firstRetryPart = 0.25;
 
+/** @internal */
+function createIdentity(settings: GatewaySettings): HolderIdentity {
+	const {host, port} = settings.listen.peers;
+	return {
+		daemon: settings.id,
+		// Begins with the time, so that a later start of the same daemon sorts after it.
+		incarnation: `${Date.now().toString(36)}-${createId('i')}`,
+		address: `${host}:${port}`,
+		failureDomain: settings.failureDomain,
+	};
+}
+
 /**
  * Starts a gateway daemon.
  *
@@ -60,92 +64,83 @@
  * const daemon = await startGatewayDaemon(settings, {adapter, events});
  * ```
  *
- * @param settings Checked settings
+ * @param first Checked settings
  * @param options The adapter and the log
  * @returns The running daemon
+ * @throws When an address cannot be listened on
  */
-export async function startGatewayDaemon(settings: GatewaySettings, {adapter, events}: StartGatewayOptions): Promise<RunningDaemon> {
+export async function startGatewayDaemon(first: GatewaySettings, {adapter, events}: StartGatewayOptions): Promise<RunningGateway> {
+	let settings = first;
 	const clock = createSystemClock();
 	const metrics = createMetrics();
 	const stopper = new AbortController();
 	const {signal} = stopper;
-	const self = {
-		daemon: settings.id, incarnation: `${Date.now().toString(36)}-${createId('i')}`, address: `${settings.listen.peers.host}:${settings.listen.peers.port}`, failureDomain: settings.failureDomain,
-	};
-	const ownKey = formatHolderKey(self);
-	const directory = createUpstreamDirectory();
-	const book = createGrantBook();
-	const account = createTokenAccount();
-	let table: RouteTable | undefined;
+	const self = createIdentity(settings);
+	const fleet = createFleetClient(settings.fleetKey);
 	let isStopping = false;
 
-	const deploymentFollower = createKeyedFollower({
-		log: adapter.logs.deployment, clock, events, wait: deploymentWait, every: 0,
-		onRecord({key, value, offset}) {
-			if (key !== adapter.deploymentKey || value === undefined) {
-				return;
-			}
-
-			try {
-				const deployment = adapter.decodeDeployment(value);
-				if (deployment.version > (table?.version ?? Number.NEGATIVE_INFINITY)) {
-					table = createRouteTable(deployment);
-					callerServer.setLimits(deployment.limits);
-					events.write('deploymentAdopted', {version: deployment.version, offset});
-				}
-			} catch (error) {
-				events.write('recordUnreadable', {offset, detail: (error as Error).message});
-			}
+	const state = createGatewayState({
+		adapter, self, clock, events,
+		onDeployment(deployment) {
+			callerServer.setLimits(deployment.limits);
+		},
+		onOwnGrants(record) {
+			keeper.takeOwnRecord(record);
 		},
 	});
-	const upstreamFollower = createKeyedFollower({
-		log: adapter.logs.upstreams, clock, events, wait: 0, every: upstreamsEvery, listKeys: directory.listIds,
-		onRecord({key, value, offset}) {
-			if (value === undefined) {
-				directory.drop(key, clock.now(), upstreamFollower.wasLostWithin(unstableSpan));
-				events.write('upstreamGone', {upstream: key, offset});
-				return;
-			}
+	const {account, book, directory, findTable} = state;
+	const upstreams = createUpstreamBook({directory, clock, failureDomain: settings.failureDomain});
 
-			try {
-				const upstream = adapter.decodeUpstream(key, value);
-				const known = directory.get(key);
-				directory.put(upstream, clock.now());
-				if (known?.isDraining !== upstream.isDraining) {
-					events.write('upstreamListed', {
-						upstream: key, service: upstream.service, isDraining: upstream.isDraining, offset,
-					});
-				}
-			} catch (error) {
-				events.write('recordUnreadable', {offset, detail: (error as Error).message});
+	function buildView(): PeerView {
+		return {
+			daemon: self.daemon,
+			incarnation: self.incarnation,
+			address: self.address,
+			free: account.listCustomers().map(customer => ({customer, tokens: keeper.countSpare(customer)})),
+			uses: upstreams.listUses(),
+			version: findTable()?.version ?? 0,
+			isLeaving: isStopping,
+		};
+	}
+
+	function buildMessage(peerVersion: number): GatewayMessage {
+		const isNews = peerVersion < (findTable()?.version ?? 0);
+		return {...buildView(), deployment: isNews ? new TextEncoder().encode(state.deploymentRecord()) : new Uint8Array()};
+	}
+
+	const exchange = createPeerExchange({
+		clock, events, daemon: self.daemon, every: exchangeEvery,
+		listPeers: () => book.listRunning(),
+		async exchange(address) {
+			const answer = await fleet.connect(address).gateway.exchange(buildMessage(Number.POSITIVE_INFINITY), {timeoutMs: peerTimeout});
+			if (answer.deployment.length > 0) {
+				state.adoptFromPeer(new TextDecoder().decode(answer.deployment), answer.daemon);
 			}
+
+			return answer;
+		},
+		abandon(address) {
+			fleet.connect(address).abandon();
 		},
 	});
-	const grantsFollower = createKeyedFollower({
-		log: adapter.logs.grants, clock, events, wait: 0, every: grantsEvery,
-		onRecord({key, value, offset}) {
-			const record = holderRecordSchema.safeParse(value === undefined ? undefined : JSON.parse(value));
-			if (!record.success) {
-				events.write('recordUnreadable', {offset, detail: record.error.message});
-				return;
-			}
-
-			book.put(key, record.data);
-			if (key === ownKey) {
-				keeper.takeOwnRecord(record.data);
-			}
+	const lending = createTokenLending({
+		daemon: self.daemon, account, events,
+		listViews: exchange.listViews,
+		countWanted: customer => keeper.countWanted(customer),
+		async ask(address, ask) {
+			const {tokens} = await fleet.connect(address).gateway.lend(ask, {timeoutMs: peerTimeout});
+			return tokens;
 		},
 	});
 	const keeper = createBudgetKeeper({
-		self, log: adapter.logs.grants, follower: grantsFollower, book, account, clock, events, signal,
-		findTable: () => table,
-		borrow: async () => 0,
+		self, log: adapter.logs.grants, follower: state.grants, book, account, clock, events, signal, findTable,
+		borrow: lending.borrow,
 	});
 	const retries = new Map<string, RetryBudget>();
-	const client = createUpstreamClient({connectTimeout, connections: 64});
 	const forwarder = createRequestForwarder({
-		wire: adapter.wire, client, clock, events,
-		book: createUpstreamBook({directory, clock, failureDomain: settings.failureDomain}),
+		wire: adapter.wire, clock, events,
+		client: createUpstreamClient({connectTimeout, connections: upstreamConnections}),
+		book: upstreams,
 		policy: new PrefixRoutingPolicy(),
 		findRetries(service) {
 			const known = retries.get(service) ?? createRetryBudget({share: settings.retryShare, burst: settings.retrySlack * firstRetryPart});
@@ -154,25 +149,44 @@
 		},
 	});
 	const callers = createGatewayInterface({
-		wire: adapter.wire, findTable: () => table, keeper, forwarder, metrics, clock, events,
+		wire: adapter.wire, findTable, keeper, forwarder, metrics, clock, events,
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callers.serve);
 	const readinessServer = await startHttpServer(settings.listen.readiness, service => {
 		service.get(adapter.wire.readinessPath, (_request, response) => {
-			response.statusCode = table && directory.count() > 0 && !isStopping ? 200 : 503;
+			response.statusCode = state.isReady() && !isStopping ? 200 : 503;
 			response.end();
 		});
 	});
-	for (const follower of [deploymentFollower, upstreamFollower, grantsFollower]) {
-		void follower.run(signal);
-	}
-
+	const peerServer = await startFleetServer(settings.listen.peers, {
+		fleetKey: settings.fleetKey,
+		routes(router) {
+			router.service(Gateway, createGatewayPeerInterface({
+				lending,
+				answerView(view) {
+					exchange.take(view);
+					return buildMessage(view.version);
+				},
+			}));
+		},
+		onRefused() {
+			events.write('peerRefused');
+		},
+	});
+	state.run(signal);
 	void keeper.run();
+	void exchange.run(signal);
 	events.write('daemonStarted', {role: 'gateway', incarnation: self.incarnation});
+
 	return {
-		addresses: {callers: callerServer.url, readiness: readinessServer.url},
+		addresses: {callers: callerServer.url, readiness: readinessServer.url, peers: peerServer.address},
 		// A gateway's name is never taken over: each incarnation has its own key.
 		superseded: new Promise<void>(() => undefined), // eslint-disable-line no-promise-executor-return
+		reload(changed) {
+			settings = changed;
+			retries.clear();
+			events.write('settingsReloaded', {stopWithin: changed.stopWithin, retryShare: changed.retryShare, retrySlack: changed.retrySlack});
+		},
 		async stop() {
 			const until = clock.now() + settings.stopWithin - stopReserve;
 			events.write('daemonStopping', {running: callers.countRunning()});
@@ -187,6 +201,7 @@
 			stopper.abort();
 			callerServer.cut();
 			readinessServer.cut();
+			fleet.close();
 			await adapter.close();
 			events.write('daemonStopped');
 		},
--- /dev/null
+++ b/src/daemon/gateway-peer-interface.ts
@@ -0,0 +1,36 @@
+/**
+ * Serves other gateways, and turns what they say into the product's types.
+ *
+ * @module
+ */
+import type {ServiceImpl} from '@connectrpc/connect';
+import type {LendAsk, PeerView, TokenLending} from '../coordination/mod.js';
+import type {Gateway} from '../protocol/mod.js';
+
+/** A view as it travels, with the deployment's record for a peer that needs it. */
+export type GatewayMessage = PeerView & {readonly deployment: Uint8Array};
+
+/** Options of {@linkcode createGatewayPeerInterface}. */
+export type CreateGatewayPeerInterfaceOptions = {
+	/** Takes a peer's view and returns this gateway's. */
+	readonly answerView: (view: PeerView) => GatewayMessage;
+	readonly lending: TokenLending;
+};
+
+/**
+ * Creates the interface to other gateways.
+ *
+ * @example
+ * ```ts
+ * router.service(Gateway, createGatewayPeerInterface({answerView, lending}));
+ * ```
+ *
+ * @param options What answers
+ * @returns The implementation of the service
+ */
+export function createGatewayPeerInterface(options: CreateGatewayPeerInterfaceOptions): ServiceImpl<typeof Gateway> {
+	return {
+		exchange: options.answerView,
+		lend: (ask: LendAsk) => ({tokens: options.lending.lend(ask)}),
+	};
+}
--- /dev/null
+++ b/src/daemon/gateway-state.ts
@@ -0,0 +1,160 @@
+/**
+ * What a gateway follows: the deployment, the upstreams and the grants, each
+ * from its own keyed log.
+ *
+ * @module
+ */
+import {
+	createKeyedFollower, formatHolderKey, type HolderIdentity, type KeyedFollower,
+} from '../coordination/mod.js';
+import type {
+	Deployment, EventLog, GatewayWire, KeyedLog, StoredRecord, UpstreamEntry,
+} from '../protocol/mod.js';
+import {
+	createGrantBook, createRouteTable, createTokenAccount, createUpstreamDirectory, holderRecordSchema, type HolderRecord, type RouteTable,
+} from '../state/mod.js';
+import type {Clock} from '../transport/mod.js';
+
+/** What an adapter brings: the logs of a deployment, their decoding, and the wire. */
+export type GatewayAdapter = {
+	readonly wire: GatewayWire;
+	readonly logs: {readonly deployment: KeyedLog; readonly upstreams: KeyedLog; readonly grants: KeyedLog};
+	/** Key of the record that holds the deployment. */
+	readonly deploymentKey: string;
+	readonly decodeDeployment: (text: string) => Deployment;
+	readonly decodeUpstream: (id: string, text: string) => UpstreamEntry;
+	readonly close: () => Promise<void>;
+};
+
+/** Options of {@linkcode createGatewayState}. */
+export type CreateGatewayStateOptions = {
+	readonly adapter: GatewayAdapter;
+	readonly self: HolderIdentity;
+	readonly clock: Clock;
+	readonly events: EventLog;
+	/** Called with each deployment that comes into force. */
+	readonly onDeployment: (deployment: Deployment) => void;
+	/** Called with each own record of grants. */
+	readonly onOwnGrants: (record: HolderRecord) => void;
+};
+
+/** What a gateway follows. */
+export type GatewayState = ReturnType<typeof createGatewayState>;
+
+/** A read of the deployment waits this long for a change, in milliseconds; longer would hide a silent connection. */
+const deploymentWait = 1500;
+/** Pause between reads of the upstreams' records, in milliseconds: each upstream writes about once a second. */
+const upstreamsEvery = 500;
+/** Pause between reads of the grants, in milliseconds; claims read by themselves. */
+const grantsEvery = 2000;
+/** A store that failed within this span, in milliseconds, may have let entries lapse. */
+const unstableSpan = 3000;
+
+/**
+ * Creates the state; `run` is its task.
+ *
+ * @example
+ * ```ts
+ * const state = createGatewayState(options);
+ * void state.run(signal);
+ * ```
+ *
+ * @param options The adapter and what is told of changes
+ * @returns The state
+ */
+export function createGatewayState(options: CreateGatewayStateOptions) {
+	const {adapter, clock, events} = options;
+	const ownKey = formatHolderKey(options.self);
+	const directory = createUpstreamDirectory();
+	const book = createGrantBook();
+	const account = createTokenAccount();
+	let table: RouteTable | undefined;
+	let deploymentRecord = '';
+
+	// A record that cannot be read is told and skipped: the others must not wait for it.
+	function guardRecord(record: StoredRecord, take: () => void): void {
+		try {
+			take();
+		} catch (error) {
+			events.write('recordUnreadable', {key: record.key, offset: record.offset, detail: (error as Error).message});
+		}
+	}
+
+	// Records reach a gateway from the log and from peers, in any order; a version never goes down.
+	function adoptDeployment(text: string, source: string): void {
+		const deployment = adapter.decodeDeployment(text);
+		if (deployment.version <= (table?.version ?? Number.NEGATIVE_INFINITY)) {
+			return;
+		}
+
+		table = createRouteTable(deployment);
+		deploymentRecord = text;
+		options.onDeployment(deployment);
+		events.write('deploymentAdopted', {version: deployment.version, source});
+	}
+
+	function takeUpstream({key, value, offset}: StoredRecord): void {
+		if (value === undefined) {
+			directory.drop(key, clock.now(), upstreams.wasLostWithin(unstableSpan));
+			events.write('upstreamGone', {upstream: key, offset});
+			return;
+		}
+
+		const entry = adapter.decodeUpstream(key, value);
+		const known = directory.get(key);
+		directory.put(entry, clock.now());
+		if (known?.isDraining !== entry.isDraining) {
+			events.write('upstreamListed', {
+				upstream: key, service: entry.service, isDraining: entry.isDraining, offset,
+			});
+		}
+	}
+
+	function takeGrants({key, value}: StoredRecord): void {
+		const record = holderRecordSchema.parse(JSON.parse(value ?? 'null'));
+		book.put(key, record);
+		if (key === ownKey) {
+			options.onOwnGrants(record);
+		}
+	}
+
+	const follow = (log: KeyedLog, wait: number, every: number, take: (record: StoredRecord) => void): KeyedFollower => createKeyedFollower({
+		log, clock, events, wait, every,
+		listKeys: log === adapter.logs.upstreams ? directory.listIds : undefined,
+		onRecord(record) {
+			guardRecord(record, () => {
+				take(record);
+			});
+		},
+	});
+	const deployments = follow(adapter.logs.deployment, deploymentWait, 0, ({key, value}) => {
+		if (key === adapter.deploymentKey && value !== undefined) {
+			adoptDeployment(value, 'log');
+		}
+	});
+	const upstreams = follow(adapter.logs.upstreams, 0, upstreamsEvery, takeUpstream);
+	const grants = follow(adapter.logs.grants, 0, grantsEvery, takeGrants);
+
+	return {
+		directory, book, account, grants,
+		findTable: () => table,
+		/** The record of the deployment in force, to hand on to peers. */
+		deploymentRecord: () => deploymentRecord,
+
+		/** Takes a deployment's record from a peer. */
+		adoptFromPeer(text: string, peer: string): void {
+			guardRecord({key: adapter.deploymentKey, value: text, offset: -1}, () => {
+				adoptDeployment(text, peer);
+			});
+		},
+
+		/** True once requests can be served. */
+		isReady: () => table !== undefined && directory.count() > 0,
+
+		run(signal: AbortSignal): void {
+			for (const follower of [deployments, upstreams, grants]) {
+				void follower.run(signal);
+			}
+		},
+	};
+}
--- a/src/daemon/mod.ts
+++ b/src/daemon/mod.ts
@@ -6,6 +6,7 @@
 export * from './core.js';
 export * from './entry-daemon.js';
 export * from './gateway-daemon.js';
+export * from './gateway-state.js';
 export * from './main.js';
 export * from './run-gateway.js';
 export * from './upstream-daemon.js';
--- a/src/daemon/run-gateway.ts
+++ b/src/daemon/run-gateway.ts
@@ -5,7 +5,8 @@
  */
 import process from 'node:process';
 import {createLineLog, failureTable, type GatewaySettings} from '../protocol/mod.js';
-import {startGatewayDaemon, type GatewayAdapter} from './gateway-daemon.js';
+import {startGatewayDaemon} from './gateway-daemon.js';
+import type {GatewayAdapter} from './gateway-state.js';
 import {installFailureLog, installSignals} from './main.js';
 
 /** Options of {@linkcode runGateway}. */
@@ -16,7 +17,8 @@
 };
 
 /**
- * Runs a gateway daemon until a signal stops it.
+ * Runs a gateway daemon until a signal stops it. SIGHUP has it read its settings
+ * again; a file that is wrong leaves the old ones in force.
  *
  * @example
  * ```ts
@@ -37,5 +39,13 @@
 
 	const events = createLineLog({daemon: settings.id, sink: process.stdout});
 	installFailureLog(events);
-	installSignals(await startGatewayDaemon(settings, {adapter: options.createAdapter(settings), events}));
+	const daemon = await startGatewayDaemon(settings, {adapter: options.createAdapter(settings), events});
+	installSignals(daemon);
+	process.on('SIGHUP', () => {
+		try {
+			daemon.reload(options.readSettings());
+		} catch (error) {
+			events.write('settingsRefused', {detail: (error as Error).message});
+		}
+	});
 }
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -23,6 +23,8 @@
 	}),
 	/** Addresses of other gateways to ask first: IP number and port. */
 	seeds: z.array(z.string()),
+	/** Secret that gateways share; empty where the network between them is closed to others. */
+	fleetKey: z.string().default(''),
 	/** The store's address: IP number and port. */
 	store: z.string(),
 	/** Time that a stop may take before the process is killed, in milliseconds. */
--- a/src/transport/fleet-client.ts
+++ b/src/transport/fleet-client.ts
@@ -5,13 +5,14 @@
  */
 import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
 import {Http2SessionManager, createConnectTransport} from '@connectrpc/connect-node';
-import {Peer, Upstream} from '../protocol/mod.js';
+import {Gateway, Peer, Upstream} from '../protocol/mod.js';
 import {fleetKeyHeader} from './fleet-server.js';
 
 /** Clients of one peer, over one connection. */
 export type PeerConnection = {
 	readonly peer: Client<typeof Peer>;
 	readonly upstream: Client<typeof Upstream>;
+	readonly gateway: Client<typeof Gateway>;
 	/** Abandons the connection; the next call opens a new one. */
 	readonly abandon: () => void;
 };
@@ -45,6 +46,7 @@
 	return {
 		peer: createClient(Peer, transport),
 		upstream: createClient(Upstream, transport),
+		gateway: createClient(Gateway, transport),
 		abandon() {
 			sessionManager.abort();
 		},
--- a/tools/prove/unguarded/fleet-client-that-waits.ts
+++ b/tools/prove/unguarded/fleet-client-that-waits.ts
@@ -5,7 +5,7 @@
  */
 import {createClient, type Interceptor} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
-import {Peer, Upstream} from '../../../src/protocol/mod.js';
+import {Gateway, Peer, Upstream} from '../../../src/protocol/mod.js';
 import {fleetKeyHeader} from '../../../src/transport/fleet-server.js';
 import type {FleetClient, PeerConnection} from '../../../src/transport/fleet-client.js';
 
@@ -24,6 +24,7 @@
 			const connection = connections.get(address) ?? {
 				peer: createClient(Peer, transport),
 				upstream: createClient(Upstream, transport),
+				gateway: createClient(Gateway, transport),
 				abandon: () => undefined,
 			};
 			connections.set(address, connection);
