--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -17,7 +17,7 @@
 import type {BorrowOutcome} from './token-lending.js';
 
 /** Who holds the grants of one gateway. */
-export type HolderIdentity = Pick<HolderRecord, 'daemon' | 'incarnation' | 'address' | 'failureDomain'>;
+export type HolderIdentity = Pick<HolderRecord, 'role' | 'daemon' | 'incarnation' | 'address' | 'failureDomain'>;
 
 /** Borrows tokens from other gateways. */
 export type BorrowTokens = (customer: string, amount: number) => Promise<BorrowOutcome>;
@@ -62,7 +62,7 @@
  * @param holder The incarnation
  * @returns The key
  */
-export function formatHolderKey(holder: Pick<HolderRecord, 'daemon' | 'incarnation'>): string {
+export function formatHolderKey(holder: Pick<HolderRecord, 'role' | 'daemon' | 'incarnation'>): string {
 	return `${holder.daemon}/${holder.incarnation}`;
 }
 
--- a/src/coordination/grant-size.ts
+++ b/src/coordination/grant-size.ts
@@ -27,12 +27,16 @@
 	readonly isEnding: boolean;
 };
 
-/** Demand that a grant covers, in milliseconds: the store is away for up to 9 s at a time. */
-const horizon = 10_000;
+/**
+ * Demand that a grant covers, in milliseconds. The store is seldom away for
+ * all daemons at once, and then for about 5 s; a gateway cut off alone claims
+ * through a relay.
+ */
+const horizon = 5000;
 /** Requests of the largest size that a grant covers besides, since few large requests come unevenly. */
 const spareRequests = 2;
 /** A grant is renewed when less than this share of what it should cover is free. */
-const renewBelow = 0.6;
+const renewBelow = 0.9;
 /** A grant is reduced when more than this multiple of what it should cover is free. */
 const reduceAbove = 2;
 /** Share of what is left that one gateway may hold free, so that the rest can be claimed where it is needed. */
--- a/src/coordination/peer-exchange.ts
+++ b/src/coordination/peer-exchange.ts
@@ -32,8 +32,8 @@
 	readonly daemon: string;
 	/** Gateways that the log of grants names, without this one. */
 	readonly listPeers: () => PeerAddress[];
-	/** Sends this gateway's view and takes the peer's; throws when the peer does not answer. */
-	readonly exchange: (address: string) => Promise<PeerView>;
+	/** Sends this gateway's view, and what is newer than the version that the peer last named; throws when it does not answer. */
+	readonly exchange: (address: string, knownVersion: number) => Promise<PeerView>;
 	/** Abandons the connection to a peer that went silent. */
 	readonly abandon: (address: string) => void;
 	/** Pause between exchanges with one peer, in milliseconds. */
@@ -80,7 +80,7 @@
 		const isNamed = () => options.listPeers().some(({daemon, address}) => daemon === peer.daemon && address === peer.address);
 		while (!signal.aborted && isNamed()) {
 			try {
-				take(await options.exchange(peer.address));
+				take(await options.exchange(peer.address, known.get(peer.daemon)?.view.version ?? Number.POSITIVE_INFINITY));
 				await clock.sleep(options.every, signal);
 			} catch (error) {
 				if (known.delete(peer.daemon)) {
@@ -96,7 +96,8 @@
 	function startTasks(signal: AbortSignal): void {
 		for (const peer of options.listPeers()) {
 			const name = `${peer.daemon} ${peer.address}`;
-			if (peer.daemon !== options.daemon && !running.has(name)) {
+			// One of two asks, since an exchange goes both ways.
+			if (peer.daemon > options.daemon && !running.has(name)) {
 				running.add(name);
 				void (async () => {
 					await follow(peer, signal);
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -5,12 +5,13 @@
  * @module
  */
 import {
-	PrefixRoutingPolicy, createBudgetKeeper, createMetrics, createPeerExchange, createRequestForwarder, createRetryBudget, createTokenLending, createUpstreamBook,
+	PrefixRoutingPolicy, createBudgetKeeper, createDirectPath, createMetrics, createPeerExchange, createRelayedLog, createRequestForwarder, createRetryBudget, createTokenLending, createUpstreamBook,
 	type HolderIdentity, type PeerView, type RetryBudget,
 } from '../coordination/mod.js';
 import {
-	Gateway, createId, type EventLog, type GatewaySettings,
+	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
 } from '../protocol/mod.js';
+import type {HolderRecord} from '../state/mod.js';
 import {
 	createFleetClient, createSystemClock, createUpstreamClient, startCallerServer, startFleetServer, startHttpServer,
 } from '../transport/mod.js';
@@ -18,6 +19,7 @@
 import {createGatewayInterface} from './gateway-interface.js';
 import {createGatewayPeerInterface, type GatewayMessage} from './gateway-peer-interface.js';
 import {createGatewayState, type GatewayAdapter} from './gateway-state.js';
+import {createRelayInterface, openLogThrough} from './relay-interface.js';
 import {waitUntilIdle} from './wait-until-idle.js';
 
 /** Options of {@linkcode startGatewayDaemon}. */
@@ -48,6 +50,7 @@
 function createIdentity(settings: GatewaySettings): HolderIdentity {
 	const {host, port} = settings.listen.peers;
 	return {
+		role: 'gateway',
 		daemon: settings.id,
 		// Begins with the time, so that a later start of the same daemon sorts after it.
 		incarnation: `${Date.now().toString(36)}-${createId('i')}`,
@@ -77,10 +80,16 @@
 	const {signal} = stopper;
 	const self = createIdentity(settings);
 	const fleet = createFleetClient(settings.fleetKey);
+	const path = createDirectPath({clock, events});
+	const openRelayed = (direct: KeyedLog) => createRelayedLog({
+		direct, path, listRelays,
+		openThrough: address => openLogThrough(direct.name, {fleet, address}),
+	});
+	const logs = {deployment: openRelayed(adapter.logs.deployment), upstreams: openRelayed(adapter.logs.upstreams), grants: openRelayed(adapter.logs.grants)};
 	let isStopping = false;
 
 	const state = createGatewayState({
-		adapter, self, clock, events,
+		adapter: {...adapter, logs}, self, clock, events,
 		onDeployment(deployment) {
 			callerServer.setLimits(deployment.limits);
 		},
@@ -91,6 +100,13 @@
 	const {account, book, directory, findTable} = state;
 	const upstreams = createUpstreamBook({directory, clock, failureDomain: settings.failureDomain});
 
+	// Daemons beside upstreams first: a partition that cuts this gateway off from the store often cuts the others off too.
+	function listRelays(): string[] {
+		const rank = (holder: HolderRecord) => (holder.role === 'relay' ? 0 : 2) + (holder.failureDomain === self.failureDomain ? 0 : 1);
+		const known = book.listRunning().filter(({daemon}) => daemon !== self.daemon).sort((left, right) => rank(left) - rank(right));
+		return [...known.map(({address}) => address), ...settings.seeds.filter(address => address !== self.address)];
+	}
+
 	function buildView(): PeerView {
 		return {
 			daemon: self.daemon,
@@ -108,15 +124,18 @@
 		return {...buildView(), deployment: isNews ? new TextEncoder().encode(state.deploymentRecord()) : new Uint8Array()};
 	}
 
+	function takeDeployment(message: GatewayMessage): void {
+		if (message.deployment.length > 0) {
+			state.adoptFromPeer(new TextDecoder().decode(message.deployment), message.daemon);
+		}
+	}
+
 	const exchange = createPeerExchange({
 		clock, events, daemon: self.daemon, every: exchangeEvery,
-		listPeers: () => book.listRunning(),
-		async exchange(address) {
-			const answer = await fleet.connect(address).gateway.exchange(buildMessage(Number.POSITIVE_INFINITY), {timeoutMs: peerTimeout});
-			if (answer.deployment.length > 0) {
-				state.adoptFromPeer(new TextDecoder().decode(answer.deployment), answer.daemon);
-			}
-
+		listPeers: () => book.listRunning().filter(({role}) => role === 'gateway'),
+		async exchange(address, knownVersion) {
+			const answer = await fleet.connect(address).gateway.exchange(buildMessage(knownVersion), {timeoutMs: peerTimeout});
+			takeDeployment(answer);
 			return answer;
 		},
 		abandon(address) {
@@ -133,7 +152,7 @@
 		},
 	});
 	const keeper = createBudgetKeeper({
-		self, log: adapter.logs.grants, follower: state.grants, book, account, clock, events, signal, findTable,
+		self, log: logs.grants, follower: state.grants, book, account, clock, events, signal, findTable,
 		borrow: lending.borrow,
 	});
 	const retries = new Map<string, RetryBudget>();
@@ -161,10 +180,12 @@
 	const peerServer = await startFleetServer(settings.listen.peers, {
 		fleetKey: settings.fleetKey,
 		routes(router) {
+			router.service(Relay, createRelayInterface(Object.values(adapter.logs), signal));
 			router.service(Gateway, createGatewayPeerInterface({
 				lending,
 				answerView(view) {
 					exchange.take(view);
+					takeDeployment(view);
 					return buildMessage(view.version);
 				},
 			}));
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -13,7 +13,7 @@
 /** Options of {@linkcode createGatewayPeerInterface}. */
 export type CreateGatewayPeerInterfaceOptions = {
 	/** Takes a peer's view and returns this gateway's. */
-	readonly answerView: (view: PeerView) => GatewayMessage;
+	readonly answerView: (view: GatewayMessage) => GatewayMessage;
 	readonly lending: TokenLending;
 };
 
--- a/src/daemon/mod.ts
+++ b/src/daemon/mod.ts
@@ -8,5 +8,7 @@
 export * from './gateway-daemon.js';
 export * from './gateway-state.js';
 export * from './main.js';
-export * from './run-gateway.js';
+export * from './relay-daemon.js';
+export * from './relay-interface.js';
+export * from './run-direct-daemon.js';
 export * from './upstream-daemon.js';
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -1,5 +1,5 @@
 /**
- * The settings of a gateway daemon.
+ * The settings of daemons that reach upstreams directly: gateways and relays.
  *
  * @module
  */
@@ -9,6 +9,7 @@
 
 /** Schema of a gateway daemon's settings. */
 export const gatewaySettingsSchema = z.object({
+	role: z.literal('gateway'),
 	/** The daemon's name, kept when its process restarts. */
 	id: z.string().min(1),
 	failureDomain: z.string().min(1),
@@ -39,5 +40,21 @@
 	sockets: z.number().int().positive(),
 });
 
+/** Schema of a relay daemon's settings. */
+export const relaySettingsSchema = z.object({
+	role: z.literal('relay'),
+	id: z.string().min(1),
+	failureDomain: z.string().min(1),
+	/** Where gateways reach it. */
+	listen: addressSchema,
+	fleetKey: z.string().default(''),
+	/** The store's address: IP number and port. */
+	store: z.string(),
+});
+
+/** Settings of either. */
+export type DirectSettings = GatewaySettings | RelaySettings;
+/** Settings of a relay daemon. */
+export type RelaySettings = z.infer<typeof relaySettingsSchema>;
 /** Settings of a gateway daemon. */
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/src/protocol/keyed-log.ts
+++ b/src/protocol/keyed-log.ts
@@ -41,8 +41,8 @@
 
 /** Options of {@linkcode KeyedLog.append}. */
 export type AppendKeyedOptions = {
-	/** Append only if the log ends here. */
-	readonly at: number;
+	/** Append only if the log ends here; default wherever it ends. */
+	readonly at?: number;
 };
 
 /** Client of one keyed log. */
--- a/src/state/grant-book.ts
+++ b/src/state/grant-book.ts
@@ -14,7 +14,9 @@
 
 /** Schema of a holder's record. */
 export const holderRecordSchema = z.object({
-	/** The gateway's name. */
+	/** A relay holds no grants; its record only names it. */
+	role: z.enum(['gateway', 'relay']),
+	/** The daemon's name. */
 	daemon: z.string(),
 	/** One run of its process. */
 	incarnation: z.string(),
@@ -80,7 +82,7 @@
 			return newest;
 		},
 
-		/** The newest incarnation of each gateway that has not stopped. */
+		/** The newest incarnation of each daemon that has not stopped. */
 		listRunning(): HolderRecord[] {
 			const newest = new Map<string, HolderRecord>();
 			for (const holder of holders.values()) {
--- a/src/transport/fleet-client.ts
+++ b/src/transport/fleet-client.ts
@@ -5,7 +5,9 @@
  */
 import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
 import {Http2SessionManager, createConnectTransport} from '@connectrpc/connect-node';
-import {Gateway, Peer, Upstream} from '../protocol/mod.js';
+import {
+	Gateway, Peer, Relay, Upstream,
+} from '../protocol/mod.js';
 import {fleetKeyHeader} from './fleet-server.js';
 
 /** Clients of one peer, over one connection. */
@@ -13,6 +15,7 @@
 	readonly peer: Client<typeof Peer>;
 	readonly upstream: Client<typeof Upstream>;
 	readonly gateway: Client<typeof Gateway>;
+	readonly relay: Client<typeof Relay>;
 	/** Abandons the connection; the next call opens a new one. */
 	readonly abandon: () => void;
 };
@@ -47,6 +50,7 @@
 		peer: createClient(Peer, transport),
 		upstream: createClient(Upstream, transport),
 		gateway: createClient(Gateway, transport),
+		relay: createClient(Relay, transport),
 		abandon() {
 			sessionManager.abort();
 		},
--- a/tools/prove/unguarded/fleet-client-that-waits.ts
+++ b/tools/prove/unguarded/fleet-client-that-waits.ts
@@ -5,7 +5,9 @@
  */
 import {createClient, type Interceptor} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
-import {Gateway, Peer, Upstream} from '../../../src/protocol/mod.js';
+import {
+	Gateway, Peer, Relay, Upstream,
+} from '../../../src/protocol/mod.js';
 import {fleetKeyHeader} from '../../../src/transport/fleet-server.js';
 import type {FleetClient, PeerConnection} from '../../../src/transport/fleet-client.js';
 
@@ -25,6 +27,7 @@
 				peer: createClient(Peer, transport),
 				upstream: createClient(Upstream, transport),
 				gateway: createClient(Gateway, transport),
+				relay: createClient(Relay, transport),
 				abandon: () => undefined,
 			};
 			connections.set(address, connection);
