Prove by properties that claims and loans never pass what was bought

A fake keyed log loses answers, carries appends out late and lets claims collide. Without the condition on an append the property fails; without taking decreases out before they are written, the test of tokens on their way back fails.

--- /dev/null
+++ b/src/coordination/budget-keeper.test.ts
@@ -0,0 +1,266 @@
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {createFakeKeyedLog, type AppendFate, type FakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
+import type {Deployment, EventLog} from '../protocol/mod.js';
+import {
+	createGrantBook, createRouteTable, createTokenAccount, holderRecordSchema, type RouteTable, type TokenReservation,
+} from '../state/mod.js';
+import {
+	createBudgetKeeper, createKeyedFollower, createTokenLending, type LendAsk, type PeerView,
+} from './mod.js';
+
+// A small world of real keepers over one log in memory: appends collide, their
+// answers are lost, some are carried out late, gateways die and start anew.
+
+const events: EventLog = {write: () => undefined, counts: new Map()};
+const customer = 'c1';
+
+function buildTable(version: number, bought: number): RouteTable {
+	const deployment: Deployment = {
+		version, routes: [], services: [], customers: [{id: customer, keys: ['k'], bought}], limits: {
+			headerBytes: 1000, bodyBytes: 1000, headerTimeout: 1000, idleTimeout: 1000,
+		},
+	};
+	return createRouteTable(deployment);
+}
+
+async function createWorld(bought: number) {
+	const log = createFakeKeyedLog();
+	let table = buildTable(1, bought);
+	let now = 0;
+	const clock = {
+		now: () => now,
+		async sleep() {
+			now += 1;
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		},
+	};
+	const gateways: Gateway[] = [];
+	let serial = 0;
+	/** Tokens spent or reserved at gateways that died: callers may have got them. */
+	let buried = 0;
+
+	function start(index: number, fake: FakeKeyedLog = log) {
+		serial += 1;
+		const daemon = `e${index}`;
+		const stopper = new AbortController();
+		const account = createTokenAccount();
+		const book = createGrantBook();
+		const self = {
+			role: 'gateway' as const, daemon, incarnation: `i${serial}`, address: daemon, failureDomain: 'd',
+		};
+		const follower = createKeyedFollower({
+			log: fake.open(), clock, events, wait: 0, every: 1,
+			onRecord({key, value}) {
+				const record = holderRecordSchema.parse(JSON.parse(value ?? 'null'));
+				book.put(key, record);
+				if (key === `${daemon}/${self.incarnation}`) {
+					keeper.takeOwnRecord(record);
+				}
+			},
+		});
+		const lending = createTokenLending({
+			daemon, account, events,
+			listViews: () => gateways.filter(other => other.daemon !== daemon).map((other): PeerView => ({
+				daemon: other.daemon, incarnation: 'i', address: other.daemon, free: [], uses: [], version: 1, isLeaving: false,
+			})),
+			countWanted: id => keeper.countWanted(id),
+			ask: async (address: string, ask: LendAsk) => gateways.find(other => other.daemon === address)!.lending.lend(ask),
+		});
+		const keeper = createBudgetKeeper({
+			self, log: fake.open(), follower, book, account, findTable: () => table, borrow: lending.borrow, clock, events, signal: stopper.signal,
+		});
+		return {
+			daemon, keeper, account, lending, stopper, reservations: [] as TokenReservation[],
+		};
+	}
+
+	type Gateway = ReturnType<typeof start>;
+
+	function countUsed({account}: Gateway): number {
+		const {spent, reserved} = account.get(customer);
+		return spent + reserved;
+	}
+
+	for (const index of [0, 1, 2]) {
+		gateways.push(start(index));
+	}
+
+	// A gateway asks the log only after it has reached it once.
+	for (const gateway of gateways) {
+		await gateway.keeper.renew();
+	}
+
+	const first = log.records.length;
+
+	return {
+		log, gateways, first,
+		setBought(version: number, amount: number) {
+			table = buildTable(version, amount);
+		},
+		restart(index: number) {
+			buried += countUsed(gateways[index]!);
+			gateways[index]!.stopper.abort();
+			gateways[index] = start(index);
+		},
+		sumUsed: () => gateways.reduce((sum, gateway) => sum + countUsed(gateway), buried),
+		sumFree: () => gateways.reduce((sum, gateway) => sum + gateway.account.countFree(customer), 0),
+	};
+}
+
+const indexArbitrary = fc.integer({min: 0, max: 2});
+const stepArbitrary = fc.oneof(
+	{weight: 6, arbitrary: fc.record({kind: fc.constant('ask' as const), index: indexArbitrary, amount: fc.integer({min: 1, max: 400})})},
+	{weight: 6, arbitrary: fc.record({kind: fc.constant('together' as const), amounts: fc.tuple(fc.integer({min: 0, max: 600}), fc.integer({min: 0, max: 600}), fc.integer({min: 0, max: 600}))})},
+	{weight: 4, arbitrary: fc.record({kind: fc.constant('settle' as const), index: indexArbitrary, share: fc.double({min: 0, max: 1, noNaN: true})})},
+	{weight: 3, arbitrary: fc.record({kind: fc.constant('renew' as const), index: indexArbitrary})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('kill' as const), index: indexArbitrary})},
+	{weight: 3, arbitrary: fc.record({kind: fc.constant('fate' as const), fate: fc.constantFrom<AppendFate>('lost-after', 'lost-before', 'late')})},
+	{weight: 2, arbitrary: fc.record({kind: fc.constant('release-late' as const)})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('away' as const), isAway: fc.constantFrom(true, false, false)})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('top-up' as const), amount: fc.integer({min: 1, max: 1000})})},
+);
+
+test('no order of claims, loans, losses and deaths spends more than was bought', async () => {
+	await fc.assert(fc.asyncProperty(fc.array(stepArbitrary, {minLength: 30, maxLength: 80}), async steps => {
+		let bought = 2000;
+		let version = 1;
+		const world = await createWorld(bought);
+		for (const step of steps) {
+			switch (step.kind) {
+				case 'ask': {
+					const gateway = world.gateways[step.index]!;
+					const reservation = await gateway.keeper.acquire(customer, step.amount);
+					if (reservation.ok) {
+						gateway.reservations.push(reservation.val);
+					}
+
+					break;
+				}
+
+				case 'together': {
+					// At the same time, so that claims collide; 0 asks for nothing and looks at what is idle.
+					await Promise.all(world.gateways.map(async (gateway, index) => {
+						const amount = step.amounts[index]!;
+						const reservation = amount > 0 ? await gateway.keeper.acquire(customer, amount) : undefined;
+						await gateway.keeper.renew();
+						if (reservation?.ok) {
+							gateway.reservations.push(reservation.val);
+						}
+					}));
+					break;
+				}
+
+				case 'settle': {
+					const gateway = world.gateways[step.index]!;
+					const reservation = gateway.reservations.pop();
+					if (reservation) {
+						gateway.keeper.settle(reservation, Math.floor(reservation.amount * step.share));
+					}
+
+					break;
+				}
+
+				case 'renew': {
+					await world.gateways[step.index]!.keeper.renew();
+					break;
+				}
+
+				case 'kill': {
+					world.restart(step.index);
+					break;
+				}
+
+				case 'fate': {
+					world.log.fates.push(step.fate);
+					break;
+				}
+
+				case 'release-late': {
+					world.log.releaseLate();
+					break;
+				}
+
+				case 'away': {
+					world.log.isAway = step.isAway;
+					break;
+				}
+
+				case 'top-up': {
+					bought += step.amount;
+					version += 1;
+					world.setBought(version, bought);
+				}
+			}
+
+			expect(world.sumUsed() + world.sumFree()).toBeLessThanOrEqual(bought);
+		}
+	}), {numRuns: 150, seed: 7});
+});
+
+test('a claim whose answer is lost is found on the log', async () => {
+	// A caller is refused though tokens remain: the append of the claim took
+	// effect, its answer was lost, and the gateway does not look for it.
+	const world = await createWorld(1000);
+	world.log.fates.push('lost-after');
+	const reservation = await world.gateways[0]!.keeper.acquire(customer, 300);
+	expect(reservation.ok).toBe(true);
+	expect(world.log.records.length).toBe(world.first + 1);
+});
+
+test('a gateway that finds its own tokens used up borrows while the log is away', async () => {
+	// Callers at one gateway are refused in a cut from the store although
+	// another gateway holds plenty: each only looked at its own grant.
+	const world = await createWorld(10_000);
+	await world.gateways[1]!.keeper.acquire(customer, 1000);
+	await world.gateways[0]!.keeper.acquire(customer, 100);
+	const free = world.gateways[0]!.account.countFree(customer);
+	world.log.isAway = true;
+	const reservation = await world.gateways[0]!.keeper.acquire(customer, free + 500);
+	expect(reservation.ok).toBe(true);
+});
+
+test('an amount that was lowered is given back at once', async () => {
+	// The operator lowers a budget; gateways hold more than is left of it and
+	// would go on spending what nobody has bought.
+	const world = await createWorld(10_000);
+	await world.gateways[0]!.keeper.acquire(customer, 1000);
+	await world.gateways[1]!.keeper.acquire(customer, 1000);
+	world.setBought(2, 2100);
+	await world.gateways[0]!.keeper.renew();
+	await world.gateways[1]!.keeper.renew();
+	expect(world.sumUsed() + world.sumFree()).toBeLessThanOrEqual(2100);
+});
+
+test('tokens on their way back cannot be reserved', async () => {
+	// A budget is lowered; while the record that gives tokens back is on its
+	// way, a request reserves them, and another gateway claims them as well.
+	const world = await createWorld(10_000);
+	const {account, keeper} = world.gateways[0]!;
+	await keeper.acquire(customer, 1000);
+	world.setBought(2, 1000);
+	world.log.onAppend = () => {
+		account.reserve(customer, account.countFree(customer));
+	};
+
+	await keeper.renew();
+	expect(world.sumUsed()).toBeLessThanOrEqual(1000);
+});
+
+test('the rest of a budget is told as exhausted, not as busy', async () => {
+	const world = await createWorld(1000);
+	await world.gateways[0]!.keeper.acquire(customer, 900);
+	const refused = await world.gateways[1]!.keeper.acquire(customer, 500);
+	expect(refused.err && refused.val.type).toBe('budget-exhausted');
+});
+
+test('a stop gives everything back that was not used', async () => {
+	const world = await createWorld(1000);
+	const reservation = await world.gateways[0]!.keeper.acquire(customer, 300);
+	world.gateways[0]!.keeper.settle(reservation.unwrap(), 120);
+	await world.gateways[0]!.keeper.end();
+	const all = await world.gateways[1]!.keeper.acquire(customer, 880);
+	expect(all.ok).toBe(true);
+});
--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -265,6 +265,9 @@
 		/** Free tokens that the next seconds here do not need. */
 		countSpare: (customer: string): number => Math.max(0, account.countFree(customer) - (demand.findRate(customer) * roundEvery)),
 
+		/** Claims what the next seconds need and gives back what is idle, now. */
+		renew: writeShared,
+
 		async run(): Promise<void> {
 			while (!signal.aborted) {
 				await writeShared();
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -23,6 +23,7 @@
 export * from './model-runner.js';
 export * from './order-sender.js';
 export * from './peer-exchange.js';
+export * from './placement-policy.js';
 export * from './receipt-reporter.js';
 export * from './reclaimer.js';
 export * from './relayed-log.js';
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -17,7 +17,7 @@
 } from './answer-relay.js';
 import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
 import type {RetryBudget} from './retry-budget.js';
-import type {RoutingPolicy} from './routing-policy.js';
+import {PromptPlacementPolicy, ServicePlacementPolicy, type PlacementPolicy} from './placement-policy.js';
 import type {UpstreamBook, UpstreamVisit} from './upstream-book.js';
 
 /** Options of {@linkcode createRequestForwarder}. */
@@ -25,7 +25,6 @@
 	readonly wire: GatewayWire;
 	readonly client: UpstreamClient;
 	readonly book: UpstreamBook;
-	readonly policy: RoutingPolicy;
 	/** The retry budget of a service. */
 	readonly findRetries: (service: string) => RetryBudget;
 	readonly clock: Clock;
@@ -72,19 +71,21 @@
  */
 export function createRequestForwarder(options: CreateRequestForwarderOptions) {
 	const {
-		wire, client, book, policy, findRetries, clock, events,
+		wire, client, book, findRetries, clock, events,
 	} = options;
 
+	const promptPolicy: PlacementPolicy = new PromptPlacementPolicy();
+	const servicePolicy: PlacementPolicy = new ServicePlacementPolicy();
+
 	function createRelay(request: ForwardRequest): AnswerRelay {
 		return request.route.kind === 'stream' ? new StreamAnswerRelay(request, wire) : new WholeAnswerRelay(request, wire);
 	}
 
 	function pickUpstream(request: ForwardRequest, tried: ReadonlySet<string>): string | undefined {
-		const candidates = book.listCandidates(request.service.id, tried);
-		const parts = request.generation?.parts ?? [];
-		// The last part is the request's own or its session's; the one before it is what requests share.
-		const prefix = (parts.at(-2) ?? parts.at(-1))?.id ?? request.id ?? '';
-		return candidates.length === 0 ? undefined : policy.pick({prefix}, candidates).daemon;
+		const {service, generation} = request;
+		const candidates = book.listCandidates({service, generation, without: tried});
+		const policy = generation ? promptPolicy : servicePolicy;
+		return candidates.length === 0 ? undefined : policy.pick({id: request.id ?? '', generation}, candidates).id;
 	}
 
 	// An answer to another request shows that the connection carries extra answers; whatever follows on it is in doubt.
@@ -93,7 +94,6 @@
 	}
 
 	async function receive({request, relay, progress}: Forwarding, answer: UpstreamAnswer, {visit, onProgress}: ReceiveOptions): Promise<SendOutcome> {
-		const sentAt = clock.now();
 		const facts = wire.readAnswer(answer.status, answer.headers);
 		if (facts.load) {
 			visit.noteLoad(facts.load);
@@ -119,7 +119,7 @@
 			onProgress,
 			onFirst() {
 				progress.firstMs ??= clock.now() - request.startedAt;
-				visit.noteFirst(clock.now() - sentAt);
+				visit.noteFirst();
 			},
 		});
 	}
@@ -154,7 +154,7 @@
 			return {kind: 'not-run', detail: 'The upstream has just left', wasSent: false};
 		}
 
-		const visit = book.start(id);
+		const visit = book.start(id, request);
 		const silence = createSilenceBound(request, relay);
 		const remaining = request.deadline - clock.now();
 		const bound = createBound(remaining, [request.signal, silence.signal]);
@@ -172,8 +172,10 @@
 			});
 			const outcome = called.ok ? await receive(forwarding, called.val, {visit, onProgress: silence.noteProgress}) : readCallFailure(called.val, progress);
 			if (outcome.kind === 'broken' && !request.signal.aborted) {
-				visit.noteFailure();
+				visit.noteSilent();
 			} else if (outcome.kind === 'not-run' && !outcome.wasSent) {
+				visit.noteSilent();
+			} else if (outcome.kind === 'failed') {
 				visit.noteFailure();
 			}
 
--- a/src/coordination/upstream-book.ts
+++ b/src/coordination/upstream-book.ts
@@ -1,28 +1,42 @@
 /**
  * What a gateway has seen of each upstream: its own requests there, the load
- * that answers tell, and calls that failed.
+ * that answers tell, how long first events take, and calls that failed.
  *
  * @module
  */
-import type {ToldLoad, UpstreamEntry} from '../protocol/mod.js';
-import type {LiveUpstream, UpstreamDirectory} from '../state/mod.js';
+import type {
+	GatewayService, Generation, ToldLoad, UpstreamEntry,
+} from '../protocol/mod.js';
+import {createPromptCache, type LiveUpstream, type UpstreamDirectory} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
-import type {UpstreamUse} from './peer-exchange.js';
-import type {RouteCandidate} from './routing-policy.js';
+import type {PeerView, UpstreamUse} from './peer-exchange.js';
+import type {PlacementCandidate} from './placement-policy.js';
 
 /** Options of {@linkcode createUpstreamBook}. */
 export type CreateUpstreamBookOptions = {
 	readonly directory: UpstreamDirectory;
 	readonly clock: Clock;
 	readonly failureDomain: string;
+	/** What other gateways say of their requests. */
+	readonly listViews: () => readonly PeerView[];
+};
+
+/** Options of {@linkcode UpstreamBook.listCandidates}. */
+export type ListCandidatesOptions = {
+	readonly service: GatewayService;
+	readonly generation: Generation | undefined;
+	/** Upstreams that were tried already. */
+	readonly without: ReadonlySet<string>;
 };
 
 /** A request's stay at an upstream. */
 export type UpstreamVisit = {
-	/** Notes the time to the first event or the whole answer, in milliseconds. */
-	readonly noteFirst: (span: number) => void;
+	/** Notes the first event or the whole answer. */
+	readonly noteFirst: () => void;
 	readonly noteLoad: (load: ToldLoad) => void;
 	/** Notes that the upstream did not answer, so that others are tried first for a while. */
+	readonly noteSilent: () => void;
+	/** Notes that the upstream answered with a failure of its own. */
 	readonly noteFailure: () => void;
 	readonly end: () => void;
 };
@@ -30,84 +44,157 @@
 /** What a gateway has seen of each upstream. */
 export type UpstreamBook = ReturnType<typeof createUpstreamBook>;
 
-type Seen = {inFlight: number; told: ToldLoad | undefined; toldAt: number; firstMs: number; failures: number; avoidUntil: number};
+type Seen = {
+	inFlight: number;
+	/** Prompt tokens of own requests without a first event. */
+	waitingTokens: number;
+	told: ToldLoad | undefined;
+	toldAt: number;
+	/** Milliseconds a token of work until the first event, a moving average. */
+	pace: number;
+	failureShare: number;
+	silences: number;
+	avoidUntil: number;
+};
 
-/** An upstream that failed is left out for this long, doubled with each failure in a row, in milliseconds. */
+/** An upstream that did not answer is left out for this long, doubled with each time in a row, in milliseconds. */
 const avoidStep = 500;
-/** Longest time that a failing upstream is left out, in milliseconds; its entry lapses after three heartbeats. */
+/** Longest time that a silent upstream is left out, in milliseconds; its entry lapses after three heartbeats. */
 const avoidLimit = 4000;
 /** Told load counts for this long, in milliseconds. */
 const toldLife = 1000;
-/** Weight of the newest sample in the moving average of first times. */
-const firstWeight = 0.2;
+/** Weight of the newest sample in moving averages. */
+const newestWeight = 0.15;
+/** Work that any request is, in tokens of a prompt: an answer without a prompt takes time too. */
+const baseTokens = 800;
+/** An upstream still warming up counts as this much slower. */
+const warmUpSlowness = 2;
+/** Bounds on how much slower or faster than the others an upstream is taken to be. */
+const slownessRange = {least: 0.6, most: 8} as const;
+
+/** @internal */
+function average(known: number, sample: number): number {
+	return known === 0 ? sample : (known * (1 - newestWeight)) + (sample * newestWeight);
+}
 
 /**
  * Creates an empty book.
  *
  * @example
  * ```ts
- * const visit = book.start('i-7');
- * visit.noteFailure();
+ * const visit = book.start('i-7', {service, generation});
+ * visit.noteSilent();
  * visit.end();
  * ```
  *
- * @param options The directory of upstreams and the clock
+ * @param options The directory of upstreams, the clock and the peers
  * @returns The book
  */
 export function createUpstreamBook(options: CreateUpstreamBookOptions) {
 	const {directory, clock, failureDomain} = options;
 	const seen = new Map<string, Seen>();
+	const cache = createPromptCache();
 
 	function ensureSeen(id: string): Seen {
 		const known = seen.get(id) ?? {
-			inFlight: 0, told: undefined, toldAt: Number.NEGATIVE_INFINITY, firstMs: 0, failures: 0, avoidUntil: Number.NEGATIVE_INFINITY,
+			inFlight: 0, waitingTokens: 0, told: undefined, toldAt: Number.NEGATIVE_INFINITY, pace: 0, failureShare: 0, silences: 0, avoidUntil: Number.NEGATIVE_INFINITY,
 		};
 		seen.set(id, known);
 		return known;
 	}
 
-	function buildCandidate({upstream}: LiveUpstream): RouteCandidate {
+	function findMedianPace(ids: readonly string[]): number {
+		const paces = ids.map(id => ensureSeen(id).pace).filter(pace => pace > 0).sort((left, right) => left - right);
+		return paces[Math.floor(paces.length / 2)] ?? 0;
+	}
+
+	function sumPeerUse(id: string): UpstreamUse {
+		let inFlight = 0;
+		let waitingTokens = 0;
+		for (const view of options.listViews()) {
+			for (const use of view.uses) {
+				if (use.upstream === id) {
+					inFlight += use.inFlight;
+					waitingTokens += use.waitingTokens;
+				}
+			}
+		}
+
+		return {upstream: id, inFlight, waitingTokens};
+	}
+
+	function estimateSlowness(item: Seen, median: number, isWarm: boolean): number {
+		const measured = item.pace > 0 && median > 0 ? item.pace / median : 1;
+		return Math.min(slownessRange.most, Math.max(slownessRange.least, measured)) * (isWarm ? 1 : warmUpSlowness);
+	}
+
+	function buildCandidate({upstream, isWarm}: LiveUpstream, generation: Generation | undefined, median: number): PlacementCandidate {
 		const item = ensureSeen(upstream.id);
-		const isFresh = clock.now() - item.toldAt < toldLife;
+		const peers = sumPeerUse(upstream.id);
+		const told = item.told && clock.now() - item.toldAt < toldLife ? item.told.running + item.told.waiting : 0;
 		return {
-			daemon: upstream.id,
-			inFlight: item.inFlight,
-			reported: isFresh ? item.told!.running + item.told!.waiting : 0,
-			capacity: upstream.slots,
-			firstMs: item.firstMs,
+			id: upstream.id,
+			slots: upstream.slots,
+			inFlight: Math.max(item.inFlight + peers.inFlight, told),
+			waitingTokens: item.waitingTokens + peers.waitingTokens,
+			cachedTokens: generation ? cache.countCached(upstream.id, generation.parts) : 0,
+			slowness: estimateSlowness(item, median, isWarm),
+			failureShare: item.failureShare,
 			isSameDomain: upstream.failureDomain === failureDomain,
 		};
 	}
 
 	return {
-		/** The upstreams of a service that may take a request, without those named and, if others are left, those that failed of late. */
-		listCandidates(service: string, without: ReadonlySet<string>): RouteCandidate[] {
+		/** The upstreams of a service that may take a request, without those that were silent of late if others are left. */
+		listCandidates({service, generation, without}: ListCandidatesOptions): PlacementCandidate[] {
 			const now = clock.now();
-			const live = directory.listLive(service, now).filter(({upstream}) => !without.has(upstream.id));
+			const live = directory.listLive(service.id, now).filter(({upstream}) => !without.has(upstream.id));
 			const sound = live.filter(({upstream}) => ensureSeen(upstream.id).avoidUntil <= now);
-			return (sound.length > 0 ? sound : live).map(item => buildCandidate(item));
+			const chosen = sound.length > 0 ? sound : live;
+			const median = findMedianPace(chosen.map(({upstream}) => upstream.id));
+			return chosen.map(item => buildCandidate(item, generation, median));
 		},
 
 		get: (id: string): UpstreamEntry | undefined => directory.get(id),
 
 		/** Starts a visit; its `end` must follow. */
-		start(id: string): UpstreamVisit {
+		start(id: string, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>): UpstreamVisit {
 			const item = ensureSeen(id);
+			const startedAt = clock.now();
+			const uncached = generation ? generation.promptTokens - cache.countCached(id, generation.parts) : 0;
+			const work = baseTokens + item.waitingTokens + uncached;
+			let waiting = uncached;
 			item.inFlight += 1;
+			item.waitingTokens += uncached;
+			if (generation) {
+				cache.note(id, generation.parts, service.engine?.memory ?? Number.POSITIVE_INFINITY);
+			}
+
+			const endWait = () => {
+				item.waitingTokens -= waiting;
+				waiting = 0;
+			};
+
 			return {
-				noteFirst(span) {
-					item.failures = 0;
-					item.firstMs = item.firstMs === 0 ? span : (item.firstMs * (1 - firstWeight)) + (span * firstWeight);
+				noteFirst() {
+					item.silences = 0;
+					item.failureShare = average(item.failureShare, 0);
+					item.pace = average(item.pace, (clock.now() - startedAt) / work);
+					endWait();
 				},
 				noteLoad(load) {
 					item.told = load;
 					item.toldAt = clock.now();
 				},
+				noteSilent() {
+					item.silences += 1;
+					item.avoidUntil = clock.now() + Math.min(avoidLimit, avoidStep * (2 ** (item.silences - 1)));
+				},
 				noteFailure() {
-					item.failures += 1;
-					item.avoidUntil = clock.now() + Math.min(avoidLimit, avoidStep * (2 ** (item.failures - 1)));
+					item.failureShare += (1 - item.failureShare) * newestWeight;
 				},
 				end() {
+					endWait();
 					item.inFlight -= 1;
 				},
 			};
@@ -115,13 +202,14 @@
 
 		/** This gateway's own requests at upstreams. */
 		listUses: (): UpstreamUse[] => [...seen].filter(([, item]) => item.inFlight > 0)
-			.map(([upstream, {inFlight}]) => ({upstream, inFlight, waitingTokens: 0})),
+			.map(([upstream, {inFlight, waitingTokens}]) => ({upstream, inFlight, waitingTokens})),
 
 		/** Forgets upstreams that are gone and have no request left. */
 		prune(): void {
 			for (const [id, item] of seen) {
 				if (item.inFlight === 0 && directory.get(id) === undefined) {
 					seen.delete(id);
+					cache.drop(id);
 				}
 			}
 		},
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {
-	PrefixRoutingPolicy, createBudgetKeeper, createDirectPath, createMetrics, createPeerExchange, createRelayedLog, createRequestForwarder, createRetryBudget, createTokenLending, createUpstreamBook,
+	createBudgetKeeper, createDirectPath, createMetrics, createPeerExchange, createRelayedLog, createRequestForwarder, createRetryBudget, createTokenLending, createUpstreamBook,
 	type HolderIdentity, type PeerView, type RetryBudget,
 } from '../coordination/mod.js';
 import {
@@ -98,7 +98,9 @@
 		},
 	});
 	const {account, book, directory, findTable} = state;
-	const upstreams = createUpstreamBook({directory, clock, failureDomain: settings.failureDomain});
+	const upstreams = createUpstreamBook({
+		directory, clock, failureDomain: settings.failureDomain, listViews: () => exchange.listViews(),
+	});
 
 	// Daemons beside upstreams first: a partition that cuts this gateway off from the store often cuts the others off too.
 	function listRelays(): string[] {
@@ -160,7 +162,6 @@
 		wire: adapter.wire, clock, events,
 		client: createUpstreamClient({connectTimeout, connections: upstreamConnections}),
 		book: upstreams,
-		policy: new PrefixRoutingPolicy(),
 		findRetries(service) {
 			const known = retries.get(service) ?? createRetryBudget({share: settings.retryShare, burst: settings.retrySlack * firstRetryPart});
 			retries.set(service, known);
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -10,6 +10,7 @@
 export * from './grant-holder.js';
 export * from './ledger.js';
 export * from './placement.js';
+export * from './prompt-cache.js';
 export * from './receipt-book.js';
 export * from './request-table.js';
 export * from './route-table.js';
--- a/tools/harness/mod.ts
+++ b/tools/harness/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from './caller.js';
+export * from './fake-keyed-log.js';
 export * from './fleet.js';
 export * from './process.js';
 export * from './relay.js';
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
 	test: {
-		include: ['src/**/*.test.ts', 'tools/**/*.test.ts'],
+		include: ['src/**/*.test.ts', 'platform/**/*.test.ts', 'tools/**/*.test.ts'],
 		testTimeout: 60_000,
 		hookTimeout: 60_000,
 		// The process proofs measure time bounds, so test files take turns on a small machine.
