--- a/src/coordination/placement-policy.ts
+++ b/src/coordination/placement-policy.ts
@@ -56,7 +56,7 @@
 /** Price of bytes between failure domains, in tokens of a prompt read again: about 8 KB a stream. */
 const otherDomainTokens = 600;
 /** Share of a shared part's tokens that leaving its first place costs: another request will want it there. */
-const movedShare = [0, 0.3, 0.6];
+const movedShare = [0, 1.2, 2];
 
 /** @internal The parts that other requests share: all but the last, which is the request's own. */
 function listShared(parts: readonly PromptPart[]): readonly PromptPart[] {
