--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import process from 'node:process';
 import {
 	createBudgetKeeper, createDirectPath, createMetrics, createPeerExchange, createRelayedLog, createRequestForwarder, createRetryBudget, createTokenLending, createUpstreamBook,
 	type HolderIdentity, type PeerView, type RetryBudget,
@@ -16,6 +17,7 @@
 	createFleetClient, createSystemClock, createUpstreamClient, startCallerServer, startFleetServer, startHttpServer,
 } from '../transport/mod.js';
 import type {RunningDaemon} from './core.js';
+import {formatGatewayMetrics} from './gateway-metrics.js';
 import {createGatewayInterface} from './gateway-interface.js';
 import {createGatewayPeerInterface, type GatewayMessage} from './gateway-peer-interface.js';
 import {createGatewayState, type GatewayAdapter} from './gateway-state.js';
@@ -178,6 +180,14 @@
 			response.end();
 		});
 	});
+	const metricsServer = await startHttpServer(settings.listen.metrics, service => {
+		service.get('/metrics', (_request, response) => {
+			response.setHeader('content-type', 'text/plain; version=0.0.4');
+			response.end(formatGatewayMetrics({
+				metrics, events, running: callers.countRunning(), version: findTable()?.version ?? 0, account,
+			}));
+		});
+	});
 	const peerServer = await startFleetServer(settings.listen.peers, {
 		fleetKey: settings.fleetKey,
 		routes(router) {
@@ -195,13 +205,19 @@
 			events.write('peerRefused');
 		},
 	});
+	self.address = peerServer.address;
+	const addresses = {
+		callers: callerServer.url, readiness: readinessServer.url, peers: peerServer.address, metrics: metricsServer.url,
+	};
+	events.write('daemonStarted', {
+		role: self.role, incarnation: self.incarnation, pid: process.pid, ...addresses,
+	});
 	state.run(signal);
 	void keeper.run();
 	void exchange.run(signal);
-	events.write('daemonStarted', {role: 'gateway', incarnation: self.incarnation});
 
 	return {
-		addresses: {callers: callerServer.url, readiness: readinessServer.url, peers: peerServer.address},
+		addresses,
 		// A gateway's name is never taken over: each incarnation has its own key.
 		superseded: new Promise<void>(() => undefined), // eslint-disable-line no-promise-executor-return
 		reload(changed) {
@@ -223,6 +239,8 @@
 			stopper.abort();
 			callerServer.cut();
 			readinessServer.cut();
+			metricsServer.cut();
+			await peerServer.close();
 			fleet.close();
 			await adapter.close();
 			events.write('daemonStopped');
--- /dev/null
+++ b/src/daemon/gateway-metrics.ts
@@ -0,0 +1,54 @@
+/**
+ * A gateway's metrics as text.
+ *
+ * @module
+ */
+import process from 'node:process';
+import type {Metrics} from '../coordination/mod.js';
+import type {EventLog} from '../protocol/mod.js';
+import type {TokenAccount} from '../state/mod.js';
+
+/** Options of {@linkcode formatGatewayMetrics}. */
+export type FormatGatewayMetricsOptions = {
+	readonly metrics: Metrics;
+	readonly events: EventLog;
+	/** Requests that run. */
+	readonly running: number;
+	/** Version of the deployment in force. */
+	readonly version: number;
+	readonly account: TokenAccount;
+};
+
+/**
+ * Formats the metrics in the Prometheus text format.
+ *
+ * @example
+ * ```ts
+ * response.end(formatGatewayMetrics({metrics, events, running: 3, version: 7, account}));
+ * ```
+ *
+ * @param options What is told
+ * @returns The text
+ */
+export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
+	const {
+		metrics, events, running, version, account,
+	} = options;
+	const lines = [
+		`fireflylane_requests_running ${running}`,
+		`fireflylane_deployment_version ${version}`,
+		`fireflylane_resident_bytes ${process.memoryUsage.rss()}`,
+	];
+	for (const [event, count] of events.counts) {
+		lines.push(`fireflylane_events_total{event="${event}"} ${count}`);
+	}
+
+	for (const customer of account.listCustomers()) {
+		const balance = account.get(customer);
+		for (const part of ['granted', 'borrowed', 'lent', 'reserved', 'spent'] as const) {
+			lines.push(`fireflylane_tokens{customer="${customer}",part="${part}"} ${balance[part]}`);
+		}
+	}
+
+	return `${lines.join('\n')}\n${metrics.formatText()}`;
+}
--- a/src/daemon/relay-daemon.ts
+++ b/src/daemon/relay-daemon.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import process from 'node:process';
 import {formatHolderKey, type HolderIdentity} from '../coordination/mod.js';
 import {
 	Relay, createId, type EventLog, type KeyedLog, type RelaySettings,
@@ -71,8 +72,11 @@
 		}
 	}
 
+	self.address = server.address;
+	events.write('daemonStarted', {
+		role: self.role, incarnation: self.incarnation, pid: process.pid, peers: server.address,
+	});
 	void registerUntilDone();
-	events.write('daemonStarted', {role: self.role, incarnation: self.incarnation});
 	return {
 		addresses: {peers: server.address},
 		superseded: new Promise<void>(() => undefined), // eslint-disable-line no-promise-executor-return
--- a/src/daemon/run-direct-daemon.ts
+++ b/src/daemon/run-direct-daemon.ts
@@ -47,6 +47,34 @@
 	};
 }
 
+/** @internal */
+function readOrRefuse(readSettings: () => DirectSettings): DirectSettings | undefined {
+	try {
+		return readSettings();
+	} catch (error) {
+		process.stderr.write(`The settings cannot be used: ${(error as Error).message}\n`);
+		process.exitCode = failureTable['settings-invalid'].exitCode;
+		return undefined;
+	}
+}
+
+/**
+ * Checks settings and says whether they can be used.
+ *
+ * @example
+ * ```ts
+ * checkDirectSettings(() => readSettingsFile('boot.toml'));
+ * ```
+ *
+ * @param readSettings Reads and checks the settings; throws when they are wrong
+ */
+export function checkDirectSettings(readSettings: () => DirectSettings): void {
+	const settings = readOrRefuse(readSettings);
+	if (settings) {
+		process.stdout.write(`The settings of ${settings.role} "${settings.id}" are valid\n`);
+	}
+}
+
 /**
  * Runs a daemon until a signal stops it. SIGHUP has it read its settings
  * again; a file that is wrong leaves the old ones in force.
@@ -59,12 +87,8 @@
  * @param options The settings and the adapter
  */
 export async function runDirectDaemon(options: RunDirectDaemonOptions): Promise<void> {
-	let settings: DirectSettings;
-	try {
-		settings = options.readSettings();
-	} catch (error) {
-		process.stderr.write(`The settings cannot be used: ${(error as Error).message}\n`);
-		process.exitCode = failureTable['settings-invalid'].exitCode;
+	const settings = readOrRefuse(options.readSettings);
+	if (!settings) {
 		return;
 	}
 
--- a/tools/harness/process.ts
+++ b/tools/harness/process.ts
@@ -10,13 +10,13 @@
 import {fileURLToPath} from 'node:url';
 
 /** What a process printed as its ready line. */
-export type ReadyLine = {readonly pid: number; readonly url: string; readonly callers: string; readonly operators: string; readonly peers: string};
+export type ReadyLine = {readonly pid: number; readonly url: string; readonly callers: string; readonly operators: string; readonly peers: string; readonly readiness: string; readonly metrics: string};
 
 /** A process of the fleet. */
 export type FleetProcess = {
 	readonly name: string;
 	readonly ready: ReadyLine;
-	/** Everything it wrote to its standard error. */
+	/** Everything it wrote. */
 	readonly readLog: () => string;
 	readonly kill: () => Promise<void>;
 	readonly freeze: () => void;
@@ -45,9 +45,12 @@
 /** The build folder, whether this module runs from it or from its source. */
 const buildFolder = new URL(import.meta.url.includes('/dist/') ? '../../' : '../../dist/', import.meta.url);
 
+type ReadReadyLineOptions = {readonly readLog: () => string; readonly keepLine: (line: string) => void};
+
 /** @internal */
-async function readReadyLine(child: ChildProcess, name: string, readLog: () => string): Promise<ReadyLine> {
+async function readReadyLine(child: ChildProcess, name: string, {readLog, keepLine}: ReadReadyLineOptions): Promise<ReadyLine> {
 	const lines = createInterface({input: child.stdout!});
+	lines.on('line', keepLine);
 	const first = await Promise.race([
 		once(lines, 'line') as Promise<[string]>,
 		once(child, 'exit') as Promise<[number]>,
@@ -90,7 +93,12 @@
 	});
 	const exited = once(child, 'exit') as Promise<[number | undefined]>;
 	const readLog = () => log;
-	const ready = await readReadyLine(child, name, readLog);
+	const ready = await readReadyLine(child, name, {
+		readLog,
+		keepLine(line) {
+			log = (log + line + '\n').slice(-logLimit);
+		},
+	});
 	return {
 		name,
 		ready,
