--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -46,8 +46,6 @@
 const roundEvery = 1000;
 /** Times that an append is tried against other writers before it is left to the next round. */
 const appendTries = 6;
-/** Longest that a request waits for a claim, in milliseconds; the store answers in 4 ms when it is well. */
-const claimPatience = 300;
 /** When a caller may come back whose tokens are held by requests still running, in milliseconds. */
 const busyRetryAfter = 1000;
 
@@ -71,7 +69,7 @@
  *
  * @example
  * ```ts
- * const reservation = await keeper.acquire('city-1', 1540);
+ * const reservation = await keeper.acquire('city-1', 1540, 300);
  * ```
  *
  * @param options The log of grants, the account and the deployment
@@ -83,7 +81,6 @@
 	} = options;
 	const key = formatHolderKey(self);
 	const demand = createDemand(clock, {warmUp: rateWarmUp});
-	const largest = new Map<string, number>();
 	let sequence = 0;
 	let isEnding = false;
 	let writing: Promise<void> | undefined;
@@ -96,7 +93,6 @@
 			free: account.countFree(customer),
 			wanted: demand.countWanted(customer),
 			rate: demand.findRate(customer),
-			largest: largest.get(customer) ?? 0,
 			available: bought - book.sumGranted(customer, key),
 			isEnding,
 		});
@@ -193,8 +189,8 @@
 		return writing;
 	}
 
-	async function claim(customer: string, amount: number): Promise<TokenReservation | undefined> {
-		const until = clock.now() + claimPatience;
+	async function claim(customer: string, amount: number, patience: number): Promise<TokenReservation | undefined> {
+		const until = clock.now() + patience;
 		// A round that was under way when the request came may not have counted it.
 		for (let round = 0; round < 2 && clock.now() < until; round += 1) {
 			await Promise.race([writeShared(), clock.sleep(until - clock.now())]);
@@ -230,9 +226,8 @@
 			events.write('grantClaimed', {sequence: record.sequence, version: record.version});
 		},
 
-		/** Reserves a request's worst case: from what is free, by a claim, or from other gateways. */
-		async acquire(customer: string, amount: number): Promise<Result<TokenReservation, Failure>> {
-			largest.set(customer, Math.max(largest.get(customer) ?? 0, amount));
+		/** Reserves a request's worst case: from what is free, by a claim that may take `patience` milliseconds, or from other gateways. */
+		async acquire(customer: string, amount: number, patience: number): Promise<Result<TokenReservation, Failure>> {
 			const atOnce = account.reserve(customer, amount);
 			if (atOnce) {
 				return Ok(atOnce);
@@ -240,7 +235,7 @@
 
 			const stopWaiting = demand.startWaiting(customer, amount);
 			try {
-				const claimed = follower.isUp() ? await claim(customer, amount) : undefined;
+				const claimed = follower.isUp() ? await claim(customer, amount, patience) : undefined;
 				if (claimed) {
 					return Ok(claimed);
 				}
--- a/src/coordination/grant-size.ts
+++ b/src/coordination/grant-size.ts
@@ -19,8 +19,6 @@
 	readonly wanted: number;
 	/** Tokens a millisecond spent of late. */
 	readonly rate: number;
-	/** The largest worst case of a request seen. */
-	readonly largest: number;
 	/** What was bought less what was granted to others. */
 	readonly available: number;
 	/** The gateway stops. */
@@ -28,15 +26,14 @@
 };
 
 /**
- * Demand that a grant covers, in milliseconds. The store is seldom away for
- * all daemons at once, and then for about 5 s; a gateway cut off alone claims
- * through a relay.
+ * Demand that a grant covers, in milliseconds. What is free in a grant is lost
+ * when its holder dies, and on most days everything dies once; a claim takes
+ * 10 ms, and a gateway cut off alone claims through a relay. Only a store that
+ * is away for all daemons at once, seldom and for about 5 s, asks for more.
  */
-const horizon = 5000;
-/** Requests of the largest size that a grant covers besides, since few large requests come unevenly. */
-const spareRequests = 2;
+const horizon = 4000;
 /** A grant is renewed when less than this share of what it should cover is free. */
-const renewBelow = 0.9;
+const renewBelow = 0.5;
 /** A grant is reduced when more than this multiple of what it should cover is free. */
 const reduceAbove = 2;
 /** Share of what is left that one gateway may hold free, so that the rest can be claimed where it is needed. */
@@ -47,7 +44,7 @@
  *
  * @example
  * ```ts
- * computeGrant({granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, largest: 500, available: 10_000, isEnding: false}); // 1500
+ * computeGrant({granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, available: 10_000, isEnding: false}); // 500
  * ```
  *
  * @param view What it knows
@@ -66,7 +63,7 @@
 	}
 
 	const rest = Math.max(0, available - bound);
-	const cover = Math.min((view.rate * horizon) + (view.largest * spareRequests), rest * shareOfRest);
+	const cover = Math.min(view.rate * horizon, rest * shareOfRest);
 	const isShort = free < wanted || free < cover * renewBelow;
 	const isIdle = free > cover * reduceAbove && granted > bound;
 	if (!isShort && !isIdle) {
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -39,6 +39,8 @@
 
 /** When a caller may come back to a gateway that has just started, in milliseconds. */
 const notReadyRetryAfter = 1000;
+/** Share of a request's time that it may wait for a claim; a store that is slow takes 0.5 s for one. */
+const claimShare = 0.15;
 const callerLeft = 'The caller has left';
 const deadlinePassed = 'The time limit has passed';
 
@@ -128,10 +130,10 @@
 			: Err(createFailure('no-upstream', `Service "${id}" is not configured`, {retryAfterMs: notReadyRetryAfter}));
 	}
 
-	async function reserve({facts, customer}: Admitted): Promise<Result<TokenReservation | undefined, Failure>> {
+	async function reserve({facts, customer}: Admitted, span: number): Promise<Result<TokenReservation | undefined, Failure>> {
 		const {generation} = facts;
 		return generation && customer?.bought !== undefined
-			? keeper.acquire(customer.id, generation.promptTokens + generation.outputTokens)
+			? keeper.acquire(customer.id, generation.promptTokens + generation.outputTokens, span * claimShare)
 			: Ok(undefined);
 	}
 
@@ -170,7 +172,7 @@
 				return;
 			}
 
-			const reservation = await reserve(admitted);
+			const reservation = await reserve(admitted, span);
 			if (reservation.err) {
 				refuse(answer, facts.id, reservation.val);
 				return;
--- a/tools/harness/process.ts
+++ b/tools/harness/process.ts
@@ -10,7 +10,9 @@
 import {fileURLToPath} from 'node:url';
 
 /** What a process printed as its ready line. */
-export type ReadyLine = {readonly pid: number; readonly url: string; readonly callers: string; readonly operators: string; readonly peers: string; readonly readiness: string; readonly metrics: string};
+export type ReadyLine = {
+	readonly pid: number; readonly url: string; readonly callers: string; readonly operators: string; readonly peers: string; readonly readiness: string; readonly metrics: string;
+};
 
 /** A process of the fleet. */
 export type FleetProcess = {
