--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -42,8 +42,8 @@
 
 /** Shortest span over which a new rate is taken, in milliseconds; a single first request must not look like a rush. */
 const rateWarmUp = 2000;
-/** Pause between rounds of claims, in milliseconds; a request that is short does not wait for it. */
-const roundEvery = 1000;
+/** Pause between rounds of claims, in milliseconds, less than a grant covers; a request that is short does not wait for it. */
+const roundEvery = 500;
 /** Times that an append is tried against other writers before it is left to the next round. */
 const appendTries = 6;
 /** When a caller may come back whose tokens are held by requests still running, in milliseconds. */
@@ -82,6 +82,7 @@
 	const key = formatHolderKey(self);
 	const demand = createDemand(clock, {warmUp: rateWarmUp});
 	let sequence = 0;
+	let claimTime = 0;
 	let isEnding = false;
 	let writing: Promise<void> | undefined;
 
@@ -93,6 +94,7 @@
 			free: account.countFree(customer),
 			wanted: demand.countWanted(customer),
 			rate: demand.findRate(customer),
+			claimTime,
 			available: bought - book.sumGranted(customer, key),
 			isEnding,
 		});
@@ -137,6 +139,7 @@
 	}
 
 	async function writeOnce(): Promise<'done' | 'again'> {
+		const startedAt = clock.now();
 		if (!await follower.catchUp(signal)) {
 			return 'done';
 		}
@@ -153,6 +156,7 @@
 		const outcome = await log.append({key, value}, {at});
 		switch (outcome.kind) {
 			case 'appended': {
+				claimTime = clock.now() - startedAt;
 				follower.takeOwn({key, value, offset: outcome.offset});
 				return 'done';
 			}
@@ -223,7 +227,7 @@
 			}
 
 			sequence = Math.max(sequence, record.sequence);
-			events.write('grantClaimed', {sequence: record.sequence, version: record.version});
+			events.write('grantClaimed', {sequence: record.sequence, version: record.version, granted: JSON.stringify(record.granted)});
 		},
 
 		/** Reserves a request's worst case: from what is free, by a claim that may take `patience` milliseconds, or from other gateways. */
--- a/src/coordination/grant-size.ts
+++ b/src/coordination/grant-size.ts
@@ -19,6 +19,8 @@
 	readonly wanted: number;
 	/** Tokens a millisecond spent of late. */
 	readonly rate: number;
+	/** Milliseconds that a claim takes of late. */
+	readonly claimTime: number;
 	/** What was bought less what was granted to others. */
 	readonly available: number;
 	/** The gateway stops. */
@@ -31,7 +33,9 @@
  * 10 ms, and a gateway cut off alone claims through a relay. Only a store that
  * is away for all daemons at once, seldom and for about 5 s, asks for more.
  */
-const horizon = 4000;
+const horizon = 1200;
+/** Claims that the cover must last for: with a slow store, 0.4 s a call, it grows to several seconds. */
+const claimsCovered = 6;
 /** A grant is renewed when less than this share of what it should cover is free. */
 const renewBelow = 0.5;
 /** A grant is reduced when more than this multiple of what it should cover is free. */
@@ -44,7 +48,7 @@
  *
  * @example
  * ```ts
- * computeGrant({granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, available: 10_000, isEnding: false}); // 500
+ * computeGrant({granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, claimTime: 10, available: 10_000, isEnding: false}); // 500
  * ```
  *
  * @param view What it knows
@@ -63,7 +67,7 @@
 	}
 
 	const rest = Math.max(0, available - bound);
-	const cover = Math.min(view.rate * horizon, rest * shareOfRest);
+	const cover = Math.min(view.rate * (horizon + (view.claimTime * claimsCovered)), rest * shareOfRest);
 	const isShort = free < wanted || free < cover * renewBelow;
 	const isIdle = free > cover * reduceAbove && granted > bound;
 	if (!isShort && !isIdle) {
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -140,7 +140,7 @@
 	function note(request: ForwardRequest, report: ForwardReport): void {
 		const {route, customer, startedAt} = request;
 		events.write('requestEnded', {
-			request: request.id, route: route.id, customer, ...report, ms: Math.round(clock.now() - startedAt),
+			request: request.id, route: route.id, customer, ...report, used: computeUsed(request, report), ms: Math.round(clock.now() - startedAt),
 		});
 		const labels = {customer: customer ?? '-', class: route.id};
 		if (report.result === 'served') {
