Do not take a reset for the end of an answer without a length

Ruled out: an orderly end, which is a whole answer and stays one (tested). Change: a listener ahead of undici's notes the reset within the same event. Test first: upstream-client.test.ts failed in both ways of connecting. Not all of the cause; the rest follows.

--- /dev/null
+++ b/src/transport/upstream-client.test.ts
@@ -0,0 +1,97 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {
+	afterEach, expect, test,
+} from 'vitest';
+import {createUpstreamClient, type UpstreamCall} from './mod.js';
+
+const closers: Array<() => void> = [];
+
+afterEach(() => {
+	for (const close of closers.splice(0)) {
+		close();
+	}
+});
+
+/** Serves each connection's first request by the function given. */
+async function serve(answer: (socket: Socket) => void): Promise<string> {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			answer(socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	closers.push(() => server.close());
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function buildCall(address: string, isAlone: boolean): UpstreamCall {
+	return {
+		address, method: 'GET', path: '/', headers: [], body: undefined, signal: new AbortController().signal, isAlone,
+	};
+}
+
+async function readBody(address: string, isAlone: boolean): Promise<string> {
+	const client = createUpstreamClient({connectTimeout: 500, connections: 2});
+	closers.push(() => void client.close());
+	const answer = await client.call(buildCall(address, isAlone));
+	let text = '';
+	for await (const chunk of answer.unwrap().chunks) {
+		text += new TextDecoder().decode(chunk);
+	}
+
+	return text;
+}
+
+const lengthless = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf';
+
+test.each([true, false])('a lengthless answer whose connection is reset is not whole, alone %s', async isAlone => {
+	// A caller takes half an answer for the whole: the engine crashed in an
+	// answer without a length, and undici takes a reset there for its end.
+	const address = await serve(socket => {
+		socket.write(lengthless, () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 20);
+		});
+	});
+	await expect(readBody(address, isAlone)).rejects.toThrow('reset');
+});
+
+test.each([true, false])('a lengthless answer that ends in order is whole, alone %s', async isAlone => {
+	const address = await serve(socket => {
+		socket.end(lengthless);
+	});
+	await expect(readBody(address, isAlone)).resolves.toBe('half');
+});
+
+test('a torn answer with a length is not whole', async () => {
+	const address = await serve(socket => {
+		socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf');
+	});
+	await expect(readBody(address, true)).rejects.toThrow();
+});
+
+test('a connection that is refused has carried nothing', async () => {
+	const address = await serve(() => undefined);
+	for (const close of closers.splice(0)) {
+		close();
+	}
+
+	const client = createUpstreamClient({connectTimeout: 500, connections: 2});
+	const answer = await client.call(buildCall(address, false));
+	expect(answer.err && answer.val.kind).toBe('unsent');
+	await client.close();
+});
+
+test('a connection that closes after the request leaves the outcome open', async () => {
+	const address = await serve(socket => {
+		socket.destroy();
+	});
+	const client = createUpstreamClient({connectTimeout: 500, connections: 2});
+	const answer = await client.call(buildCall(address, true));
+	expect(answer.err && answer.val.kind).toBe('broken');
+	await client.close();
+});
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -5,7 +5,9 @@
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
-import {Agent, Client, type Dispatcher} from 'undici';
+import {
+	Agent, Client, buildConnector, type Dispatcher,
+} from 'undici';
 import {
 	Err, Ok, type RawHeaders, type Result,
 } from '../protocol/mod.js';
@@ -107,6 +109,32 @@
 	};
 }
 
+/**
+ * @internal Tells an answer's end from a reset. undici takes a reset in an
+ * answer without a length for its end, and a caller would get half an answer
+ * as a whole one. It does so within the socket's own event, so what this
+ * listener, the first of that event, has noted still holds then.
+ */
+function createResetWatch() {
+	let resetting: string | undefined;
+
+	return {
+		isResetting: (address: string) => resetting === address,
+		watch: (connector: buildConnector.connector): buildConnector.connector => (options, callback) => {
+			connector(options, (...result) => {
+				const [, socket] = result;
+				socket?.on('error', () => {
+					resetting = `${options.hostname}:${options.port}`;
+					queueMicrotask(() => {
+						resetting = undefined;
+					});
+				});
+				callback(...result);
+			});
+		},
+	};
+}
+
 /** @internal */
 function listRawHeaders(raw: unknown): string[] {
 	return Array.isArray(raw) ? raw.map(item => Buffer.from(item as Uint8Array).toString('latin1')) : [];
@@ -125,7 +153,8 @@
  * @returns The client
  */
 export function createUpstreamClient(options: CreateUpstreamClientOptions): UpstreamClient {
-	const connect = {timeout: options.connectTimeout};
+	const resets = createResetWatch();
+	const connect = resets.watch(buildConnector({timeout: options.connectTimeout}));
 	// Time bounds are the caller's own, by its signal.
 	const shared = {
 		connect, pipelining: 1, headersTimeout: 0, bodyTimeout: 0,
@@ -162,7 +191,7 @@
 					queue?.push(chunk);
 				},
 				onResponseEnd() {
-					queue?.end();
+					queue?.end(resets.isResetting(call.address) ? new Error('The connection was reset in an answer without a length') : undefined);
 					finish();
 				},
 				onResponseError(_started, error) {
