Tell a reset from an end by a write

Cause: when bytes and reset wait together, as in a busy gateway, the event loop reports an end and no error (the kernel signals hang-up after a partial read); an answer without a length then looked whole though its engine had crashed. Ruled out: undici's handling of the error, mended before: no error came. Change: sockets stay half open, and after an end the client writes two bytes; a reset connection refuses them at once, a closed one takes them. Test first: upstream-client.test.ts, reset together with the last bytes, failed in both ways of connecting.

--- a/src/transport/upstream-client.test.ts
+++ b/src/transport/upstream-client.test.ts
@@ -35,7 +35,9 @@
 
 async function readBody(address: string, isAlone: boolean): Promise<string> {
 	const client = createUpstreamClient({connectTimeout: 500, connections: 2});
-	closers.push(() => void client.close());
+	closers.push(() => {
+		void client.close();
+	});
 	const answer = await client.call(buildCall(address, isAlone));
 	let text = '';
 	for await (const chunk of answer.unwrap().chunks) {
@@ -60,6 +62,17 @@
 	await expect(readBody(address, isAlone)).rejects.toThrow('reset');
 });
 
+test.each([true, false])('a reset that arrives together with the last bytes is no end, alone %s', async isAlone => {
+	// As above, but the gateway is busy: bytes and reset wait together, and the
+	// event loop reports the end of the stream and no error.
+	const address = await serve(socket => {
+		socket.write(lengthless, () => {
+			socket.resetAndDestroy();
+		});
+	});
+	await expect(readBody(address, isAlone)).rejects.toThrow('reset');
+});
+
 test.each([true, false])('a lengthless answer that ends in order is whole, alone %s', async isAlone => {
 	const address = await serve(socket => {
 		socket.end(lengthless);
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -5,6 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
+import type {Socket} from 'node:net';
 import {
 	Agent, Client, buildConnector, type Dispatcher,
 } from 'undici';
@@ -110,24 +111,44 @@
 }
 
 /**
- * @internal Tells an answer's end from a reset. undici takes a reset in an
- * answer without a length for its end, and a caller would get half an answer
- * as a whole one. It does so within the socket's own event, so what this
- * listener, the first of that event, has noted still holds then.
+ * @internal Tells the end of an answer without a length from a reset, which a
+ * caller must not take for a whole answer. It shows in two ways. undici takes
+ * the reset, an error of the socket, for the end; and the event loop reports
+ * an end and no error when bytes and reset have waited together. These
+ * listeners come before undici's: they note the error within its event, and
+ * after an end they write. A connection that was reset refuses the write at
+ * once; one that the upstream has closed takes it.
  */
 function createResetWatch() {
-	let resetting: string | undefined;
+	const verdicts = new Map<string, Promise<boolean>>();
+
+	function note(address: string, verdict: Promise<boolean>): void {
+		verdicts.set(address, verdict);
+		queueMicrotask(() => {
+			verdicts.delete(address);
+		});
+	}
+
+	async function probe(socket: Socket): Promise<boolean> {
+		return new Promise(resolve => {
+			socket.write('\r\n', error => {
+				resolve(error instanceof Error);
+			});
+		});
+	}
 
 	return {
-		isResetting: (address: string) => resetting === address,
+		/** To be asked within the event that ended an answer: whether its connection was reset. */
+		wasReset: async (address: string): Promise<boolean> => verdicts.get(address) ?? false,
 		watch: (connector: buildConnector.connector): buildConnector.connector => (options, callback) => {
 			connector(options, (...result) => {
 				const [, socket] = result;
+				const address = `${options.hostname}:${options.port}`;
 				socket?.on('error', () => {
-					resetting = `${options.hostname}:${options.port}`;
-					queueMicrotask(() => {
-						resetting = undefined;
-					});
+					note(address, Promise.resolve(true));
+				});
+				socket?.on('end', () => {
+					note(address, probe(socket));
 				});
 				callback(...result);
 			});
@@ -154,7 +175,7 @@
  */
 export function createUpstreamClient(options: CreateUpstreamClientOptions): UpstreamClient {
 	const resets = createResetWatch();
-	const connect = resets.watch(buildConnector({timeout: options.connectTimeout}));
+	const connect = resets.watch(buildConnector({timeout: options.connectTimeout, allowHalfOpen: true}));
 	// Time bounds are the caller's own, by its signal.
 	const shared = {
 		connect, pipelining: 1, headersTimeout: 0, bodyTimeout: 0,
@@ -174,6 +195,12 @@
 				onClosed();
 			};
 
+			const endQueue = async (verdict: Promise<boolean>) => {
+				const wasReset = await verdict;
+				queue?.end(wasReset ? new Error('The connection was reset in an answer without a length') : undefined);
+				finish();
+			};
+
 			const handler: Dispatcher.DispatchHandler = {
 				onRequestStart(started) {
 					controller = started;
@@ -191,8 +218,7 @@
 					queue?.push(chunk);
 				},
 				onResponseEnd() {
-					queue?.end(resets.isResetting(call.address) ? new Error('The connection was reset in an answer without a length') : undefined);
-					finish();
+					void endQueue(resets.wasReset(call.address));
 				},
 				onResponseError(_started, error) {
 					queue?.end(error);
