--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -38,5 +38,6 @@
 export * from './snapshotter.js';
 export * from './token-lending.js';
 export * from './upstream-book.js';
+export * from './urgency.js';
 export * from './upstream-desk.js';
 export * from './work-queue.js';
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -17,6 +17,7 @@
 } from './answer-relay.js';
 import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
 import type {RetryBudget} from './retry-budget.js';
+import {computeUrgency} from './urgency.js';
 import {PromptPlacementPolicy, ServicePlacementPolicy, type PlacementPolicy} from './placement-policy.js';
 import type {UpstreamBook, UpstreamVisit} from './upstream-book.js';
 
@@ -44,8 +45,6 @@
 /** One request on its way. */
 type Forwarding = {readonly request: ForwardRequest; readonly relay: AnswerRelay; readonly progress: Progress};
 
-/** The least urgent rank that an upstream knows. */
-const lastUrgency = 9;
 /** What a sending brings to the receipt of its answer. */
 type ReceiveOptions = {readonly visit: UpstreamVisit; readonly onProgress: () => void};
 
@@ -164,7 +163,7 @@
 				method: request.method,
 				path: request.path,
 				headers: wire.buildForwardHeaders(request.rawHeaders, {
-					requestId: request.id, upstream: id, customer: request.customer, remaining, lastEvent: relay.lastEvent, urgency: Math.min(lastUrgency, request.priority),
+					requestId: request.id, upstream: id, customer: request.customer, remaining, lastEvent: relay.lastEvent, urgency: computeUrgency(request),
 				}),
 				body: request.body,
 				signal: bound.signal,
