Stop entries with a stream that has just begun, and add a demo on the platform

Cause: rolling-stop's unguarded side passed under load since the six callers run in step: an entry that was stopped before their first requests, or in the second half of their common turn, had nothing to cut. Ruled out: a guard elsewhere that makes up for the missing one.

--- a/tools/demo/main.ts
+++ b/tools/demo/main.ts
@@ -8,6 +8,7 @@
 import {
 	askChat, bookSlot, fetchDocument, fleetKeys, startFleet, type CallerAnswer, type TestFleet,
 } from '../harness/mod.js';
+import {runPlatformDemo} from '../../platform/demo.js';
 import {pickPercentile, roundTo} from '../measure/report.js';
 
 const customers = [
@@ -162,4 +163,5 @@
 	}
 }
 
-await runDemo(process.argv.includes('--stay'));
+const playDemo = process.argv.includes('--platform') ? runPlatformDemo : async () => runDemo(process.argv.includes('--stay'));
+await playDemo();
--- a/tools/prove/stop-proofs.ts
+++ b/tools/prove/stop-proofs.ts
@@ -71,10 +71,26 @@
 	return listen(fleet.entries[0]);
 }
 
-async function replaceAll(fleet: TestFleet): Promise<number[]> {
+// A stream that has just begun at the entry and lasts longer than its notice to the balancer. Without one the stop may
+// meet no request: the callers run in step, and under load the entry is stopped before their first requests reach it.
+async function openLongStream(url: string): Promise<Array<Promise<CallerAnswer | undefined>>> {
+	let begin: () => void = () => undefined;
+	const begun = new Promise<void>(resolve => {
+		begin = resolve;
+	});
+	const answer = tryChat(url, {
+		content: 'long answer 400', maxTokens: 400, stream: true, deadline: '30s', onFirst: begin,
+	});
+	await Promise.race([begun, answer]);
+	return [answer];
+}
+
+async function replaceAll(fleet: TestFleet, answers: Array<CallerAnswer | undefined>): Promise<number[]> {
 	const codes: number[] = [];
 	for (const daemon of [...fleet.entries, ...fleet.upstreams]) {
+		const open = fleet.entries.includes(daemon) ? await openLongStream(listen(daemon)) : [];
 		codes.push(await daemon.process.stop());
+		answers.push(...await Promise.all(open));
 		await fleet.restart(daemon);
 		await waitUntil(async () => {
 			const status = await readStatus(daemon);
@@ -110,7 +126,7 @@
 				}));
 			}
 		});
-		const codes = await replaceAll(fleet);
+		const codes = await replaceAll(fleet, answers);
 		over.abort();
 		await Promise.all(callers);
 		await waitForReceipts(fleet);
