Bound the metrics' series and drop settings that nothing reads

Cause: read as a newcomer: histograms of every route that ever was would stay for good (30 KB a series), and two settings, a bound and a look-up were never used. Series beyond 200 are told together; a test holds it. Upstreams that are gone are forgotten with each exchange.

--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -44,7 +44,6 @@
 	let next: number | undefined;
 	let isUp = false;
 	let lostAt = Number.NEGATIVE_INFINITY;
-	let readAt = Number.NEGATIVE_INFINITY;
 	let reading: Promise<boolean> | undefined;
 
 	function noteUp(nowUp: boolean): void {
@@ -53,9 +52,7 @@
 		}
 
 		isUp = nowUp;
-		if (nowUp) {
-			readAt = clock.now();
-		} else {
+		if (!nowUp) {
 			lostAt = clock.now();
 		}
 	}
@@ -115,8 +112,6 @@
 		/** Offset of the next record wanted; undefined before the first read. */
 		next: () => next,
 		isUp: () => isUp,
-		/** Milliseconds since a read succeeded. */
-		age: () => clock.now() - readAt,
 		/** True when a read failed within the span, in milliseconds. */
 		wasLostWithin: (span: number): boolean => clock.now() - lostAt < span,
 
--- /dev/null
+++ b/src/coordination/metrics.test.ts
@@ -0,0 +1,17 @@
+import {expect, test} from 'vitest';
+import {createMetrics} from './mod.js';
+
+test('series beyond the limit are told together', () => {
+	// A gateway runs out of memory after weeks of changes of configuration:
+	// each route that ever was keeps its histograms.
+	const metrics = createMetrics();
+	for (let index = 0; index < 1000; index += 1) {
+		metrics.noteServed({customer: 'c', class: `r${index}`}, {
+			firstMs: 1, totalMs: 1, gapMs: 1, tokens: 1,
+		});
+	}
+
+	const rows = metrics.listRows();
+	expect(rows.length).toBe(201);
+	expect(rows.find(row => row.customer === 'other')?.served).toBe(800);
+});
--- a/src/coordination/metrics.ts
+++ b/src/coordination/metrics.ts
@@ -37,6 +37,9 @@
 
 const highestMs = 3_600_000;
 const scale = 10;
+/** Series kept; each takes about 30 KB. Requests beyond them are told together. */
+const seriesLimit = 200;
+const otherLabels: MetricLabels = {customer: 'other', class: 'other'};
 
 type Series = {
 	readonly labels: MetricLabels;
@@ -79,8 +82,14 @@
 export function createMetrics() {
 	const series = new Map<string, Series>();
 
-	function ensureSeries(labels: MetricLabels): Series {
-		const key = `${labels.customer}\0${labels.class}`;
+	function formatKey(labels: MetricLabels): string {
+		return `${labels.customer}\0${labels.class}`;
+	}
+
+	function ensureSeries(wanted: MetricLabels): Series {
+		const isKept = series.has(formatKey(wanted)) || series.size < seriesLimit;
+		const labels = isKept ? wanted : otherLabels;
+		const key = formatKey(labels);
 		const known = series.get(key) ?? {
 			labels, first: createHistogram(), total: createHistogram(), gap: createHistogram(), refused: new Map(), served: 0, tokens: 0,
 		};
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -112,6 +112,7 @@
 	}
 
 	function buildView(): PeerView {
+		upstreams.prune();
 		return {
 			daemon: self.daemon,
 			incarnation: self.incarnation,
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -30,14 +30,10 @@
 	store: z.string(),
 	/** Time that a stop may take before the process is killed, in milliseconds. */
 	stopWithin: z.number().positive(),
-	/** Milliseconds after the end of a request during which its worst case still counts as used. */
-	settleWithin: z.number().nonnegative(),
 	/** Repeated sends as a share of requests, fleet-wide. */
 	retryShare: z.number().min(0).max(1),
 	/** Repeated sends allowed beyond the share, fleet-wide, in any retry window. */
 	retrySlack: z.number().nonnegative(),
-	/** Descriptors that sockets may use. */
-	sockets: z.number().int().positive(),
 });
 
 /** Schema of a relay daemon's settings. */
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -18,7 +18,6 @@
 	readonly setLimits: (limits: CallerLimits) => void;
 	/** Stops accepting; answers ask callers to close, and idle connections are closed. */
 	readonly drain: () => void;
-	readonly isDraining: () => boolean;
 	/** Ends all connections at once. */
 	readonly cut: () => void;
 };
@@ -73,7 +72,6 @@
 			server.close();
 			server.closeIdleConnections();
 		},
-		isDraining: () => isDraining,
 		cut() {
 			server.closeAllConnections();
 		},
