Start the log's outage of start-while-log-down once the peer holds tokens

The proof gave the peer one second to claim tokens before the log went down; beside load that may not do, and the story has the peer hold tokens. Change: it waits until the peer holds some. What is checked is the same.

--- a/tools/prove/configuration-proofs.ts
+++ b/tools/prove/configuration-proofs.ts
@@ -7,7 +7,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {fetchDocument, waitUntil, type FleetDaemon} from '../harness/mod.js';
 import {
-	configureCity, listen, readStatus, setLog, tryChat,
+	city, configureCity, listen, readStatus, setLog, tryChat,
 } from './count.js';
 import {
 	quick, replaceModule, type Proof,
@@ -154,7 +154,11 @@
 	withoutGuard: replaceModule('src/coordination/membership', 'membership-without-relay'),
 	async run(fleet) {
 		await configureCity(fleet, 100_000);
-		await wait(1000);
+		const [peer] = fleet.entries;
+		await waitUntil(async () => {
+			const budget = await fetchDocument<{freeHere: number}>(`${peer!.process.ready.operators}/v1/budgets/${city.budget}`);
+			return budget.freeHere > 0;
+		}, 'the peer holds tokens');
 		await setLog(fleet, {isDown: true});
 		await fleet.entries[1]!.process.kill();
 		fleet.entries[1]!.settings.peers = [fleet.entries[0]!.peerRelay!.address];
