--- a/src/coordination/forward-types.ts
+++ b/src/coordination/forward-types.ts
@@ -45,7 +45,7 @@
 };
 
 /** Why a request came to its end. */
-export type ForwardResult = 'served' | 'passed-on' | 'refused' | 'failed' | 'cut' | 'caller-left';
+export type ForwardResult = 'served' | 'passed-on' | 'refused' | 'failed' | 'cut';
 
 /** What became of a request. */
 export type ForwardReport = {
