Share the spare retries out among all gateways that were ever seen

Cause, found by reading: each gateway took a quarter of the fleet's spare retries, so eight gateways could use twice and 27 nearly seven times as many. Ruled out: a share by the number now, which would refill with each gateway that comes and goes.

--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -45,8 +45,8 @@
 const leaveNotice = 2500;
 /** Time kept at the end of a stop for giving grants back, in milliseconds. */
 const stopReserve = 700;
-/** Share of the fleet's retries that one gateway may use, before the number of gateways is known. */
-const firstRetryPart = 0.25;
+/** The fleet's spare retries are shared out among at least so many gateways: the smallest deployments have four. */
+const leastGateways = 4;
 
 /** @internal */
 function createIdentity(settings: GatewaySettings): HolderIdentity {
@@ -161,12 +161,20 @@
 		borrow: lending.borrow,
 	});
 	const retries = new Map<string, RetryBudget>();
+	// Only ever rises: gateways that come and go must not refill the budgets each time.
+	let mostGateways = leastGateways;
 	const forwarder = createRequestForwarder({
 		wire: adapter.wire, clock, events,
 		client: createUpstreamClient({connectTimeout, connections: upstreamConnections}),
 		book: upstreams,
 		findRetries(service) {
-			const known = retries.get(service) ?? createRetryBudget({share: settings.retryShare, burst: settings.retrySlack * firstRetryPart});
+			const gateways = book.listRunning().filter(({role}) => role === 'gateway').length;
+			if (gateways > mostGateways) {
+				mostGateways = gateways;
+				retries.clear();
+			}
+
+			const known = retries.get(service) ?? createRetryBudget({share: settings.retryShare, burst: settings.retrySlack / mostGateways});
 			retries.set(service, known);
 			return known;
 		},
