Do not call a request refused that got another one's answer

Cause, found by reading the diff: an answer with another request's id was thrown away without noting that this request had been sent. A booking then ended with 503, which promises that it has not run, and a prompt's tokens were not counted. Ruled out: nothing was sent, or the upstream promised so; both stay "not run". Test first: it got "overloaded", now "outcome-unknown".

--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -157,6 +157,15 @@
 	expect(world.sent.body).toBe('mine');
 });
 
+test('a booking that got another request\'s answer is not called refused', async () => {
+	// A family is told that its booking has not run, books again, and holds two
+	// slots: the booking was sent, and another request's answer came in its place.
+	const world = createWorld([{status: 200, headers: {...whole, id: 'r0'}, chunks: ['theirs']}]);
+	const report = await world.forward({kind: 'once'});
+	expect(world.sent.refused?.type).toBe('outcome-unknown');
+	expect(report.mayHaveRun).toBe(true);
+});
+
 test('an answer without the upstream\'s mark is not passed on as a success', async () => {
 	const world = createWorld([{status: 200, headers: {id: 'r1'}, chunks: ['forged']}]);
 	await world.forward({kind: 'once'});
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -99,6 +99,8 @@
 		}
 
 		if (isOther(request, facts)) {
+			// It says nothing of this request, which was sent: "not run" would be a false promise, and its tokens uncounted.
+			progress.mayHaveRun = true;
 			answer.abandon();
 			return {kind: 'broken', detail: 'The answer belongs to another request'};
 		}
