Wait for the suspicion of a dead entry in killed-holder, and name the last refusal

Cause: the proof slept 4 s after the kill and counted what followed; beside load the entry may not have suspected its peer by then, and nothing in the figures said why a request was refused. Ruled out: waiting for the grants to be taken back, since that begins only when someone is short. Change: wait until the other entry suspects the dead one; the last refusal and the span are figures. The check keeps its bounds.

--- a/tools/prove/budget-proofs.ts
+++ b/tools/prove/budget-proofs.ts
@@ -27,6 +27,15 @@
 	}, `the peers have ended ${daemon}`);
 }
 
+// Until then a refusal is honest: the tokens are held by a daemon that may live.
+async function waitUntilSuspected(fleet: TestFleet, daemon: string): Promise<void> {
+	const {operators} = fleet.entries[1]!.process.ready;
+	await waitUntil(async () => {
+		const {hosts} = await fetchDocument<{hosts: Array<{daemon: string; isAlive: boolean}>}>(`${operators}/v1/hosts`);
+		return hosts.every(host => host.daemon !== daemon || !host.isAlive);
+	}, `the other entry suspects ${daemon}`);
+}
+
 async function cutOffFirstEntry(fleet: TestFleet, isCut: boolean): Promise<void> {
 	fleet.entries[0]!.logRelay!.setCut(isCut);
 	fleet.entries[0]!.peerRelay!.setCut(isCut);
@@ -118,8 +127,10 @@
 		await wait(100);
 		await fleet.entries[0]!.process.kill();
 		await Promise.all(cut);
-		await wait(4000);
+		await waitUntilSuspected(fleet, 'entry-1');
+		const startedAt = performance.now();
 		const after = await spendUntilRefused(listen(fleet.entries[1]), {limit: 200});
+		const spentIn = performance.now() - startedAt;
 		await waitForReceipts(fleet);
 		const budget = await fleet.findBudget(city.budget);
 		const share = budget.billed / budget.bought;
@@ -127,6 +138,8 @@
 			holds: budget.billed <= budget.bought && share >= 0.98,
 			figures: {
 				bought: budget.bought, billed: budget.billed, share: Number(share.toFixed(3)), answeredBefore: sumTokens(before), answeredAfter: sumTokens(after),
+				spentInMs: Math.round(spentIn),
+				lastRefusal: after.at(-1)?.problem?.detail ?? '',
 			},
 		};
 	},
@@ -211,6 +224,7 @@
 			holds: Boolean(second?.isWhole) && second?.tokens === 300 && runs === 1 && budget.burnt === 0 && budget.billed > 300 && budget.billed < 320,
 			figures: {
 				isWhole: Boolean(second?.isWhole), tokens: second?.tokens ?? 0, runs, billed: budget.billed, burnt: budget.burnt,
+				secondStatus: second?.status ?? 0, refusal: second?.problem?.detail ?? '',
 			},
 		};
 	},
