--- a/src/protocol/changes.ts
+++ b/src/protocol/changes.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const nameSchema = z.string().regex(/^[a-z\d][a-z\d._-]{0,63}$/, 'Use 1 to 64 lower-case letters, digits, dots, dashes or underscores');
 const tokensSchema = z.number().int().positive().max(Number.MAX_SAFE_INTEGER / 4);
--- a/src/protocol/chat.ts
+++ b/src/protocol/chat.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The largest `max_tokens` that is taken seriously. */
 export const absurdMaxTokens = 1_000_000;
--- a/src/protocol/deployment.ts
+++ b/src/protocol/deployment.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
  * What may be repeated: an `idempotent` request may run more than once, a
--- a/src/protocol/failures.ts
+++ b/src/protocol/failures.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Whether the request ran: `no` is only said when it never will. */
 export const ranSchema = z.enum(['no', 'yes', 'unknown']);
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const addressSchema = z.object({host: z.string(), port: z.number().int().min(0).max(65_535)});
 
--- a/src/protocol/records.ts
+++ b/src/protocol/records.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {changeSchema} from './changes.js';
 
 const tokens = z.number().int().nonnegative();
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {isIP} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 import {sizeSchema, spanSchema} from './units.js';
 
 const addressSchema = z.strictObject({
--- a/src/protocol/units.ts
+++ b/src/protocol/units.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const spanUnits: Readonly<Record<string, number>> = {
 	ms: 1, s: 1000, min: 60_000, h: 3_600_000,
--- a/src/state/grant-book.ts
+++ b/src/state/grant-book.ts
@@ -10,7 +10,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Schema of a holder's record. */
 export const holderRecordSchema = z.object({
--- a/src/state/traces.test.ts
+++ b/src/state/traces.test.ts
@@ -1,6 +1,6 @@
 import {readFileSync, readdirSync} from 'node:fs';
 import {expect, test} from 'vitest';
-import {z} from 'zod';
+import * as z from 'zod';
 import {recordSchema} from '../protocol/mod.js';
 import {createFleetState} from './mod.js';
 
--- a/src/transport/engine-client.ts
+++ b/src/transport/engine-client.ts
@@ -6,7 +6,7 @@
  */
 import type {Readable} from 'node:stream';
 import {Agent, request, type Dispatcher} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	Err, Ok, createFailure, type Failure, type Result,
 } from '../protocol/mod.js';
--- a/src/transport/host-list-client.ts
+++ b/src/transport/host-list-client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {Agent, request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	Err, Ok, createFailure, type Failure, type Result,
 } from '../protocol/mod.js';
