Send calls to the store through a relay too when the direct way is slow or silent

Ruled out: the relays (20 ms a claim), lending. Change: a direct call that takes over 120 ms is sent through a relay as well and the first that reaches the store counts; while the way is down, a look at it runs beside the relays. The ended request's event names its wait.

--- a/src/coordination/relayed-log.ts
+++ b/src/coordination/relayed-log.ts
@@ -21,6 +21,7 @@
 export type CreateRelayedLogOptions = {
 	readonly direct: KeyedLog;
 	readonly path: DirectPath;
+	readonly clock: Clock;
 	/** Addresses of daemons that may reach the store, the nearest first. */
 	readonly listRelays: () => string[];
 	/** The same log through another daemon. */
@@ -30,8 +31,14 @@
 /** Options of {@linkcode createDirectPath}. */
 export type CreateDirectPathOptions = {readonly clock: Clock; readonly events: EventLog};
 
-/** How long the direct way is left alone after a failure, in milliseconds. */
-const retryDirectAfter = 1000;
+/** Pause between calls that look whether the direct way works again, in milliseconds. */
+const probeEvery = 1000;
+/**
+ * A direct call that takes longer, in milliseconds, goes through a relay as
+ * well. A call takes 4 ms, and 1 s until a silent one is given up on: callers
+ * whose tokens had to be claimed waited that second in each partition.
+ */
+const hedgeAfter = 120;
 /** Daemons asked in one call: a relay may be cut off as well. */
 const relaysTried = 3;
 
@@ -48,20 +55,30 @@
  */
 export function createDirectPath(options: CreateDirectPathOptions) {
 	const {clock, events} = options;
-	let failedAt = Number.NEGATIVE_INFINITY;
-	let isDown = false;
+	let triedAt = Number.NEGATIVE_INFINITY;
+	let isUp = true;
 	let lastRelay = '';
 
 	return {
-		/** False for a while after a failure. */
-		isWorthTrying: () => !isDown || clock.now() - failedAt >= retryDirectAfter,
-		note(isOk: boolean): void {
-			if (isDown === isOk) {
-				events.write(isOk ? 'storePathBack' : 'storePathLost');
+		isUp: () => isUp,
+
+		/** True if the direct way is up, or if it is this call's turn to look whether it is. */
+		claimTry(): boolean {
+			const isDue = clock.now() - triedAt >= probeEvery;
+			if (!isUp && isDue) {
+				triedAt = clock.now();
 			}
 
-			isDown = !isOk;
-			failedAt = isOk ? failedAt : clock.now();
+			return isUp || isDue;
+		},
+
+		note(nowUp: boolean): void {
+			if (isUp !== nowUp) {
+				events.write(nowUp ? 'storePathBack' : 'storePathLost');
+				triedAt = clock.now();
+			}
+
+			isUp = nowUp;
 		},
 
 		/** The relay that answered last is asked first. */
@@ -76,55 +93,113 @@
 	};
 }
 
+/** One kind of call, for any way to the log. */
+type StoreCall<Value> = {
+	readonly run: (log: KeyedLog) => Promise<Value>;
+	/** True when the value shows that the store was reached. */
+	readonly hasReached: (value: Value) => boolean;
+	/** Milliseconds for which the store may hold the answer back. */
+	readonly wait?: number;
+};
+
+/** @internal Resolves with the first value that shows the store was reached, else with the first call's. */
+async function takeFirstReached<Value>(calls: ReadonlyArray<Promise<Value>>, hasReached: (value: Value) => boolean): Promise<Value> {
+	const reached = calls.map(async call => {
+		const value = await call;
+		if (!hasReached(value)) {
+			throw new Error('The store was not reached this way');
+		}
+
+		return value;
+	});
+	try {
+		return await Promise.any(reached);
+	} catch {
+		// None reached it: the value of the first call says why.
+		return calls[0]!;
+	}
+}
+
 /**
- * Creates a log that goes through other daemons when the direct way fails.
+ * Creates a log that goes through other daemons when the direct way fails or
+ * is slow.
  *
  * @example
  * ```ts
- * const log = createRelayedLog({direct, path, listRelays: () => ['10.0.0.7:7340'], openThrough});
+ * const log = createRelayedLog({direct, path, clock, listRelays: () => ['10.0.0.7:7340'], openThrough});
  * ```
  *
  * @param options The direct log and the other daemons
  * @returns The log
  */
 export function createRelayedLog(options: CreateRelayedLogOptions): KeyedLog {
-	const {direct, path} = options;
+	const {direct, path, clock} = options;
 
-	function listWays(): Array<{readonly log: KeyedLog; readonly relay?: string}> {
-		const relays = path.rankRelays(options.listRelays()).map(relay => ({log: options.openThrough(relay), relay}));
-		return path.isWorthTrying() ? [{log: direct}, ...relays] : [...relays, {log: direct}];
+	async function callDirect<Value>({run, hasReached}: StoreCall<Value>): Promise<Value> {
+		const value = await run(direct);
+		path.note(hasReached(value));
+		return value;
 	}
 
-	// Tries one way after the other until one reaches the store.
-	async function tryWays<Value>(run: (log: KeyedLog) => Promise<Value>, hasReached: (value: Value) => boolean): Promise<Value> {
+	// Asks one relay after the other; the last value when none reached the store, undefined when there is none.
+	async function callRelays<Value>({run, hasReached}: StoreCall<Value>): Promise<Value | undefined> {
 		let value: Value | undefined;
-		for (const {log, relay} of listWays()) {
-			value = await run(log);
-			const isReached = hasReached(value);
-			if (relay === undefined) {
-				path.note(isReached);
-			} else if (isReached) {
+		for (const relay of path.rankRelays(options.listRelays())) {
+			value = await run(options.openThrough(relay));
+			if (hasReached(value)) {
 				path.noteRelay(relay);
+				return value;
 			}
+		}
 
-			if (isReached) {
-				return value;
+		return value;
+	}
+
+	// Goes both ways: whichever reaches the store first is taken, and the direct way counts as lost if it was a relay.
+	async function callBoth<Value>(call: StoreCall<Value>, pending: Promise<Value>): Promise<Value> {
+		let isDirectDone = false;
+		const throughDirect = (async () => {
+			const value = await pending;
+			isDirectDone = true;
+			return value;
+		})();
+		const throughRelays = (async () => {
+			const value = await callRelays(call);
+			if (value !== undefined && call.hasReached(value) && !isDirectDone) {
+				path.note(false);
 			}
+
+			return value ?? pending;
+		})();
+		return takeFirstReached([throughDirect, throughRelays], call.hasReached);
+	}
+
+	async function callStore<Value>(call: StoreCall<Value>): Promise<Value> {
+		const wasUp = path.isUp();
+		if (!path.claimTry()) {
+			const value = await callRelays(call);
+			return value !== undefined && call.hasReached(value) ? value : callDirect(call);
 		}
 
-		return value!;
+		const pending = callDirect(call);
+		const patience = wasUp ? hedgeAfter + (call.wait ?? 0) : 0;
+		const timer = new AbortController();
+		const early = await Promise.race([pending, clock.sleep(patience, timer.signal)]);
+		timer.abort();
+		return early !== undefined && call.hasReached(early) ? early : callBoth(call, pending);
 	}
 
 	return {
 		name: direct.name,
-		readNewest: async () => tryWays<Result<NewestRecords, Failure>>(async log => log.readNewest(), result => result.ok),
-		read: async (from, readOptions) => tryWays(
-			async log => log.read(from, readOptions),
-			result => result.ok || result.val.kind === 'gone' || readOptions.signal.aborted,
-		),
+		readNewest: async () => callStore<Result<NewestRecords, Failure>>({run: async log => log.readNewest(), hasReached: result => result.ok}),
+		read: async (from, readOptions) => callStore({
+			run: async log => log.read(from, readOptions),
+			hasReached: result => result.ok || result.val.kind === 'gone' || readOptions.signal.aborted,
+			wait: readOptions.wait,
+		}),
 		// Only an append under a condition may be sent a second way: a copy of one without it would stand twice.
 		append: async (record, appendOptions) => appendOptions.at === undefined
 			? direct.append(record, appendOptions)
-			: tryWays<AppendOutcome>(async log => log.append(record, appendOptions), outcome => outcome.kind === 'appended' || outcome.kind === 'behind'),
+			: callStore<AppendOutcome>({run: async log => log.append(record, appendOptions), hasReached: outcome => outcome.kind === 'appended' || outcome.kind === 'behind'}),
 	};
 }
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -84,7 +84,7 @@
 	const fleet = createFleetClient(settings.fleetKey);
 	const path = createDirectPath({clock, events});
 	const openRelayed = (direct: KeyedLog) => createRelayedLog({
-		direct, path, listRelays,
+		direct, path, clock, listRelays,
 		openThrough: address => openLogThrough(direct.name, {fleet, address}),
 	});
 	const logs = {deployment: openRelayed(adapter.logs.deployment), upstreams: openRelayed(adapter.logs.upstreams), grants: openRelayed(adapter.logs.grants)};
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -137,10 +137,10 @@
 			: Ok(undefined);
 	}
 
-	function note(request: ForwardRequest, report: ForwardReport): void {
+	function note(request: ForwardRequest, report: ForwardReport, reserveMs: number): void {
 		const {route, customer, startedAt} = request;
 		events.write('requestEnded', {
-			request: request.id, route: route.id, customer, ...report, used: computeUsed(request, report), ms: Math.round(clock.now() - startedAt),
+			request: request.id, route: route.id, customer, ...report, used: computeUsed(request, report), reserveMs: Math.round(reserveMs), ms: Math.round(clock.now() - startedAt),
 		});
 		const labels = {customer: customer ?? '-', class: route.id};
 		if (report.result === 'served') {
@@ -172,7 +172,9 @@
 				return;
 			}
 
+			const readAt = clock.now();
 			const reservation = await reserve(admitted, span);
+			const reserveMs = clock.now() - readAt;
 			if (reservation.err) {
 				refuse(answer, facts.id, reservation.val);
 				return;
@@ -200,7 +202,7 @@
 				keeper.settle(reservation.val, computeUsed(forward, report));
 			}
 
-			note(forward, report);
+			note(forward, report, reserveMs);
 		} finally {
 			clearTimeout(timer);
 		}
