Size grants by what is left of a budget, not by one span of demand

But a loss only matters near the end of a budget. Change: a grant covers 5 s of demand, all gateways together hold at most 0.16 of what is left, at least 0.5 s of demand each; the time of a claim counts its collisions.

--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -99,6 +99,7 @@
 			rate: demand.findRate(customer),
 			claimTime,
 			available: bought - book.sumGranted(customer, key),
+			holders: Math.max(1, book.listRunning().filter(({role}) => role === 'gateway').length),
 			isEnding,
 		});
 	}
@@ -142,7 +143,6 @@
 	}
 
 	async function writeOnce(): Promise<'done' | 'again'> {
-		const startedAt = clock.now();
 		if (!await follower.catchUp(signal)) {
 			return 'done';
 		}
@@ -159,7 +159,7 @@
 		const outcome = await log.append({key, value}, {at});
 		switch (outcome.kind) {
 			case 'appended': {
-				claimTime = clock.now() - startedAt;
+				claimTime = clock.now() - (roundStartedAt ?? clock.now());
 				follower.takeOwn({key, value, offset: outcome.offset});
 				return 'done';
 			}
--- a/src/coordination/grant-size.ts
+++ b/src/coordination/grant-size.ts
@@ -23,32 +23,42 @@
 	readonly claimTime: number;
 	/** What was bought less what was granted to others. */
 	readonly available: number;
+	/** Gateways that may hold grants of the budget. */
+	readonly holders: number;
 	/** The gateway stops. */
 	readonly isEnding: boolean;
 };
 
 /**
- * Demand that a grant covers, in milliseconds. What is free in a grant is lost
- * when its holder dies, and on most days everything dies once; a claim takes
- * 10 ms, and a gateway cut off alone claims through a relay. Only a store that
- * is away for all daemons at once, seldom and for about 5 s, asks for more.
+ * Demand that a grant covers, in milliseconds, while much of the budget is
+ * left: the store is away or slow for 5 s now and then, and a slow store takes
+ * seconds for the claims of four gateways that collide.
  */
-const horizon = 1200;
-/** Claims that the cover must last for: with a slow store, 0.4 s a call, it grows to several seconds. */
+const horizon = 5000;
+/** Demand that a grant covers towards the end of a budget, in milliseconds: 30 claims of a store that works. */
+const leastHorizon = 500;
+/** Claims that the cover must last for: with a slow store, 0.8 s a claim, it grows to several seconds. */
 const claimsCovered = 6;
 /** A grant is renewed when less than this share of what it should cover is free. */
 const renewBelow = 0.5;
 /** A grant is reduced when more than this multiple of what it should cover is free. */
 const reduceAbove = 2;
-/** Share of what is left that one gateway may hold free, so that the rest can be claimed where it is needed. */
-const shareOfRest = 0.35;
+/**
+ * Share of what is left of a budget that all gateways together may hold free.
+ * What is free in a grant is lost when its holder dies, and when everything
+ * loses power all of it is lost: a customer then lacks at most this share of
+ * what it could still have used.
+ */
+const strandedShare = 0.16;
 
 /**
  * Computes the total that a gateway should be granted.
  *
  * @example
  * ```ts
- * computeGrant({granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, claimTime: 10, available: 10_000, isEnding: false}); // 500
+ * computeGrant({
+ *   granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, claimTime: 10, available: 10_000, holders: 4, isEnding: false,
+ * }); // 500
  * ```
  *
  * @param view What it knows
@@ -67,7 +77,8 @@
 	}
 
 	const rest = Math.max(0, available - bound);
-	const cover = Math.min(view.rate * (horizon + (view.claimTime * claimsCovered)), rest * shareOfRest);
+	const mayStrand = Math.max(rest * strandedShare / view.holders, view.rate * leastHorizon);
+	const cover = Math.min(view.rate * (horizon + (view.claimTime * claimsCovered)), mayStrand, rest);
 	const isShort = free < wanted || free < cover * renewBelow;
 	const isIdle = free > cover * reduceAbove && granted > bound;
 	if (!isShort && !isIdle) {
