--- a/src/coordination/budget-keeper.test.ts
+++ b/src/coordination/budget-keeper.test.ts
@@ -297,3 +297,16 @@
 	const reservation = await keeper.acquire(customer, 400, 2000);
 	expect(reservation.ok).toBe(true);
 });
+
+test('a rush is claimed for before its first request ends', async () => {
+	// Callers of a rush wait for a claim each: what they use counts when their
+	// streams end, seconds later, so nothing is claimed ahead until then.
+	const world = await createWorld(1_000_000);
+	const [gateway] = world.gateways;
+	for (let index = 0; index < 8; index += 1) {
+		await gateway!.keeper.acquire(customer, 1000, 300);
+	}
+
+	await gateway!.keeper.renew();
+	expect(gateway!.account.countFree(customer)).toBeGreaterThan(1000);
+});
--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -198,12 +198,22 @@
 		return writing;
 	}
 
+	// Demand counts from the reservation on: a stream ends seconds later, and until then a rush would not show.
+	function reserve(customer: string, amount: number): TokenReservation | undefined {
+		const reservation = account.reserve(customer, amount);
+		if (reservation) {
+			demand.noteSpent(customer, amount);
+		}
+
+		return reservation;
+	}
+
 	async function claim(customer: string, amount: number, patience: number): Promise<TokenReservation | undefined> {
 		const until = clock.now() + patience;
 		// A round that was under way when the request came may not have counted it.
 		for (let round = 0; round < 2 && clock.now() < until; round += 1) {
 			await Promise.race([writeShared(), clock.sleep(until - clock.now())]);
-			const reservation = account.reserve(customer, amount);
+			const reservation = reserve(customer, amount);
 			if (reservation) {
 				return reservation;
 			}
@@ -226,7 +236,7 @@
 	async function seek(customer: string, amount: number, patience: number): Promise<Result<TokenReservation, Failure>> {
 		if (isClaimSlow()) {
 			await borrowMissing(customer);
-			const borrowed = account.reserve(customer, amount);
+			const borrowed = reserve(customer, amount);
 			if (borrowed) {
 				return Ok(borrowed);
 			}
@@ -238,7 +248,7 @@
 		}
 
 		const {isComplete} = await borrowMissing(customer);
-		const last = account.reserve(customer, amount);
+		const last = reserve(customer, amount);
 		return last ? Ok(last) : Err(refuse(customer, amount, isComplete));
 	}
 
@@ -267,7 +277,7 @@
 
 		/** Reserves a request's worst case: from what is free, by a claim that may take `patience` milliseconds, or from other gateways. */
 		async acquire(customer: string, amount: number, patience: number): Promise<Result<TokenReservation, Failure>> {
-			const atOnce = account.reserve(customer, amount);
+			const atOnce = reserve(customer, amount);
 			if (atOnce) {
 				return Ok(atOnce);
 			}
@@ -283,7 +293,7 @@
 		/** Ends a reservation with what was used. */
 		settle(reservation: TokenReservation, used: number): void {
 			account.settle(reservation, used);
-			demand.noteSpent(reservation.customer, used);
+			demand.noteSpent(reservation.customer, used - reservation.amount);
 		},
 
 		/** What waiting requests ask for, in tokens. */
