Tell other gateways of placements as they happen

Cause: gateways placed prompts by views up to 250 ms old and by what they had sent themselves, so prompts of four gateways met at one engine and a shared part was read at two. Change: a stream between gateways, begun with what is known, tells each use of an engine and each prompt sent as it happens, 10 ms of changes together; a silent one is opened anew.

--- a/src/coordination/peer-exchange.ts
+++ b/src/coordination/peer-exchange.ts
@@ -7,6 +7,7 @@
  */
 import type {EventLog} from '../protocol/mod.js';
 import type {Clock} from '../transport/mod.js';
+import {runPeerTasks, type PeerAddress} from './peer-tasks.js';
 
 /** A gateway's own requests at one upstream. */
 export type UpstreamUse = {readonly upstream: string; readonly inFlight: number; readonly waitingTokens: number};
@@ -22,9 +23,6 @@
 	readonly isLeaving: boolean;
 };
 
-/** Where a gateway is reached. */
-export type PeerAddress = {readonly daemon: string; readonly address: string};
-
 /** Options of {@linkcode createPeerExchange}. */
 export type CreatePeerExchangeOptions = {
 	readonly clock: Clock;
@@ -43,7 +41,7 @@
 /** What gateways tell each other. */
 export type PeerExchange = ReturnType<typeof createPeerExchange>;
 
-type Known = {view: PeerView; at: number};
+type Known = {view: PeerView; readonly at: number};
 
 /** A view older than this counts for nothing, in milliseconds. */
 const viewLife = 1500;
@@ -65,7 +63,6 @@
 export function createPeerExchange(options: CreatePeerExchangeOptions) {
 	const {clock, events} = options;
 	const known = new Map<string, Known>();
-	const running = new Set<string>();
 
 	function take(view: PeerView): void {
 		if (!known.has(view.daemon)) {
@@ -75,9 +72,7 @@
 		known.set(view.daemon, {view, at: clock.now()});
 	}
 
-	// One task a peer: it ends when the log no longer names the peer at this address.
-	async function follow(peer: PeerAddress, signal: AbortSignal): Promise<void> {
-		const isNamed = () => options.listPeers().some(({daemon, address}) => daemon === peer.daemon && address === peer.address);
+	async function exchangeWith(peer: PeerAddress, isNamed: () => boolean, signal: AbortSignal): Promise<void> {
 		while (!signal.aborted && isNamed()) {
 			try {
 				take(await options.exchange(peer.address, known.get(peer.daemon)?.view.version ?? Number.POSITIVE_INFINITY));
@@ -93,20 +88,6 @@
 		}
 	}
 
-	function startTasks(signal: AbortSignal): void {
-		for (const peer of options.listPeers()) {
-			const name = `${peer.daemon} ${peer.address}`;
-			// One of two asks, since an exchange goes both ways.
-			if (peer.daemon > options.daemon && !running.has(name)) {
-				running.add(name);
-				void (async () => {
-					await follow(peer, signal);
-					running.delete(name);
-				})();
-			}
-		}
-	}
-
 	return {
 		/** Takes the view that a peer sent along with its own call. */
 		take,
@@ -117,11 +98,24 @@
 			return [...known.values()].filter(({at}) => now - at < viewLife).map(({view}) => view);
 		},
 
-		async run(signal: AbortSignal): Promise<void> {
-			while (!signal.aborted) {
-				startTasks(signal);
-				await clock.sleep(options.every, signal);
+		/** Takes a peer's use of some upstreams, which is newer than that in its view. */
+		takeUses(daemon: string, uses: readonly UpstreamUse[]): void {
+			const item = known.get(daemon);
+			if (!item) {
+				return;
 			}
+
+			const changed = new Set(uses.map(({upstream}) => upstream));
+			item.view = {...item.view, uses: [...item.view.uses.filter(({upstream}) => !changed.has(upstream)), ...uses]};
+		},
+
+		async run(signal: AbortSignal): Promise<void> {
+			await runPeerTasks({
+				clock, every: options.every, signal,
+				// One of two asks, since an exchange goes both ways.
+				listPeers: () => options.listPeers().filter(({daemon}) => daemon > options.daemon),
+				run: async (peer, isNamed) => exchangeWith(peer, isNamed, signal),
+			});
 		},
 	};
 }
--- a/src/coordination/upstream-book.ts
+++ b/src/coordination/upstream-book.ts
@@ -10,6 +10,7 @@
 import {createPromptCache, type LiveUpstream, type UpstreamDirectory} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 import type {PeerView, UpstreamUse} from './peer-exchange.js';
+import type {PlacedPrompt} from './placement-feed.js';
 import type {PlacementCandidate} from './placement-policy.js';
 
 /** Options of {@linkcode createUpstreamBook}. */
@@ -19,6 +20,10 @@
 	readonly failureDomain: string;
 	/** What other gateways say of their requests. */
 	readonly listViews: () => readonly PeerView[];
+	/** Called when this gateway's use of an upstream has changed. */
+	readonly onUse?: (upstream: string) => void;
+	/** Called when a prompt is sent to an upstream. */
+	readonly onPrompt?: (prompt: PlacedPrompt) => void;
 };
 
 /** Options of {@linkcode UpstreamBook.listCandidates}. */
@@ -167,11 +172,18 @@
 			item.inFlight += 1;
 			item.waitingTokens += uncached;
 			if (generation) {
-				cache.note(id, generation.parts, service.engine?.memory ?? Number.POSITIVE_INFINITY);
+				const memory = service.engine?.memory ?? Number.POSITIVE_INFINITY;
+				cache.note(id, generation.parts, memory);
+				options.onPrompt?.({upstream: id, memory, parts: [...generation.parts]});
+				options.onUse?.(id);
 			}
 
 			const endWait = () => {
 				item.waitingTokens -= waiting;
+				if (waiting > 0) {
+					options.onUse?.(id);
+				}
+
 				waiting = 0;
 			};
 
@@ -200,6 +212,21 @@
 			};
 		},
 
+		/** Notes a prompt that another gateway has sent to an upstream. */
+		takePrompt({upstream, parts, memory}: PlacedPrompt): void {
+			ensureSeen(upstream);
+			cache.note(upstream, parts, memory);
+		},
+
+		/** What upstreams are believed to keep, for a gateway that has just started. */
+		listCached: (): PlacedPrompt[] => cache.list(),
+
+		/** This gateway's own requests at one upstream. */
+		readUse(upstream: string): UpstreamUse {
+			const {inFlight, waitingTokens} = ensureSeen(upstream);
+			return {upstream, inFlight, waitingTokens};
+		},
+
 		/** This gateway's own requests at upstreams. */
 		listUses: (): UpstreamUse[] => [...seen].filter(([, item]) => item.inFlight > 0)
 			.map(([upstream, {inFlight, waitingTokens}]) => ({upstream, inFlight, waitingTokens})),
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -6,8 +6,8 @@
  */
 import process from 'node:process';
 import {
-	createBudgetKeeper, createDirectPath, createMetrics, createPeerExchange, createRelayedLog, createRequestForwarder, createRetryBudget, createTokenLending, createUpstreamBook,
-	type HolderIdentity, type PeerView, type RetryBudget,
+	createBudgetKeeper, createDirectPath, createMetrics, createPeerExchange, createPlacementFeed, createRelayedLog, createRequestForwarder, createRetryBudget, createTokenLending, createUpstreamBook, runPlacementReader,
+	type HolderIdentity, type PeerAddress, type PeerView, type PlacementNews, type RetryBudget,
 } from '../coordination/mod.js';
 import {
 	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
@@ -102,6 +102,15 @@
 	const {account, book, directory, findTable} = state;
 	const upstreams = createUpstreamBook({
 		directory, clock, failureDomain: settings.failureDomain, listViews: () => exchange.listViews(),
+		onUse(upstream) {
+			feed.noteUse(upstream);
+		},
+		onPrompt(prompt) {
+			feed.notePrompt(prompt);
+		},
+	});
+	const feed = createPlacementFeed({
+		clock, readUse: upstreams.readUse, readAll: () => ({uses: upstreams.listUses(), prompts: upstreams.listCached()}),
 	});
 
 	// Daemons beside upstreams first: a partition that cuts this gateway off from the store often cuts the others off too.
@@ -111,6 +120,17 @@
 		return [...known.map(({address}) => address), ...settings.seeds.filter(address => address !== self.address)];
 	}
 
+	function listPeers(): PeerAddress[] {
+		return book.listRunning().filter(({role, daemon}) => role === 'gateway' && daemon !== self.daemon);
+	}
+
+	function takeNews(daemon: string, {uses, prompts}: PlacementNews): void {
+		exchange.takeUses(daemon, uses);
+		for (const prompt of prompts) {
+			upstreams.takePrompt(prompt);
+		}
+	}
+
 	function buildView(): PeerView {
 		upstreams.prune();
 		return {
@@ -137,7 +157,7 @@
 
 	const exchange = createPeerExchange({
 		clock, events, daemon: self.daemon, every: exchangeEvery,
-		listPeers: () => book.listRunning().filter(({role}) => role === 'gateway'),
+		listPeers,
 		async exchange(address, knownVersion) {
 			const answer = await fleet.connect(address).gateway.exchange(buildMessage(knownVersion), {timeoutMs: peerTimeout});
 			takeDeployment(answer);
@@ -202,7 +222,7 @@
 		routes(router) {
 			router.service(Relay, createRelayInterface(Object.values(adapter.logs), signal));
 			router.service(Gateway, createGatewayPeerInterface({
-				lending,
+				lending, feed, signal,
 				answerView(view) {
 					exchange.take(view);
 					takeDeployment(view);
@@ -224,6 +244,14 @@
 	state.run(signal);
 	void keeper.run();
 	void exchange.run(signal);
+	void runPlacementReader({
+		clock, events, listPeers, signal,
+		open: (address, feedSignal) => fleet.connect(address).gateway.followPlacements({from: self.daemon}, {signal: feedSignal}),
+		take: takeNews,
+		abandon(address) {
+			fleet.connect(address).abandon();
+		},
+	});
 
 	return {
 		addresses,
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import type {ServiceImpl} from '@connectrpc/connect';
-import type {LendAsk, PeerView, TokenLending} from '../coordination/mod.js';
+import type {
+	LendAsk, PeerView, PlacementFeed, TokenLending,
+} from '../coordination/mod.js';
 import type {Gateway} from '../protocol/mod.js';
 
 /** A view as it travels, with the deployment's record for a peer that needs it. */
@@ -15,6 +17,9 @@
 	/** Takes a peer's view and returns this gateway's. */
 	readonly answerView: (view: GatewayMessage) => GatewayMessage;
 	readonly lending: TokenLending;
+	readonly feed: PlacementFeed;
+	/** Aborted when this gateway stops. */
+	readonly signal: AbortSignal;
 };
 
 /**
@@ -31,6 +36,9 @@
 export function createGatewayPeerInterface(options: CreateGatewayPeerInterfaceOptions): ServiceImpl<typeof Gateway> {
 	return {
 		exchange: options.answerView,
+		async * followPlacements(_request, context) {
+			yield * options.feed.follow(AbortSignal.any([context.signal, options.signal]));
+		},
 		lend: (ask: LendAsk) => ({tokens: options.lending.lend(ask)}),
 	};
 }
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -37,6 +37,7 @@
 	peerLeaving: {number: 1303, text: 'peer is leaving'},
 	joined: {number: 1304, text: 'incarnation on the log'},
 	superseded: {number: 1305, text: 'a newer incarnation has this name'},
+	placementsLost: {number: 1306, text: 'news of a gateway\'s placements broke off'},
 	storePathLost: {number: 1109, text: 'direct way to the store lost'},
 	storePathBack: {number: 1110, text: 'direct way to the store works'},
 	relayChosen: {number: 1111, text: 'store reached through another daemon'},
--- a/src/state/prompt-cache.ts
+++ b/src/state/prompt-cache.ts
@@ -2,8 +2,8 @@
  * Which parts of prompts each upstream is believed to keep in its cache.
  *
  * Engines keep what they have read until memory runs short, the least recently
- * used first. What this gateway has sent tells most of it; what others have
- * sent to the same engine does not show, so an entry is a guess.
+ * used first. What gateways have sent tells most of it; what an engine dropped
+ * does not show, so an entry is a guess.
  *
  * @module
  */
@@ -15,7 +15,7 @@
 /** What upstreams are believed to keep. */
 export type PromptCache = ReturnType<typeof createPromptCache>;
 
-type Held = {readonly parts: Map<string, number>; tokens: number};
+type Held = {readonly parts: Map<string, number>; tokens: number; memory: number};
 
 /**
  * Creates an empty view of the caches.
@@ -33,7 +33,7 @@
 	const caches = new Map<string, Held>();
 
 	function ensureHeld(upstream: string): Held {
-		const known = caches.get(upstream) ?? {parts: new Map<string, number>(), tokens: 0};
+		const known = caches.get(upstream) ?? {parts: new Map<string, number>(), tokens: 0, memory: 0};
 		caches.set(upstream, known);
 		return known;
 	}
@@ -53,6 +53,7 @@
 		/** Notes that an upstream reads a prompt; `memory` is its size in tokens. */
 		note(upstream: string, parts: readonly PromptPart[], memory: number): void {
 			const held = ensureHeld(upstream);
+			held.memory = memory;
 			for (const {id, tokens} of parts) {
 				held.tokens += tokens - (held.parts.get(id) ?? 0);
 				// Taken out first, so that the order of the map is that of the last use.
@@ -78,6 +79,9 @@
 			return cached;
 		},
 
+		/** All parts that upstreams are believed to keep, the least recently used first. */
+		list: () => [...caches].map(([upstream, {parts, memory}]) => ({upstream, memory, parts: [...parts].map(([id, tokens]): PromptPart => ({id, tokens}))})),
+
 		drop(upstream: string): void {
 			caches.delete(upstream);
 		},
