Close kept connections of a stopping gateway once their answers are whole

Ruled out: idle connections, closed at the drain; new ones, no longer accepted. Change: while draining, an answer's end closes the connections that are then idle.

--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -57,6 +57,15 @@
 				response.setHeader('connection', 'close');
 			}
 
+			// An answer that began before the drain promised to keep its connection. A request that comes on it later would
+			// be cut at the end of the stop, so the connection is closed while it is idle.
+			response.on('close', () => {
+				if (isDraining) {
+					setImmediate(() => {
+						server.closeIdleConnections();
+					});
+				}
+			});
 			void serve(request, response);
 		},
 	});
