Explain a request from the daemons' logs

On-call engineers had grep. fireflylane explain ID FILE... tells what the gateway knew when the request came, what changed meanwhile and what became of it. To that end a request's lines name it also where it was refused before it was admitted, had too few tokens, or failed; the ended line says the configuration's version, and the queue and cache by which it was placed; a request cut by the end of its gateway is no longer said to have been left by its caller.

--- a/src/cli.ts
+++ b/src/cli.ts
@@ -8,6 +8,7 @@
  */
 import process from 'node:process';
 import {run, subcommands} from 'cmd-ts';
+import {explainCommand} from './cli/explain-command.js';
 import {
 	budgetCommand, hostCommand, metricsCommand, requestCommand, statusCommand, upstreamCommand,
 } from './cli/inspect-commands.js';
@@ -25,6 +26,7 @@
 		request: requestCommand,
 		metrics: metricsCommand,
 		key: keyCommand,
+		explain: explainCommand,
 	},
 });
 
--- /dev/null
+++ b/src/cli/request-story.test.ts
@@ -0,0 +1,53 @@
+import {expect, test} from 'vitest';
+import {buildRequestStory, formatRequestStory, parseLog} from './request-story.js';
+
+function formatLine(second: string, daemon: string, event: string, fields: Record<string, unknown> = {}): string {
+	return JSON.stringify({
+		at: `2026-01-31T08:00:${second}Z`, daemon, event, text: `text of ${event}`, ...fields,
+	});
+}
+
+const logs = [
+	formatLine('01.000', 'front-1', 'FL1506', {version: 3}),
+	formatLine('02.000', 'front-1', 'FL1506', {version: 7}),
+	formatLine('02.100', 'front-2', 'FL1506', {version: 7}),
+	formatLine('03.000', 'front-1', 'FL1109'),
+	formatLine('04.000', 'front-1', 'FL1110'),
+	formatLine('04.000', 'front-1', 'FL1701', {upstream: 'i-7', isDraining: false}),
+	formatLine('04.000', 'front-1', 'FL1701', {upstream: 'i-8', isDraining: false}),
+	formatLine('10.300', 'front-1', 'FL1702', {upstream: 'i-7'}),
+	`  12.5 front-1 ${formatLine('10.400', 'front-1', 'FL1402', {request: 'r1', upstream: 'i-7', outcome: 'broken'})}`,
+	formatLine('10.900', 'front-1', 'FL1408', {
+		request: 'r1', upstream: 'i-9', result: 'cut', ms: 900,
+	}),
+	formatLine('10.950', 'front-1', 'FL1408', {request: 'r2', result: 'served', ms: 20}),
+	'{"at":"2026-01-31T08:00:11.000Z","daemon":"fro',
+].join('\n');
+
+test('a story has the lines of the request in order', () => {
+	const story = buildRequestStory('r1', parseLog(logs));
+	expect(story.lines.map(({event}) => event)).toEqual(['FL1402', 'FL1408']);
+});
+
+test('a story says what the daemon knew, the newest of each kind', () => {
+	const {known} = buildRequestStory('r1', parseLog(logs));
+	expect(known.map(({event, fields}) => [event, fields])).toEqual([['FL1506', {version: 7}], ['FL1110', {}], ['FL1701', {upstream: 'i-7', isDraining: false}]]);
+});
+
+test('a story says what changed while the request ran', () => {
+	const {meanwhile} = buildRequestStory('r1', parseLog(logs));
+	expect(meanwhile.map(({event}) => event)).toEqual(['FL1702']);
+});
+
+test('spans count from the coming of the request', () => {
+	expect(formatRequestStory(buildRequestStory('r1', parseLog(logs)))).toContain('     +400 ms  front-1  FL1402 text of FL1402  upstream=i-7 outcome=broken');
+});
+
+test('a request that no line names is said to be unknown', () => {
+	expect(formatRequestStory(buildRequestStory('r3', parseLog(logs)))).toContain('No line names the request "r3"');
+});
+
+test('what a daemon knew before it started anew is left out', () => {
+	const story = buildRequestStory('r1', parseLog([formatLine('00.000', 'front-1', 'FL1306', {peer: 'front-2'}), formatLine('00.500', 'front-1', 'FL1001'), logs].join('\n')));
+	expect(story.known.map(({event}) => event)).toEqual(['FL1001', 'FL1506', 'FL1110', 'FL1701']);
+});
--- a/src/coordination/budget-keeper.test.ts
+++ b/src/coordination/budget-keeper.test.ts
@@ -132,7 +132,7 @@
 			switch (step.kind) {
 				case 'ask': {
 					const gateway = world.gateways[step.index]!;
-					const reservation = await gateway.keeper.acquire(customer, step.amount, 300);
+					const reservation = await gateway.keeper.acquire(customer, step.amount, {patience: 300});
 					if (reservation.ok) {
 						gateway.reservations.push(reservation.val);
 					}
@@ -144,7 +144,7 @@
 					// At the same time, so that claims collide; 0 asks for nothing and looks at what is idle.
 					await Promise.all(world.gateways.map(async (gateway, index) => {
 						const amount = step.amounts[index]!;
-						const reservation = amount > 0 ? await gateway.keeper.acquire(customer, amount, 300) : undefined;
+						const reservation = amount > 0 ? await gateway.keeper.acquire(customer, amount, {patience: 300}) : undefined;
 						await gateway.keeper.renew();
 						if (reservation?.ok) {
 							gateway.reservations.push(reservation.val);
@@ -205,7 +205,7 @@
 	// effect, its answer was lost, and the gateway does not look for it.
 	const world = await createWorld(1000);
 	world.log.fates.push('lost-after');
-	const reservation = await world.gateways[0]!.keeper.acquire(customer, 300, 300);
+	const reservation = await world.gateways[0]!.keeper.acquire(customer, 300, {patience: 300});
 	expect(reservation.ok).toBe(true);
 	expect(world.log.records.length).toBe(world.first + 1);
 });
@@ -214,12 +214,12 @@
 	// Callers at one gateway are refused in a cut from the store although
 	// another gateway holds plenty: each only looked at its own grant.
 	const world = await createWorld(10_000);
-	const held = await world.gateways[1]!.keeper.acquire(customer, 1000, 300);
+	const held = await world.gateways[1]!.keeper.acquire(customer, 1000, {patience: 300});
 	world.gateways[1]!.keeper.settle(held.unwrap(), 10);
-	await world.gateways[0]!.keeper.acquire(customer, 100, 300);
+	await world.gateways[0]!.keeper.acquire(customer, 100, {patience: 300});
 	const free = world.gateways[0]!.account.countFree(customer);
 	world.log.isAway = true;
-	const reservation = await world.gateways[0]!.keeper.acquire(customer, free + 500, 300);
+	const reservation = await world.gateways[0]!.keeper.acquire(customer, free + 500, {patience: 300});
 	expect(reservation.ok).toBe(true);
 });
 
@@ -227,8 +227,8 @@
 	// The operator lowers a budget; gateways hold more than is left of it and
 	// would go on spending what nobody has bought.
 	const world = await createWorld(10_000);
-	await world.gateways[0]!.keeper.acquire(customer, 1000, 300);
-	await world.gateways[1]!.keeper.acquire(customer, 1000, 300);
+	await world.gateways[0]!.keeper.acquire(customer, 1000, {patience: 300});
+	await world.gateways[1]!.keeper.acquire(customer, 1000, {patience: 300});
 	world.setBought(2, 2100);
 	await world.gateways[0]!.keeper.renew();
 	await world.gateways[1]!.keeper.renew();
@@ -240,7 +240,7 @@
 	// way, a request reserves them, and another gateway claims them as well.
 	const world = await createWorld(10_000);
 	const {account, keeper} = world.gateways[0]!;
-	await keeper.acquire(customer, 1000, 300);
+	await keeper.acquire(customer, 1000, {patience: 300});
 	world.setBought(2, 1000);
 	world.log.onAppend = () => {
 		account.reserve(customer, account.countFree(customer));
@@ -252,17 +252,17 @@
 
 test('the rest of a budget is told as exhausted, not as busy', async () => {
 	const world = await createWorld(1000);
-	await world.gateways[0]!.keeper.acquire(customer, 900, 300);
-	const refused = await world.gateways[1]!.keeper.acquire(customer, 500, 300);
+	await world.gateways[0]!.keeper.acquire(customer, 900, {patience: 300});
+	const refused = await world.gateways[1]!.keeper.acquire(customer, 500, {patience: 300});
 	expect(refused.err && refused.val.type).toBe('budget-exhausted');
 });
 
 test('a stop gives everything back that was not used', async () => {
 	const world = await createWorld(1000);
-	const reservation = await world.gateways[0]!.keeper.acquire(customer, 300, 300);
+	const reservation = await world.gateways[0]!.keeper.acquire(customer, 300, {patience: 300});
 	world.gateways[0]!.keeper.settle(reservation.unwrap(), 120);
 	await world.gateways[0]!.keeper.end();
-	const all = await world.gateways[1]!.keeper.acquire(customer, 880, 300);
+	const all = await world.gateways[1]!.keeper.acquire(customer, 880, {patience: 300});
 	expect(all.ok).toBe(true);
 });
 
@@ -294,7 +294,7 @@
 	});
 	void keeper.renew();
 	now += 100;
-	const reservation = await keeper.acquire(customer, 400, 2000);
+	const reservation = await keeper.acquire(customer, 400, {patience: 2000});
 	expect(reservation.ok).toBe(true);
 });
 
@@ -304,7 +304,7 @@
 	const world = await createWorld(1_000_000);
 	const [gateway] = world.gateways;
 	for (let index = 0; index < 8; index += 1) {
-		await gateway!.keeper.acquire(customer, 1000, 300);
+		await gateway!.keeper.acquire(customer, 1000, {patience: 300});
 	}
 
 	await gateway!.keeper.renew();
--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -19,6 +19,14 @@
 /** Who holds the grants of one gateway. */
 export type HolderIdentity = Pick<HolderRecord, 'role' | 'daemon' | 'incarnation' | 'address' | 'failureDomain'>;
 
+/** Options of {@linkcode BudgetKeeper.acquire}. */
+export type AcquireTokensOptions = {
+	/** Milliseconds that a claim may take. */
+	readonly patience: number;
+	/** The request's id, for the log. */
+	readonly request?: string;
+};
+
 /** Borrows tokens from other gateways. */
 export type BorrowTokens = (customer: string, amount: number) => Promise<BorrowOutcome>;
 
@@ -71,7 +79,7 @@
  *
  * @example
  * ```ts
- * const reservation = await keeper.acquire('city-1', 1540, 300);
+ * const reservation = await keeper.acquire('city-1', 1540, {patience: 300});
  * ```
  *
  * @param options The log of grants, the account and the deployment
@@ -233,7 +241,7 @@
 
 	// Asks for tokens in the order in which they are likely to come; other gateways are asked last in any case, so that
 	// a refusal rests on their newest word.
-	async function seek(customer: string, amount: number, patience: number): Promise<Result<TokenReservation, Failure>> {
+	async function seek(customer: string, amount: number, {patience, request}: AcquireTokensOptions): Promise<Result<TokenReservation, Failure>> {
 		if (isClaimSlow()) {
 			await borrowMissing(customer);
 			const borrowed = reserve(customer, amount);
@@ -249,15 +257,15 @@
 
 		const {isComplete} = await borrowMissing(customer);
 		const last = reserve(customer, amount);
-		return last ? Ok(last) : Err(refuse(customer, amount, isComplete));
+		return last ? Ok(last) : Err(refuse(customer, amount, {isComplete, request}));
 	}
 
 	// The rest is known to be too small only if the store and every gateway have just said so.
-	function refuse(customer: string, amount: number, isComplete: boolean): Failure {
+	function refuse(customer: string, amount: number, {isComplete, request}: {readonly isComplete: boolean; readonly request?: string}): Failure {
 		const bought = findTable()?.findCustomer(customer)?.bought ?? 0;
 		const rest = Math.max(0, bought - book.sumGranted(customer, key) - account.countBound(customer));
 		events.write('budgetShort', {
-			customer, amount, free: account.countFree(customer), bound: account.countBound(customer), bought, elsewhere: book.sumGranted(customer, key), isStoreUp: follower.isUp(), isComplete,
+			request, customer, amount, free: account.countFree(customer), bound: account.countBound(customer), bought, elsewhere: book.sumGranted(customer, key), isStoreUp: follower.isUp(), isComplete,
 		});
 		return follower.isUp() && isComplete && rest < amount
 			? createFailure('budget-exhausted', `Customer "${customer}" has ${rest} of ${bought} tokens left and the request may need ${amount}`)
@@ -275,8 +283,8 @@
 			events.write('grantClaimed', {sequence: record.sequence, version: record.version, granted: JSON.stringify(record.granted)});
 		},
 
-		/** Reserves a request's worst case: from what is free, by a claim that may take `patience` milliseconds, or from other gateways. */
-		async acquire(customer: string, amount: number, patience: number): Promise<Result<TokenReservation, Failure>> {
+		/** Reserves a request's worst case: from what is free, by a claim, or from other gateways. */
+		async acquire(customer: string, amount: number, acquire: AcquireTokensOptions): Promise<Result<TokenReservation, Failure>> {
 			const atOnce = reserve(customer, amount);
 			if (atOnce) {
 				return Ok(atOnce);
@@ -284,7 +292,7 @@
 
 			const stopWaiting = demand.startWaiting(customer, amount);
 			try {
-				return await seek(customer, amount, patience);
+				return await seek(customer, amount, acquire);
 			} finally {
 				stopWaiting();
 			}
--- a/src/coordination/forward-types.ts
+++ b/src/coordination/forward-types.ts
@@ -60,5 +60,9 @@
 	readonly events: number;
 	/** Milliseconds to the first event or the whole answer. */
 	readonly firstMs: number | undefined;
+	/** Tokens believed to be queued at that upstream when it was chosen. */
+	readonly waitingTokens: number | undefined;
+	/** Tokens of the prompt that it was believed to keep. */
+	readonly cachedTokens: number | undefined;
 	readonly reason?: string;
 };
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -20,6 +20,7 @@
 	readinessPath: '/ready',
 	readRequest: () => Ok({}),
 	buildForwardHeaders: (_raw, facts) => [facts.lastEvent ?? '', facts.upstream],
+	readId: () => undefined,
 	readAnswer: (_status, headers) => ({
 		requestId: headers.id as string | undefined, hasNotRun: headers['not-run'] !== undefined, isMarked: headers.mark !== undefined,
 	}),
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -18,7 +18,9 @@
 import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
 import type {RetryBudget} from './retry-budget.js';
 import {computeUrgency} from './urgency.js';
-import {PromptPlacementPolicy, ServicePlacementPolicy, type PlacementPolicy} from './placement-policy.js';
+import {
+	PromptPlacementPolicy, ServicePlacementPolicy, type PlacementCandidate, type PlacementPolicy,
+} from './placement-policy.js';
 import type {UpstreamBook, UpstreamVisit} from './upstream-book.js';
 
 /** Options of {@linkcode createRequestForwarder}. */
@@ -40,7 +42,7 @@
 	| {readonly kind: 'not-run'; readonly detail: string; readonly wasSent: boolean}
 	| RelayOutcome;
 
-type Progress = {sends: number; mayHaveRun: boolean; upstream: string | undefined; firstMs: number | undefined};
+type Progress = {-readonly [Field in 'sends' | 'mayHaveRun' | 'upstream' | 'firstMs' | 'waitingTokens' | 'cachedTokens']: ForwardReport[Field]};
 
 /** One request on its way. */
 type Forwarding = {readonly request: ForwardRequest; readonly relay: AnswerRelay; readonly progress: Progress};
@@ -80,11 +82,11 @@
 		return request.route.kind === 'stream' ? new StreamAnswerRelay(request, wire) : new WholeAnswerRelay(request, wire);
 	}
 
-	function pickUpstream(request: ForwardRequest, tried: ReadonlySet<string>): string | undefined {
+	function pickUpstream(request: ForwardRequest, tried: ReadonlySet<string>): PlacementCandidate | undefined {
 		const {service, generation} = request;
 		const candidates = book.listCandidates({service, generation, without: tried});
 		const policy = generation ? promptPolicy : servicePolicy;
-		return candidates.length === 0 ? undefined : policy.pick({id: request.id ?? '', generation}, candidates).id;
+		return candidates.length === 0 ? undefined : policy.pick({id: request.id ?? '', generation}, candidates);
 	}
 
 	// An answer to another request shows that the connection carries extra answers; whatever follows on it is in doubt.
@@ -232,7 +234,7 @@
 			const relay = createRelay(request);
 			const retries = findRetries(request.service.id);
 			const progress: Progress = {
-				sends: 0, mayHaveRun: false, upstream: undefined, firstMs: undefined,
+				sends: 0, mayHaveRun: false, upstream: undefined, firstMs: undefined, waitingTokens: undefined, cachedTokens: undefined,
 			};
 			const forwarding: Forwarding = {request, relay, progress};
 			const tried = new Set<string>();
@@ -240,14 +242,17 @@
 			let detail = 'no upstream of the service is known';
 			retries.earn();
 			for (;;) {
-				const id = pickUpstream(request, tried);
+				const candidate = pickUpstream(request, tried);
 				const isFirst = progress.sends === 0;
-				if (id === undefined || request.deadline - clock.now() < leastTime || progress.sends >= request.route.attempts || !(isFirst || retries.take())) {
+				if (candidate === undefined || request.deadline - clock.now() < leastTime || progress.sends >= request.route.attempts || !(isFirst || retries.take())) {
 					break;
 				}
 
+				const {id} = candidate;
 				tried.add(id);
 				progress.upstream = id;
+				progress.waitingTokens = candidate.waitingTokens;
+				progress.cachedTokens = candidate.cachedTokens;
 				const outcome = await sendTo(forwarding, id);
 				// A connection that was refused carried nothing, so the upstream was not sent to.
 				progress.sends += outcome.kind === 'not-run' && !outcome.wasSent ? 0 : 1;
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -274,6 +274,7 @@
 
 			await Promise.race([keeper.end(), clock.sleep(stopReserve / 2)]);
 			stopper.abort();
+			callers.noteEnding();
 			callerServer.cut();
 			readinessServer.cut();
 			metricsServer.cut();
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -42,6 +42,7 @@
 /** Share of a request's time that it may wait for a claim; a store that is slow takes 0.5 s for one. */
 const claimShare = 0.15;
 const callerLeft = 'The caller has left';
+const gatewayEnds = 'This gateway ends';
 const deadlinePassed = 'The time limit has passed';
 
 /** @internal Picks a service by weight; the request's id decides, so that a repeated look picks the same. */
@@ -90,6 +91,7 @@
 		wire, findTable, keeper, forwarder, metrics, clock, events,
 	} = options;
 	let running = 0;
+	let isEnding = false;
 
 	function identify(table: RouteTable, route: Route, key: string | undefined): Result<GatewayCustomer | undefined, Failure> {
 		const customer = key === undefined ? undefined : table.findCustomerByKey(key);
@@ -133,14 +135,14 @@
 	async function reserve({facts, customer}: Admitted, span: number): Promise<Result<TokenReservation | undefined, Failure>> {
 		const {generation} = facts;
 		return generation && customer?.bought !== undefined
-			? keeper.acquire(customer.id, generation.promptTokens + generation.outputTokens, span * claimShare)
+			? keeper.acquire(customer.id, generation.promptTokens + generation.outputTokens, {patience: span * claimShare, request: facts.id})
 			: Ok(undefined);
 	}
 
 	function note(request: ForwardRequest, report: ForwardReport, reserveMs: number): void {
 		const {route, customer, startedAt} = request;
 		events.write('requestEnded', {
-			request: request.id, route: route.id, customer, ...report, used: computeUsed(request, report), reserveMs: Math.round(reserveMs), ms: Math.round(clock.now() - startedAt),
+			request: request.id, route: route.id, version: findTable()?.version, customer, ...report, used: computeUsed(request, report), reserveMs: Math.round(reserveMs), ms: Math.round(clock.now() - startedAt),
 		});
 		const labels = {customer: customer ?? '-', class: route.id};
 		if (report.result === 'served') {
@@ -211,13 +213,18 @@
 	return {
 		countRunning: () => running,
 
+		/** Notes that connections are now cut, so that callers are not said to have left. */
+		noteEnding(): void {
+			isEnding = true;
+		},
+
 		/** Answers one request; never rejects. */
 		async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 			const answer = createCallerAnswer(response, wire);
 			const leaving = new AbortController();
 			response.on('close', () => {
 				if (!response.writableFinished) {
-					leaving.abort(new Error(callerLeft));
+					leaving.abort(new Error(isEnding ? gatewayEnds : callerLeft));
 				}
 			});
 			response.on('error', error => {
@@ -227,13 +234,13 @@
 			try {
 				const admitted = admit(request);
 				if (admitted.err) {
-					refuse(answer, undefined, admitted.val);
+					refuse(answer, wire.readId(request.headers), admitted.val);
 				} else {
 					await serveAdmitted(request, admitted.val, answer, leaving);
 				}
 			} catch (error) {
 				// The caller broke off while its body was read, or the gateway is at fault; either way only this request ends.
-				events.write('requestFailed', {detail: (error as Error).stack ?? String(error)});
+				events.write('requestFailed', {request: wire.readId(request.headers), detail: (error as Error).stack ?? String(error)});
 				answer.cut();
 			} finally {
 				running -= 1;
--- a/src/protocol/gateway-wire.ts
+++ b/src/protocol/gateway-wire.ts
@@ -68,6 +68,8 @@
 export type GatewayWire = {
 	/** Reads a caller's request; a malformed field is `invalid-request`. */
 	readonly readRequest: (headers: IncomingHttpHeaders) => Result<RequestFacts, Failure>;
+	/** Reads the id alone, for the log; a request that cannot be read may have one. */
+	readonly readId: (headers: IncomingHttpHeaders) => string | undefined;
 	/** Builds the headers that an upstream gets from those that the caller sent. */
 	readonly buildForwardHeaders: (raw: RawHeaders, facts: ForwardFacts) => string[];
 	readonly readAnswer: (status: number, headers: IncomingHttpHeaders) => AnswerFacts;
