Hold the signals that end a feed of placements, and expect many listeners

Cause, found by reading: a signal of AbortSignal.any can be collected on Node.js 20 before it fires, so a feed gone silent could have been waited for in vain; and gateways warned of eleven listeners on their stop signal, one for each task and feed. Change: joinSignals holds its sources, as createBound does. Not seen to fail: the test is of the function.

--- a/src/coordination/placement-feed.ts
+++ b/src/coordination/placement-feed.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type {PromptPart} from '../protocol/mod.js';
-import type {Clock} from '../transport/mod.js';
+import {joinSignals, type Clock} from '../transport/mod.js';
 import type {UpstreamUse} from './peer-exchange.js';
 
 /** A prompt that an upstream reads and then keeps. */
@@ -63,11 +63,13 @@
 		}
 
 		const timer = new AbortController();
+		const ended = joinSignals([signal, timer.signal]);
 		const woken = new Promise<void>(resolve => {
 			follower.wake = resolve;
 		});
-		await Promise.race([woken, clock.sleep(quietSpan, AbortSignal.any([signal, timer.signal]))]);
+		await Promise.race([woken, clock.sleep(quietSpan, ended.signal)]);
 		timer.abort();
+		ended.clear();
 	}
 
 	function takeNews(follower: Follower): PlacementNews {
--- a/src/coordination/placement-reader.ts
+++ b/src/coordination/placement-reader.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type {EventLog} from '../protocol/mod.js';
-import type {Clock} from '../transport/mod.js';
+import {joinSignals, type Clock} from '../transport/mod.js';
 import {quietSpan, type PlacementNews} from './placement-feed.js';
 import {runPeerTasks, type PeerAddress} from './peer-tasks.js';
 
@@ -46,8 +46,9 @@
 		};
 
 		let timer = setTimeout(abort, silenceBound);
+		const ended = joinSignals([signal, silence.signal]);
 		try {
-			for await (const news of options.open(address, AbortSignal.any([signal, silence.signal]))) {
+			for await (const news of options.open(address, ended.signal)) {
 				clearTimeout(timer);
 				timer = setTimeout(abort, silenceBound);
 				options.take(daemon, news);
@@ -57,6 +58,7 @@
 			}
 		} finally {
 			clearTimeout(timer);
+			ended.clear();
 		}
 	}
 
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
 	createBudgetKeeper, createDirectPath, createMetrics, createPeerExchange, createPlacementFeed, createRelayedLog, createRequestForwarder, createRetryBudget, createTokenLending, createUpstreamBook, runPlacementReader,
@@ -80,6 +81,8 @@
 	const metrics = createMetrics();
 	const stopper = new AbortController();
 	const {signal} = stopper;
+	// Each task and each feed of a peer listens; their number is bounded by that of the gateways.
+	setMaxListeners(0, signal);
 	const self = createIdentity(settings);
 	const fleet = createFleetClient(settings.fleetKey);
 	const path = createDirectPath({clock, events});
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -8,6 +8,7 @@
 	LendAsk, PeerView, PlacementFeed, TokenLending,
 } from '../coordination/mod.js';
 import type {Gateway} from '../protocol/mod.js';
+import {joinSignals} from '../transport/mod.js';
 
 /** A view as it travels, with the deployment's record for a peer that needs it. */
 export type GatewayMessage = PeerView & {readonly deployment: Uint8Array};
@@ -37,7 +38,12 @@
 	return {
 		exchange: options.answerView,
 		async * followPlacements(_request, context) {
-			yield * options.feed.follow(AbortSignal.any([context.signal, options.signal]));
+			const ended = joinSignals([context.signal, options.signal]);
+			try {
+				yield * options.feed.follow(ended.signal);
+			} finally {
+				ended.clear();
+			}
 		},
 		lend: (ask: LendAsk) => ({tokens: options.lending.lend(ask)}),
 	};
--- a/src/transport/bound.test.ts
+++ b/src/transport/bound.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {expect, test} from 'vitest';
-import {createBound} from './mod.js';
+import {createBound, joinSignals} from './mod.js';
 
 test('createBound() aborts after its span', async () => {
 	const bound = createBound(20);
@@ -18,3 +18,12 @@
 	expect([bound.signal.aborted, cleared.signal.aborted]).toEqual([true, false]);
 	bound.clear();
 });
+
+test('joined signals end with the first of them', () => {
+	const [first, second] = [new AbortController(), new AbortController()];
+	const joined = joinSignals([first.signal, second.signal]);
+	second.abort(new Error('silent'));
+	expect(joined.signal.aborted).toBe(true);
+	expect((joined.signal.reason as Error).message).toBe('silent');
+	joined.clear();
+});
--- a/src/transport/bound.ts
+++ b/src/transport/bound.ts
@@ -58,3 +58,39 @@
 		},
 	};
 }
+
+/**
+ * Joins signals into one that is aborted with the first of them, and that is
+ * not collected as one of `AbortSignal.any` can be on Node.js 20.
+ *
+ * @example
+ * ```ts
+ * const joined = joinSignals([stopSignal, silenceSignal]);
+ * ```
+ *
+ * @param signals The signals
+ * @returns The joined signal
+ */
+export function joinSignals(signals: readonly AbortSignal[]): Bound {
+	const controller = new AbortController();
+	const abort = (event: Event) => {
+		controller.abort((event.target as AbortSignal).reason);
+	};
+
+	for (const signal of signals) {
+		if (signal.aborted) {
+			controller.abort(signal.reason);
+		}
+
+		signal.addEventListener('abort', abort);
+	}
+
+	return {
+		signal: controller.signal,
+		clear() {
+			for (const signal of signals) {
+				signal.removeEventListener('abort', abort);
+			}
+		},
+	};
+}
