Wait for tokens that were lent to an entry that died

The other entry looked only at the dead one's grants, saw nothing that could come back, and refused two requests as spent in 4 s; the loans came back once nobody asked any more. Change: the keeper waits while tokens are lent to a silent entry, and the reclaimer ends an entry that holds loans of a budget that is short. The proof waits for the first events and for the suspicion, no longer for a time; a second proof, killed-borrower, lets the other entry claim first (it held before the change too, since its dead entry had unused grants).

--- a/src/coordination/grant-keeper.ts
+++ b/src/coordination/grant-keeper.ts
@@ -274,6 +274,18 @@
 			}
 		}
 
+		return isLentAway(budget);
+	}
+
+	// A daemon may hold nothing but loans: when it dies, what it was lent is locked in the lender's own grants.
+	function isLentAway(budget: string): boolean {
+		const {ledger} = follower.state();
+		for (const grant of loans.findLentTo(daemon => !membership.isAlive(daemon))) {
+			if (follower.isLogUp() && ledger.findGrant(grant)?.budget === budget) {
+				return true;
+			}
+		}
+
 		return false;
 	}
 
--- a/src/coordination/loan-desk.ts
+++ b/src/coordination/loan-desk.ts
@@ -216,6 +216,15 @@
 			}
 		},
 
+		/** Own grants of which a part is lent to a daemon that the predicate names. */
+		* findLentTo(isHolder: (daemon: string, incarnation: string) => boolean): Generator<string> {
+			for (const {shares, to, incarnation} of given.values()) {
+				if (isHolder(to, incarnation)) {
+					yield * shares.map(share => share.grant);
+				}
+			}
+		},
+
 		/** Grants lent to an incarnation, which must be closed when it has ended. */
 		listLentTo(isEnded: (daemon: string, incarnation: string) => boolean): Set<string> {
 			const grants = new Set<string>();
--- a/src/coordination/reclaimer.ts
+++ b/src/coordination/reclaimer.ts
@@ -24,6 +24,8 @@
 	readonly events: EventLog;
 	/** True when requests here were short of a budget's tokens of late. */
 	readonly isShort: (budget: string) => boolean;
+	/** Own grants of which a part is lent to a daemon that the predicate names. */
+	readonly findLentTo: (isHolder: (daemon: string, incarnation: string) => boolean) => Iterable<string>;
 };
 
 /** Ends lost incarnations. */
@@ -37,7 +39,7 @@
  *
  * @example
  * ```ts
- * void createReclaimer({follower, writer, membership, clock, events, isShort}).run(signal);
+ * void createReclaimer({follower, writer, membership, clock, events, isShort, findLentTo}).run(signal);
  * ```
  *
  * @param options Log and peers
@@ -66,13 +68,22 @@
 		return isSilent && (membership.isGone(member.daemon) || (member.role === 'entry' && isNeeded(member)));
 	}
 
+	// What it holds of a budget that is short here: grants of its own, or loans from this daemon.
 	function isNeeded(member: Readonly<Member>): boolean {
-		for (const grant of follower.state().ledger.listGrants()) {
+		const {ledger} = follower.state();
+		for (const grant of ledger.listGrants()) {
 			if (grant.daemon === member.daemon && grant.incarnation === member.incarnation && options.isShort(grant.budget)) {
 				return true;
 			}
 		}
 
+		for (const id of options.findLentTo((daemon, incarnation) => daemon === member.daemon && incarnation === member.incarnation)) {
+			const grant = ledger.findGrant(id);
+			if (grant && options.isShort(grant.budget)) {
+				return true;
+			}
+		}
+
 		return false;
 	}
 
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -92,7 +92,7 @@
 		follower, writer, membership, events, every: settings.log.snapshotEvery,
 	});
 	const reclaimer = createReclaimer({
-		follower, writer, membership, clock, events, isShort: keeper.isShort,
+		follower, writer, membership, clock, events, isShort: keeper.isShort, findLentTo: loans.findLentTo,
 	});
 	for (const task of [keeper, settler, reclaimer]) {
 		void task.run(signal);
--- a/tools/measure/budget-world.ts
+++ b/tools/measure/budget-world.ts
@@ -239,7 +239,7 @@
 		});
 		void keeper.run(parts.stopper.signal);
 		if (options.cooperates) {
-			void createReclaimer({...parts, isShort: keeper.isShort}).run(parts.stopper.signal);
+			void createReclaimer({...parts, isShort: keeper.isShort, findLentTo: loans.findLentTo}).run(parts.stopper.signal);
 		}
 
 		actors.set(id, {...parts, loans});
--- a/tools/prove/budget-proofs.ts
+++ b/tools/prove/budget-proofs.ts
@@ -110,6 +110,29 @@
 	},
 };
 
+// One entry claims the budget ahead; which one decides whether the one that dies holds grants of its own or loans.
+async function spendAfterDeath(fleet: TestFleet, firstToClaim: number): Promise<ProofOutcome> {
+	await configureCity(fleet, 4000);
+	const before = await spendUntilRefused(listen(fleet.entries[firstToClaim]), {limit: 10});
+	const streams = await Promise.all([1, 2, 3].map(async index => beginStream(listen(fleet.entries[0]), {content: `long ${index} answer 300`, maxTokens: 300})));
+	await fleet.entries[0]!.process.kill();
+	await Promise.all(streams.map(async ({outcome}) => outcome));
+	await waitUntilSuspected(fleet, 'entry-1');
+	const startedAt = performance.now();
+	const after = await spendUntilRefused(listen(fleet.entries[1]), {limit: 200});
+	const spentIn = performance.now() - startedAt;
+	await waitForReceipts(fleet);
+	const budget = await fleet.findBudget(city.budget);
+	const share = budget.billed / budget.bought;
+	return {
+		holds: budget.billed <= budget.bought && share >= 0.98,
+		figures: {
+			bought: budget.bought, billed: budget.billed, share: Number(share.toFixed(3)), answeredBefore: sumTokens(before), answeredAfter: sumTokens(after),
+			spentInMs: Math.round(spentIn), granted: budget.granted, locked: budget.locked, lastRefusal: after.at(-1)?.problem?.detail ?? '',
+		},
+	};
+}
+
 const killedHolder: Proof = {
 	name: 'killed-holder',
 	promise: refusalMeasure,
@@ -120,29 +143,20 @@
 		entries: 2, engines: 1, bookings: 0, settings: quick,
 	},
 	withoutGuard: replaceModule('src/coordination/reclaimer', 'reclaimer-that-rests'),
-	async run(fleet) {
-		await configureCity(fleet, 4000);
-		const before = await spendUntilRefused(listen(fleet.entries[0]), {limit: 10});
-		const cut = [1, 2, 3].map(async index => tryChat(listen(fleet.entries[0]), {content: `long ${index} answer 300`, maxTokens: 300, stream: true}));
-		await wait(100);
-		await fleet.entries[0]!.process.kill();
-		await Promise.all(cut);
-		await waitUntilSuspected(fleet, 'entry-1');
-		const startedAt = performance.now();
-		const after = await spendUntilRefused(listen(fleet.entries[1]), {limit: 200});
-		const spentIn = performance.now() - startedAt;
-		await waitForReceipts(fleet);
-		const budget = await fleet.findBudget(city.budget);
-		const share = budget.billed / budget.bought;
-		return {
-			holds: budget.billed <= budget.bought && share >= 0.98,
-			figures: {
-				bought: budget.bought, billed: budget.billed, share: Number(share.toFixed(3)), answeredBefore: sumTokens(before), answeredAfter: sumTokens(after),
-				spentInMs: Math.round(spentIn),
-				lastRefusal: after.at(-1)?.problem?.detail ?? '',
-			},
-		};
+	run: async fleet => spendAfterDeath(fleet, 0),
+};
+
+const killedBorrower: Proof = {
+	name: 'killed-borrower',
+	promise: refusalMeasure,
+	story: `Callers are refused though a fifth of their budget is unspent. An entry that holds nothing but loans dies with
+open streams. Whoever takes back only grants of the dead never ends it, and the loans stay locked in the lender's grants.`,
+	isInCi: true,
+	fleet: {
+		entries: 2, engines: 1, bookings: 0, settings: quick,
 	},
+	withoutGuard: replaceModule('src/coordination/reclaimer', 'reclaimer-that-rests'),
+	run: async fleet => spendAfterDeath(fleet, 1),
 };
 
 const logDown: Proof = {
@@ -355,5 +369,5 @@
 
 /** Proofs of budgets. */
 export const budgetProofs: readonly Proof[] = [
-	pausedHolder, lostReceipts, killedHolder, logDown, slowLog, retryElsewhere, killedUpstream, overrunningEngine, topUpMidStream, logDownHolderKilled,
+	pausedHolder, lostReceipts, killedHolder, killedBorrower, logDown, slowLog, retryElsewhere, killedUpstream, overrunningEngine, topUpMidStream, logDownHolderKilled,
 ];
