--- a/src/coordination/grant-keeper.ts
+++ b/src/coordination/grant-keeper.ts
@@ -14,6 +14,7 @@
 import type {Clock} from '../transport/mod.js';
 import {createDemand} from './demand.js';
 import type {BudgetView, GrantPolicy} from './grant-policy.js';
+import {isHeldAway} from './held-away.js';
 import type {LoanDesk} from './loan-desk.js';
 import type {LogFollower} from './log-follower.js';
 import type {LogWriter} from './log-writer.js';
@@ -264,31 +265,6 @@
 		return reserved;
 	}
 
-	// Tokens of a silent or ended holder come back within seconds, now that they are needed.
-	function isHeldAway(budget: string): boolean {
-		for (const grant of follower.state().ledger.listGrants()) {
-			const isMine = grant.daemon === membership.self.id && grant.incarnation === membership.self.incarnation;
-			const isAway = grant.waitsFor !== undefined || (!isMine && !membership.isAlive(grant.daemon));
-			if (grant.budget === budget && isAway && follower.isLogUp() && grant.amount > grant.receipted) {
-				return true;
-			}
-		}
-
-		return isLentAway(budget);
-	}
-
-	// A daemon may hold nothing but loans: when it dies, what it was lent is locked in the lender's own grants.
-	function isLentAway(budget: string): boolean {
-		const {ledger} = follower.state();
-		for (const grant of loans.findLentTo(daemon => !membership.isAlive(daemon))) {
-			if (follower.isLogUp() && ledger.findGrant(grant)?.budget === budget) {
-				return true;
-			}
-		}
-
-		return false;
-	}
-
 	async function waitForFreed(budget: string, signal: AbortSignal): Promise<void> {
 		const freed = holder.events.once('freed');
 		await Promise.race([freed, clock.sleep(waitStep, signal)]);
@@ -313,7 +289,7 @@
 			}
 
 			demand.noteShort(budget);
-			isBusy = holder.countReserved(budget) + reservedElsewhere > 0 || claims.has(budget) || isHeldAway(budget);
+			isBusy = holder.countReserved(budget) + reservedElsewhere > 0 || claims.has(budget) || isHeldAway(budget, {follower, membership, loans});
 			// Nothing in flight can free tokens: waiting would only hold the answer back.
 			if (!isBusy) {
 				break;
--- a/tools/prove/budget-proofs.ts
+++ b/tools/prove/budget-proofs.ts
@@ -27,15 +27,6 @@
 	}, `the peers have ended ${daemon}`);
 }
 
-// Until then a refusal is honest: the tokens are held by a daemon that may live.
-async function waitUntilSuspected(fleet: TestFleet, daemon: string): Promise<void> {
-	const {operators} = fleet.entries[1]!.process.ready;
-	await waitUntil(async () => {
-		const {hosts} = await fetchDocument<{hosts: Array<{daemon: string; isAlive: boolean}>}>(`${operators}/v1/hosts`);
-		return hosts.every(host => host.daemon !== daemon || !host.isAlive);
-	}, `the other entry suspects ${daemon}`);
-}
-
 async function cutOffFirstEntry(fleet: TestFleet, isCut: boolean): Promise<void> {
 	fleet.entries[0]!.logRelay!.setCut(isCut);
 	fleet.entries[0]!.peerRelay!.setCut(isCut);
@@ -110,55 +101,6 @@
 	},
 };
 
-// One entry claims the budget ahead; which one decides whether the one that dies holds grants of its own or loans.
-async function spendAfterDeath(fleet: TestFleet, firstToClaim: number): Promise<ProofOutcome> {
-	await configureCity(fleet, 4000);
-	const before = await spendUntilRefused(listen(fleet.entries[firstToClaim]), {limit: 10});
-	const streams = await Promise.all([1, 2, 3].map(async index => beginStream(listen(fleet.entries[0]), {content: `long ${index} answer 300`, maxTokens: 300})));
-	await fleet.entries[0]!.process.kill();
-	await Promise.all(streams.map(async ({outcome}) => outcome));
-	await waitUntilSuspected(fleet, 'entry-1');
-	const startedAt = performance.now();
-	const after = await spendUntilRefused(listen(fleet.entries[1]), {limit: 200});
-	const spentIn = performance.now() - startedAt;
-	await waitForReceipts(fleet);
-	const budget = await fleet.findBudget(city.budget);
-	const share = budget.billed / budget.bought;
-	return {
-		holds: budget.billed <= budget.bought && share >= 0.98,
-		figures: {
-			bought: budget.bought, billed: budget.billed, share: Number(share.toFixed(3)), answeredBefore: sumTokens(before), answeredAfter: sumTokens(after),
-			spentInMs: Math.round(spentIn), granted: budget.granted, locked: budget.locked, lastRefusal: after.at(-1)?.problem?.detail ?? '',
-		},
-	};
-}
-
-const killedHolder: Proof = {
-	name: 'killed-holder',
-	promise: refusalMeasure,
-	story: `Callers are refused though their budget is half unspent. An entry dies with grants and open streams; nobody
-takes its grants back, and the other entry finds nothing to claim.`,
-	isInCi: true,
-	fleet: {
-		entries: 2, engines: 1, bookings: 0, settings: quick,
-	},
-	withoutGuard: replaceModule('src/coordination/reclaimer', 'reclaimer-that-rests'),
-	run: async fleet => spendAfterDeath(fleet, 0),
-};
-
-const killedBorrower: Proof = {
-	name: 'killed-borrower',
-	promise: refusalMeasure,
-	story: `Callers are refused though a fifth of their budget is unspent. An entry that holds nothing but loans dies with
-open streams. Whoever takes back only grants of the dead never ends it, and the loans stay locked in the lender's grants.`,
-	isInCi: true,
-	fleet: {
-		entries: 2, engines: 1, bookings: 0, settings: quick,
-	},
-	withoutGuard: replaceModule('src/coordination/reclaimer', 'reclaimer-that-rests'),
-	run: async fleet => spendAfterDeath(fleet, 1),
-};
-
 const logDown: Proof = {
 	name: 'log-down',
 	promise: refusalMeasure,
@@ -336,38 +278,7 @@
 	},
 };
 
-const logDownHolderKilled: Proof = {
-	name: 'log-down-and-holder-killed',
-	promise: spendPromise,
-	story: `The log is down and an entry dies with half of the budget. Until the log is back its share stays locked; then
-it must return, whole and once, and every token must be spendable but none twice.`,
-	isInCi: false,
-	fleet: {
-		entries: 2, engines: 1, bookings: 0, settings: quick,
-	},
-	withoutGuard: replaceModule('src/coordination/reclaimer', 'reclaimer-that-rests'),
-	async run(fleet) {
-		await configureCity(fleet, 4000);
-		const before = await spendUntilRefused(listen(fleet.entries[0]), {limit: 10});
-		await setLog(fleet, {isDown: true});
-		await fleet.entries[0]!.process.kill();
-		const during = await spendUntilRefused(listen(fleet.entries[1]), {limit: 200, deadline: '2s'});
-		await setLog(fleet, {isDown: false});
-		await wait(4000);
-		const after = await spendUntilRefused(listen(fleet.entries[1]), {limit: 200});
-		await waitForReceipts(fleet);
-		const budget = await fleet.findBudget(city.budget);
-		const answered = sumTokens([...before, ...during, ...after]);
-		return {
-			holds: budget.billed <= budget.bought && answered <= budget.bought && budget.billed >= 0.98 * budget.bought,
-			figures: {
-				bought: budget.bought, billed: budget.billed, answered, duringOutage: sumTokens(during),
-			},
-		};
-	},
-};
-
 /** Proofs of budgets. */
 export const budgetProofs: readonly Proof[] = [
-	pausedHolder, lostReceipts, killedHolder, killedBorrower, logDown, slowLog, retryElsewhere, killedUpstream, overrunningEngine, topUpMidStream, logDownHolderKilled,
+	pausedHolder, lostReceipts, logDown, slowLog, retryElsewhere, killedUpstream, overrunningEngine, topUpMidStream,
 ];
