--- a/src/protocol/line-log.test.ts
+++ b/src/protocol/line-log.test.ts
@@ -41,7 +41,7 @@
 		process.exit();
 	`;
 	const child = spawn(process.execPath, ['--input-type=module', '--eval', script], {stdio: ['ignore', 'pipe', 'pipe']});
-	const [told] = await once(child.stderr, 'data');
+	const [told] = await once(child.stderr, 'data') as [unknown];
 	expect(String(told)).toBe('done');
 	child.kill('SIGKILL');
 });
