Say in the log how a request came to a stopping gateway

Cause sought: requests lost at a gateway's stop. The logs could not tell how a request came in seconds after the signal: on a kept connection, on one that had carried nothing, or on a connection accepted late. A request's end and refusal now say how long after the signal it came and which request of its connection it was; FL1008 marks the moment from which no connection is accepted, with those left open; FL1004 names the requests that were cut. Only while a gateway stops, so the volume is that of its last seconds. Nothing else changes.

Checked: the gateway's process tests (21), the caller server's, the catalogue's.

--- a/src/cli/request-story.ts
+++ b/src/cli/request-story.ts
@@ -32,6 +32,7 @@
 	['FL1001', undefined],
 	['FL1002', undefined],
 	['FL1006', undefined],
+	['FL1008', undefined],
 	['FL1101', 'log'],
 	['FL1102', 'log'],
 	['FL1109', undefined],
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -23,6 +23,7 @@
 import {createGatewayPeerInterface, type GatewayMessage} from './gateway-peer-interface.js';
 import {createGatewayState, type GatewayAdapter} from './gateway-state.js';
 import {createRelayInterface, openLogThrough} from './relay-interface.js';
+import {createStopWindow} from './stop-window.js';
 import {waitUntilIdle} from './wait-until-idle.js';
 
 /** Options of {@linkcode startGatewayDaemon}. */
@@ -91,7 +92,7 @@
 		openThrough: address => openLogThrough(direct.name, {fleet, address}),
 	});
 	const logs = {deployment: openRelayed(adapter.logs.deployment), upstreams: openRelayed(adapter.logs.upstreams), grants: openRelayed(adapter.logs.grants)};
-	let isStopping = false;
+	const stopWindow = createStopWindow({clock});
 
 	const state = createGatewayState({
 		adapter: {...adapter, logs}, self, clock, events,
@@ -143,7 +144,7 @@
 			free: account.listCustomers().map(customer => ({customer, tokens: keeper.countSpare(customer)})),
 			uses: upstreams.listUses(),
 			version: findTable()?.version ?? 0,
-			isLeaving: isStopping,
+			isLeaving: stopWindow.hasBegun(),
 		};
 	}
 
@@ -203,12 +204,12 @@
 		},
 	});
 	const callers = createGatewayInterface({
-		wire: adapter.wire, findTable, keeper, forwarder, metrics, clock, events,
+		wire: adapter.wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow,
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callers.serve);
 	const readinessServer = await startHttpServer(settings.listen.readiness, service => {
 		service.get(adapter.wire.readinessPath, (_request, response) => {
-			response.statusCode = state.isReady() && !isStopping ? 200 : 503;
+			response.statusCode = state.isReady() && !stopWindow.hasBegun() ? 200 : 503;
 			response.end();
 		});
 	});
@@ -268,11 +269,12 @@
 		async stop() {
 			const until = clock.now() + settings.stopWithin - stopReserve;
 			events.write('daemonStopping', {running: callers.countRunning()});
-			isStopping = true;
+			stopWindow.begin();
 			await clock.sleep(leaveNotice);
-			callerServer.drain();
+			const connections = await callerServer.drain();
+			events.write('daemonDraining', {stoppingMs: Math.round(stopWindow.countElapsed()!), running: callers.countRunning(), connections});
 			if (!await waitUntilIdle(callers.countRunning, {within: until - clock.now(), clock})) {
-				events.write('requestCut', {running: callers.countRunning()});
+				events.write('requestCut', callers.describeRunning());
 			}
 
 			await Promise.race([keeper.end(), clock.sleep(stopReserve / 2)]);
@@ -287,7 +289,7 @@
 			events.write('daemonStopped');
 		},
 		cut() {
-			events.write('requestCut', {running: callers.countRunning()});
+			events.write('requestCut', callers.describeRunning());
 		},
 	};
 }
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {
 	BudgetKeeper, CallerAnswer, ForwardReport, ForwardRequest, Metrics, RequestForwarder,
 } from '../coordination/mod.js';
@@ -14,6 +15,7 @@
 import type {RouteTable, TokenReservation} from '../state/mod.js';
 import {readBody, type Clock} from '../transport/mod.js';
 import {createCallerAnswer} from './caller-answer.js';
+import type {StopWindow} from './stop-window.js';
 
 /** Options of {@linkcode createGatewayInterface}. */
 export type CreateGatewayInterfaceOptions = {
@@ -24,6 +26,15 @@
 	readonly metrics: Metrics;
 	readonly clock: Clock;
 	readonly events: EventLog;
+	readonly stopWindow: StopWindow;
+};
+
+/** How a request came to a gateway that is stopping. */
+type LateArrival = {
+	/** Milliseconds since the stop began. */
+	readonly stoppingMs: number;
+	/** Which request of its connection it is, from 1. */
+	readonly onConnection: number;
 };
 
 /** A request whose route and customer are known. */
@@ -34,6 +45,9 @@
 	readonly customer: GatewayCustomer | undefined;
 };
 
+/** What a request that is being served ends by, and how it came. */
+type Serving = {readonly answer: CallerAnswer; readonly leaving: AbortController; readonly arrival: LateArrival | undefined};
+
 /** Serves callers' requests. */
 export type GatewayInterface = ReturnType<typeof createGatewayInterface>;
 
@@ -41,6 +55,8 @@
 const notReadyRetryAfter = 1000;
 /** Share of a request's time that it may wait for a claim; a store that is slow takes 0.5 s for one. */
 const claimShare = 0.15;
+/** Requests that one line of the log names; a gateway of the target runs 26 a second. */
+const namedRequests = 20;
 const callerLeft = 'The caller has left';
 const gatewayEnds = 'This gateway ends';
 const deadlinePassed = 'The time limit has passed';
@@ -88,9 +104,10 @@
  */
 export function createGatewayInterface(options: CreateGatewayInterfaceOptions) {
 	const {
-		wire, findTable, keeper, forwarder, metrics, clock, events,
+		wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow,
 	} = options;
-	let running = 0;
+	const running = new Set<IncomingMessage>();
+	const served = new WeakMap<Socket, number>();
 	let isEnding = false;
 
 	function identify(table: RouteTable, route: Route, key: string | undefined): Result<GatewayCustomer | undefined, Failure> {
@@ -139,10 +156,23 @@
 			: Ok(undefined);
 	}
 
-	function note(request: ForwardRequest, report: ForwardReport, reserveMs: number): void {
+	function countOnConnection({socket}: IncomingMessage): number {
+		const count = (served.get(socket) ?? 0) + 1;
+		served.set(socket, count);
+		return count;
+	}
+
+	function describeArrival(request: IncomingMessage): LateArrival | undefined {
+		const onConnection = countOnConnection(request);
+		const elapsed = stopWindow.countElapsed();
+		return elapsed === undefined ? undefined : {stoppingMs: Math.round(elapsed), onConnection};
+	}
+
+	function note(request: ForwardRequest, report: ForwardReport, {reserveMs, arrival}: {readonly reserveMs: number; readonly arrival: LateArrival | undefined}): void {
 		const {route, customer, startedAt} = request;
 		events.write('requestEnded', {
-			request: request.id, route: route.id, version: findTable()?.version, customer, ...report, used: computeUsed(request, report), reserveMs: Math.round(reserveMs), ms: Math.round(clock.now() - startedAt),
+			request: request.id, route: route.id, version: findTable()?.version, customer, ...report, used: computeUsed(request, report),
+			reserveMs: Math.round(reserveMs), ms: Math.round(clock.now() - startedAt), ...arrival,
 		});
 		const labels = {customer: customer ?? '-', class: route.id};
 		if (report.result === 'served') {
@@ -154,13 +184,16 @@
 		}
 	}
 
-	function refuse(answer: CallerAnswer, id: string | undefined, failure: Failure): void {
+	function refuse({answer, arrival}: Serving, id: string | undefined, failure: Failure): void {
 		answer.refuse(failure);
-		events.write('requestRefused', {request: id, type: failure.type, detail: failure.detail});
+		events.write('requestRefused', {
+			request: id, type: failure.type, detail: failure.detail, ...arrival,
+		});
 	}
 
-	async function serveAdmitted(request: IncomingMessage, admitted: Admitted, answer: CallerAnswer, leaving: AbortController): Promise<void> {
+	async function serveAdmitted(request: IncomingMessage, admitted: Admitted, serving: Serving): Promise<void> {
 		const {facts, route, service, customer} = admitted;
+		const {answer, leaving, arrival} = serving;
 		const startedAt = clock.now();
 		const span = Math.min(route.timeout, facts.patience ?? route.timeout);
 		const timer = setTimeout(() => {
@@ -170,7 +203,7 @@
 			const limit = findTable()!.deployment.limits.bodyBytes;
 			const body = await readBody(request, limit);
 			if (body.err) {
-				refuse(answer, facts.id, body.val);
+				refuse(serving, facts.id, body.val);
 				return;
 			}
 
@@ -178,7 +211,7 @@
 			const reservation = await reserve(admitted, span);
 			const reserveMs = clock.now() - readAt;
 			if (reservation.err) {
-				refuse(answer, facts.id, reservation.val);
+				refuse(serving, facts.id, reservation.val);
 				return;
 			}
 
@@ -204,14 +237,17 @@
 				keeper.settle(reservation.val, computeUsed(forward, report));
 			}
 
-			note(forward, report, reserveMs);
+			note(forward, report, {reserveMs, arrival});
 		} finally {
 			clearTimeout(timer);
 		}
 	}
 
 	return {
-		countRunning: () => running,
+		countRunning: () => running.size,
+
+		/** The running requests, for the log. */
+		describeRunning: () => ({running: running.size, requests: [...running].slice(0, namedRequests).map(({headers}) => wire.readId(headers)).join(' ')}),
 
 		/** Notes that connections are now cut, so that callers are not said to have left. */
 		noteEnding(): void {
@@ -230,20 +266,21 @@
 			response.on('error', error => {
 				events.write('callerLost', {detail: error.message});
 			});
-			running += 1;
+			const serving: Serving = {answer, leaving, arrival: describeArrival(request)};
+			running.add(request);
 			try {
 				const admitted = admit(request);
 				if (admitted.err) {
-					refuse(answer, wire.readId(request.headers), admitted.val);
+					refuse(serving, wire.readId(request.headers), admitted.val);
 				} else {
-					await serveAdmitted(request, admitted.val, answer, leaving);
+					await serveAdmitted(request, admitted.val, serving);
 				}
 			} catch (error) {
 				// The caller broke off while its body was read, or the gateway is at fault; either way only this request ends.
 				events.write('requestFailed', {request: wire.readId(request.headers), detail: (error as Error).stack ?? String(error)});
 				answer.cut();
 			} finally {
-				running -= 1;
+				running.delete(request);
 			}
 		},
 	};
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -16,8 +16,8 @@
 	readonly url: string;
 	/** Puts the limits of a deployment in force for new requests. */
 	readonly setLimits: (limits: CallerLimits) => void;
-	/** Stops accepting; answers ask callers to close, and idle connections are closed. */
-	readonly drain: () => void;
+	/** Stops accepting; answers ask callers to close, and idle connections are closed. Resolves to the number left open. */
+	readonly drain: () => Promise<number>;
 	/** Ends all connections at once. */
 	readonly cut: () => void;
 };
@@ -76,10 +76,15 @@
 			server.headersTimeout = limits.headerTimeout;
 			server.keepAliveTimeout = limits.idleTimeout + idleReserve;
 		},
-		drain() {
+		async drain() {
 			isDraining = true;
 			server.close();
 			server.closeIdleConnections();
+			return new Promise(resolve => {
+				server.getConnections((error, count) => {
+					resolve(error ? 0 : count);
+				});
+			});
 		},
 		cut() {
 			server.closeAllConnections();
