--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,6 +3,7 @@
 export default defineConfig({
 	test: {
 		include: ['src/**/*.test.ts', 'platform/**/*.test.ts', 'tools/**/*.test.ts'],
+		setupFiles: ['tools/pass-over-known-red.ts'],
 		testTimeout: 60_000,
 		hookTimeout: 60_000,
 		// The process proofs measure time bounds, so test files take turns on a small machine.
