Take no request late in a gateway's stop that cannot end before it

Cause: a gateway took and passed on whatever it read until its stop cut all connections; nothing looked at what was left of the stop. The connections that were closed after their answer close one way to it, a request whose body or tokens come late is another. The entry daemon has refused new requests late in a stop from the beginning; the gateway's own stop lacked the check.

Ruled out: connections that carried nothing before (closed with the idle ones), connections accepted late (none is after the notice).

Change: after the notice a request is passed on only if its whole time limit passes before the stop's end, by the clock and not by a timer; looked at when the body is there and again when the tokens are. From the signal on answers ask to close their connections, as the entry daemon's do.

Before: the test of a late body got 200 and a cut stream, after: 503 in 3.2 s and nothing sent.

--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -43,8 +43,12 @@
 const exchangeEvery = 250;
 /** A call to a peer may take this long, in milliseconds: many times the way between two failure domains. */
 const peerTimeout = 300;
-/** How long a stopping gateway still accepts connections, in milliseconds; the balancer needs two of its questions. */
+/** How long a stopping gateway takes every request, in milliseconds; the balancer needs two of its questions. */
 const leaveNotice = 2500;
+/** When a caller may come back while another gateway takes requests, in milliseconds: a new connection goes there. */
+const elsewhereRetryAfter = 100;
+/** When a caller may come back while all gateways are stopping, in milliseconds; a new process serves about a second after its predecessor. */
+const nowhereRetryAfter = 1000;
 /** Time kept at the end of a stop for giving grants back, in milliseconds. */
 const stopReserve = 700;
 /** The fleet's spare retries are shared out among at least so many gateways: the smallest deployments have four. */
@@ -92,7 +96,7 @@
 		openThrough: address => openLogThrough(direct.name, {fleet, address}),
 	});
 	const logs = {deployment: openRelayed(adapter.logs.deployment), upstreams: openRelayed(adapter.logs.upstreams), grants: openRelayed(adapter.logs.grants)};
-	const stopWindow = createStopWindow({clock});
+	const stopWindow = createStopWindow({notice: leaveNotice, clock});
 
 	const state = createGatewayState({
 		adapter: {...adapter, logs}, self, clock, events,
@@ -205,6 +209,7 @@
 	});
 	const callers = createGatewayInterface({
 		wire: adapter.wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow,
+		findLeavingRetryAfter: () => exchange.listViews().some(({isLeaving}) => !isLeaving) ? elsewhereRetryAfter : nowhereRetryAfter,
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callers.serve);
 	const readinessServer = await startHttpServer(settings.listen.readiness, service => {
@@ -267,13 +272,13 @@
 			events.write('settingsReloaded', {stopWithin: changed.stopWithin, retryShare: changed.retryShare, retrySlack: changed.retrySlack});
 		},
 		async stop() {
-			const until = clock.now() + settings.stopWithin - stopReserve;
 			events.write('daemonStopping', {running: callers.countRunning()});
-			stopWindow.begin();
+			stopWindow.begin(settings.stopWithin - stopReserve);
+			callerServer.leave();
 			await clock.sleep(leaveNotice);
 			const connections = await callerServer.drain();
 			events.write('daemonDraining', {stoppingMs: Math.round(stopWindow.countElapsed()!), running: callers.countRunning(), connections});
-			if (!await waitUntilIdle(callers.countRunning, {within: until - clock.now(), clock})) {
+			if (!await waitUntilIdle(callers.countRunning, {within: stopWindow.countLeft(), clock})) {
 				events.write('requestCut', callers.describeRunning());
 			}
 
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -27,6 +27,8 @@
 	readonly clock: Clock;
 	readonly events: EventLog;
 	readonly stopWindow: StopWindow;
+	/** When a caller may come back whom a stopping gateway refuses, in milliseconds. */
+	readonly findLeavingRetryAfter: () => number;
 };
 
 /** How a request came to a gateway that is stopping. */
@@ -45,6 +47,9 @@
 	readonly customer: GatewayCustomer | undefined;
 };
 
+/** How long a request may take, and when that ends on the steady clock, in milliseconds. */
+type TimeLimit = {readonly span: number; readonly deadline: number};
+
 /** What a request that is being served ends by, and how it came. */
 type Serving = {readonly answer: CallerAnswer; readonly leaving: AbortController; readonly arrival: LateArrival | undefined};
 
@@ -104,7 +109,7 @@
  */
 export function createGatewayInterface(options: CreateGatewayInterfaceOptions) {
 	const {
-		wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow,
+		wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow, findLeavingRetryAfter,
 	} = options;
 	const running = new Set<IncomingMessage>();
 	const served = new WeakMap<Socket, number>();
@@ -156,6 +161,33 @@
 			: Ok(undefined);
 	}
 
+	function checkTimeLeft(deadline: number): Result<undefined, Failure> {
+		return stopWindow.hasTimeFor(deadline - clock.now())
+			? Ok(undefined)
+			: Err(createFailure('leaving', 'This gateway stops before the request could end', {retryAfterMs: findLeavingRetryAfter()}));
+	}
+
+	// Guards against an answer that is begun and then cut by the end of a stop, which shows as a lost request. The body and
+	// the tokens can each take seconds of the stop, so what is left is looked at after both, last before the sending.
+	async function prepare(admitted: Admitted, {span, deadline}: TimeLimit): Promise<Result<TokenReservation | undefined, Failure>> {
+		const before = checkTimeLeft(deadline);
+		if (before.err) {
+			return before;
+		}
+
+		const reservation = await reserve(admitted, span);
+		const after = checkTimeLeft(deadline);
+		if (after.ok || reservation.err) {
+			return reservation;
+		}
+
+		if (reservation.val) {
+			keeper.settle(reservation.val, 0);
+		}
+
+		return after;
+	}
+
 	function countOnConnection({socket}: IncomingMessage): number {
 		const count = (served.get(socket) ?? 0) + 1;
 		served.set(socket, count);
@@ -196,6 +228,7 @@
 		const {answer, leaving, arrival} = serving;
 		const startedAt = clock.now();
 		const span = Math.min(route.timeout, facts.patience ?? route.timeout);
+		const deadline = startedAt + span;
 		const timer = setTimeout(() => {
 			leaving.abort(new Error(deadlinePassed));
 		}, span);
@@ -208,7 +241,7 @@
 			}
 
 			const readAt = clock.now();
-			const reservation = await reserve(admitted, span);
+			const reservation = await prepare(admitted, {span, deadline});
 			const reserveMs = clock.now() - readAt;
 			if (reservation.err) {
 				refuse(serving, facts.id, reservation.val);
@@ -228,7 +261,7 @@
 				generation: facts.generation,
 				lastEvent: facts.lastEvent,
 				startedAt,
-				deadline: startedAt + span,
+				deadline,
 				signal: leaving.signal,
 				answer,
 			};
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -16,6 +16,8 @@
 	readonly url: string;
 	/** Puts the limits of a deployment in force for new requests. */
 	readonly setLimits: (limits: CallerLimits) => void;
+	/** Answers ask callers to close their connections from now on. */
+	readonly leave: () => void;
 	/** Stops accepting; answers ask callers to close, and idle connections are closed. Resolves to the number left open. */
 	readonly drain: () => Promise<number>;
 	/** Ends all connections at once. */
@@ -48,12 +50,13 @@
 	const server = createServer({
 		requestTimeout: 0, connectionsCheckingInterval: checkEvery, maxHeaderSize: headerLimit, noDelay: true,
 	});
+	let isLeaving = false;
 	let isDraining = false;
 	restana({
 		server,
 		prioRequestsProcessing: false,
 		defaultRoute(request, response) {
-			if (isDraining) {
+			if (isLeaving) {
 				response.setHeader('connection', 'close');
 			}
 
@@ -76,7 +79,11 @@
 			server.headersTimeout = limits.headerTimeout;
 			server.keepAliveTimeout = limits.idleTimeout + idleReserve;
 		},
+		leave() {
+			isLeaving = true;
+		},
 		async drain() {
+			isLeaving = true;
 			isDraining = true;
 			server.close();
 			server.closeIdleConnections();
