Deliver answers whole through a stop, and accept connections until its end

Cause: a stop took an answer for finished once it was written into the process's own buffers. The count of running requests fell then, and Node.js's closeIdleConnections, which server.close calls as well, takes a connection for idle from that moment and destroys it with what its caller has not read.

Closing all idle connections after each answer closed those that had just been accepted, too: seen in a test, so only the answer's own connection is closed.

Connections are idle once their answers are delivered and no byte of a next request has come (connection-register.ts). The server's close, which would tear answers, comes last, so connections are accepted until the end: a caller who comes late gets what can still end, or 503 with when to come back, and not a refused connection.

--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -276,12 +276,13 @@
 			stopWindow.begin(settings.stopWithin - stopReserve);
 			callerServer.leave();
 			await clock.sleep(leaveNotice);
-			const connections = await callerServer.drain();
+			const connections = callerServer.drain();
 			events.write('daemonDraining', {stoppingMs: Math.round(stopWindow.countElapsed()!), running: callers.countRunning(), connections});
 			if (!await waitUntilIdle(callers.countRunning, {within: stopWindow.countLeft(), clock})) {
 				events.write('requestCut', callers.describeRunning());
 			}
 
+			stopWindow.finish();
 			await Promise.race([keeper.end(), clock.sleep(stopReserve / 2)]);
 			stopper.abort();
 			callers.noteEnding();
--- a/src/daemon/stop-window.test.ts
+++ b/src/daemon/stop-window.test.ts
@@ -27,6 +27,14 @@
 	expect(window.hasTimeFor(1)).toBe(false);
 });
 
+test('nothing is taken once a stop has finished early', () => {
+	const {world, window} = createWorld();
+	window.begin(7300);
+	world.now += 3000;
+	window.finish();
+	expect(window.hasTimeFor(100)).toBe(false);
+});
+
 test('a stop that has begun is not begun anew', () => {
 	const {world, window} = createWorld();
 	window.begin(7300);
--- a/src/daemon/stop-window.ts
+++ b/src/daemon/stop-window.ts
@@ -43,6 +43,11 @@
 			span ??= {startedAt: now, endsAt: now + within};
 		},
 
+		/** Ends the stop early: from now on nothing is taken. */
+		finish(): void {
+			span &&= {...span, endsAt: Math.min(span.endsAt, clock.now())};
+		},
+
 		hasBegun: (): boolean => span !== undefined,
 
 		/** Milliseconds since the stop began; undefined before. */
--- a/src/transport/caller-server.test.ts
+++ b/src/transport/caller-server.test.ts
@@ -32,7 +32,7 @@
 		text += String(data);
 	});
 	const ended = once(socket, 'end');
-	void server.drain();
+	server.drain();
 	response.end('data: last\n\n');
 	await ended;
 	expect(text).toContain('data: last');
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -6,6 +6,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import restana from 'restana';
 import type {CallerLimits} from '../protocol/mod.js';
+import {createConnectionRegister} from './connection-register.js';
 import {listen, type ListenAddress} from './http-server.js';
 
 /** Answers one request of a caller. */
@@ -18,9 +19,12 @@
 	readonly setLimits: (limits: CallerLimits) => void;
 	/** Answers ask callers to close their connections from now on. */
 	readonly leave: () => void;
-	/** Stops accepting; answers ask callers to close, and idle connections are closed. Resolves to the number left open. */
-	readonly drain: () => Promise<number>;
-	/** Ends all connections at once. */
+	/**
+	 * Closes the connections that are idle, and others after their answer; returns how many are open. New ones are still
+	 * accepted, so that their callers get an answer and not a refused connection.
+	 */
+	readonly drain: () => number;
+	/** Ends all connections at once and accepts no more. */
 	readonly cut: () => void;
 };
 
@@ -50,6 +54,7 @@
 	const server = createServer({
 		requestTimeout: 0, connectionsCheckingInterval: checkEvery, maxHeaderSize: headerLimit, noDelay: true,
 	});
+	const connections = createConnectionRegister(server);
 	let isLeaving = false;
 	let isDraining = false;
 	restana({
@@ -60,13 +65,12 @@
 				response.setHeader('connection', 'close');
 			}
 
-			// An answer that began before the drain promised to keep its connection. A request that comes on it later would
-			// be cut at the end of the stop, so the connection is closed while it is idle.
+			connections.noteRequest(request, response);
+			// An answer that began before the stop promised to keep its connection. Its caller would send the next request
+			// to a gateway that has little time left, so the connection is closed while it is idle.
 			response.on('close', () => {
 				if (isDraining) {
-					setImmediate(() => {
-						server.closeIdleConnections();
-					});
+					setImmediate(connections.closeIfIdle, request.socket);
 				}
 			});
 			void serve(request, response);
@@ -82,18 +86,14 @@
 		leave() {
 			isLeaving = true;
 		},
-		async drain() {
+		drain() {
 			isLeaving = true;
 			isDraining = true;
-			server.close();
-			server.closeIdleConnections();
-			return new Promise(resolve => {
-				server.getConnections((error, count) => {
-					resolve(error ? 0 : count);
-				});
-			});
+			connections.closeIdle();
+			return connections.count();
 		},
 		cut() {
+			server.close();
 			server.closeAllConnections();
 		},
 	};
--- /dev/null
+++ b/src/transport/connection-register.ts
@@ -0,0 +1,80 @@
+/**
+ * The open connections of a server's callers, and which of them are idle.
+ *
+ * @module
+ */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+type Known = {
+	/** Requests whose answers are not delivered yet. */
+	requests: number;
+	/** Bytes that had been read when the last answer was delivered. */
+	bytesRead: number;
+};
+
+/** The open connections of a server. */
+export type ConnectionRegister = ReturnType<typeof createConnectionRegister>;
+
+/**
+ * Creates the register of a server that has not accepted a connection yet.
+ *
+ * Node.js's own `closeIdleConnections`, which `close` calls too, takes a
+ * connection for idle as soon as its answer's last byte was written into the
+ * process's buffers: a caller that reads slowly then gets a torn answer. Here a
+ * connection is idle once its answers are delivered and nothing of a next
+ * request has come.
+ *
+ * @example
+ * ```ts
+ * const connections = createConnectionRegister(server);
+ * connections.closeIdle();
+ * ```
+ *
+ * @param server The server
+ * @returns The register
+ */
+export function createConnectionRegister(server: Server) {
+	const connections = new Map<Socket, Known>();
+	server.on('connection', (socket: Socket) => {
+		connections.set(socket, {requests: 0, bytesRead: 0});
+		socket.once('close', () => {
+			connections.delete(socket);
+		});
+	});
+
+	function closeIfIdle(socket: Socket): void {
+		const known = connections.get(socket);
+		if (known?.requests === 0 && socket.bytesRead === known.bytesRead) {
+			socket.destroy();
+		}
+	}
+
+	return {
+		count: (): number => connections.size,
+
+		/** Notes a request; its connection is not idle until the answer is delivered. */
+		noteRequest({socket}: IncomingMessage, response: ServerResponse): void {
+			const known = connections.get(socket);
+			if (!known) {
+				return;
+			}
+
+			known.requests += 1;
+			response.once('close', () => {
+				known.requests -= 1;
+				known.bytesRead = socket.bytesRead;
+			});
+		},
+
+		/** Closes one connection if it is idle. */
+		closeIfIdle,
+
+		/** Closes all that are idle. */
+		closeIdle(): void {
+			for (const socket of connections.keys()) {
+				closeIfIdle(socket);
+			}
+		},
+	};
+}
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -7,6 +7,7 @@
 export * from './bound.js';
 export * from './caller-server.js';
 export * from './clock.js';
+export * from './connection-register.js';
 export * from './engine-client.js';
 export * from './fleet-client.js';
 export * from './fleet-server.js';
@@ -15,3 +16,4 @@
 export * from './log-client.js';
 export * from './service-client.js';
 export * from './upstream-client.js';
+export * from './wait-until-delivered.js';
