Go on with a stop when SIGTERM comes again

Cause: a second SIGTERM ended a daemon at once and cut what it had seconds to finish. That rule is for a person who presses Ctrl-C twice; overlapping updates send SIGTERM twice and mean what they meant the first time. It is the same class as the requests lost at a gateway's stop: accepted work is given up while there is time to end it.

Change: SIGTERM again is logged (FL1009) and the stop goes on; SIGINT again still ends it at once.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -44,14 +44,21 @@
 	return settings.role === 'entry' ? startEntryDaemon(settings) : startUpstreamDaemon(settings);
 }
 
-/** Stops a daemon on SIGTERM and SIGINT, or when another process takes its name. */
-export function installSignals(daemon: RunningDaemon): void {
+/**
+ * Stops a daemon on SIGTERM and SIGINT, or when another process takes its name.
+ *
+ * Two updates that overlap both send SIGTERM. A stop that ended at the second
+ * one would cut answers that it has seconds to finish, so it goes on; its end
+ * is bounded, and SIGKILL is there for whoever cannot wait. A second SIGINT
+ * comes from a person at a terminal: it ends the stop at once, and the log says
+ * what it cut.
+ */
+export function installSignals(daemon: RunningDaemon, events: EventLog): void {
 	let isStopping = false;
 	const stop = async () => {
-		// A second signal ends the stop at once, and the log says what it cut.
 		if (isStopping) {
-			daemon.cut();
-			process.exit(cutExitCode); // eslint-disable-line unicorn/no-process-exit
+			events.write('stopRepeated');
+			return;
 		}
 
 		isStopping = true;
@@ -59,8 +66,17 @@
 		process.exit(0); // eslint-disable-line unicorn/no-process-exit
 	};
 
+	const stopOrCut = async () => {
+		if (isStopping) {
+			daemon.cut();
+			process.exit(cutExitCode); // eslint-disable-line unicorn/no-process-exit
+		}
+
+		await stop();
+	};
+
 	process.on('SIGTERM', stop);
-	process.on('SIGINT', stop);
+	process.on('SIGINT', stopOrCut);
 	void daemon.superseded.then(stop); // eslint-disable-line promise/prefer-await-to-then
 }
 
@@ -125,10 +141,11 @@
 		createDebug.enable('fireflylane:*');
 	}
 
-	installFailureLog(createEventLog(settings.val.id));
+	const events = createEventLog(settings.val.id);
+	installFailureLog(events);
 	try {
 		const daemon = await (options.start ?? startDaemon)(settings.val);
-		installSignals(daemon);
+		installSignals(daemon, events);
 		process.stdout.write(`${JSON.stringify({ready: settings.val.id, pid: process.pid, ...daemon.addresses})}\n`);
 	} catch (error) {
 		refuseToStart([error instanceof FailureError ? error.failure.detail : `Cannot start: ${(error as Error).message}`]);
--- a/src/daemon/run-direct-daemon.ts
+++ b/src/daemon/run-direct-daemon.ts
@@ -95,7 +95,7 @@
 	const events = createLineLog({daemon: settings.id, sink: process.stdout});
 	installFailureLog(events);
 	const {daemon, reload} = await start(settings, options.createAdapter(settings), events);
-	installSignals(daemon);
+	installSignals(daemon, events);
 	process.on('SIGHUP', () => {
 		try {
 			reload(options.readSettings());
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -15,6 +15,7 @@
 	settingsReloaded: {number: 1006, text: 'settings read again'},
 	settingsRefused: {number: 1007, text: 'changed settings are wrong'},
 	daemonDraining: {number: 1008, text: 'daemon takes only requests that it can end'},
+	stopRepeated: {number: 1009, text: 'stop signal repeated'},
 	logLost: {number: 1101, text: 'log service does not answer'},
 	logBack: {number: 1102, text: 'log service answers again'},
 	recordUnreadable: {number: 1103, text: 'log record skipped'},
