Tell callers of a stopping gateway when one serves again

Cause: a stopping gateway that knew no other one told callers to come back in a second.

Ruled out: a fixed longer time, which keeps callers away after the first gateway is back.

Change: gateways note when a peer says that it is leaving. If none takes requests, callers are told to come back when the one that stopped first serves again; one that answers no more has ended and serves in 1.2 s.

--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -34,6 +34,7 @@
 export * from './request-forwarder.js';
 export * from './request-router.js';
 export * from './retry-budget.js';
+export * from './return-forecast.js';
 export * from './route-book.js';
 export * from './routing-policy.js';
 export * from './service-runner.js';
--- a/src/coordination/peer-exchange.ts
+++ b/src/coordination/peer-exchange.ts
@@ -32,6 +32,8 @@
 	readonly listPeers: () => PeerAddress[];
 	/** Sends this gateway's view, and what is newer than the version that the peer last named; throws when it does not answer. */
 	readonly exchange: (address: string, knownVersion: number) => Promise<PeerView>;
+	/** Called with each view that arrives. */
+	readonly onView: (view: PeerView) => void;
 	/** Abandons the connection to a peer that went silent. */
 	readonly abandon: (address: string) => void;
 	/** Pause between exchanges with one peer, in milliseconds. */
@@ -70,6 +72,7 @@
 		}
 
 		known.set(view.daemon, {view, at: clock.now()});
+		options.onView(view);
 	}
 
 	async function exchangeWith(peer: PeerAddress, isNamed: () => boolean, signal: AbortSignal): Promise<void> {
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -7,7 +7,8 @@
 import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
-	createBudgetKeeper, createDirectPath, createMetrics, createPeerExchange, createPlacementFeed, createRelayedLog, createRequestForwarder, createRetryBudget, createTokenLending, createUpstreamBook, runPlacementReader,
+	createBudgetKeeper, createDirectPath, createMetrics, createPeerExchange, createPlacementFeed, createRelayedLog, createRequestForwarder,
+	createReturnForecast, createRetryBudget, createTokenLending, createUpstreamBook, runPlacementReader,
 	type HolderIdentity, type PeerAddress, type PeerView, type PlacementNews, type RetryBudget,
 } from '../coordination/mod.js';
 import {
@@ -45,10 +46,6 @@
 const peerTimeout = 300;
 /** How long a stopping gateway takes every request, in milliseconds; the balancer needs two of its questions. */
 const leaveNotice = 2500;
-/** When a caller may come back while another gateway takes requests, in milliseconds: a new connection goes there. */
-const elsewhereRetryAfter = 100;
-/** When a caller may come back while all gateways are stopping, in milliseconds; a new process serves about a second after its predecessor. */
-const nowhereRetryAfter = 1000;
 /** Time kept at the end of a stop for giving grants back, in milliseconds. */
 const stopReserve = 700;
 /** The fleet's spare retries are shared out among at least so many gateways: the smallest deployments have four. */
@@ -163,6 +160,8 @@
 		}
 	}
 
+	const findStopSpan = () => settings.stopWithin - stopReserve;
+	const forecast = createReturnForecast({clock, findStopSpan});
 	const exchange = createPeerExchange({
 		clock, events, daemon: self.daemon, every: exchangeEvery,
 		listPeers,
@@ -171,6 +170,7 @@
 			takeDeployment(answer);
 			return answer;
 		},
+		onView: forecast.note,
 		abandon(address) {
 			fleet.connect(address).abandon();
 		},
@@ -209,7 +209,7 @@
 	});
 	const callers = createGatewayInterface({
 		wire: adapter.wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow,
-		findLeavingRetryAfter: () => exchange.listViews().some(({isLeaving}) => !isLeaving) ? elsewhereRetryAfter : nowhereRetryAfter,
+		findLeavingRetryAfter: () => forecast.estimate(exchange.listViews(), {ownLeft: stopWindow.countLeft()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callers.serve);
 	const readinessServer = await startHttpServer(settings.listen.readiness, service => {
@@ -273,7 +273,7 @@
 		},
 		async stop() {
 			events.write('daemonStopping', {running: callers.countRunning()});
-			stopWindow.begin(settings.stopWithin - stopReserve);
+			stopWindow.begin(findStopSpan());
 			callerServer.leave();
 			await clock.sleep(leaveNotice);
 			const connections = callerServer.drain();
