Let an upstream daemon's stop wait until its entries have the last frames

Cause: the stop waited for runs to end and then a fixed second. What flow control still held back for an entry that did not read was lost with the connection; the entry called anew, found the daemon gone from the log and gave the answer up. Ruled out: a longer pause, which only moves the bound; the entry's side, which resumes as it should while the daemon is there. Change: the desk counts, for each attempt, the newest call that brings its frames, until the entry has the last one or gives the attempt up; a stop waits for these too. The call's signal ends it, in case the generator is not asked to go on. Refusals don't count. A broken call may come back for the rest, so nothing may run for a whole second before the daemon leaves, in place of the pause at the end. An entry whose host falls silent without a reset now holds the stop until `stopWithin`; that was not run.

--- a/src/coordination/upstream-desk.ts
+++ b/src/coordination/upstream-desk.ts
@@ -54,6 +54,11 @@
 const progressEvery = 1000;
 const elsewhereRetryAfter = 1000;
 
+/** @internal */
+function formatAttempt(requestId: string, attempt: number): string {
+	return `${requestId}/${attempt}`;
+}
+
 /**
  * Creates the desk.
  *
@@ -70,6 +75,7 @@
 		self, table, queue, follower, reporter, clock, events,
 	} = options;
 	const opening = new Map<string, Promise<Result<TrackedRequest, Failure>>>();
+	const deliveries = new Map<string, symbol>();
 
 	function isJoined(): boolean {
 		return follower.state().placement.isCurrent(self.id, self.incarnation);
@@ -244,8 +250,32 @@
 			}
 		},
 
+		/**
+		 * Notes that a call brings an attempt's frames to its entry; what it
+		 * returns ends the note.
+		 *
+		 * A run that has ended is not delivered yet: flow control holds back
+		 * what an entry has not read, and a stop that counts runs alone closes
+		 * the connection over it. An entry whose connection fell silent calls
+		 * anew, and the old call may never end; so the newest one counts.
+		 */
+		beginDelivery({requestId, attempt}: Pick<RunRequest, 'requestId' | 'attempt'>): () => void {
+			const key = formatAttempt(requestId, attempt);
+			const call = Symbol(key);
+			deliveries.set(key, call);
+			return () => {
+				if (deliveries.get(key) === call) {
+					deliveries.delete(key);
+				}
+			};
+		},
+
+		countDeliveries: () => deliveries.size,
+
 		/** Tells an entry what its lost attempt cost, and keeps it from starting when it has not. */
 		fence(requestId: string, attempt: number): FenceOutcome {
+			// The entry has given up on the attempt and reads none of its frames any more.
+			deliveries.delete(formatAttempt(requestId, attempt));
 			table.fence(requestId, attempt);
 			const lookup = table.get(requestId);
 			if (lookup.kind === 'unknown' || (lookup.kind === 'gone' && lookup.attempt !== attempt)) {
--- a/src/daemon/upstream-daemon.ts
+++ b/src/daemon/upstream-daemon.ts
@@ -16,7 +16,10 @@
 import {createUpstreamWatch} from './upstream-watch.js';
 import {waitUntilIdle} from './wait-until-idle.js';
 
+/** How long a stopping daemon still waits for entries to hear of it, in milliseconds: two heartbeats. */
 const leaveNotice = 1000;
+/** A call whose connection broke may come back for the rest within this span, in milliseconds: an entry pauses for 100. */
+const resumeNotice = 1000;
 
 /** @internal */
 function createWork(core: Core, settings: UpstreamSettings) {
@@ -96,6 +99,11 @@
 		void run(signal);
 	}
 
+	// What a stop waits for: a run that has ended is over only when its entry has the last frame.
+	function countWork(): number {
+		return table.countRunning() + queue.countWaiting() + desk.countDeliveries();
+	}
+
 	events.write('daemonStarted', {role: self.role, incarnation: self.incarnation});
 	return {
 		addresses: {operators: operatorServer.url, peers: fleetServer.address},
@@ -105,12 +113,10 @@
 			self.isLeaving = true;
 			// Entries learn of it by their next heartbeat; until then what they send is refused as not run and goes elsewhere.
 			await clock.sleep(leaveNotice);
-			if (!await waitUntilIdle(() => table.countRunning() + queue.countWaiting(), {within: settings.stopWithin, clock})) {
-				events.write('requestCut', {running: table.countRunning()});
+			if (!await waitUntilIdle(countWork, {within: settings.stopWithin, settle: resumeNotice, clock})) {
+				events.write('requestCut', {running: table.countRunning(), delivering: desk.countDeliveries()});
 			}
 
-			// The last frames of the streams that just ended are still on their way to the entries.
-			await clock.sleep(leaveNotice);
 			if (follower.isLogUp() && await reporter.flush()) {
 				await enrolment.leave();
 			}
--- a/src/daemon/upstream-interface.ts
+++ b/src/daemon/upstream-interface.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type {MessageInitShape} from '@bufbuild/protobuf';
-import type {ServiceImpl} from '@connectrpc/connect';
+import type {HandlerContext, ServiceImpl} from '@connectrpc/connect';
 import type {Self, UpstreamDesk} from '../coordination/mod.js';
 import type {
 	Failure, RunFrameSchema, RunRequest, Upstream,
@@ -45,15 +45,8 @@
  * @returns The service
  */
 export function createUpstreamInterface(self: Self, desk: UpstreamDesk): ServiceImpl<typeof Upstream> {
-	async function * streamFrames(run: RunRequest): AsyncGenerator<Frame> {
+	async function * followRequest(run: RunRequest, request: TrackedRequest): AsyncGenerator<Frame> {
 		const name = {requestId: run.requestId, attempt: run.attempt};
-		const opened = await desk.open(run);
-		if (opened.err) {
-			yield {...name, body: formatRefused(opened.val)};
-			return;
-		}
-
-		const request = opened.val;
 		yield {...name, body: {case: 'accepted', value: {upstream: self.id, incarnation: request.incarnation}}};
 		for await (const item of desk.follow(request, run.fromSequence)) {
 			yield item.kind === 'chunk'
@@ -64,6 +57,27 @@
 		yield {...name, sequence: request.chunks.length, body: formatEnd(request)};
 	}
 
+	async function * streamFrames(run: RunRequest, context: HandlerContext): AsyncGenerator<Frame> {
+		const opened = await desk.open(run);
+		if (opened.err) {
+			yield {requestId: run.requestId, attempt: run.attempt, body: formatRefused(opened.val)};
+			return;
+		}
+
+		// Refusals do not count: an entry that asks a leaving daemon again and again would hold up its stop.
+		// An entry that has what it wants ends the call at its side, at any frame: the signal tells of it, and the generator
+		// may never be asked to go on.
+		const end = desk.beginDelivery(run);
+		if (context.signal.aborted) {
+			end();
+		} else {
+			context.signal.addEventListener('abort', end, {once: true});
+		}
+
+		yield * followRequest(run, opened.val);
+		end();
+	}
+
 	return {
 		run: streamFrames,
 		fence(request) {
--- a/src/daemon/wait-until-idle.ts
+++ b/src/daemon/wait-until-idle.ts
@@ -9,6 +9,8 @@
 export type WaitUntilIdleOptions = {
 	/** Longest wait, in milliseconds. */
 	readonly within: number;
+	/** Nothing may run for this long before it counts as idle, in milliseconds; default 0. */
+	readonly settle?: number;
 	readonly clock: Clock;
 };
 
@@ -27,9 +29,16 @@
  * @returns True when nothing runs any more
  */
 export async function waitUntilIdle(count: () => number, options: WaitUntilIdleOptions): Promise<boolean> {
-	const {within, clock} = options;
+	const {within, settle = 0, clock} = options;
 	const until = clock.now() + within;
-	while (count() > 0 && clock.now() < until) {
+	let busyAt = clock.now();
+	while (clock.now() < until) {
+		if (count() > 0) {
+			busyAt = clock.now();
+		} else if (clock.now() - busyAt >= settle) {
+			return true;
+		}
+
 		await clock.sleep(step);
 	}
 
