--- /dev/null
+++ b/src/transport/fleet-server.test.ts
@@ -0,0 +1,67 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {expect, test} from 'vitest';
+import {Upstream} from '../protocol/mod.js';
+import {createFleetClient} from './fleet-client.js';
+import {startFleetServer} from './fleet-server.js';
+
+const fleetKey = 'fleet-key';
+const answerAfter = 100;
+const frameBytes = 8000;
+/** Together more than the client and flow control take unread. */
+const frameCount = 100;
+
+async function startServer(onStreamed: () => void) {
+	return startFleetServer({host: '127.0.0.1', port: 0}, {
+		fleetKey,
+		onRefused: () => undefined,
+		routes(router) {
+			router.service(Upstream, {
+				async fence() {
+					await wait(answerAfter);
+					return {state: 'done', billed: []};
+				},
+				async * run() {
+					for (let sent = 0; sent < frameCount; sent++) {
+						yield {body: {case: 'chunk', value: new Uint8Array(frameBytes)}};
+					}
+
+					onStreamed();
+				},
+			});
+		},
+	});
+}
+
+// A peer's call fails on a planned stop although it was taken before: the
+// connection was destroyed while the answer was being made.
+test('close() answers a call that was taken before it', {timeout: 5000}, async () => {
+	const server = await startServer(() => undefined);
+	const client = createFleetClient(fleetKey);
+	const reply = client.connect(server.address).upstream.fence({requestId: 'r-1', attempt: 1, from: 'entry-1'}, {timeoutMs: 2000});
+	await wait(answerAfter / 2);
+	const closed = server.close();
+	const {state} = await reply;
+	await closed;
+	client.close();
+	expect(state).toBe('done');
+});
+
+// A caller's stream loses its last frames on a planned stop: the upstream daemon
+// has made them all, and they wait behind flow control for an entry that
+// reads on a moment later.
+test('close() sends the frames that flow control holds back', {timeout: 5000}, async () => {
+	let closed: Promise<void> | undefined;
+	const server = await startServer(() => {
+		closed = server.close();
+	});
+	const client = createFleetClient(fleetKey);
+	let frames = 0;
+	for await (const _frame of client.connect(server.address).upstream.run({requestId: 'r-1', attempt: 1})) {
+		frames += 1;
+		await wait(1);
+	}
+
+	await closed;
+	client.close();
+	expect(frames).toBe(frameCount);
+});
