End the calls that a closing fleet server has taken

Cause: close() destroyed the peers' connections. A call being answered failed, and so did a stream whose last frame had been made but not sent. Change: connections are closed, which ends the calls on them and takes no new ones; after 300 ms the sockets are destroyed. Not the sessions: a closed one that is destroyed waits for its peer to close the connection, and a first form that did so hung a stop; its new test runs into its bound of 5 s then.

--- a/src/transport/fleet-server.test.ts
+++ b/src/transport/fleet-server.test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
 import {expect, test} from 'vitest';
 import {Upstream} from '../protocol/mod.js';
@@ -65,3 +67,19 @@
 	client.close();
 	expect(frames).toBe(frameCount);
 });
+
+// A planned stop never ends: a peer that the server has closed its connection
+// to keeps its own side open.
+test('close() ends though a peer keeps its side of the connection open', {timeout: 5000}, async () => {
+	const server = await startServer(() => undefined);
+	const [host, port] = server.address.split(':');
+	const socket = connect({host, port: Number(port), allowHalfOpen: true});
+	await once(socket, 'connect');
+	socket.write('PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n');
+	// An empty SETTINGS frame.
+	socket.write(new Uint8Array([0, 0, 0, 4, 0, 0, 0, 0, 0]));
+	await once(socket, 'data');
+	await server.close();
+	socket.destroy();
+	expect(socket.destroyed).toBe(true);
+});
--- a/src/transport/fleet-server.ts
+++ b/src/transport/fleet-server.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {createServer, type ServerHttp2Session} from 'node:http2';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {
 	Code, ConnectError, type ConnectRouter, type Interceptor,
 } from '@connectrpc/connect';
@@ -27,9 +27,16 @@
 export type FleetServer = {
 	/** IP number and port. */
 	readonly address: string;
+	/** Takes no new calls, lets those that it has taken end within a bound, and closes the connections. */
 	readonly close: () => Promise<void>;
 };
 
+/**
+ * How long calls may take to end when the server closes, in milliseconds: many
+ * times the way between two failure domains, and short beside every stop.
+ */
+const closeBound = 300;
+
 /** @internal */
 function createKeyCheck(options: StartFleetServerOptions): Interceptor {
 	return next => async request => {
@@ -57,7 +64,14 @@
  */
 export async function startFleetServer(listenAddress: ListenAddress, options: StartFleetServerOptions): Promise<FleetServer> {
 	const sessions = new Set<ServerHttp2Session>();
+	const sockets = new Set<Socket>();
 	const server = createServer(connectNodeAdapter({routes: options.routes, interceptors: [createKeyCheck(options)]}));
+	server.on('connection', (socket: Socket) => {
+		sockets.add(socket);
+		socket.on('close', () => {
+			sockets.delete(socket);
+		});
+	});
 	server.on('session', session => {
 		sessions.add(session);
 		session.on('close', () => {
@@ -81,11 +95,20 @@
 					resolve();
 				});
 			});
+			// A connection destroyed at once takes along the answers being made on it and the frames that flow control holds
+			// back: a peer that read 100 frames of 8 kB lost the last ones. One that is closed ends its calls first.
 			for (const session of sessions) {
-				session.destroy();
+				session.close();
 			}
 
+			// Not the sessions: one that was closed waits, even when it is destroyed, for its peer to close the connection.
+			const timer = setTimeout(() => {
+				for (const socket of sockets) {
+					socket.destroy();
+				}
+			}, closeBound);
 			await closed;
+			clearTimeout(timer);
 		},
 	};
 }
