--- a/src/daemon/upstream-stop.test.ts
+++ b/src/daemon/upstream-stop.test.ts
@@ -1,6 +1,8 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {afterEach, expect, test} from 'vitest';
-import {askChat, startFleet, type TestFleet} from '../../tools/harness/mod.js';
+import {
+	askChat, bookSlot, fetchDocument, startFleet, type TestFleet,
+} from '../../tools/harness/mod.js';
 
 const key = 'city-key';
 const customers = [{name: 'city', key, tokens: 100_000}];
@@ -40,3 +42,23 @@
 		tokens: 400, isWhole: true, problem: undefined, code: 0,
 	});
 });
+
+// A booking sent just before a planned stop is never made, and its caller is
+// told that the outcome is unknown: the daemon had asked the log for the right
+// to run it, left while the log was slow, and refused what the log then gave to
+// it alone.
+test('a stop runs a booking whose right was being obtained', async () => {
+	fleet = await startFleet({entries: 1, engines: 0, bookings: 2});
+	await fleet.configure(customers);
+	const book = async (booking: string) => bookSlot(fleet.entries[0]!.process.ready.callers, {
+		key, booking, idempotencyKey: booking, deadline: '20s',
+	});
+	await book('first');
+	await fetchDocument(`${fleet.log.ready.url}/control`, {delay: 600});
+	const answers = Array.from({length: 6}, async (_, index) => book(`slot-${index}`));
+	await wait(200);
+	const exited = fleet.upstreams[0]!.process.stop();
+	const answered = await Promise.all(answers);
+	const statuses = answered.map(({status, problem}) => problem?.type ?? status);
+	expect({statuses, code: await exited}).toEqual({statuses: answers.map(() => 200), code: 0});
+});
