Run what a leaving upstream daemon was given the right to run

Cause: a daemon that had asked the log for the right to run a booking refused it as leaving once it had the right. The log then named that daemon alone, so the other executors sent the entry back to it until it had left. Ruled out: the entry's side; no executor but the named one may run the request. Change: after the right is obtained a stop is no reason to refuse any more, and a stop waits for what was taken and does not run yet. A start that throws is forgotten too, as it would now hold up the stop.

--- a/src/coordination/upstream-desk.ts
+++ b/src/coordination/upstream-desk.ts
@@ -81,11 +81,11 @@
 		return follower.state().placement.isCurrent(self.id, self.incarnation);
 	}
 
-	function explainRefusal(run: RunRequest): Failure | undefined {
-		if (self.isLeaving) {
-			return createFailure('leaving', `Upstream daemon "${self.id}" is stopping`, {retryAfterMs: 1000});
-		}
+	function explainLeaving(): Failure | undefined {
+		return self.isLeaving ? createFailure('leaving', `Upstream daemon "${self.id}" is stopping`, {retryAfterMs: 1000}) : undefined;
+	}
 
+	function explainRefusal(run: RunRequest): Failure | undefined {
 		// Closing a grant waits for the incarnations on the log; work that an unknown one ran would be missed.
 		if (!isJoined()) {
 			return createFailure('not-ready', `Upstream daemon "${self.id}" is not on the log yet`, {retryAfterMs: 1000});
@@ -131,7 +131,7 @@
 		}
 
 		// The queue may have held the request past a stop, a fence or the close of its grant.
-		const refusal = explainRefusal(run);
+		const refusal = explainLeaving() ?? explainRefusal(run);
 		if (refusal) {
 			turn.val();
 			return Err(refusal);
@@ -165,6 +165,8 @@
 			}
 		}
 
+		// A stop that began meanwhile is no reason to refuse: the log has given the request to this daemon alone, and would
+		// refuse it to every other. The stop waits for what is opening.
 		const refusal = explainRefusal(run);
 		if (refusal) {
 			options.services!.noteNotRun(run.requestId);
@@ -180,7 +182,7 @@
 	}
 
 	async function start(run: RunRequest): Promise<Result<TrackedRequest, Failure>> {
-		const refusal = explainRefusal(run);
+		const refusal = explainLeaving() ?? explainRefusal(run);
 		if (refusal) {
 			return Err(refusal);
 		}
@@ -197,9 +199,11 @@
 
 		const started = start(run);
 		opening.set(run.requestId, started);
-		const result = await started;
-		opening.delete(run.requestId);
-		return result;
+		try {
+			return await started;
+		} finally {
+			opening.delete(run.requestId);
+		}
 	}
 
 	return {
@@ -272,6 +276,9 @@
 
 		countDeliveries: () => deliveries.size,
 
+		/** Counts the requests taken that do not run yet: they wait for their turn or for the right to run. */
+		countOpening: () => opening.size,
+
 		/** Tells an entry what its lost attempt cost, and keeps it from starting when it has not. */
 		fence(requestId: string, attempt: number): FenceOutcome {
 			// The entry has given up on the attempt and reads none of its frames any more.
--- a/src/daemon/upstream-daemon.ts
+++ b/src/daemon/upstream-daemon.ts
@@ -99,9 +99,9 @@
 		void run(signal);
 	}
 
-	// What a stop waits for: a run that has ended is over only when its entry has the last frame.
+	// What a stop waits for: from the moment a request was taken until its entry has the last frame.
 	function countWork(): number {
-		return table.countRunning() + queue.countWaiting() + desk.countDeliveries();
+		return desk.countOpening() + table.countRunning() + desk.countDeliveries();
 	}
 
 	events.write('daemonStarted', {role: self.role, incarnation: self.incarnation});
@@ -114,7 +114,7 @@
 			// Entries learn of it by their next heartbeat; until then what they send is refused as not run and goes elsewhere.
 			await clock.sleep(leaveNotice);
 			if (!await waitUntilIdle(countWork, {within: settings.stopWithin, settle: resumeNotice, clock})) {
-				events.write('requestCut', {running: table.countRunning(), delivering: desk.countDeliveries()});
+				events.write('requestCut', {opening: desk.countOpening(), running: table.countRunning(), delivering: desk.countDeliveries()});
 			}
 
 			if (follower.isLogUp() && await reporter.flush()) {
