--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -13,7 +13,7 @@
 	Err, Ok, createFailure, type GatewayCustomer, type EventLog, type Failure, type GatewayWire, type RequestFacts, type Result, type Route, type GatewayService,
 } from '../protocol/mod.js';
 import type {RouteTable, TokenReservation} from '../state/mod.js';
-import {readBody, waitUntilDelivered, type Clock} from '../transport/mod.js';
+import {readBody, waitUntilSent, type Clock} from '../transport/mod.js';
 import {createCallerAnswer} from './caller-answer.js';
 import type {StopWindow} from './stop-window.js';
 
@@ -287,7 +287,7 @@
 			isEnding = true;
 		},
 
-		/** Answers one request and resolves when its answer is delivered; never rejects. */
+		/** Answers one request and resolves when its answer is sent; never rejects. */
 		async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 			const answer = createCallerAnswer(response, wire);
 			const leaving = new AbortController();
@@ -313,7 +313,7 @@
 				events.write('requestFailed', {request: wire.readId(request.headers), detail: (error as Error).stack ?? String(error)});
 				answer.cut();
 			} finally {
-				await waitUntilDelivered(response);
+				await waitUntilSent(request, response);
 				running.delete(request);
 			}
 		},
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -16,4 +16,3 @@
 export * from './log-client.js';
 export * from './service-client.js';
 export * from './upstream-client.js';
-export * from './wait-until-delivered.js';
