--- a/src/transport/fleet-client.test.ts
+++ b/src/transport/fleet-client.test.ts
@@ -1,6 +1,6 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {createServer, type ServerHttp2Session} from 'node:http2';
+import {constants, createServer, type ServerHttp2Session} from 'node:http2';
 import type {AddressInfo} from 'node:net';
 import process from 'node:process';
 import {pathToFileURL} from 'node:url';
@@ -77,3 +77,20 @@
 	});
 	expect(await callInProcess(address, {lanes: 2, rounds: 20})).toBe('ended 40');
 });
+
+test('a connection abandoned just as its peer leaves it ends no process', async () => {
+	// A gateway ends by itself: a call had failed, its peer said in the same
+	// moment that it leaves, and the library, told to abandon a session that
+	// it was destroying for that, no longer listened for its error.
+	const address = await serve(session => {
+		session.on('stream', stream => {
+			stream.on('error', () => undefined);
+			stream.respond({[constants.HTTP2_HEADER_STATUS]: 503});
+			stream.end();
+			setTimeout(() => {
+				session.close();
+			}, 1);
+		});
+	});
+	expect(await callInProcess(address, {lanes: 1, rounds: 200})).toBe('ended 200');
+});
