Ask for the close of a connection after the last answer under way on it

Cause: a stopping gateway asked each caller to close after the next answer. On a connection with two requests under way Node.js closes after the first answer that says so, and the second, sent on to an engine, was thrown away.

Ruled out: never asking before the notice has passed, which leaves the same loss after it.

Change: the newest answer asks, and the one before it no longer does; if that one's head is out already, the newest request is not served, as its caller was told. Before, the test got 1 answer of 2 and both ran; after, 2 of 2.

--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -35,6 +35,26 @@
 /** Largest headers before a deployment's limit is known, in bytes. */
 const headerLimit = 65_536;
 
+/**
+ * @internal Asks the caller to close its connection after an answer. A caller
+ * that sends its next request without waiting for the answer before gets both
+ * only if the last one asks, since the connection closes after the one that
+ * does. Returns false if it is too late for that: the request is then not
+ * served, as its answer would be thrown away.
+ */
+function askToClose(response: ServerResponse, before: ServerResponse | undefined): boolean {
+	if (before?.getHeader('connection') === 'close') {
+		if (before.headersSent) {
+			return false;
+		}
+
+		before.removeHeader('connection');
+	}
+
+	response.setHeader('connection', 'close');
+	return true;
+}
+
 /**
  * Starts the server.
  *
@@ -61,11 +81,11 @@
 		server,
 		prioRequestsProcessing: false,
 		defaultRoute(request, response) {
-			if (isLeaving) {
-				response.setHeader('connection', 'close');
+			const before = connections.noteRequest(request, response);
+			if (isLeaving && !askToClose(response, before)) {
+				return;
 			}
 
-			connections.noteRequest(request, response);
 			// An answer that began before the stop promised to keep its connection. Its caller would send the next request
 			// to a gateway that has little time left, so the connection is closed while it is idle.
 			response.on('close', () => {
--- a/src/transport/connection-register.ts
+++ b/src/transport/connection-register.ts
@@ -11,6 +11,8 @@
 	requests: number;
 	/** Bytes that had been read when the last answer was delivered. */
 	bytesRead: number;
+	/** The newest answer that is under way. */
+	newest: ServerResponse | undefined;
 };
 
 /** The open connections of a server. */
@@ -22,8 +24,7 @@
  * Node.js's own `closeIdleConnections`, which `close` calls too, takes a
  * connection for idle as soon as its answer's last byte was written into the
  * process's buffers: a caller that reads slowly then gets a torn answer. Here a
- * connection is idle once its answers are delivered and nothing of a next
- * request has come.
+ * connection is idle once its answers are sent and nothing has come since.
  *
  * @example
  * ```ts
@@ -37,7 +38,7 @@
 export function createConnectionRegister(server: Server) {
 	const connections = new Map<Socket, Known>();
 	server.on('connection', (socket: Socket) => {
-		connections.set(socket, {requests: 0, bytesRead: 0});
+		connections.set(socket, {requests: 0, bytesRead: 0, newest: undefined});
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
@@ -53,18 +54,26 @@
 	return {
 		count: (): number => connections.size,
 
-		/** Notes a request; its connection is not idle until the answer is delivered. */
-		noteRequest({socket}: IncomingMessage, response: ServerResponse): void {
+		/**
+		 * Notes a request; its connection is not idle until the answer is
+		 * sent. Returns the answer under way before it, if the caller did not
+		 * wait for that.
+		 */
+		noteRequest({socket}: IncomingMessage, response: ServerResponse): ServerResponse | undefined {
 			const known = connections.get(socket);
 			if (!known) {
-				return;
+				return undefined;
 			}
 
+			const before = known.newest;
 			known.requests += 1;
+			known.newest = response;
 			response.once('close', () => {
 				known.requests -= 1;
 				known.bytesRead = socket.bytesRead;
+				known.newest = known.newest === response ? undefined : known.newest;
 			});
+			return before;
 		},
 
 		/** Closes one connection if it is idle. */
