--- a/src/daemon/caller-answer.ts
+++ b/src/daemon/caller-answer.ts
@@ -10,6 +10,17 @@
 	failureTable, formatProblem, type Failure, type GatewayWire,
 } from '../protocol/mod.js';
 
+/** @internal Waits until the caller has read on or left; each wait takes its listeners away, as a long stream waits often. */
+async function waitForReader(response: ServerResponse): Promise<void> {
+	const over = new AbortController();
+	const {signal} = over;
+	try {
+		await Promise.race([once(response, 'drain', {signal}), once(response, 'close', {signal})]);
+	} finally {
+		over.abort();
+	}
+}
+
 /**
  * Creates the way back to a caller.
  *
@@ -31,7 +42,7 @@
 		},
 		async write(bytes) {
 			if (!response.write(bytes) && !response.destroyed) {
-				await Promise.race([once(response, 'drain'), once(response, 'close')]);
+				await waitForReader(response);
 			}
 		},
 		end(bytes) {
