Let both entries join before start-while-log-down sets up its budget

The other entry, alone on the log until then, claimed the whole budget, and an idle entry is lent nothing. That is how budgets are meant to work, so the precondition waited for what nobody owed.

Ruled out: the changes to stops and connections of this time; both logs show no lost peer and no refused call, only the order of these two records.

Change: the proof waits until every entry hears every daemon before it sets up.

--- a/tools/prove/configuration-proofs.ts
+++ b/tools/prove/configuration-proofs.ts
@@ -153,6 +153,8 @@
 	},
 	withoutGuard: replaceModule('src/coordination/membership', 'membership-without-relay'),
 	async run(fleet) {
+		// An entry that joins after the budget finds the whole of it claimed by the other one, and holds nothing until asked.
+		await fleet.waitForPeers();
 		await configureCity(fleet, 100_000);
 		const [peer] = fleet.entries;
 		await waitUntil(async () => {
