Derive a connection's idleness from its newest answer

Answers of one connection are sent in order, so the count of requests beside the newest answer said nothing more. The fleet client's close dropped its map after each connection had dropped itself.

--- a/src/transport/connection-register.ts
+++ b/src/transport/connection-register.ts
@@ -7,11 +7,9 @@
 import type {Socket} from 'node:net';
 
 type Known = {
-	/** Requests whose answers are not delivered yet. */
-	requests: number;
-	/** Bytes that had been read when the last answer was delivered. */
+	/** Bytes that had been read when the newest answer was sent. */
 	bytesRead: number;
-	/** The newest answer that is under way. */
+	/** The newest answer while it is under way; answers of one connection are sent in order, so all others are sent before. */
 	newest: ServerResponse | undefined;
 };
 
@@ -38,7 +36,7 @@
 export function createConnectionRegister(server: Server) {
 	const connections = new Map<Socket, Known>();
 	server.on('connection', (socket: Socket) => {
-		connections.set(socket, {requests: 0, bytesRead: 0, newest: undefined});
+		connections.set(socket, {bytesRead: 0, newest: undefined});
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
@@ -46,7 +44,7 @@
 
 	function closeIfIdle(socket: Socket): void {
 		const known = connections.get(socket);
-		if (known?.requests === 0 && socket.bytesRead === known.bytesRead) {
+		if (known && !known.newest && socket.bytesRead === known.bytesRead) {
 			socket.destroy();
 		}
 	}
@@ -66,12 +64,12 @@
 			}
 
 			const before = known.newest;
-			known.requests += 1;
 			known.newest = response;
 			response.once('close', () => {
-				known.requests -= 1;
-				known.bytesRead = socket.bytesRead;
-				known.newest = known.newest === response ? undefined : known.newest;
+				if (known.newest === response) {
+					known.newest = undefined;
+					known.bytesRead = socket.bytesRead;
+				}
 			});
 			return before;
 		},
--- a/src/transport/fleet-client.ts
+++ b/src/transport/fleet-client.ts
@@ -121,8 +121,6 @@
 			for (const connection of connections.values()) {
 				connection.abandon();
 			}
-
-			connections.clear();
 		},
 	};
 }
