--- a/tools/prove/budget-proofs.ts
+++ b/tools/prove/budget-proofs.ts
@@ -12,12 +12,10 @@
 	beginStream, city, configureCity, countEngines, listen, readStatus, setLog, spendUntilRefused, sumTokens, tryChat, waitForReceipts,
 } from './count.js';
 import {
-	quick, replaceModule, type Proof, type ProofOutcome,
+	quick, refusalMeasure, replaceModule, spendPromise, type Proof, type ProofOutcome,
 } from './proof.js';
 
-const spendPromise = 'A customer\'s spend never exceeds its prepaid budget.';
 const billPromise = 'Each caller request is billed exactly once.';
-const refusalMeasure = 'False refusals: requests refused although budget remained.';
 
 async function waitUntilEnded(fleet: TestFleet, daemon: string): Promise<void> {
 	const {operators} = fleet.entries[1]!.process.ready;
--- a/tools/prove/death-proofs.ts
+++ b/tools/prove/death-proofs.ts
@@ -9,11 +9,16 @@
 	beginStream, city, configureCity, listen, setLog, spendUntilRefused, sumTokens, waitForReceipts,
 } from './count.js';
 import {
-	quick, replaceModule, type Proof, type ProofOutcome,
+	quick, refusalMeasure, replaceModule, spendPromise, type Proof, type ProofOutcome,
 } from './proof.js';
 
-const spendPromise = 'A customer\'s spend never exceeds its prepaid budget.';
-const refusalMeasure = 'False refusals: requests refused although budget remained.';
+/** Two entries of which the first dies, with the reclaimer as the guard. */
+const twoEntries: Pick<Proof, 'fleet' | 'withoutGuard'> = {
+	fleet: {
+		entries: 2, engines: 1, bookings: 0, settings: quick,
+	},
+	withoutGuard: replaceModule('src/coordination/reclaimer', 'reclaimer-that-rests'),
+};
 
 // Until then a refusal is honest: the tokens are held by a daemon that may live.
 async function waitUntilSuspected(fleet: TestFleet, daemon: string): Promise<void> {
@@ -53,10 +58,7 @@
 	story: `Callers are refused though their budget is half unspent. An entry dies with grants and open streams; nobody
 takes its grants back, and the other entry finds nothing to claim.`,
 	isInCi: true,
-	fleet: {
-		entries: 2, engines: 1, bookings: 0, settings: quick,
-	},
-	withoutGuard: replaceModule('src/coordination/reclaimer', 'reclaimer-that-rests'),
+	...twoEntries,
 	run: async fleet => spendAfterDeath(fleet, 0),
 };
 
@@ -66,10 +68,7 @@
 	story: `Callers are refused though a fifth of their budget is unspent. An entry that holds nothing but loans dies with
 open streams. Whoever takes back only grants of the dead never ends it, and the loans stay locked in the lender's grants.`,
 	isInCi: true,
-	fleet: {
-		entries: 2, engines: 1, bookings: 0, settings: quick,
-	},
-	withoutGuard: replaceModule('src/coordination/reclaimer', 'reclaimer-that-rests'),
+	...twoEntries,
 	run: async fleet => spendAfterDeath(fleet, 1),
 };
 
@@ -79,10 +78,7 @@
 	story: `The log is down and an entry dies with half of the budget. Until the log is back its share stays locked; then
 it must return, whole and once, and every token must be spendable but none twice.`,
 	isInCi: false,
-	fleet: {
-		entries: 2, engines: 1, bookings: 0, settings: quick,
-	},
-	withoutGuard: replaceModule('src/coordination/reclaimer', 'reclaimer-that-rests'),
+	...twoEntries,
 	async run(fleet) {
 		await configureCity(fleet, 4000);
 		const before = await spendUntilRefused(listen(fleet.entries[0]), {limit: 10});
--- a/tools/prove/proof.ts
+++ b/tools/prove/proof.ts
@@ -8,6 +8,10 @@
 /** Settings that suspect a silent peer within a second, so that proofs are short. */
 export const quick = {heartbeat: {every: '200ms', suspectAfter: '1s'}};
 
+/** Rows of the brief's list that proofs of several files prove. */
+export const spendPromise = 'A customer\'s spend never exceeds its prepaid budget.';
+export const refusalMeasure = 'False refusals: requests refused although budget remained.';
+
 /** Figures that a proof counted. */
 export type ProofFigures = Readonly<Record<string, number | string | boolean>>;
 
