Send nothing for callers who left while the gateway was behind

Cause: after a power cut a gateway reads requests seconds late (cold code on half a core). That a caller closed its connection stands behind its request and is read in the event loop's next round; a request that finds a kept connection to an engine was sent before.

Ruled out: the forwarder's own look at the caller's signal, which is not yet aborted then; a response's close, which needs three more rounds.

Change: two turns of the event loop before the sending, and the end of the caller's side counts as leaving.

--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -13,7 +13,9 @@
 	Err, Ok, createFailure, type GatewayCustomer, type EventLog, type Failure, type GatewayWire, type RequestFacts, type Result, type Route, type GatewayService,
 } from '../protocol/mod.js';
 import type {RouteTable, TokenReservation} from '../state/mod.js';
-import {readBody, waitUntilSent, type Clock} from '../transport/mod.js';
+import {
+	readArrived, readBody, waitUntilSent, type Clock,
+} from '../transport/mod.js';
 import {createCallerAnswer} from './caller-answer.js';
 import type {StopWindow} from './stop-window.js';
 
@@ -248,6 +250,18 @@
 				return;
 			}
 
+			// Guards against work for callers who have left: a gateway that fell behind by seconds would send on each request
+			// that it finds waiting, and upstreams would work for nobody while those who still wait are served later.
+			await readArrived();
+			if (leaving.signal.aborted) {
+				if (reservation.val) {
+					keeper.settle(reservation.val, 0);
+				}
+
+				refuse(serving, facts.id, createFailure('overloaded', `Nothing was sent: ${(leaving.signal.reason as Error).message}`, {retryAfterMs: notReadyRetryAfter}));
+				return;
+			}
+
 			const forward: ForwardRequest = {
 				id: facts.id,
 				route,
@@ -299,6 +313,12 @@
 			response.on('error', error => {
 				events.write('callerLost', {detail: error.message});
 			});
+			// The end of the caller's side is read before the response closes, which takes further rounds of the event loop.
+			const noteEnd = () => {
+				leaving.abort(new Error(isEnding ? gatewayEnds : callerLeft));
+			};
+
+			request.socket.on('end', noteEnd);
 			const serving: Serving = {answer, leaving, arrival: describeArrival(request)};
 			running.add(request);
 			try {
@@ -314,6 +334,7 @@
 				answer.cut();
 			} finally {
 				await waitUntilSent(request, response);
+				request.socket.off('end', noteEnd);
 				running.delete(request);
 			}
 		},
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -8,6 +8,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import restana from 'restana';
 import {
 	Err, Ok, createFailure, formatProblem, type Failure, type Result,
@@ -177,6 +178,24 @@
 	});
 }
 
+/**
+ * Lets the event loop read what has arrived on its connections.
+ *
+ * A process that falls behind, after a freeze or a cold start, reads a request
+ * together with many others; that its caller closed the connection meanwhile
+ * stands behind the request and is read only in the loop's next round.
+ *
+ * @example
+ * ```ts
+ * await readArrived();
+ * ```
+ */
+export async function readArrived(): Promise<void> {
+	// The first turn ends the round in which the request was read, the second the one after it.
+	await nextTurn();
+	await nextTurn();
+}
+
 /**
  * Reads the body of a request.
  *
