--- a/tools/harness/process.ts
+++ b/tools/harness/process.ts
@@ -44,8 +44,8 @@
 export const replaceVariable = 'FIREFLYLANE_PROOF_REPLACE';
 
 const logLimit = 4_000_000;
-/** The build folder, whether this module runs from it or from its source. */
-const buildFolder = new URL(import.meta.url.includes('/dist/') ? '../../' : '../../dist/', import.meta.url);
+/** The build folder, whether this module runs from one or from its source. */
+const buildFolder = new URL(import.meta.url.endsWith('.js') ? '../../' : '../../dist/', import.meta.url);
 
 type ReadReadyLineOptions = {readonly readLog: () => string; readonly keepLine: (line: string) => void};
 
