Tell where requests and tokens were lost from daemons' logs

The line of a deployment in force names the amounts that changed, so that the bought column does not depend on a refusal.

--- a/src/cli.ts
+++ b/src/cli.ts
@@ -13,6 +13,7 @@
 	budgetCommand, hostCommand, metricsCommand, requestCommand, statusCommand, upstreamCommand,
 } from './cli/inspect-commands.js';
 import {intentCommand, keyCommand} from './cli/intent-commands.js';
+import {lossesCommand} from './cli/losses-command.js';
 
 const program = subcommands({
 	name: 'fireflylane',
@@ -27,6 +28,7 @@
 		metrics: metricsCommand,
 		key: keyCommand,
 		explain: explainCommand,
+		losses: lossesCommand,
 	},
 });
 
--- a/src/cli/request-story.ts
+++ b/src/cli/request-story.ts
@@ -3,17 +3,9 @@
  *
  * @module
  */
+import type {LogLine} from './log-line.js';
 
-/** One line of a daemon's log. */
-export type LogLine = {
-	/** Wall clock of the daemon's host, ISO 8601. */
-	readonly at: string;
-	readonly daemon: string;
-	/** Number of the event, such as `FL1408`. */
-	readonly event: string;
-	readonly text: string;
-	readonly fields: Readonly<Record<string, unknown>>;
-};
+export {parseLog} from './log-line.js';
 
 /** What the logs say of a request. */
 export type RequestStory = {
@@ -48,40 +40,6 @@
 /** The other side of a pair: a lost dependency that is back is no longer lost. */
 const pairs = new Map([['FL1102', 'FL1101'], ['FL1110', 'FL1109'], ['FL1302', 'FL1301'], ['FL1702', 'FL1701']]);
 
-/**
- * Reads a log; what comes before the document on a line is left out, and so
- * are lines without one.
- *
- * @example
- * ```ts
- * parseLog('{"at":"2026-01-31T08:00:00.000Z","daemon":"e1","event":"FL1001","text":"daemon started"}');
- * ```
- *
- * @param text The log
- * @returns Its lines
- */
-export function parseLog(text: string): LogLine[] {
-	return text.split('\n').map(line => parseLine(line)).filter(line => line !== undefined);
-}
-
-/** @internal */
-function parseLine(line: string): LogLine | undefined {
-	const start = line.indexOf('{"at"');
-	if (start === -1) {
-		return undefined;
-	}
-
-	try {
-		const {at, daemon, event, text, ...fields} = JSON.parse(line.slice(start)) as Record<string, unknown>;
-		return {
-			at: String(at), daemon: String(daemon), event: String(event), text: String(text), fields,
-		};
-	} catch {
-		// A process that was killed leaves half a line.
-		return undefined;
-	}
-}
-
 /** @internal When the request came, by the line that says how long it took; else its first line. */
 function findStart(lines: readonly LogLine[]): number {
 	const starts = lines.map(({at, fields}) => Date.parse(at) - (typeof fields.ms === 'number' ? fields.ms : 0));
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -50,6 +50,15 @@
 /** A store that failed within this span, in milliseconds, may have let entries lapse. */
 const unstableSpan = 3000;
 
+/** Customers that one line of the log names; the line stays under 4 KB. */
+const namedCustomers = 100;
+
+/** @internal What customers have bought, of those for whom it differs from the deployment before. */
+function listChangedPurchases({customers = []}: Deployment, before: RouteTable | undefined): Record<string, number> {
+	const changed = customers.filter(({id, bought}) => bought !== undefined && bought !== before?.findCustomer(id)?.bought);
+	return Object.fromEntries(changed.slice(0, namedCustomers).map(({id, bought}) => [id, bought!]));
+}
+
 /**
  * Creates the state; `run` is its task.
  *
@@ -87,10 +96,11 @@
 			return;
 		}
 
+		const bought = listChangedPurchases(deployment, table);
 		table = createRouteTable(deployment);
 		deploymentRecord = text;
 		options.onDeployment(deployment);
-		events.write('deploymentAdopted', {version: deployment.version, source});
+		events.write('deploymentAdopted', {version: deployment.version, source, bought: JSON.stringify(bought)});
 	}
 
 	function takeUpstream({key, value, offset}: StoredRecord): void {
