--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -80,8 +80,10 @@
 	void daemon.superseded.then(stop); // eslint-disable-line promise/prefer-await-to-then
 }
 
-// A fault that no call caught leaves the state in doubt: the process says so and ends, and its host starts a new one.
-/** Ends the process after a fault that no call caught, with a log line. */
+/**
+ * Ends the process after a fault that no call caught, with a log line: its
+ * state is in doubt, and its host starts a new one.
+ */
 export function installFailureLog(events: EventLog): void {
 	process.on('uncaughtException', error => {
 		events.write('daemonFailed', {error: error.stack ?? error.message});
