--- a/src/cli/losses-command.ts
+++ b/src/cli/losses-command.ts
@@ -8,8 +8,9 @@
 import {
 	command, flag, number, option, optional, restPositionals, string,
 } from 'cmd-ts';
+import type {CustomerLosses} from './budget-count.js';
 import {readLog} from './log-line.js';
-import {buildLosses, type CustomerLosses, type Losses} from './losses.js';
+import {buildLosses, type Losses} from './losses.js';
 import {formatLossesPlot} from './losses-plot.js';
 import {formatTable, type TableRow} from './table.js';
 
--- a/src/cli/losses.ts
+++ b/src/cli/losses.ts
@@ -4,37 +4,11 @@
  * @module
  */
 import * as z from 'zod';
+import {createBudgetCount, type CustomerLosses} from './budget-count.js';
 import type {LogLine} from './log-line.js';
-
-/** Requests that came to their end in one span of time, by outcome. */
-export type LossWindow = {
-	/** Seconds since the first line. */
-	readonly from: number;
-	readonly outcomes: Readonly<Record<string, number>>;
-};
-
-/** Why requests were not served. */
-export type LossReason = {
-	readonly outcome: string;
-	readonly reason: string;
-	readonly requests: number;
-	/** Tokens that were counted for them. */
-	readonly tokens: number;
-};
-
-/** What became of one customer's budget, in tokens. */
-export type CustomerLosses = {
-	readonly customer: string;
-	/** Bought so far; undefined when no line says it. */
-	readonly bought: number | undefined;
-	readonly counted: number;
-	/** Counted for requests that were not served. */
-	readonly unserved: number;
-	/** Granted to daemons that died, and not known to be used. */
-	readonly leftWithDead: number;
-	/** Requests that found too few tokens. */
-	readonly short: number;
-};
+import {
+	createRequestCount, servedOutcome, type LossReason, type LossWindow,
+} from './request-count.js';
 
 /** What the logs say of losses. */
 export type Losses = {
@@ -51,15 +25,9 @@
 	readonly window?: number;
 };
 
-/** The tokens of one incarnation of a gateway, by customer. */
-type Purse = {granted: Map<string, number>; readonly used: Map<string, number>; readonly lent: Map<string, number>; hasStopped: boolean};
-
-type Customer = {-readonly [Field in keyof CustomerLosses]: CustomerLosses[Field]};
-
 const events = {
 	started: 'FL1001', stopped: 'FL1003', granted: 'FL1201', lent: 'FL1206', borrowed: 'FL1207', short: 'FL1209', refused: 'FL1401', ended: 'FL1408', deployment: 'FL1506',
 } as const;
-const served = 'served';
 const defaultWindow = 2;
 const amount = z.number().nonnegative();
 const amountsSchema = z.record(z.string(), amount);
@@ -85,104 +53,6 @@
 	}
 }
 
-/** @internal */
-function add(map: Map<string, number>, key: string, value: number): void {
-	map.set(key, (map.get(key) ?? 0) + value);
-}
-
-/** @internal Counts what became of requests. */
-function createRequestCount(since: number, window: number) {
-	const windows = new Map<number, Record<string, number>>();
-	const reasons = new Map<string, {-readonly [Field in keyof LossReason]: LossReason[Field]}>();
-
-	return {
-		note(line: LogLine, outcome: string, {reason, tokens}: {readonly reason: string; readonly tokens: number}): void {
-			const from = Math.floor((Date.parse(line.at) - since) / 1000 / window) * window;
-			const outcomes = windows.get(from) ?? {};
-			outcomes[outcome] = (outcomes[outcome] ?? 0) + 1;
-			windows.set(from, outcomes);
-			if (outcome === served) {
-				return;
-			}
-
-			const key = `${outcome} ${reason}`;
-			const known = reasons.get(key) ?? {
-				outcome, reason, requests: 0, tokens: 0,
-			};
-			known.requests += 1;
-			known.tokens += tokens;
-			reasons.set(key, known);
-		},
-		listWindows: (): LossWindow[] => [...windows].sort(([left], [right]) => left - right).map(([from, outcomes]) => ({from, outcomes})),
-		listReasons: (): LossReason[] => [...reasons.values()].sort((left, right) => right.requests - left.requests),
-	};
-}
-
-/** @internal Follows the budgets of customers and what each incarnation holds of them. */
-function createBudgetCount() {
-	const customers = new Map<string, Customer>();
-	const purses = new Map<string, Purse>();
-
-	function ensureCustomer(customer: string): Customer {
-		const known = customers.get(customer) ?? {
-			customer, bought: undefined, counted: 0, unserved: 0, leftWithDead: 0, short: 0,
-		};
-		customers.set(customer, known);
-		return known;
-	}
-
-	function ensurePurse(daemon: string): Purse {
-		const known = purses.get(daemon) ?? {
-			granted: new Map(), used: new Map(), lent: new Map(), hasStopped: false,
-		};
-		purses.set(daemon, known);
-		return known;
-	}
-
-	// A record names the total ever granted; what was lent is used by others, who count it themselves.
-	function bury({granted, used, lent, hasStopped}: Purse): void {
-		if (hasStopped) {
-			return;
-		}
-
-		for (const [customer, total] of granted) {
-			ensureCustomer(customer).leftWithDead += Math.max(0, total - (used.get(customer) ?? 0) - (lent.get(customer) ?? 0));
-		}
-	}
-
-	return {
-		noteStarted(daemon: string): void {
-			const known = purses.get(daemon);
-			if (known) {
-				bury(known);
-				purses.delete(daemon);
-			}
-		},
-		noteStopped(daemon: string): void {
-			ensurePurse(daemon).hasStopped = true;
-		},
-		noteGranted(daemon: string, granted: Readonly<Record<string, number>>): void {
-			ensurePurse(daemon).granted = new Map(Object.entries(granted));
-		},
-		noteLent(daemon: string, customer: string, tokens: number): void {
-			add(ensurePurse(daemon).lent, customer, tokens);
-		},
-		noteBought(customer: string, tokens: number): void {
-			ensureCustomer(customer).bought = tokens;
-		},
-		noteShort(customer: string): void {
-			ensureCustomer(customer).short += 1;
-		},
-		noteUsed(daemon: string, customer: string, {tokens, isServed}: {readonly tokens: number; readonly isServed: boolean}): void {
-			const known = ensureCustomer(customer);
-			known.counted += tokens;
-			known.unserved += isServed ? 0 : tokens;
-			add(ensurePurse(daemon).used, customer, tokens);
-		},
-		list: (): CustomerLosses[] => [...customers.values()].sort((left, right) => right.short - left.short || right.counted - left.counted),
-	};
-}
-
 /**
  * Finds where requests and tokens were lost.
  *
@@ -214,7 +84,7 @@
 		const {result, customer, used, reason = '-'} = ended.data;
 		requests.note(line, result, {reason: formatReason(reason), tokens: used});
 		if (customer !== undefined) {
-			budgets.noteUsed(line.daemon, customer, {tokens: used, isServed: result === served});
+			budgets.noteUsed(line.daemon, customer, {tokens: used, isServed: result === servedOutcome});
 		}
 	}
 
