Say in the log what was believed of an upstream that left and of one that was chosen

A line of a removed upstream did not say that a grace was given, nor how old the removal may be; a request's line not whether its upstream was still listed, nor how old that knowledge was; a failed read's line not why and how long. So the four ways in which a request can reach an upstream that left looked alike. No logic changes.

--- a/src/cli/losses-plot.ts
+++ b/src/cli/losses-plot.ts
@@ -22,7 +22,7 @@
 	// The library is large and only this picture needs it.
 	const {init} = await import('echarts');
 	const outcomes = [...new Set(windows.flatMap(({outcomes}) => Object.keys(outcomes)))].sort();
-	const chart = init(null, undefined, { // eslint-disable-line @typescript-eslint/no-restricted-types
+	const chart = init(null, undefined, {
 		...size, renderer: 'svg', ssr: true,
 	});
 	chart.setOption({
--- a/src/coordination/forward-types.ts
+++ b/src/coordination/forward-types.ts
@@ -64,5 +64,9 @@
 	readonly waitingTokens: number | undefined;
 	/** Tokens of the prompt that it was believed to keep. */
 	readonly cachedTokens: number | undefined;
+	/** That upstream was no longer listed when it was chosen, and took requests for a grace only. */
+	readonly isOnGrace: boolean | undefined;
+	/** Age of what was known of upstreams when it was chosen, in milliseconds. */
+	readonly viewMs: number | undefined;
 	readonly reason?: string;
 };
--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
-import type {EventLog, KeyedLog, StoredRecord} from '../protocol/mod.js';
+import type {
+	EventLog, Failure, KeyedLog, StoredRecord,
+} from '../protocol/mod.js';
 import type {Clock} from '../transport/mod.js';
 
 /** Options of {@linkcode createKeyedFollower}. */
@@ -44,17 +46,27 @@
 	let next: number | undefined;
 	let isUp = false;
 	let lostAt = Number.NEGATIVE_INFINITY;
+	let answeredAt: number | undefined;
 	let reading: Promise<boolean> | undefined;
 
-	function noteUp(nowUp: boolean): void {
-		if (nowUp !== isUp) {
-			events.write(nowUp ? 'logBack' : 'logLost', {log: log.name, next});
+	function noteAnswer(): void {
+		if (!isUp) {
+			const awayMs = answeredAt === undefined ? undefined : Math.round(clock.now() - answeredAt);
+			events.write('logBack', {log: log.name, next, awayMs});
 		}
 
-		isUp = nowUp;
-		if (!nowUp) {
-			lostAt = clock.now();
+		isUp = true;
+	}
+
+	function noteFailure(askedAt: number, failure: Failure): void {
+		if (isUp) {
+			events.write('logLost', {
+				log: log.name, next, ms: Math.round(clock.now() - askedAt), detail: failure.detail,
+			});
 		}
+
+		isUp = false;
+		lostAt = clock.now();
 	}
 
 	function fold(records: readonly StoredRecord[], from: number): void {
@@ -66,12 +78,14 @@
 	}
 
 	async function readNewest(): Promise<boolean> {
+		const askedAt = clock.now();
 		const newest = await log.readNewest();
-		noteUp(newest.ok);
 		if (newest.err) {
+			noteFailure(askedAt, newest.val);
 			return false;
 		}
 
+		noteAnswer();
 		const {records, end} = newest.val;
 		const missing = new Set(options.listKeys?.());
 		for (const record of records) {
@@ -84,16 +98,19 @@
 		}
 
 		next = Math.max(next ?? 0, end);
+		answeredAt = askedAt;
 		return true;
 	}
 
 	async function readOn(from: number, wait: number, signal: AbortSignal): Promise<boolean> {
+		const askedAt = clock.now();
 		const page = await log.read(from, {wait, signal});
 		if (page.ok) {
-			noteUp(true);
+			noteAnswer();
 			// A read that waited may end after another one has folded the same records.
 			fold(page.val.records, next ?? from);
 			next = Math.max(next ?? 0, (page.val.records.at(-1)?.offset ?? from - 1) + 1);
+			answeredAt = askedAt;
 			return true;
 		}
 
@@ -102,7 +119,7 @@
 		}
 
 		if (!signal.aborted) {
-			noteUp(false);
+			noteFailure(askedAt, page.val.failure);
 		}
 
 		return false;
@@ -114,6 +131,10 @@
 		isUp: () => isUp,
 		/** True when a read failed within the span, in milliseconds. */
 		wasLostWithin: (span: number): boolean => clock.now() - lostAt < span,
+		/** Milliseconds since a read failed; undefined if none has. */
+		countSinceFailure: (): number | undefined => Number.isFinite(lostAt) ? clock.now() - lostAt : undefined,
+		/** Milliseconds since the last answered read was sent: what is newer may be unknown. Undefined before the first. */
+		countSinceAnswer: (): number | undefined => answeredAt === undefined ? undefined : clock.now() - answeredAt,
 
 		/** Reads what is new without waiting for more; false when the log does not answer. Calls at once share a read. */
 		async catchUp(signal: AbortSignal): Promise<boolean> {
--- a/src/coordination/placement-policy.ts
+++ b/src/coordination/placement-policy.ts
@@ -21,6 +21,8 @@
 	/** Share of requests that failed there of late. */
 	readonly failureShare: number;
 	readonly isSameDomain: boolean;
+	/** It is no longer listed and takes requests for a grace only. */
+	readonly isOnGrace: boolean;
 };
 
 /** What a policy may know of a request. */
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -43,7 +43,7 @@
 	| {readonly kind: 'not-run'; readonly detail: string; readonly reached: 'none' | 'other' | 'chosen'}
 	| RelayOutcome;
 
-type Progress = {-readonly [Field in 'sends' | 'mayHaveRun' | 'upstream' | 'firstMs' | 'waitingTokens' | 'cachedTokens']: ForwardReport[Field]};
+type Progress = {-readonly [Field in 'sends' | 'mayHaveRun' | 'upstream' | 'firstMs' | 'waitingTokens' | 'cachedTokens' | 'isOnGrace' | 'viewMs']: ForwardReport[Field]};
 
 /** One request on its way. */
 type Forwarding = {readonly request: ForwardRequest; readonly relay: AnswerRelay; readonly progress: Progress};
@@ -241,7 +241,7 @@
 			const relay = createRelay(request);
 			const retries = findRetries(request.service.id);
 			const progress: Progress = {
-				sends: 0, mayHaveRun: false, upstream: undefined, firstMs: undefined, waitingTokens: undefined, cachedTokens: undefined,
+				sends: 0, mayHaveRun: false, upstream: undefined, firstMs: undefined, waitingTokens: undefined, cachedTokens: undefined, isOnGrace: undefined, viewMs: undefined,
 			};
 			const forwarding: Forwarding = {request, relay, progress};
 			const tried = new Set<string>();
@@ -261,6 +261,8 @@
 				progress.upstream = id;
 				progress.waitingTokens = candidate.waitingTokens;
 				progress.cachedTokens = candidate.cachedTokens;
+				progress.isOnGrace = candidate.isOnGrace;
+				progress.viewMs = book.countViewAge();
 				const outcome = await sendTo(forwarding, id);
 				// The upstream was not sent to if its connection was refused, or if another one has its address. The route bounds
 				// how many may run a request, the retry budget how often one arrives anywhere.
--- a/src/coordination/upstream-book.ts
+++ b/src/coordination/upstream-book.ts
@@ -18,6 +18,8 @@
 	readonly directory: UpstreamDirectory;
 	readonly clock: Clock;
 	readonly failureDomain: string;
+	/** Age of what the directory knows, in milliseconds. */
+	readonly countViewAge?: () => number | undefined;
 	/** What other gateways say of their requests. */
 	readonly listViews: () => readonly PeerView[];
 	/** Called when this gateway's use of an upstream has changed. */
@@ -135,7 +137,7 @@
 		return Math.min(slownessRange.most, Math.max(slownessRange.least, measured)) * (isWarm ? 1 : warmUpSlowness);
 	}
 
-	function buildCandidate({upstream, isWarm}: LiveUpstream, generation: Generation | undefined, median: number): PlacementCandidate {
+	function buildCandidate({upstream, isWarm, isOnGrace}: LiveUpstream, generation: Generation | undefined, median: number): PlacementCandidate {
 		const item = ensureSeen(upstream.id);
 		const peers = sumPeerUse(upstream.id);
 		const told = item.told && clock.now() - item.toldAt < toldLife ? item.told.running + item.told.waiting : 0;
@@ -148,6 +150,7 @@
 			slowness: estimateSlowness(item, median, isWarm),
 			failureShare: item.failureShare,
 			isSameDomain: upstream.failureDomain === failureDomain,
+			isOnGrace,
 		};
 	}
 
@@ -163,6 +166,7 @@
 		},
 
 		get: (id: string): UpstreamEntry | undefined => directory.get(id),
+		countViewAge: (): number | undefined => options.countViewAge?.(),
 
 		/** Starts a visit; its `end` must follow. */
 		start(id: string, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>): UpstreamVisit {
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -106,7 +106,7 @@
 	});
 	const {account, book, directory, findTable} = state;
 	const upstreams = createUpstreamBook({
-		directory, clock, failureDomain: settings.failureDomain, listViews: () => exchange.listViews(),
+		directory, clock, failureDomain: settings.failureDomain, countViewAge: state.countViewAge, listViews: () => exchange.listViews(),
 		onUse(upstream) {
 			feed.noteUse(upstream);
 		},
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -103,10 +103,20 @@
 		events.write('deploymentAdopted', {version: deployment.version, source, bought: JSON.stringify(bought)});
 	}
 
+	const round = (span: number | undefined) => span === undefined ? undefined : Math.round(span);
+
+	function dropUpstream(key: string, offset: number): void {
+		const known = directory.get(key);
+		directory.drop(key, clock.now(), upstreams.wasLostWithin(unstableSpan));
+		events.write('upstreamGone', {
+			upstream: key, service: known?.service, wasDraining: known?.isDraining, offset,
+			sinceReadMs: round(upstreams.countSinceAnswer()), sinceFailureMs: round(upstreams.countSinceFailure()), graceMs: round(directory.countGrace(key, clock.now())),
+		});
+	}
+
 	function takeUpstream({key, value, offset}: StoredRecord): void {
 		if (value === undefined) {
-			directory.drop(key, clock.now(), upstreams.wasLostWithin(unstableSpan));
-			events.write('upstreamGone', {upstream: key, offset});
+			dropUpstream(key, offset);
 			return;
 		}
 
@@ -115,7 +125,7 @@
 		directory.put(entry, clock.now());
 		if (known?.isDraining !== entry.isDraining) {
 			events.write('upstreamListed', {
-				upstream: key, service: entry.service, isDraining: entry.isDraining, offset,
+				upstream: key, service: entry.service, isDraining: entry.isDraining, offset, sinceReadMs: round(upstreams.countSinceAnswer()),
 			});
 		}
 	}
@@ -147,6 +157,8 @@
 
 	return {
 		directory, book, account, grants,
+		/** Age of what is known of upstreams, in whole milliseconds; undefined while nothing is. */
+		countViewAge: () => round(upstreams.countSinceAnswer()),
 		findTable: () => table,
 		/** The record of the deployment in force, to hand on to peers. */
 		deploymentRecord: () => deploymentRecord,
--- a/src/state/upstream-directory.ts
+++ b/src/state/upstream-directory.ts
@@ -11,7 +11,12 @@
 type Entry = {upstream: UpstreamEntry; lapsesAt?: number; warmAt: number; hasMoved?: boolean};
 
 /** An upstream that takes requests. */
-export type LiveUpstream = {readonly upstream: UpstreamEntry; readonly isWarm: boolean};
+export type LiveUpstream = {
+	readonly upstream: UpstreamEntry;
+	readonly isWarm: boolean;
+	/** It is no longer listed and takes requests for a grace only. */
+	readonly isOnGrace: boolean;
+};
 
 /** The upstreams that registered themselves. */
 export type UpstreamDirectory = ReturnType<typeof createUpstreamDirectory>;
@@ -88,7 +93,13 @@
 		listLive(service: string, now: number): LiveUpstream[] {
 			return [...entries.values()]
 				.filter(entry => entry.upstream.service === service && isLive(entry, now))
-				.map(entry => ({upstream: entry.upstream, isWarm: now >= entry.warmAt}));
+				.map(entry => ({upstream: entry.upstream, isWarm: now >= entry.warmAt, isOnGrace: entry.lapsesAt !== undefined}));
+		},
+
+		/** Milliseconds for which an upstream that is no longer listed still takes requests. */
+		countGrace(id: string, now: number): number {
+			const entry = entries.get(id);
+			return entry?.lapsesAt !== undefined && isLive(entry, now) ? entry.lapsesAt - now : 0;
 		},
 
 		listIds: (): string[] => [...entries.keys()],
