--- /dev/null
+++ b/src/daemon/gateway-state.test.ts
@@ -0,0 +1,108 @@
+import {expect, test} from 'vitest';
+import {createFakeKeyedLog, type FakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
+import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
+import {createUpstreamBook} from '../coordination/mod.js';
+import {
+	Err, Ok, createFailure, type EventLog, type GatewayService, type KeyedLog, type UpstreamEntry,
+} from '../protocol/mod.js';
+import {createGatewayState} from './gateway-state.js';
+
+// What a gateway believes of upstreams while its way to the store fails, in virtual time. An upstream serves for two
+// seconds after the store has taken its leaving: a request must not reach it later.
+
+const events: EventLog = {write: () => undefined, counts: new Map()};
+const service: GatewayService = {id: 's', connectionLimit: 10};
+/** A call on a silent way to the store is given up after this long, in milliseconds. */
+const silentCall = 1000;
+/** How long an upstream serves after the store has taken its leaving, in milliseconds. */
+const drainSpan = 2000;
+
+function createWorld() {
+	const time = createVirtualTime();
+	const stopper = new AbortController();
+	const logs = {deployment: createFakeKeyedLog(), upstreams: createFakeKeyedLog(), grants: createFakeKeyedLog()};
+	let isCut = false;
+
+	async function reach(wait = 0): Promise<boolean> {
+		await time.sleep(isCut ? silentCall : wait);
+		return !isCut;
+	}
+
+	function open(fake: FakeKeyedLog): KeyedLog {
+		const log = fake.open();
+		const away = createFailure('log-unavailable', 'The way to the store is silent');
+		return {
+			...log,
+			readNewest: async () => await reach() ? log.readNewest() : Err(away),
+			read: async (from, options) => await reach(options.wait) ? log.read(from, options) : Err({kind: 'away', failure: away}),
+		};
+	}
+
+	const state = createGatewayState({
+		adapter: {
+			wire: undefined as never,
+			logs: {deployment: open(logs.deployment), upstreams: open(logs.upstreams), grants: open(logs.grants)},
+			deploymentKey: 'deployment',
+			decodeDeployment: () => undefined as never,
+			decodeUpstream: (_id, text) => JSON.parse(text) as UpstreamEntry,
+			close: async () => undefined,
+		},
+		self: {
+			role: 'gateway', daemon: 'g', incarnation: 'i', address: 'a', failureDomain: 'd',
+		},
+		clock: time, events,
+		onDeployment: () => undefined,
+		onOwnGrants: () => undefined,
+	});
+	const book = createUpstreamBook({
+		directory: state.directory, clock: time, failureDomain: 'd', listViews: () => [],
+	});
+	state.run(stopper.signal);
+
+	function put(id: string, value: string | undefined): void {
+		logs.upstreams.records.push({key: id, value, offset: logs.upstreams.records.length});
+	}
+
+	return {
+		time,
+		/** Silences every way from the gateway to the store, or lets it through again. */
+		setCut(value: boolean) {
+			isCut = value;
+		},
+		register(id: string) {
+			const entry: UpstreamEntry = {
+				id, service: 's', address: id, failureDomain: 'd', slots: 4, isDraining: false, warmUp: 0,
+			};
+			put(id, JSON.stringify(entry));
+		},
+		/** The store takes out an upstream's entry. */
+		remove(id: string) {
+			put(id, undefined);
+		},
+		/** The upstreams that a request could be sent to now. */
+		listChoices: () => book.listCandidates({service, generation: undefined, without: new Set()}).map(({id}) => id),
+		stop() {
+			stopper.abort();
+		},
+	};
+}
+
+test('an upstream that leaves soon after a cut gets nothing when its time is over', async () => {
+	// A caller's request reaches an engine that is about to exit, more than two
+	// seconds after the store took its leaving. The gateway was cut off from the
+	// store for some seconds. Two seconds after the cut an engine leaves without
+	// having said that it drains: its entry is removed, and the gateway reads
+	// that in time.
+	const {time, setCut, register, remove, listChoices, stop} = createWorld();
+	register('u1');
+	register('u2');
+	await time.runUntil(3000);
+	setCut(true);
+	await time.runUntil(7000);
+	setCut(false);
+	await time.runUntil(9000);
+	remove('u1');
+	await time.runUntil(9000 + drainSpan);
+	expect(listChoices()).toEqual(['u2']);
+	stop();
+});
