Send another read beside one that hangs, so that leavings and returns are seen in time

Change: a read of the deployment or the upstreams that is not answered 600 ms after its wait counts as failed, and another goes beside it. Its answer still counts when it comes; a failure that a newer answer has overtaken does not, nor the newest records of before it.

Test first: two in virtual time failed, a leaving behind a hanging read and lapsed entries after a silent store; both pass.

--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type {
-	EventLog, Failure, KeyedLog, StoredRecord,
+import {
+	createFailure, type EventLog, type Failure, type KeyedLog, type StoredRecord,
 } from '../protocol/mod.js';
 import type {Clock} from '../transport/mod.js';
 
@@ -27,6 +27,8 @@
 	readonly wait: number;
 	/** Pause between reads, in milliseconds. */
 	readonly every: number;
+	/** A read that is not answered this long after its wait, in milliseconds, counts as failed and another is sent beside it; default never. */
+	readonly patience?: number;
 	/** Takes a record; called once for each, in order of offset. */
 	readonly onRecord: (record: StoredRecord) => void;
 	/** Names the keys known, so that those missing after a gap count as dropped. */
@@ -35,6 +37,9 @@
 	readonly onReturn?: (absence: Absence) => void;
 };
 
+/** What became of a read within its time. */
+type ReadResult = 'answered' | 'failed' | 'hanging';
+
 /** Follows a keyed log. */
 export type KeyedFollower = ReturnType<typeof createKeyedFollower>;
 
@@ -60,6 +65,8 @@
 	let failedAt: number | undefined;
 	let answeredAt: number | undefined;
 	let reading: Promise<boolean> | undefined;
+	// A read that hangs was waited for long enough.
+	const pauses: Record<ReadResult, number> = {answered: options.every, failed: retryPause, hanging: 0};
 
 	function noteAnswer(): void {
 		if (!isUp) {
@@ -75,6 +82,10 @@
 	}
 
 	function noteFailure(askedAt: number, failure: Failure): void {
+		if (answeredAt !== undefined && askedAt < answeredAt) {
+			return;
+		}
+
 		if (isUp) {
 			events.write('logLost', {
 				log: log.name, next, ms: Math.round(clock.now() - askedAt), detail: failure.detail,
@@ -82,7 +93,7 @@
 		}
 
 		isUp = false;
-		failedAt = askedAt;
+		failedAt = Math.max(failedAt ?? askedAt, askedAt);
 	}
 
 	function fold(records: readonly StoredRecord[], from: number): void {
@@ -103,6 +114,11 @@
 
 		noteAnswer();
 		const {records, end} = newest.val;
+		// An answer that was overtaken by a newer one lacks keys that are there by now.
+		if (end < (next ?? 0)) {
+			return true;
+		}
+
 		const missing = new Set(options.listKeys?.());
 		for (const record of records) {
 			missing.delete(record.key);
@@ -114,7 +130,7 @@
 		}
 
 		next = Math.max(next ?? 0, end);
-		answeredAt = askedAt;
+		answeredAt = Math.max(answeredAt ?? askedAt, askedAt);
 		return true;
 	}
 
@@ -126,7 +142,7 @@
 			// A read that waited may end after another one has folded the same records.
 			fold(page.val.records, next ?? from);
 			next = Math.max(next ?? 0, (page.val.records.at(-1)?.offset ?? from - 1) + 1);
-			answeredAt = askedAt;
+			answeredAt = Math.max(answeredAt ?? askedAt, askedAt);
 			return true;
 		}
 
@@ -141,6 +157,32 @@
 		return false;
 	}
 
+	async function readNext(wait: number, signal: AbortSignal): Promise<boolean> {
+		return next === undefined ? readNewest() : readOn(next, wait, signal);
+	}
+
+	// Guards against a read that hangs for seconds, on a way that fell silent, while new ones are answered: requests would
+	// go by what was known before it, and a log that is back would be taken for away. The read itself goes on, since its
+	// answer may still come first.
+	async function readPatiently(signal: AbortSignal): Promise<ReadResult> {
+		const askedAt = clock.now();
+		const pending = readNext(options.wait, signal);
+		if (options.patience === undefined) {
+			return await pending ? 'answered' : 'failed';
+		}
+
+		const span = options.wait + options.patience;
+		const timer = new AbortController();
+		const isRead = await Promise.race([pending, clock.sleep(span, timer.signal)]);
+		timer.abort();
+		if (isRead === undefined) {
+			noteFailure(askedAt, createFailure('log-unavailable', `A read was not answered within ${span} ms`));
+			return 'hanging';
+		}
+
+		return isRead ? 'answered' : 'failed';
+	}
+
 	return {
 		/** Offset of the next record wanted; undefined before the first read. */
 		next: () => next,
@@ -152,7 +194,7 @@
 		async catchUp(signal: AbortSignal): Promise<boolean> {
 			reading ??= (async () => {
 				try {
-					return next === undefined ? await readNewest() : await readOn(next, 0, signal);
+					return await readNext(0, signal);
 				} finally {
 					reading = undefined;
 				}
@@ -170,8 +212,7 @@
 
 		async run(signal: AbortSignal): Promise<void> {
 			while (!signal.aborted) {
-				const isRead = next === undefined ? await readNewest() : await readOn(next, options.wait, signal);
-				const pause = isRead ? options.every : retryPause;
+				const pause = pauses[await readPatiently(signal)];
 				if (pause > 0) {
 					await clock.sleep(pause, signal);
 				}
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -24,8 +24,16 @@
 	const stopper = new AbortController();
 	const logs = {deployment: createFakeKeyedLog(), upstreams: createFakeKeyedLog(), grants: createFakeKeyedLog()};
 	let isCut = false;
+	let nextHang = 0;
 
 	async function reach(wait = 0): Promise<boolean> {
+		const hang = nextHang;
+		nextHang = 0;
+		if (hang > 0) {
+			await time.sleep(hang);
+			return false;
+		}
+
 		await time.sleep(isCut ? silentCall : wait);
 		return !isCut;
 	}
@@ -71,6 +79,10 @@
 		setCut(value: boolean) {
 			isCut = value;
 		},
+		/** Lets the next call to the store hang for so long, in milliseconds, and fail; others are answered. */
+		hangNext(span: number) {
+			nextHang = span;
+		},
 		register(id: string) {
 			const entry: UpstreamEntry = {
 				id, service: 's', address: id, failureDomain: 'd', slots: 4, isDraining: false, warmUp: 0,
@@ -129,3 +141,42 @@
 	expect(listChoices()).toEqual(['u2']);
 	stop();
 });
+
+test('upstreams whose entries lapsed while the store was away get requests until two seconds after its return', async () => {
+	// All callers are refused after an outage of the store: no upstream could
+	// renew its entry, all are removed, and each registers itself again a second
+	// after the store's return.
+	const {time, setCut, register, remove, listChoices, stop} = createWorld();
+	register('u1');
+	register('u2');
+	await time.runUntil(3000);
+	setCut(true);
+	await time.runUntil(7000);
+	remove('u1');
+	remove('u2');
+	await time.runUntil(8000);
+	setCut(false);
+	await time.runUntil(9000);
+	expect(listChoices()).toEqual(['u1', 'u2']);
+	register('u1');
+	await time.runUntil(8000 + drainSpan);
+	expect(listChoices()).toEqual(['u1']);
+	stop();
+});
+
+test('a read that hangs does not hide that an upstream left', async () => {
+	// A caller's request reaches an engine that has exited. The gateway's read of
+	// the upstreams hung for seconds, on a way that fell silent and then at
+	// daemons that carry calls and had died, while new calls were answered; only
+	// after it did the gateway read that the engine had left.
+	const {time, hangNext, register, remove, listChoices, stop} = createWorld();
+	register('u1');
+	register('u2');
+	await time.runUntil(3100);
+	hangNext(3700);
+	await time.runUntil(3600);
+	remove('u1');
+	await time.runUntil(3600 + drainSpan);
+	expect(listChoices()).toEqual(['u2']);
+	stop();
+});
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -47,6 +47,12 @@
 const deploymentWait = 1500;
 /** Pause between reads of the upstreams' records, in milliseconds: each upstream writes about once a second. */
 const upstreamsEvery = 500;
+/**
+ * A read of the deployment or of upstreams that takes longer, in milliseconds,
+ * is sent a second time: more than a slow store takes, and little of the time
+ * for which an upstream that left still serves.
+ */
+const readPatience = 600;
 /** Pause between reads of the grants, in milliseconds; claims read by themselves. */
 const grantsEvery = 2000;
 
@@ -139,22 +145,28 @@
 		}
 	}
 
-	const follow = (log: KeyedLog, wait: number, every: number, take: (record: StoredRecord) => void): KeyedFollower => createKeyedFollower({
-		log, clock, events, wait, every,
-		...log === adapter.logs.upstreams && {listKeys: directory.listIds, onReturn: grace.noteReturn},
-		onRecord(record) {
-			guardRecord(record, () => {
-				take(record);
-			});
-		},
-	});
-	const deployments = follow(adapter.logs.deployment, deploymentWait, 0, ({key, value}) => {
+	function takeDeployment({key, value}: StoredRecord): void {
 		if (key === adapter.deploymentKey && value !== undefined) {
 			adoptDeployment(value, 'log');
 		}
+	}
+
+	const guard = (take: (record: StoredRecord) => void) => (record: StoredRecord) => {
+		guardRecord(record, () => {
+			take(record);
+		});
+	};
+
+	const deployments = createKeyedFollower({
+		log: adapter.logs.deployment, clock, events, wait: deploymentWait, every: 0, patience: readPatience, onRecord: guard(takeDeployment),
+	});
+	const upstreams: KeyedFollower = createKeyedFollower({
+		log: adapter.logs.upstreams, clock, events, wait: 0, every: upstreamsEvery, patience: readPatience, onRecord: guard(takeUpstream),
+		listKeys: directory.listIds, onReturn: grace.noteReturn,
+	});
+	const grants = createKeyedFollower({
+		log: adapter.logs.grants, clock, events, wait: 0, every: grantsEvery, onRecord: guard(takeGrants),
 	});
-	const upstreams = follow(adapter.logs.upstreams, 0, upstreamsEvery, takeUpstream);
-	const grants = follow(adapter.logs.grants, 0, grantsEvery, takeGrants);
 
 	return {
 		directory, book, account, grants,
