Ask the next way to the store beside one that keeps silent

What callers would see: the same late knowledge of an engine's leaving, from the layer below. A call through relays asked them in turn and waited for each up to 1.2 s, and while the direct way counted as lost it was tried again only after all three.

Change: the next relay is asked beside one that is silent for 450 ms, and the direct way beside relays that have not answered in 120 ms. More than one copy of an append is sent only under its condition, as before.

--- a/src/coordination/relayed-log.test.ts
+++ b/src/coordination/relayed-log.test.ts
@@ -1,6 +1,9 @@
 import {expect, test} from 'vitest';
 import {createFakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
-import type {EventLog} from '../protocol/mod.js';
+import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
+import {
+	Err, createFailure, type EventLog, type KeyedLog,
+} from '../protocol/mod.js';
 import {createDirectPath, createKeyedFollower, createRelayedLog} from './mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
@@ -149,3 +152,74 @@
 	await follower.catchUp(signal);
 	expect([...known].toSorted()).toEqual(['b', 'c']);
 });
+
+/**
+ * A read must be over within this many milliseconds while any way works: an
+ * upstream serves for 2 s after its leaving, upstreams are read each 0.5 s, and
+ * 0.5 s are kept in hand.
+ */
+const readSpan = 1000;
+
+/** A world in virtual time, in which ways to the store fall silent and calls on them are given up on after a while. */
+function createSilentWorld(relays: readonly string[]) {
+	const time = createVirtualTime();
+	const store = createFakeKeyedLog();
+	const silent = new Set<string>();
+	const away = createFailure('log-unavailable', 'No answer');
+	const log = createRelayedLog({
+		direct: openSilent('direct', 1000), path: createDirectPath({clock: time, events}), clock: time,
+		listRelays: () => [...relays],
+		openThrough: address => openSilent(address, 1200),
+	});
+
+	function openSilent(name: string, bound: number): KeyedLog {
+		return {
+			...store.open(),
+			async readNewest() {
+				const isSilent = silent.has(name);
+				await time.sleep(isSilent ? bound : 4);
+				return isSilent ? Err(away) : store.open().readNewest();
+			},
+		};
+	}
+
+	return {
+		time, silent,
+		/** Begins a read; tells how long it took, in milliseconds, once it was answered. */
+		read() {
+			const startedAt = time.now();
+			const outcome: {took: number | undefined} = {took: undefined};
+			void (async () => {
+				const newest = await log.readNewest();
+				outcome.took = newest.ok ? time.now() - startedAt : undefined;
+			})();
+
+			return outcome;
+		},
+	};
+}
+
+test('a daemon that died does not hold a call up for the next', async () => {
+	// A gateway learns seconds late that an engine left: its direct way to the
+	// store is cut, the host of the daemon that it asks first has lost power, and
+	// the next daemon is asked only when that call has been given up on.
+	const {time, silent, read} = createSilentWorld(['dead', 'well']);
+	silent.add('direct').add('dead');
+	const first = read();
+	await time.runUntil(readSpan);
+	expect(first.took).toBeLessThan(readSpan);
+});
+
+test('a direct way that works again is not held up by daemons that died', async () => {
+	// The gateway takes the store for away though it is back: between two looks
+	// at the direct way all calls go through daemons, each is silent, and they
+	// are asked in turn.
+	const {time, silent, read} = createSilentWorld(['dead-1', 'dead-2', 'dead-3']);
+	silent.add('direct').add('dead-1').add('dead-2').add('dead-3');
+	read();
+	await time.runUntil(1100);
+	silent.delete('direct');
+	const second = read();
+	await time.runUntil(1100 + readSpan);
+	expect(second.took).toBeLessThan(readSpan);
+});
--- a/src/coordination/relayed-log.ts
+++ b/src/coordination/relayed-log.ts
@@ -34,13 +34,18 @@
 /** Pause between calls that look whether the direct way works again, in milliseconds. */
 const probeEvery = 1000;
 /**
- * A direct call that takes longer, in milliseconds, goes through a relay as
- * well. A call takes 4 ms, and 1 s until a silent one is given up on: callers
- * whose tokens had to be claimed waited that second in each partition.
+ * A call that takes longer one way, in milliseconds, goes another way as well.
+ * A call takes 4 ms, and 1 s until a silent one is given up on: callers whose
+ * tokens had to be claimed waited that second in each partition.
  */
 const hedgeAfter = 120;
 /** Daemons asked in one call: a relay may be cut off as well. */
 const relaysTried = 3;
+/**
+ * The next daemon is asked beside one that keeps silent for so long, in
+ * milliseconds: longer than a slow store takes, which is not helped by more calls.
+ */
+const relayPatience = 450;
 
 /**
  * Creates the record of the direct way to the store.
@@ -141,22 +146,40 @@
 		return value;
 	}
 
-	// Asks one relay after the other; the last value when none reached the store, undefined when there is none.
-	async function callRelays<Value>({run, hasReached}: StoreCall<Value>): Promise<Value | undefined> {
-		let value: Value | undefined;
+	async function waitAtMost<Value>(pending: Promise<Value>, span: number): Promise<Value | undefined> {
+		const timer = new AbortController();
+		const value = await Promise.race([pending, clock.sleep(span, timer.signal)]);
+		timer.abort();
+		return value ?? undefined;
+	}
+
+	async function callRelay<Value>(relay: string, {run, hasReached}: StoreCall<Value>): Promise<Value> {
+		const value = await run(options.openThrough(relay));
+		if (hasReached(value)) {
+			path.noteRelay(relay);
+		}
+
+		return value;
+	}
+
+	// Asks one relay after the other, the next one beside a relay that keeps silent: its host may be dead, and a gateway
+	// that waited for three such calls in turn would learn seconds late what the store says. Resolves with the value of the
+	// first relay when none reached the store, and with undefined when there is none.
+	async function callRelays<Value>(call: StoreCall<Value>): Promise<Value | undefined> {
+		const calls: Array<Promise<Value>> = [];
 		for (const relay of path.rankRelays(options.listRelays())) {
-			value = await run(options.openThrough(relay));
-			if (hasReached(value)) {
-				path.noteRelay(relay);
-				return value;
+			calls.push(callRelay(relay, call));
+			const early = await waitAtMost(takeFirstReached(calls, call.hasReached), relayPatience + (call.wait ?? 0));
+			if (early !== undefined && call.hasReached(early)) {
+				return early;
 			}
 		}
 
-		return value;
+		return calls.length > 0 ? takeFirstReached(calls, call.hasReached) : undefined;
 	}
 
-	// Goes both ways: whichever reaches the store first is taken, and the direct way counts as lost if it was a relay.
-	async function callBoth<Value>(call: StoreCall<Value>, pending: Promise<Value>): Promise<Value> {
+	// Goes through relays beside a direct call that has not ended. The direct way counts as lost if a relay is faster.
+	async function joinRelays<Value>(call: StoreCall<Value>, pending: Promise<Value>): Promise<Value> {
 		let isDirectDone = false;
 		const throughDirect = (async () => {
 			const value = await pending;
@@ -174,19 +197,26 @@
 		return takeFirstReached([throughDirect, throughRelays], call.hasReached);
 	}
 
+	// Goes directly beside calls through relays that have not reached the store.
+	async function joinDirect<Value>(call: StoreCall<Value>, pending: Promise<Value | undefined>): Promise<Value> {
+		const throughDirect = callDirect(call);
+		const throughRelays = (async () => await pending ?? throughDirect)();
+		return takeFirstReached([throughDirect, throughRelays], call.hasReached);
+	}
+
 	async function callStore<Value>(call: StoreCall<Value>): Promise<Value> {
+		const patience = hedgeAfter + (call.wait ?? 0);
 		const wasUp = path.isUp();
 		if (!path.claimTry()) {
-			const value = await callRelays(call);
-			return value !== undefined && call.hasReached(value) ? value : callDirect(call);
+			const pending = callRelays(call);
+			const early = await waitAtMost(pending, patience);
+			return early !== undefined && call.hasReached(early) ? early : joinDirect(call, pending);
 		}
 
 		const pending = callDirect(call);
-		const patience = wasUp ? hedgeAfter + (call.wait ?? 0) : 0;
-		const timer = new AbortController();
-		const early = await Promise.race([pending, clock.sleep(patience, timer.signal)]);
-		timer.abort();
-		return early !== undefined && call.hasReached(early) ? early : callBoth(call, pending);
+		// A look at whether the direct way works again is not waited for.
+		const early = await waitAtMost(pending, wasUp ? patience : 0);
+		return early !== undefined && call.hasReached(early) ? early : joinRelays(call, pending);
 	}
 
 	return {
