Forget upstreams whose grace has passed, and count only those that take requests as ready

Entries that lapsed and never came back stayed in the directory for good and counted for readiness, so the balancer kept sending callers to a gateway that knew no upstream. They are forgotten when the grace ends; a gateway is ready while some upstream takes requests; an upstream that is back from a lapse gets its line in the log.

--- a/src/coordination/upstream-book.ts
+++ b/src/coordination/upstream-book.ts
@@ -242,6 +242,7 @@
 
 		/** Forgets upstreams that are gone and have no request left. */
 		prune(): void {
+			directory.prune(clock.now());
 			for (const [id, item] of seen) {
 				if (item.inFlight === 0 && directory.get(id) === undefined) {
 					seen.delete(id);
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -129,8 +129,9 @@
 
 		const entry = adapter.decodeUpstream(key, value);
 		const known = directory.get(key);
+		const wasOnGrace = directory.countGrace(key, clock.now()) > 0;
 		directory.put(entry, clock.now());
-		if (known?.isDraining !== entry.isDraining) {
+		if (known?.isDraining !== entry.isDraining || wasOnGrace) {
 			events.write('upstreamListed', {
 				upstream: key, service: entry.service, isDraining: entry.isDraining, offset, sinceReadMs: round(upstreams.countSinceAnswer()),
 			});
@@ -183,8 +184,8 @@
 			});
 		},
 
-		/** True once requests can be served. */
-		isReady: () => table !== undefined && directory.count() > 0,
+		/** True while requests can be served. */
+		isReady: () => table !== undefined && directory.hasLive(clock.now()),
 
 		run(signal: AbortSignal): void {
 			for (const follower of [deployments, upstreams, grants]) {
--- a/src/state/upstream-directory.test.ts
+++ b/src/state/upstream-directory.test.ts
@@ -33,3 +33,17 @@
 	directory.drop('u1');
 	expect(directory.listLive('s', 100)).toEqual([]);
 });
+
+test('an upstream whose grace has passed is forgotten', () => {
+	// The balancer keeps sending callers to a gateway that knows no upstream:
+	// all entries lapsed, none came back, and the gateway still counts them.
+	const directory = createUpstreamDirectory();
+	directory.put(entry, 0);
+	directory.drop('u1', 2100);
+	directory.prune(2000);
+	expect(directory.hasLive(2000)).toBe(true);
+	directory.prune(2100);
+	expect(directory.hasLive(2100)).toBe(false);
+	expect(directory.listIds()).toEqual([]);
+	expect(directory.get('u1')).toBeUndefined();
+});
--- a/src/state/upstream-directory.ts
+++ b/src/state/upstream-directory.ts
@@ -91,6 +91,16 @@
 		},
 
 		listIds: (): string[] => [...entries.keys()],
-		count: (): number => entries.size,
+		/** True if any upstream takes requests. */
+		hasLive: (now: number): boolean => [...entries.values()].some(entry => isLive(entry, now)),
+
+		/** Forgets entries whose grace has passed: their upstreams left, or will register themselves anew. */
+		prune(now: number): void {
+			for (const [id, {lapsesAt}] of entries) {
+				if (lapsesAt !== undefined && now >= lapsesAt) {
+					entries.delete(id);
+				}
+			}
+		},
 	};
 }
