Look again whether an upstream takes requests when a connection to it is there

What a caller would see: a request that waited for one of the connections to its upstream is written seconds later, after that upstream has left. The choice was made before the wait and never looked at again.

Change: when a connection is there, and before anything is written, the call asks whether it is still wanted; if not it ends as unsent and the request goes elsewhere. A call that was given up meanwhile is unsent too, no longer of unknown outcome. Test first: the second request was written to the upstream.

--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -285,3 +285,12 @@
 	await world.forward({kind: 'once'}, 60);
 	expect(world.sent.refused).toEqual(createFailure('deadline-passed', world.sent.refused!.detail, {ran: 'unknown'}));
 });
+
+test('a request that still waits for its connection is wanted until its upstream leaves', async () => {
+	const world = createWorld([{status: 200, chunks: ['ok']}]);
+	await world.forward({kind: 'idempotent'});
+	const [call] = world.calls;
+	expect(call!.isStillWanted()).toBe(true);
+	world.directory.put({...world.directory.get(call!.address)!, isDraining: true}, 1);
+	expect(call!.isStillWanted()).toBe(false);
+});
--- a/src/transport/upstream-client.test.ts
+++ b/src/transport/upstream-client.test.ts
@@ -3,7 +3,7 @@
 import {
 	afterEach, expect, test,
 } from 'vitest';
-import {createUpstreamClient, type UpstreamCall} from './mod.js';
+import {createUpstreamClient, type UpstreamCall, type UpstreamClient} from './mod.js';
 
 const closers: Array<() => void> = [];
 
@@ -29,16 +29,11 @@
 
 function buildCall(address: string, isAlone: boolean): UpstreamCall {
 	return {
-		address, method: 'GET', path: '/', headers: [], body: undefined, signal: new AbortController().signal, isAlone,
+		address, method: 'GET', path: '/', headers: [], body: undefined, signal: new AbortController().signal, isAlone, isStillWanted: () => true,
 	};
 }
 
-async function readBody(address: string, isAlone: boolean): Promise<string> {
-	const client = createUpstreamClient({connectTimeout: 500, connections: 2});
-	closers.push(() => {
-		void client.close();
-	});
-	const answer = await client.call(buildCall(address, isAlone));
+async function readText(answer: Awaited<ReturnType<UpstreamClient['call']>>): Promise<string> {
 	let text = '';
 	for await (const chunk of answer.unwrap().chunks) {
 		text += new TextDecoder().decode(chunk);
@@ -47,6 +42,14 @@
 	return text;
 }
 
+async function readBody(address: string, isAlone: boolean): Promise<string> {
+	const client = createUpstreamClient({connectTimeout: 500, connections: 2});
+	closers.push(() => {
+		void client.close();
+	});
+	return readText(await client.call(buildCall(address, isAlone)));
+}
+
 const lengthless = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf';
 
 test.each([true, false])('a lengthless answer whose connection is reset is not whole, alone %s', async isAlone => {
@@ -108,3 +111,47 @@
 	expect(answer.err && answer.val.kind).toBe('broken');
 	await client.close();
 });
+
+const whole = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
+
+/** A client whose only connection to an upstream is held by a first call until `free` is called, and what came on it. */
+async function holdConnection() {
+	const requests: string[] = [];
+	let free: () => void = () => undefined;
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', data => {
+			requests.push(String(data));
+			free = () => socket.write(whole);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const client = createUpstreamClient({connectTimeout: 500, connections: 1});
+	closers.push(() => server.close(), () => {
+		void client.close();
+	});
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const first = client.call(buildCall(address, false));
+	await expect.poll(() => requests.length).toBe(1);
+	return {
+		client, address, requests, first,
+		free() {
+			free();
+		},
+	};
+}
+
+test('a call that is no longer wanted when a connection is free is not sent', async () => {
+	// A caller's request reaches an engine that left seconds ago: all connections
+	// to it were taken, and the request waited for one on a choice made before.
+	const {client, address, requests, first, free} = await holdConnection();
+	let isListed = true;
+	const second = client.call({...buildCall(address, false), isStillWanted: () => isListed});
+	isListed = false;
+	free();
+	await readText(await first);
+	const answer = await second;
+	expect(answer.err && answer.val.kind).toBe('unsent');
+	expect(requests.length).toBe(1);
+});
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -26,6 +26,8 @@
 	readonly signal: AbortSignal;
 	/** Use a connection that carried nothing before; for requests that may not be repeated. */
 	readonly isAlone: boolean;
+	/** Asked when a connection is there, which may be seconds after the call; false gives the call up unsent. */
+	readonly isStillWanted: () => boolean;
 };
 
 /** Why a call brought no answer: nothing was sent, or the upstream may have run it. */
@@ -167,7 +169,7 @@
  * @example
  * ```ts
  * const client = createUpstreamClient({connectTimeout: 400, connections: 64});
- * const answer = await client.call({address: '127.0.0.1:8080', method: 'GET', path: '/', headers: [], body: undefined, signal, isAlone: false});
+ * const answer = await client.call({address: '127.0.0.1:8080', method: 'GET', path: '/', headers: [], body: undefined, signal, isAlone: false, isStillWanted: () => true});
  * ```
  *
  * @param options Bounds on connections
@@ -203,10 +205,14 @@
 
 			const handler: Dispatcher.DispatchHandler = {
 				onRequestStart(started) {
-					controller = started;
-					if (call.signal.aborted) {
-						abandon();
+					// Nothing has been written yet, and a request that waited for its connection was sent here on what was known
+					// when it began to wait: its upstream may have left since.
+					if (call.signal.aborted || !call.isStillWanted()) {
+						started.abort(new Error('The call was given up before it was sent'));
+						return;
 					}
+
+					controller = started;
 				},
 				onResponseStart(started, status, headers) {
 					queue = createChunkQueue(started);
