End a call at once that is given up while it waits for a connection

What a caller saw: no answer at its time limit, nor a try elsewhere, while all connections to the chosen upstream were taken; the signal that gave the call up was heard only when a connection was free. The call now ends as unsent at once, and is not written later. Test first: no answer within 200 ms.

--- a/src/transport/upstream-client.test.ts
+++ b/src/transport/upstream-client.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
 import {
 	afterEach, expect, test,
 } from 'vitest';
@@ -155,3 +156,15 @@
 	expect(answer.err && answer.val.kind).toBe('unsent');
 	expect(requests.length).toBe(1);
 });
+
+test('a call that is given up while it waits for a connection ends at once', async () => {
+	// A caller whose time limit has passed gets no answer: its request waits for
+	// a connection to an engine that is busy for seconds.
+	const {client, address, requests} = await holdConnection();
+	const giveUp = new AbortController();
+	const second = client.call({...buildCall(address, false), signal: giveUp.signal});
+	giveUp.abort();
+	const answer = await Promise.race([second, wait(200, undefined)]);
+	expect(answer?.err && answer.val.kind).toBe('unsent');
+	expect(requests.length).toBe(1);
+});
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -189,7 +189,12 @@
 			let controller: Dispatcher.DispatchController | undefined;
 			let queue: ReturnType<typeof createChunkQueue> | undefined;
 			const abandon = () => {
-				controller?.abort(new Error('The call was given up'));
+				if (controller) {
+					controller.abort(new Error('The call was given up'));
+				} else {
+					// It waits for a connection and is not written once it gets one; nobody need wait for that.
+					resolve(Err({kind: 'unsent', detail: 'The call was given up before it was sent'}));
+				}
 			};
 
 			const finish = () => {
