--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {createFakeKeyedLog, type FakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
 import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
@@ -27,31 +28,31 @@
 	let nextHang = 0;
 
 	async function reach(wait = 0): Promise<boolean> {
-		const hang = nextHang;
-		nextHang = 0;
-		if (hang > 0) {
-			await time.sleep(hang);
-			return false;
-		}
-
 		await time.sleep(isCut ? silentCall : wait);
 		return !isCut;
 	}
 
-	function open(fake: FakeKeyedLog): KeyedLog {
+	async function reachUpstreams(): Promise<boolean> {
+		const hang = nextHang;
+		nextHang = 0;
+		await time.sleep(hang);
+		return hang === 0 && reach();
+	}
+
+	function open(fake: FakeKeyedLog, reachLog: (wait?: number) => Promise<boolean>): KeyedLog {
 		const log = fake.open();
 		const away = createFailure('log-unavailable', 'The way to the store is silent');
 		return {
 			...log,
-			readNewest: async () => await reach() ? log.readNewest() : Err(away),
-			read: async (from, options) => await reach(options.wait) ? log.read(from, options) : Err({kind: 'away', failure: away}),
+			readNewest: async () => await reachLog() ? log.readNewest() : Err(away),
+			read: async (from, options) => await reachLog(options.wait) ? log.read(from, options) : Err({kind: 'away', failure: away}),
 		};
 	}
 
 	const state = createGatewayState({
 		adapter: {
 			wire: undefined as never,
-			logs: {deployment: open(logs.deployment), upstreams: open(logs.upstreams), grants: open(logs.grants)},
+			logs: {deployment: open(logs.deployment, reach), upstreams: open(logs.upstreams, reachUpstreams), grants: open(logs.grants, reach)},
 			deploymentKey: 'deployment',
 			decodeDeployment: () => undefined as never,
 			decodeUpstream: (_id, text) => JSON.parse(text) as UpstreamEntry,
@@ -79,7 +80,7 @@
 		setCut(value: boolean) {
 			isCut = value;
 		},
-		/** Lets the next call to the store hang for so long, in milliseconds, and fail; others are answered. */
+		/** Lets the next read of upstreams hang for so long, in milliseconds, and fail; others are answered. */
 		hangNext(span: number) {
 			nextHang = span;
 		},
@@ -133,11 +134,11 @@
 	register('u2');
 	await time.runUntil(3000);
 	setCut(true);
-	await time.runUntil(3500);
+	await time.runUntil(4600);
 	setCut(false);
-	await time.runUntil(5000);
-	remove('u1');
 	await time.runUntil(5600);
+	remove('u1');
+	await time.runUntil(6200);
 	expect(listChoices()).toEqual(['u2']);
 	stop();
 });
@@ -180,3 +181,48 @@
 	expect(listChoices()).toEqual(['u2']);
 	stop();
 });
+
+/** How long a gateway whose way to the store was cut may still go by what it knew, in milliseconds after the cut. */
+const stableSpan = 3000;
+const dayEnd = 25_000;
+const moment = fc.integer({min: 1000, max: 20_000});
+
+test('no order of cuts, hanging reads and leavings leaves a choice that came too late', async () => {
+	// Whatever fails between the gateway and the store, an upstream that left two
+	// seconds ago gets nothing once the gateway's way has been whole for three.
+	const day = fc.record({
+		cuts: fc.array(fc.record({at: moment, span: fc.integer({min: 100, max: 6000})}), {maxLength: 3}),
+		hangs: fc.array(fc.record({at: moment, span: fc.integer({min: 500, max: 3700})}), {maxLength: 3}),
+		leavings: fc.array(moment, {minLength: 1, maxLength: 4}),
+	});
+	await fc.assert(fc.asyncProperty(day, async ({cuts, hangs, leavings}) => {
+		const {time, setCut, hangNext, register, remove, listChoices, stop} = createWorld();
+		const isCutAt = (now: number) => cuts.some(({at, span}) => at <= now && now < at + span);
+		const wasCutLately = (now: number) => cuts.some(({at, span}) => at <= now && now < at + span + stableSpan);
+		const steps = [...cuts.flatMap(({at, span}) => [at, at + span]), ...hangs.map(({at}) => at), ...leavings];
+		for (const [index] of leavings.entries()) {
+			register(`u${index}`);
+		}
+
+		for (const now of new Set([...steps, ...Array.from({length: dayEnd / 100}, (_, index) => index * 100)].toSorted((left, right) => left - right))) {
+			await time.runUntil(now);
+			setCut(isCutAt(now));
+			for (const {span} of hangs.filter(({at}) => at === now)) {
+				hangNext(span);
+			}
+
+			for (const [index, at] of leavings.entries()) {
+				if (at === now) {
+					remove(`u${index}`);
+				}
+			}
+
+			const late = new Set(leavings.flatMap((at, index) => at + drainSpan <= now ? [`u${index}`] : []));
+			if (!wasCutLately(now)) {
+				expect(listChoices().filter(id => late.has(id)), `at ${now} ms`).toEqual([]);
+			}
+		}
+
+		stop();
+	}), {numRuns: 200});
+});
