Ask relays that did not reach the store after the others

A gateway that was cut off asked the same three daemons in each call. With those dead it stayed without news of the store though others lived: their records in the log say that they run for good when they end without a word. Now one that did not reach the store is asked last. Test first: no answer in virtual time.

--- a/src/coordination/relayed-log.test.ts
+++ b/src/coordination/relayed-log.test.ts
@@ -223,3 +223,16 @@
 	await time.runUntil(1100 + readSpan);
 	expect(second.took).toBeLessThan(readSpan);
 });
+
+test('daemons that died are asked after the others', async () => {
+	// A gateway that is cut off stays without news of the store for good, though
+	// a daemon that reaches it lives: the three that it asks first have died, and
+	// it asks the same three each time.
+	const {time, silent, read} = createSilentWorld(['dead-1', 'dead-2', 'dead-3', 'well']);
+	silent.add('direct').add('dead-1').add('dead-2').add('dead-3');
+	read();
+	await time.runUntil(3000);
+	const second = read();
+	await time.runUntil(3000 + readSpan);
+	expect(second.took).toBeLessThan(readSpan);
+});
--- a/src/coordination/relayed-log.ts
+++ b/src/coordination/relayed-log.ts
@@ -63,6 +63,9 @@
 	let triedAt = Number.NEGATIVE_INFINITY;
 	let isUp = true;
 	let lastRelay = '';
+	const lostRelays = new Map<string, number>();
+	// The relay that answered last comes first; those that did not reach the store come last, the longest lost before the others.
+	const rankRelay = (address: string): number => address === lastRelay ? Number.NEGATIVE_INFINITY : lostRelays.get(address) ?? -1;
 
 	return {
 		isUp: () => isUp,
@@ -86,14 +89,21 @@
 			isUp = nowUp;
 		},
 
-		/** The relay that answered last is asked first. */
-		rankRelays: (addresses: readonly string[]): string[] => [...addresses].sort((left, right) => Number(right === lastRelay) - Number(left === lastRelay)).slice(0, relaysTried),
+		/** The relays to ask in one call, in order. */
+		rankRelays: (addresses: readonly string[]): string[] => [...addresses].sort((left, right) => rankRelay(left) - rankRelay(right)).slice(0, relaysTried),
 		noteRelay(address: string): void {
 			if (address !== lastRelay) {
 				events.write('relayChosen', {relay: address});
 			}
 
 			lastRelay = address;
+			lostRelays.delete(address);
+		},
+
+		/** Notes that a relay did not reach the store: it may have died, and others must get their turn. */
+		noteRelayLost(address: string): void {
+			lostRelays.set(address, clock.now());
+			lastRelay = address === lastRelay ? '' : lastRelay;
 		},
 	};
 }
@@ -157,6 +167,8 @@
 		const value = await run(options.openThrough(relay));
 		if (hasReached(value)) {
 			path.noteRelay(relay);
+		} else {
+			path.noteRelayLost(relay);
 		}
 
 		return value;
