Let the host list's word count for ten of its pauses

The entry daemons' own directory has the same class of fault: the host list's last answer counted for good. With the list away, a host that was to leave and stayed got no requests, and a daemon that came since the answer and was only cut off was ended by its peers. Two tests in virtual time failed and pass.

--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -70,6 +70,8 @@
 export type Membership = ReturnType<typeof createMembership>;
 
 const rosterPause = 100;
+/** What the host list said counts for so many of its pauses; it lags anyway, and one answer may be lost. */
+const hostListLife = 10;
 
 /**
  * Creates the membership of a daemon; `run` starts its tasks.
@@ -90,6 +92,7 @@
 	const emitter = new Emittery<MembershipEvents>();
 	const peers = new Map<string, PeerStatus>();
 	let hostStates: ReadonlyMap<string, 'live' | 'leaving'> | undefined;
+	let hostsAskedAt = 0;
 
 	function findPeer(id: string): PeerStatus | undefined {
 		let found: PeerStatus | undefined;
@@ -200,8 +203,10 @@
 
 	async function runHostList(hostList: HostListClient, signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
+			const askedAt = clock.now();
 			const list = await hostList.fetch();
 			if (list.ok) {
+				hostsAskedAt = askedAt;
 				hostStates = new Map(list.val.hosts.map(host => [host.id, host.state]));
 			}
 
@@ -209,6 +214,12 @@
 		}
 	}
 
+	// Guards against a host list that is away: its last answer says that a host is leaving which has stayed, and lacks
+	// those that came since, so a daemon that is only cut off would be ended.
+	function findHostStates(): ReadonlyMap<string, 'live' | 'leaving'> | undefined {
+		return clock.now() - hostsAskedAt <= options.hostListEvery * hostListLife ? hostStates : undefined;
+	}
+
 	async function fetchFrom(peer: PeerStatus, from: number): Promise<RelayedRecords | undefined> {
 		try {
 			const reply = await fleet.connect(peer.address).peer.records({from}, {timeoutMs: suspectAfter});
@@ -242,9 +253,13 @@
 		},
 
 		/** True when the peer, its host, or both said that it is leaving. */
-		isLeaving: (id: string): boolean => Boolean(findPeer(id)?.isLeaving) || hostStates?.get(id) === 'leaving',
-		/** True when the host list answered and does not name the daemon. */
-		isGone: (id: string): boolean => hostStates !== undefined && !hostStates.has(id),
+		isLeaving: (id: string): boolean => Boolean(findPeer(id)?.isLeaving) || findHostStates()?.get(id) === 'leaving',
+		/** True when the host list answered lately and does not name the daemon. */
+		isGone(id: string): boolean {
+			const states = findHostStates();
+			return states !== undefined && !states.has(id);
+		},
+
 		listLiveEntries(members: Iterable<Readonly<Member>>): Member[] {
 			return [...members].filter(member => member.role === 'entry' && member.daemon !== self.id
 				&& !findPeer(member.daemon)?.isSuspected && findPeer(member.daemon)?.seenAt !== undefined);
