--- a/src/coordination/budget-keeper.test.ts
+++ b/src/coordination/budget-keeper.test.ts
@@ -284,10 +284,8 @@
 	expect(all.ok).toBe(true);
 });
 
-test('while claims are slow, tokens come from other gateways first', async () => {
-	// A caller gets its first words two seconds late: its gateway has too few
-	// tokens and waits for a store that answers each call after 0.4 s, though
-	// another gateway has plenty and answers in milliseconds.
+/** A keeper whose claims hang, as on a store that went silent. */
+function createHangingKeeper({sinceAnswer, tokensElsewhere}: {readonly sinceAnswer: number; readonly tokensElsewhere: boolean}) {
 	let now = 0;
 	const never = new Promise<never>(() => undefined); // eslint-disable-line no-promise-executor-return
 	const account = createTokenAccount();
@@ -297,23 +295,56 @@
 		},
 		log: createFakeKeyedLog().open(),
 		follower: {
-			next: () => 0, isUp: () => true, countSinceAnswer: () => undefined, catchUp: async () => never, takeOwn: () => undefined, run: async () => never,
+			next: () => 0, isUp: () => true, countSinceAnswer: () => sinceAnswer, catchUp: async () => never, takeOwn: () => undefined, run: async () => never,
 		},
 		book: createGrantBook(),
 		account,
 		findTable: () => buildTable(1, 1000),
 		async borrow(id, amount) {
-			account.addBorrowed(id, amount);
-			return {tokens: amount, isComplete: true};
+			if (tokensElsewhere) {
+				account.addBorrowed(id, amount);
+			}
+
+			return {tokens: tokensElsewhere ? amount : 0, isComplete: true};
+		},
+		clock: {
+			now: () => now,
+			async sleep(span) {
+				now += span;
+			},
 		},
-		clock: {now: () => now, sleep: async () => never},
 		events,
 		signal: new AbortController().signal,
 	});
+	return {
+		keeper,
+		now: () => now,
+		pass(span: number) {
+			now += span;
+		},
+	};
+}
+
+test('while claims are slow, tokens come from other gateways first', async () => {
+	// A caller gets its first words two seconds late: its gateway has too few
+	// tokens and waits for a store that answers each call after 0.4 s, though
+	// another gateway has plenty and answers in milliseconds.
+	const {keeper, now, pass} = createHangingKeeper({sinceAnswer: 0, tokensElsewhere: true});
 	void keeper.renew();
-	now += 100;
+	pass(100);
 	const reservation = await keeper.acquire(customer, 400, {patience: 2000});
 	expect(reservation.ok).toBe(true);
+	// No claim was waited for.
+	expect(now()).toBe(100);
+});
+
+test.each([[300, 'budget-exhausted'], [1700, 'budget-busy']])('a request that a purchase does not cover, by a log read %s ms ago, ends with %s', async (sinceAnswer, type) => {
+	// A caller is told for good that its budget is used up, by a log that went
+	// silent: what other gateways have given back since was never read, and the
+	// next failed read is seconds away.
+	const {keeper} = createHangingKeeper({sinceAnswer, tokensElsewhere: false});
+	const reservation = await keeper.acquire(customer, 1001, {patience: 200});
+	expect(reservation.err && reservation.val.type).toBe(type);
 });
 
 test('a rush is claimed for before its first request ends', async () => {
--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -56,6 +56,8 @@
 const appendTries = 6;
 /** Claims that take longer, in milliseconds, come after asking other gateways, who answer in 3 ms; usual ones take 10 to 20. */
 const slowClaim = 60;
+/** A refusal for good rests on what the log said at most so long ago, in milliseconds: two rounds. */
+const bookLife = 2 * roundEvery;
 const millisecondsPerSecond = 1000;
 /** When a caller may come back whose tokens are held by requests still running, in milliseconds. */
 const busyRetryAfter = 1000;
@@ -282,14 +284,17 @@
 		return last ? Ok(last) : Err(refuse(customer, amount, {isComplete, request}));
 	}
 
-	// The rest is known to be too small only if the store and every gateway have just said so.
+	// Guards against a refusal for good by an old book: a read that hangs leaves the log looking up until it fails, and what
+	// others have given back since is not known. The rest is too small only if the log and every gateway have just said so.
 	function refuse(customer: string, amount: number, {isComplete, request}: {readonly isComplete: boolean; readonly request?: string}): Failure {
 		const bought = findTable()?.findCustomer(customer)?.bought ?? 0;
 		const rest = Math.max(0, bought - book.sumGranted(customer, key) - account.countBound(customer));
+		const bookMs = follower.countSinceAnswer() ?? Number.POSITIVE_INFINITY;
+		const isKnown = follower.isUp() && bookMs <= bookLife && isComplete;
 		events.write('budgetShort', {
-			request, customer, amount, free: account.countFree(customer), bound: account.countBound(customer), bought, elsewhere: book.sumGranted(customer, key), isStoreUp: follower.isUp(), isComplete,
+			request, customer, amount, free: account.countFree(customer), bound: account.countBound(customer), bought, elsewhere: book.sumGranted(customer, key), isStoreUp: follower.isUp(), bookMs: Math.round(bookMs), isComplete,
 		});
-		return follower.isUp() && isComplete && rest < amount
+		return isKnown && rest < amount
 			? createFailure('budget-exhausted', `Customer "${customer}" has ${rest} of ${bought} tokens left and the request may need ${amount}`)
 			: createFailure('budget-busy', `Customer "${customer}" has ${rest} tokens left here and the request may need ${amount}`, {retryAfterMs: busyRetryAfter});
 	}
