--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -292,7 +292,7 @@
 		const bookMs = follower.countSinceAnswer() ?? Number.POSITIVE_INFINITY;
 		const isKnown = follower.isUp() && bookMs <= bookLife && isComplete;
 		events.write('budgetShort', {
-			request, customer, amount, free: account.countFree(customer), bound: account.countBound(customer), bought, elsewhere: book.sumGranted(customer, key), isStoreUp: follower.isUp(), bookMs: Math.round(bookMs), isComplete,
+			request, customer, amount, free: account.countFree(customer), bound: account.countBound(customer), bought, elsewhere: book.sumGranted(customer, key), isStoreUp: follower.isUp(), bookMs, isComplete,
 		});
 		return isKnown && rest < amount
 			? createFailure('budget-exhausted', `Customer "${customer}" has ${rest} of ${bought} tokens left and the request may need ${amount}`)
--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -187,8 +187,8 @@
 		/** Offset of the next record wanted; undefined before the first read. */
 		next: () => next,
 		isUp: () => isUp,
-		/** Milliseconds since the last answered read was sent: what is newer may be unknown. Undefined before the first. */
-		countSinceAnswer: (): number | undefined => answeredAt === undefined ? undefined : clock.now() - answeredAt,
+		/** Whole milliseconds since the last answered read was sent: what is newer may be unknown. Undefined before the first. */
+		countSinceAnswer: (): number | undefined => answeredAt === undefined ? undefined : Math.round(clock.now() - answeredAt),
 
 		/** Reads what is new without waiting for more; false when the log does not answer. Calls at once share a read. */
 		async catchUp(signal: AbortSignal): Promise<boolean> {
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -179,7 +179,7 @@
 				body: request.body,
 				signal: bound.signal,
 				isAlone: !relay.canGoOn(),
-				isStillWanted: () => book.mayGet(id),
+				isStillWanted: () => book.isLive(id),
 			});
 			const outcome = called.ok ? await receive(forwarding, called.val, {visit, onProgress: silence.noteProgress}) : readCallFailure(called.val, progress);
 			if (outcome.kind === 'broken' && !request.signal.aborted) {
--- a/src/coordination/upstream-book.ts
+++ b/src/coordination/upstream-book.ts
@@ -167,7 +167,7 @@
 
 		get: (id: string): UpstreamEntry | undefined => directory.get(id),
 		/** True while an upstream may get requests. */
-		mayGet: (id: string): boolean => directory.isLive(id, clock.now()),
+		isLive: (id: string): boolean => directory.isLive(id, clock.now()),
 		countViewAge: (): number | undefined => options.countViewAge?.(),
 
 		/** Starts a visit; its `end` must follow. */
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -81,17 +81,17 @@
 			isCut = value;
 		},
 		/** Lets the next read of upstreams hang for so long, in milliseconds, and fail; others are answered. */
-		hangNext(span: number) {
+		setNextHang(span: number) {
 			nextHang = span;
 		},
-		register(id: string) {
+		add(id: string) {
 			const entry: UpstreamEntry = {
 				id, service: 's', address: id, failureDomain: 'd', slots: 4, isDraining: false, warmUp: 0,
 			};
 			put(id, JSON.stringify(entry));
 		},
 		/** The store takes out an upstream's entry. */
-		remove(id: string) {
+		drop(id: string) {
 			put(id, undefined);
 		},
 		/** The upstreams that a request could be sent to now. */
@@ -112,15 +112,15 @@
 	// before, and the upstream got 2 s more from the reading. Evidence: of a day
 	// of cuts each late request was sent on such a grace (isOnGrace in its line),
 	// by knowledge under 0.5 s old.
-	const {time, setCut, register, remove, listChoices, stop} = createWorld();
-	register('u1');
-	register('u2');
+	const {time, setCut, add, drop, listChoices, stop} = createWorld();
+	add('u1');
+	add('u2');
 	await time.runUntil(3000);
 	setCut(true);
 	await time.runUntil(7000);
 	setCut(false);
 	await time.runUntil(9000);
-	remove('u1');
+	drop('u1');
 	await time.runUntil(9000 + drainSpan);
 	expect(listChoices()).toEqual(['u2']);
 	stop();
@@ -129,15 +129,15 @@
 test('an upstream that leaves after one lost read gets nothing from then on', async () => {
 	// One read of the gateway failed, and no entry can have lapsed in so short a
 	// time: whatever is removed next has left.
-	const {time, setCut, register, remove, listChoices, stop} = createWorld();
-	register('u1');
-	register('u2');
+	const {time, setCut, add, drop, listChoices, stop} = createWorld();
+	add('u1');
+	add('u2');
 	await time.runUntil(3000);
 	setCut(true);
 	await time.runUntil(4600);
 	setCut(false);
 	await time.runUntil(5600);
-	remove('u1');
+	drop('u1');
 	await time.runUntil(6200);
 	expect(listChoices()).toEqual(['u2']);
 	stop();
@@ -147,19 +147,19 @@
 	// All callers are refused after an outage of the store: no upstream could
 	// renew its entry, all are removed, and each registers itself again a second
 	// after the store's return.
-	const {time, setCut, register, remove, listChoices, stop} = createWorld();
-	register('u1');
-	register('u2');
+	const {time, setCut, add, drop, listChoices, stop} = createWorld();
+	add('u1');
+	add('u2');
 	await time.runUntil(3000);
 	setCut(true);
 	await time.runUntil(7000);
-	remove('u1');
-	remove('u2');
+	drop('u1');
+	drop('u2');
 	await time.runUntil(8000);
 	setCut(false);
 	await time.runUntil(9000);
 	expect(listChoices()).toEqual(['u1', 'u2']);
-	register('u1');
+	add('u1');
 	await time.runUntil(8000 + drainSpan);
 	expect(listChoices()).toEqual(['u1']);
 	stop();
@@ -170,13 +170,13 @@
 	// the upstreams hung for seconds, on a way that fell silent and then at
 	// daemons that carry calls and had died, while new calls were answered; only
 	// after it did the gateway read that the engine had left.
-	const {time, hangNext, register, remove, listChoices, stop} = createWorld();
-	register('u1');
-	register('u2');
+	const {time, setNextHang, add, drop, listChoices, stop} = createWorld();
+	add('u1');
+	add('u2');
 	await time.runUntil(3100);
-	hangNext(3700);
+	setNextHang(3700);
 	await time.runUntil(3600);
-	remove('u1');
+	drop('u1');
 	await time.runUntil(3600 + drainSpan);
 	expect(listChoices()).toEqual(['u2']);
 	stop();
@@ -196,24 +196,24 @@
 		leavings: fc.array(moment, {minLength: 1, maxLength: 4}),
 	});
 	await fc.assert(fc.asyncProperty(day, async ({cuts, hangs, leavings}) => {
-		const {time, setCut, hangNext, register, remove, listChoices, stop} = createWorld();
+		const {time, setCut, setNextHang, add, drop, listChoices, stop} = createWorld();
 		const isCutAt = (now: number) => cuts.some(({at, span}) => at <= now && now < at + span);
 		const wasCutLately = (now: number) => cuts.some(({at, span}) => at <= now && now < at + span + stableSpan);
 		const steps = [...cuts.flatMap(({at, span}) => [at, at + span]), ...hangs.map(({at}) => at), ...leavings];
 		for (const [index] of leavings.entries()) {
-			register(`u${index}`);
+			add(`u${index}`);
 		}
 
 		for (const now of new Set([...steps, ...Array.from({length: dayEnd / 100}, (_, index) => index * 100)].toSorted((left, right) => left - right))) {
 			await time.runUntil(now);
 			setCut(isCutAt(now));
 			for (const {span} of hangs.filter(({at}) => at === now)) {
-				hangNext(span);
+				setNextHang(span);
 			}
 
 			for (const [index, at] of leavings.entries()) {
 				if (at === now) {
-					remove(`u${index}`);
+					drop(`u${index}`);
 				}
 			}
 
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -110,14 +110,12 @@
 		events.write('deploymentAdopted', {version: deployment.version, source, bought: JSON.stringify(bought)});
 	}
 
-	const round = (span: number | undefined) => span === undefined ? undefined : Math.round(span);
-
 	function dropUpstream(key: string, offset: number): void {
 		const known = directory.get(key);
 		const now = clock.now();
 		directory.drop(key, grace.findEnd(now));
 		events.write('upstreamGone', {
-			upstream: key, service: known?.service, wasDraining: known?.isDraining, offset, sinceReadMs: round(upstreams.countSinceAnswer()), graceMs: round(directory.countGrace(key, now)),
+			upstream: key, service: known?.service, wasDraining: known?.isDraining, offset, sinceReadMs: upstreams.countSinceAnswer(), graceMs: directory.countGrace(key, now),
 		});
 	}
 
@@ -133,7 +131,7 @@
 		directory.put(entry, clock.now());
 		if (known?.isDraining !== entry.isDraining || wasOnGrace) {
 			events.write('upstreamListed', {
-				upstream: key, service: entry.service, isDraining: entry.isDraining, offset, sinceReadMs: round(upstreams.countSinceAnswer()),
+				upstream: key, service: entry.service, isDraining: entry.isDraining, offset, sinceReadMs: upstreams.countSinceAnswer(),
 			});
 		}
 	}
@@ -172,7 +170,7 @@
 	return {
 		directory, book, account, grants,
 		/** Age of what is known of upstreams, in whole milliseconds; undefined while nothing is. */
-		countViewAge: () => round(upstreams.countSinceAnswer()),
+		countViewAge: () => upstreams.countSinceAnswer(),
 		findTable: () => table,
 		/** The record of the deployment in force, to hand on to peers. */
 		deploymentRecord: () => deploymentRecord,
--- a/src/state/upstream-directory.ts
+++ b/src/state/upstream-directory.ts
@@ -84,10 +84,10 @@
 				.map(entry => ({upstream: entry.upstream, isWarm: now >= entry.warmAt, isOnGrace: entry.lapsesAt !== undefined}));
 		},
 
-		/** Milliseconds for which an upstream that is no longer listed still takes requests. */
+		/** Whole milliseconds for which an upstream that is no longer listed still takes requests. */
 		countGrace(id: string, now: number): number {
 			const entry = entries.get(id);
-			return entry?.lapsesAt !== undefined && isLive(entry, now) ? entry.lapsesAt - now : 0;
+			return entry?.lapsesAt !== undefined && isLive(entry, now) ? Math.round(entry.lapsesAt - now) : 0;
 		},
 
 		listIds: (): string[] => [...entries.keys()],
--- a/src/transport/upstream-client.test.ts
+++ b/src/transport/upstream-client.test.ts
@@ -115,15 +115,15 @@
 
 const whole = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
 
-/** A client whose only connection to an upstream is held by a first call until `free` is called, and what came on it. */
-async function holdConnection() {
+/** A client whose only connection to an upstream is held by a first call until `release` is called, and what came on it. */
+async function keepConnectionBusy() {
 	const requests: string[] = [];
-	let free: () => void = () => undefined;
+	let release: () => void = () => undefined;
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
 		socket.on('data', data => {
 			requests.push(String(data));
-			free = () => socket.write(whole);
+			release = () => socket.write(whole);
 		});
 	});
 	server.listen(0, '127.0.0.1');
@@ -137,8 +137,8 @@
 	await expect.poll(() => requests.length).toBe(1);
 	return {
 		client, address, requests, first,
-		free() {
-			free();
+		release() {
+			release();
 		},
 	};
 }
@@ -146,11 +146,11 @@
 test('a call that is no longer wanted when a connection is free is not sent', async () => {
 	// A caller's request reaches an engine that left seconds ago: all connections
 	// to it were taken, and the request waited for one on a choice made before.
-	const {client, address, requests, first, free} = await holdConnection();
+	const {client, address, requests, first, release} = await keepConnectionBusy();
 	let isListed = true;
 	const second = client.call({...buildCall(address, false), isStillWanted: () => isListed});
 	isListed = false;
-	free();
+	release();
 	await readText(await first);
 	const answer = await second;
 	expect(answer.err && answer.val.kind).toBe('unsent');
@@ -160,7 +160,7 @@
 test('a call that is given up while it waits for a connection ends at once', async () => {
 	// A caller whose time limit has passed gets no answer: its request waits for
 	// a connection to an engine that is busy for seconds.
-	const {client, address, requests} = await holdConnection();
+	const {client, address, requests} = await keepConnectionBusy();
 	const giveUp = new AbortController();
 	const second = client.call({...buildCall(address, false), signal: giveUp.signal});
 	giveUp.abort();
