--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -45,7 +45,7 @@
 
 /** A read of the deployment waits this long for a change, in milliseconds; longer would hide a silent connection. */
 const deploymentWait = 1500;
-/** Pause between reads of the upstreams' records, in milliseconds: each upstream writes about once a second. */
+/** Pause between reads of the upstreams' records, in milliseconds: a quarter of the time for which one that left serves. */
 const upstreamsEvery = 500;
 /**
  * A read of the deployment or of upstreams that takes longer, in milliseconds,
