--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -68,19 +68,29 @@
 	// A read that hangs was waited for long enough.
 	const pauses: Record<ReadResult, number> = {answered: options.every, failed: retryPause, hanging: 0};
 
-	function noteAnswer(): void {
-		if (!isUp) {
-			const awayMs = answeredAt === undefined ? undefined : Math.round(clock.now() - answeredAt);
-			events.write('logBack', {log: log.name, next, awayMs});
+	function noteReturn(): void {
+		const now = clock.now();
+		events.write('logBack', {log: log.name, next, awayMs: answeredAt === undefined ? undefined : Math.round(now - answeredAt)});
+		if (answeredAt !== undefined && failedAt !== undefined) {
+			options.onReturn?.({from: answeredAt, until: failedAt, answeredAt: now});
 		}
+	}
 
-		if (!isUp && answeredAt !== undefined && failedAt !== undefined) {
-			options.onReturn?.({from: answeredAt, until: failedAt, answeredAt: clock.now()});
+	// Called before an answer's records are handed on, so that their taker knows of the absence.
+	function noteAnswer(): void {
+		if (!isUp) {
+			noteReturn();
 		}
 
 		isUp = true;
 	}
 
+	// Called after them: what they bring was unknown until now.
+	function noteFolded(askedAt: number): void {
+		answeredAt = Math.max(answeredAt ?? askedAt, askedAt);
+	}
+
+	// Of reads that overlap, one that was sent before the last answered one says nothing new by its failure.
 	function noteFailure(askedAt: number, failure: Failure): void {
 		if (answeredAt !== undefined && askedAt < answeredAt) {
 			return;
@@ -130,7 +140,7 @@
 		}
 
 		next = Math.max(next ?? 0, end);
-		answeredAt = Math.max(answeredAt ?? askedAt, askedAt);
+		noteFolded(askedAt);
 		return true;
 	}
 
@@ -142,7 +152,7 @@
 			// A read that waited may end after another one has folded the same records.
 			fold(page.val.records, next ?? from);
 			next = Math.max(next ?? 0, (page.val.records.at(-1)?.offset ?? from - 1) + 1);
-			answeredAt = Math.max(answeredAt ?? askedAt, askedAt);
+			noteFolded(askedAt);
 			return true;
 		}
 
