--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -185,7 +185,7 @@
 		const timer = new AbortController();
 		const isRead = await Promise.race([pending, clock.sleep(span, timer.signal)]);
 		timer.abort();
-		if (isRead === undefined) {
+		if (isRead === undefined && !signal.aborted) {
 			noteFailure(askedAt, createFailure('log-unavailable', `A read was not answered within ${span} ms`));
 			return 'hanging';
 		}
--- a/src/coordination/lapse-grace.ts
+++ b/src/coordination/lapse-grace.ts
@@ -29,8 +29,8 @@
  * Creates the grace of one gateway.
  *
  * Guards against requests that reach an upstream which left, long after its
- * leaving. A grace that were counted from the reading of a removal, or given
- * because any read failed lately, would outlast the time for which that
+ * leaving. A grace that is counted from the reading of a removal, or given
+ * because any read failed lately, can outlast the time for which that
  * upstream serves. This one is counted from the last moment at which the store
  * was seen to be away, so it ends at most `returnSpan` after the store's
  * return, whenever a removal is read; and an absence in which no entry can
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -20,7 +20,8 @@
 /** How long an upstream serves after the store has taken its leaving, in milliseconds. */
 const drainSpan = 2000;
 
-function createWorld() {
+/** A gateway that knows some upstreams. */
+function createWorld(upstreams: readonly string[]) {
 	const time = createVirtualTime();
 	const stopper = new AbortController();
 	const logs = {deployment: createFakeKeyedLog(), upstreams: createFakeKeyedLog(), grants: createFakeKeyedLog()};
@@ -74,8 +75,19 @@
 		logs.upstreams.records.push({key: id, value, offset: logs.upstreams.records.length});
 	}
 
+	function add(id: string): void {
+		const entry: UpstreamEntry = {
+			id, service: 's', address: id, failureDomain: 'd', slots: 4, isDraining: false, warmUp: 0,
+		};
+		put(id, JSON.stringify(entry));
+	}
+
+	for (const id of upstreams) {
+		add(id);
+	}
+
 	return {
-		time,
+		time, add,
 		/** Silences every way from the gateway to the store, or lets it through again. */
 		setCut(value: boolean) {
 			isCut = value;
@@ -84,12 +96,6 @@
 		setNextHang(span: number) {
 			nextHang = span;
 		},
-		add(id: string) {
-			const entry: UpstreamEntry = {
-				id, service: 's', address: id, failureDomain: 'd', slots: 4, isDraining: false, warmUp: 0,
-			};
-			put(id, JSON.stringify(entry));
-		},
 		/** The store takes out an upstream's entry. */
 		drop(id: string) {
 			put(id, undefined);
@@ -112,9 +118,7 @@
 	// before, and the upstream got 2 s more from the reading. Evidence: of a day
 	// of cuts each late request was sent on such a grace (isOnGrace in its line),
 	// by knowledge under 0.5 s old.
-	const {time, setCut, add, drop, listChoices, stop} = createWorld();
-	add('u1');
-	add('u2');
+	const {time, setCut, drop, listChoices, stop} = createWorld(['u1', 'u2']);
 	await time.runUntil(3000);
 	setCut(true);
 	await time.runUntil(7000);
@@ -129,9 +133,7 @@
 test('an upstream that leaves after one lost read gets nothing from then on', async () => {
 	// One read of the gateway failed, and no entry can have lapsed in so short a
 	// time: whatever is removed next has left.
-	const {time, setCut, add, drop, listChoices, stop} = createWorld();
-	add('u1');
-	add('u2');
+	const {time, setCut, drop, listChoices, stop} = createWorld(['u1', 'u2']);
 	await time.runUntil(3000);
 	setCut(true);
 	await time.runUntil(4600);
@@ -147,9 +149,7 @@
 	// All callers are refused after an outage of the store: no upstream could
 	// renew its entry, all are removed, and each registers itself again a second
 	// after the store's return.
-	const {time, setCut, add, drop, listChoices, stop} = createWorld();
-	add('u1');
-	add('u2');
+	const {time, setCut, add, drop, listChoices, stop} = createWorld(['u1', 'u2']);
 	await time.runUntil(3000);
 	setCut(true);
 	await time.runUntil(7000);
@@ -170,9 +170,7 @@
 	// the upstreams hung for seconds, on a way that fell silent and then at
 	// daemons that carry calls and had died, while new calls were answered; only
 	// after it did the gateway read that the engine had left.
-	const {time, setNextHang, add, drop, listChoices, stop} = createWorld();
-	add('u1');
-	add('u2');
+	const {time, setNextHang, drop, listChoices, stop} = createWorld(['u1', 'u2']);
 	await time.runUntil(3100);
 	setNextHang(3700);
 	await time.runUntil(3600);
@@ -196,14 +194,10 @@
 		leavings: fc.array(moment, {minLength: 1, maxLength: 4}),
 	});
 	await fc.assert(fc.asyncProperty(day, async ({cuts, hangs, leavings}) => {
-		const {time, setCut, setNextHang, add, drop, listChoices, stop} = createWorld();
+		const {time, setCut, setNextHang, drop, listChoices, stop} = createWorld(leavings.map((_, index) => `u${index}`));
 		const isCutAt = (now: number) => cuts.some(({at, span}) => at <= now && now < at + span);
 		const wasCutLately = (now: number) => cuts.some(({at, span}) => at <= now && now < at + span + stableSpan);
 		const steps = [...cuts.flatMap(({at, span}) => [at, at + span]), ...hangs.map(({at}) => at), ...leavings];
-		for (const [index] of leavings.entries()) {
-			add(`u${index}`);
-		}
-
 		for (const now of new Set([...steps, ...Array.from({length: dayEnd / 100}, (_, index) => index * 100)].toSorted((left, right) => left - right))) {
 			await time.runUntil(now);
 			setCut(isCutAt(now));
