--- a/src/coordination/grant-keeper.ts
+++ b/src/coordination/grant-keeper.ts
@@ -272,7 +272,11 @@
 	}
 
 	function refuse(budget: string, amount: number, isBusy: boolean): Result<Reservation, Failure> {
-		const free = holder.countFree(budget) + Math.max(0, follower.state().ledger.computeRemaining(budget));
+		const remaining = Math.max(0, follower.state().ledger.computeRemaining(budget));
+		const free = holder.countFree(budget) + remaining;
+		events.write('budgetShort', {
+			budget, amount, free: holder.countFree(budget), remaining, reserved: holder.countReserved(budget), isBusy, isLogUp: follower.isLogUp(),
+		});
 		return Err(isBusy
 			? createFailure('budget-busy', `Budget "${budget}" has ${free} tokens free and the request may need ${amount}; running requests hold the rest`, {retryAfterMs: busyRetryAfter})
 			: createFailure('budget-spent', `Budget "${budget}" has ${free} tokens left and the request may need ${amount}`, {retryAfterMs: spentRetryAfter}));
--- a/tools/harness/fleet.ts
+++ b/tools/harness/fleet.ts
@@ -53,7 +53,7 @@
 export type FleetUpstream = FleetDaemon & {readonly standIn: FleetProcess};
 
 /** A budget as an entry daemon shows it; all amounts in tokens. */
-export type BudgetFigures = Readonly<Record<'bought' | 'billed' | 'burnt' | 'refunded' | 'retired' | 'remaining' | 'granted' | 'locked', number>>;
+export type BudgetFigures = Readonly<Record<'bought' | 'billed' | 'burnt' | 'refunded' | 'retired' | 'remaining' | 'granted' | 'locked' | 'freeHere', number>>;
 
 /** A running test fleet. */
 export type TestFleet = Awaited<ReturnType<typeof startFleet>>;
@@ -294,6 +294,9 @@
 			return fetchDocument<BudgetFigures>(`${pickOperator()}/v1/budgets/${budget}`);
 		},
 
+		/** What each process wrote, in the order of their starts. */
+		listLogs: () => started.map(({name, readLog}) => ({name, text: readLog()})),
+
 		/** Ends every process that this fleet started. */
 		async stop(): Promise<void> {
 			await Promise.all([...entries, ...upstreams].map(async daemon => daemon.process.hasExited() ? 0 : daemon.process.stop()));
--- a/tools/prove/budget-proofs.ts
+++ b/tools/prove/budget-proofs.ts
@@ -9,7 +9,7 @@
 	fetchDocument, waitUntil, type TestFleet,
 } from '../harness/mod.js';
 import {
-	beginStream, city, configureCity, countEngines, listen, readStatus, setLog, spendUntilRefused, sumTokens, tryChat, waitForReceipts,
+	beginStream, city, configureCity, countEngines, describeRefusals, listen, readBudget, readStatus, setLog, spendUntilRefused, sumTokens, tryChat, waitForReceipts,
 } from './count.js';
 import {
 	quick, refusalMeasure, replaceModule, spendPromise, type Proof, type ProofOutcome,
@@ -36,6 +36,7 @@
 	const before = [await tryChat(listen(fleet.entries[0]), {content: 'answer 20', maxTokens: 20})];
 	await wait(1000);
 	await cutOffFirstEntry(fleet, true);
+	const {freeHere: heldByCutOff} = await readBudget(fleet.entries[0]!, city.budget);
 	fleet.entries[0]!.process.freeze();
 	await wait(1500);
 	const second = await spendUntilRefused(listen(fleet.entries[1]), {limit: 200});
@@ -49,7 +50,8 @@
 	return {
 		holds: answered <= budget.bought && budget.billed <= budget.bought && second.some(answer => answer.isWhole),
 		figures: {
-			bought: budget.bought, answered, billed: budget.billed, servedByCutOff: first.filter(answer => answer.isWhole).length, servedByOther: second.filter(answer => answer.isWhole).length,
+			bought: budget.bought, answered, billed: budget.billed, heldByCutOff, refusals: describeRefusals(first),
+			servedByCutOff: first.filter(answer => answer.isWhole).length, servedByOther: second.filter(answer => answer.isWhole).length,
 		},
 	};
 }
--- a/tools/prove/count.ts
+++ b/tools/prove/count.ts
@@ -5,7 +5,7 @@
  */
 import {setTimeout as wait} from 'node:timers/promises';
 import {
-	askChat, fetchDocument, waitUntil, type AskChatOptions, type CallerAnswer, type FleetDaemon, type TestFleet,
+	askChat, fetchDocument, waitUntil, type AskChatOptions, type BudgetFigures, type CallerAnswer, type FleetDaemon, type TestFleet,
 } from '../harness/mod.js';
 
 /** The customer of most proofs. */
@@ -34,6 +34,11 @@
 	return total as EngineCounts;
 }
 
+/** A budget as one entry shows it. */
+export async function readBudget(entry: FleetDaemon, budget: string): Promise<BudgetFigures> {
+	return fetchDocument<BudgetFigures>(`${entry.process.ready.operators}/v1/budgets/${budget}`);
+}
+
 /** Counts how often each booking was executed, by the services' own records. */
 export async function countBookings(fleet: TestFleet): Promise<Map<string, number>> {
 	const counts = new Map<string, number>();
@@ -119,6 +124,12 @@
 	return answers;
 }
 
+/** Describes each refusal among answers by its status and reason. */
+export function describeRefusals(answers: ReadonlyArray<CallerAnswer | undefined>): string {
+	const refusals = answers.filter(answer => !answer?.isWhole);
+	return refusals.map(answer => answer ? `${answer.status} ${answer.problem?.detail ?? ''}` : 'connection broke').join('; ');
+}
+
 /** Sums the tokens that whole answers say they cost. */
 export function sumTokens(answers: ReadonlyArray<CallerAnswer | undefined>): number {
 	let sum = 0;
--- a/tools/prove/proof.ts
+++ b/tools/prove/proof.ts
@@ -3,6 +3,9 @@
  *
  * @module
  */
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 import {startFleet, type StartFleetOptions, type TestFleet} from '../harness/mod.js';
 
 /** Settings that suspect a silent peer within a second, so that proofs are short. */
@@ -57,8 +60,28 @@
 	return {[`${module}.js`]: `tools/prove/unguarded/${unguarded}.js`};
 }
 
+/** @internal */
+async function playProof(proof: Proof, fleet: TestFleet): Promise<ProofOutcome> {
+	try {
+		return await proof.run(fleet);
+	} catch (error) {
+		return {holds: false, figures: {error: (error as Error).message}};
+	}
+}
+
+/** @internal Keeps what each process wrote, for a run that may not come again. */
+function keepLogs(name: string, fleet: TestFleet): string {
+	const folder = mkdtempSync(join(tmpdir(), `fireflylane-proof-${name}-`));
+	for (const [index, {name: writer, text}] of fleet.listLogs().entries()) {
+		writeFileSync(join(folder, `${index}-${writer}.log`), text);
+	}
+
+	return folder;
+}
+
 /**
- * Runs a proof once.
+ * Runs a proof once. A run that comes out as it should not keeps the logs of
+ * its processes, in the folder that its figure `logs` names.
  *
  * @example
  * ```ts
@@ -74,13 +97,11 @@
 		...proof.fleet,
 		replace: {...proof.fleet.replace, ...options.isGuarded ? {} : proof.withoutGuard},
 	});
-	try {
-		return await proof.run(fleet);
-	} catch (error) {
-		return {holds: false, figures: {error: (error as Error).message}};
-	} finally {
-		await fleet.kill();
-	}
+	const outcome = await playProof(proof, fleet);
+	await fleet.kill();
+	return outcome.holds === options.isGuarded
+		? outcome
+		: {...outcome, figures: {...outcome.figures, logs: keepLogs(proof.name, fleet)}};
 }
 
 /**
