Wait for tokens of a peer that does not answer, and do not call their budget spent

Callers saw 429 "has 0 tokens left", Retry-After 30 s, within 20 ms, though up to all of their budget was left: for a second after an entry had died (suspectAfter) another one refused whatever its own grants did not cover.

Cause: the peer still counted as alive, so its grants were not 'held away'; its missing answer to a request for a loan was read as 0 tokens reserved; so nothing seemed able to free tokens, and the refusal was for long.

Change: a search for loans tells whether every peer that was asked has answered; if not, the request waits within its patience, as it does for a peer that is suspected. A loan without an answer is asked for again under its number, not under a new one in each step.

Seen and left: the entry that hears of a budget first claims all of it if it has not heard the others yet, and keeps it (free is not above twice its fair share).

--- a/src/coordination/grant-keeper.ts
+++ b/src/coordination/grant-keeper.ts
@@ -15,7 +15,7 @@
 import {createDemand} from './demand.js';
 import type {BudgetView, GrantPolicy} from './grant-policy.js';
 import {isHeldAway} from './held-away.js';
-import type {LoanDesk} from './loan-desk.js';
+import type {LoanDesk, LoanSearch} from './loan-desk.js';
 import type {LogFollower} from './log-follower.js';
 import type {LogWriter} from './log-writer.js';
 import type {Membership} from './membership.js';
@@ -70,7 +70,7 @@
 	const appendBound = options.appendBound ?? defaultAppendBound;
 	const demand = createDemand(clock);
 	const claims = new Map<string, Promise<void>>();
-	const seeks = new Map<string, Promise<number>>();
+	const seeks = new Map<string, Promise<LoanSearch>>();
 	const claimed = new Set<string>();
 	const finished = new Set<string>();
 	const releasing = new Set<string>();
@@ -241,7 +241,7 @@
 	}
 
 	// Claims while the log answers, then borrows; several waiting requests share one search.
-	async function seekTokens(budget: string): Promise<number> {
+	async function seekTokens(budget: string): Promise<LoanSearch> {
 		if (follower.isLogUp() && isJoined()) {
 			const decision = policy.decide(buildView(budget));
 			if (decision.claim > 0) {
@@ -249,10 +249,10 @@
 			}
 		}
 
-		return holder.countFree(budget) < demand.countWanted(budget) ? loans.borrow(budget, demand.countWanted(budget)) : 0;
+		return holder.countFree(budget) < demand.countWanted(budget) ? loans.borrow(budget, demand.countWanted(budget)) : {reserved: 0, isComplete: true};
 	}
 
-	async function seekOnce(budget: string): Promise<number> {
+	async function seekOnce(budget: string): Promise<LoanSearch> {
 		const running = seeks.get(budget);
 		if (running) {
 			return running;
@@ -260,9 +260,9 @@
 
 		const seek = seekTokens(budget);
 		seeks.set(budget, seek);
-		const reserved = await seek;
+		const search = await seek;
 		seeks.delete(budget);
-		return reserved;
+		return search;
 	}
 
 	async function waitForFreed(budget: string, signal: AbortSignal): Promise<void> {
@@ -271,29 +271,40 @@
 		freed.off();
 	}
 
-	function refuse(budget: string, amount: number, isBusy: boolean): Result<Reservation, Failure> {
+	// A peer that has just died still counts as alive and does not say what it holds.
+	function mayBeFreed(budget: string, {reserved, isComplete}: LoanSearch): boolean {
+		const isReserved = holder.countReserved(budget) + reserved > 0;
+		return isReserved || !isComplete || claims.has(budget) || (follower.isLogUp() && isHeldAway(budget, {follower, membership, loans}));
+	}
+
+	function refuse(budget: string, amount: number, isBusy: boolean): Failure {
 		const remaining = Math.max(0, follower.state().ledger.computeRemaining(budget));
 		const free = holder.countFree(budget) + remaining;
+		const isOutOfReach = free >= amount || isHeldAway(budget, {follower, membership, loans});
 		events.write('budgetShort', {
-			budget, amount, free: holder.countFree(budget), remaining, reserved: holder.countReserved(budget), isBusy, isLogUp: follower.isLogUp(),
+			budget, amount, free: holder.countFree(budget), remaining, reserved: holder.countReserved(budget), isBusy, isOutOfReach, isLogUp: follower.isLogUp(),
 		});
-		return Err(isBusy
-			? createFailure('budget-busy', `Budget "${budget}" has ${free} tokens free and the request may need ${amount}; running requests hold the rest`, {retryAfterMs: busyRetryAfter})
-			: createFailure('budget-spent', `Budget "${budget}" has ${free} tokens left and the request may need ${amount}`, {retryAfterMs: spentRetryAfter}));
+		if (isBusy) {
+			return createFailure('budget-busy', `Budget "${budget}" has ${free} tokens free and the request may need ${amount}; running requests or silent daemons hold the rest`, {retryAfterMs: busyRetryAfter});
+		}
+
+		return isOutOfReach
+			? createFailure('budget-busy', `Budget "${budget}" has tokens left that cannot be used here now; the request may need ${amount}`, {retryAfterMs: busyRetryAfter})
+			: createFailure('budget-spent', `Budget "${budget}" has ${free} tokens left and the request may need ${amount}`, {retryAfterMs: spentRetryAfter});
 	}
 
 	async function waitForTokens(budget: string, amount: number, {patience, signal}: AcquireOptions): Promise<Result<Reservation, Failure>> {
 		const until = clock.now() + patience;
 		let isBusy = false;
 		while (!signal.aborted && clock.now() < until) {
-			const reservedElsewhere = await seekOnce(budget);
+			const search = await seekOnce(budget);
 			const reservation = holder.reserve(budget, amount);
 			if (reservation) {
 				return Ok(reservation);
 			}
 
 			demand.noteShort(budget);
-			isBusy = holder.countReserved(budget) + reservedElsewhere > 0 || claims.has(budget) || isHeldAway(budget, {follower, membership, loans});
+			isBusy = mayBeFreed(budget, search);
 			// Nothing in flight can free tokens: waiting would only hold the answer back.
 			if (!isBusy) {
 				break;
@@ -303,7 +314,7 @@
 		}
 
 		const last = holder.reserve(budget, amount);
-		return last ? Ok(last) : refuse(budget, amount, isBusy);
+		return last ? Ok(last) : Err(refuse(budget, amount, isBusy));
 	}
 
 	return {
--- a/src/coordination/held-away.ts
+++ b/src/coordination/held-away.ts
@@ -38,8 +38,7 @@
 
 /**
  * Tells whether tokens of a budget are held by a daemon that is gone or
- * silent. While the log answers they come back within seconds, now that they
- * are needed, so a request that lacks them may wait.
+ * silent. While the log answers they come back within seconds of being needed.
  *
  * @example
  * ```ts
@@ -51,5 +50,5 @@
  * @returns True when tokens may come back
  */
 export function isHeldAway(budget: string, options: IsHeldAwayOptions): boolean {
-	return options.follower.isLogUp() && (isGrantedAway(budget, options) || isLentAway(budget, options));
+	return isGrantedAway(budget, options) || isLentAway(budget, options);
 }
--- a/src/coordination/loan-desk.ts
+++ b/src/coordination/loan-desk.ts
@@ -31,6 +31,14 @@
 	readonly reserved: number;
 };
 
+/** What a search for loans came to. */
+export type LoanSearch = {
+	/** Tokens that the peers' running requests may yet free. */
+	readonly reserved: number;
+	/** True when every peer that was asked has said what it has. */
+	readonly isComplete: boolean;
+};
+
 /** Options of {@linkcode createLoanDesk}. */
 export type CreateLoanDeskOptions = {
 	readonly holder: GrantHolder;
@@ -60,7 +68,7 @@
  *
  * @example
  * ```ts
- * const reserved = await loans.borrow('b1', 500);
+ * const {reserved} = await loans.borrow('b1', 500);
  * ```
  *
  * @param options Grants and the ways to peers
@@ -153,6 +161,16 @@
 		}
 	}
 
+	// A loan whose answer was lost may stand with the lender, so its number is sent again and not a new one.
+	function ensureAsked(lender: string, budget: string, amount: number): AskedLoan {
+		const open = [...asked.values()].find(loan => loan.lender === lender && loan.budget === budget);
+		const loan = open ?? {
+			loan: createId('l'), budget, amount, lender,
+		};
+		asked.set(loan.loan, loan);
+		return loan;
+	}
+
 	async function sendRepayment(repayment: Repayment): Promise<void> {
 		const address = findAddress(repayment.lender);
 		if (!address) {
@@ -240,24 +258,22 @@
 			return grants;
 		},
 
-		/** Borrows from live peers until enough is free; returns what their running requests may yet free. */
-		async borrow(budget: string, amount: number): Promise<number> {
+		/** Borrows from live peers until enough is free. */
+		async borrow(budget: string, amount: number): Promise<LoanSearch> {
 			let reserved = 0;
+			let isComplete = true;
 			for (const lender of membership.listLiveEntries(options.listMembers())) {
 				const missing = amount - holder.countFree(budget);
 				if (missing <= 0) {
 					break;
 				}
 
-				const loan: AskedLoan = {
-					loan: createId('l'), budget, amount: missing, lender: lender.daemon,
-				};
-				asked.set(loan.loan, loan);
-				const answer = await askLender(loan);
+				const answer = await askLender(ensureAsked(lender.daemon, budget, missing));
 				reserved += answer?.reserved ?? 0;
+				isComplete &&= answer !== undefined;
 			}
 
-			return reserved;
+			return {reserved, isComplete};
 		},
 
 		/** One round: asks again for unanswered loans and repays idle ones. */
--- a/src/protocol/failures.ts
+++ b/src/protocol/failures.ts
@@ -62,7 +62,7 @@
 		status: 429, title: 'The budget has no tokens left', retryable: true, exitCode: 5,
 	},
 	'budget-busy': {
-		status: 429, title: 'The remaining tokens are reserved by running requests', retryable: true, exitCode: 5,
+		status: 429, title: 'The remaining tokens cannot be used now', retryable: true, exitCode: 5,
 	},
 	overloaded: {
 		status: 503, title: 'Every upstream is busy', retryable: true, exitCode: 6,
--- a/tools/measure/budget-world.ts
+++ b/tools/measure/budget-world.ts
@@ -235,7 +235,7 @@
 		});
 		const keeper = createGrantKeeper({
 			...parts, holder, policy: options.createPolicy(), every: 250,
-			loans: options.cooperates ? loans : {...loans, borrow: async () => 0},
+			loans: options.cooperates ? loans : {...loans, borrow: async () => ({reserved: 0, isComplete: true})},
 		});
 		void keeper.run(parts.stopper.signal);
 		if (options.cooperates) {
--- a/tools/prove/death-proofs.ts
+++ b/tools/prove/death-proofs.ts
@@ -4,9 +4,11 @@
  * @module
  */
 import {setTimeout as wait} from 'node:timers/promises';
-import {fetchDocument, waitUntil, type TestFleet} from '../harness/mod.js';
 import {
-	beginStream, city, configureCity, listen, setLog, spendUntilRefused, sumTokens, waitForReceipts,
+	fetchDocument, waitUntil, type FleetDaemon, type TestFleet,
+} from '../harness/mod.js';
+import {
+	beginStream, city, configureCity, describeRefusals, listen, readBudget, setLog, spendUntilRefused, sumTokens, tryChat, waitForReceipts,
 } from './count.js';
 import {
 	quick, refusalMeasure, replaceModule, spendPromise, type Proof, type ProofOutcome,
@@ -72,6 +74,50 @@
 	run: async fleet => spendAfterDeath(fleet, 1),
 };
 
+async function countFreeAt(entry: FleetDaemon): Promise<number> {
+	const {freeHere} = await readBudget(entry, city.budget);
+	return freeHere;
+}
+
+// Both claim ahead as soon as they know the budget; the one that is first may have all of it.
+async function pickLender(fleet: TestFleet): Promise<{readonly lender: FleetDaemon; readonly borrower: FleetDaemon}> {
+	const [first, second] = fleet.entries as [FleetDaemon, FleetDaemon];
+	const {bought} = await readBudget(first, city.budget);
+	await waitUntil(async () => await countFreeAt(first) + await countFreeAt(second) === bought, 'the entries hold the whole budget');
+	return await countFreeAt(first) >= await countFreeAt(second) ? {lender: first, borrower: second} : {lender: second, borrower: first};
+}
+
+const killedLender: Proof = {
+	name: 'killed-lender',
+	promise: refusalMeasure,
+	story: `A caller is told that its budget is spent, half a minute long, though most of it is left. The entry that holds
+it has died a moment ago and counts as alive; it does not answer the one that wants to borrow, which takes that for a no.`,
+	isInCi: true,
+	fleet: {
+		entries: 2, engines: 1, bookings: 0, settings: quick,
+	},
+	withoutGuard: replaceModule('src/coordination/loan-desk', 'desk-that-takes-silence-for-no'),
+	async run(fleet) {
+		await configureCity(fleet, 1000);
+		const {lender, borrower} = await pickLender(fleet);
+		const call = {content: 'answer 20', maxTokens: 300};
+		// Its own share must not cover the call.
+		while (await countFreeAt(borrower) >= call.maxTokens) {
+			await tryChat(listen(borrower), {...call, maxTokens: 20});
+		}
+
+		await lender.process.kill();
+		const answer = await tryChat(listen(borrower), call);
+		const {bought, billed} = await readBudget(borrower, city.budget);
+		return {
+			holds: Boolean(answer?.isWhole),
+			figures: {
+				bought, billed, isWhole: Boolean(answer?.isWhole), ms: Math.round(answer?.totalMs ?? 0), refusals: describeRefusals([answer]),
+			},
+		};
+	},
+};
+
 const logDownHolderKilled: Proof = {
 	name: 'log-down-and-holder-killed',
 	promise: spendPromise,
@@ -101,4 +147,4 @@
 };
 
 /** Proofs of entries that die. */
-export const deathProofs: readonly Proof[] = [killedHolder, killedBorrower, logDownHolderKilled];
+export const deathProofs: readonly Proof[] = [killedHolder, killedBorrower, killedLender, logDownHolderKilled];
