Give a repeat the answer that is held, without a second reservation

Callers who asked again with their key after a broken stream got 429 "has 190 tokens left and the request may need 338" although their answer was there, run once and billed 310; not at once, not seconds later. A booking that stood was refused the same way, with "ran: no", once its customer had bought no more than it cost: its caller would book again under another key.

Cause: the router reserved the worst case of a second run before it asked the upstream daemon, which knows the first one.

Ruled out: tokens of the dead entry that would come back later. 500 were bought and 310 billed, so 338 are not there at any time.

Change: a request with a key that finds too few tokens free first attaches: RunRequest carries attach_only, the upstream daemon follows what it has (also while it waits for its turn) or says that it knows nothing, and only then tokens are reserved. It also says what the log's run record tells of a booking that it does not hold. Requests without a key, and those whose tokens are free, take the way they took.

--- a/src/coordination/attempt-runner.ts
+++ b/src/coordination/attempt-runner.ts
@@ -55,7 +55,9 @@
 export type Attempt = {
 	readonly call: RoutedCall;
 	readonly member: Readonly<Member>;
+	/** Empty for an attempt that only attaches to an earlier run. */
 	readonly reservation: Reservation;
+	readonly isAttachOnly: boolean;
 	readonly number: number;
 	/** The next chunk wanted. */
 	next: number;
@@ -102,6 +104,21 @@
 	return done.billedAttempt === attempt.number ? done.billed.map(({grant, amount}) => ({grant, amount})) : [];
 }
 
+/**
+ * Tells whether an attempt that only attaches found no earlier run.
+ *
+ * @example
+ * ```ts
+ * isNothingFound({kind: 'refused', failure: createFailure('unknown-object', 'No such request')}); // true
+ * ```
+ *
+ * @param outcome How the attempt ended
+ * @returns True when the request may be started there
+ */
+export function isNothingFound(outcome: AttemptOutcome): boolean {
+	return outcome.kind === 'refused' && outcome.failure.type === 'unknown-object';
+}
+
 /**
  * Creates the runner of an entry daemon.
  *
@@ -139,6 +156,7 @@
 			fromSequence: attempt.next,
 			from: membership.self.id,
 			knownOffset: follower.state().next(),
+			attachOnly: attempt.isAttachOnly,
 		}, {signal});
 	}
 
@@ -282,15 +300,35 @@
 			return reserved;
 		}
 
-		return Ok({
-			call, member, reservation: reserved.val, number: randomInt(1, attemptLimit), next: 0,
-			hash: createHash('sha256'), length: 0, startedAt: clock.now(),
+		return Ok(createAttempt(call, member, {reservation: reserved.val, isAttachOnly: false}));
+	}
+
+	// What has run has been paid for: reserving its worst case again would refuse the answer once the budget is used up.
+	function attachToRun(call: RoutedCall, member: Readonly<Member>): Attempt | undefined {
+		if (!call.isKeyed || keeper.hasFree(call.budget, call.worstCase)) {
+			return undefined;
+		}
+
+		const {budget} = call;
+		return createAttempt(call, member, {
+			isAttachOnly: true, reservation: {
+				budget, amount: 0, shares: [], settled: false,
+			},
 		});
 	}
 
+	function createAttempt(call: RoutedCall, member: Readonly<Member>, {reservation, isAttachOnly}: Pick<Attempt, 'reservation' | 'isAttachOnly'>): Attempt {
+		return {
+			call, member, reservation, isAttachOnly, number: randomInt(1, attemptLimit), next: 0,
+			hash: createHash('sha256'), length: 0, startedAt: clock.now(),
+		};
+	}
+
 	return {
 		/** Reserves tokens for one sending. */
 		start: startAttempt,
+		/** Begins a sending without tokens, which finds an earlier run or nothing; undefined when it could reserve at once. */
+		attach: attachToRun,
 		/** Sends; yields the answer's chunks and returns how it ended. */
 		run: runAttempt,
 	};
--- a/src/coordination/request-router.ts
+++ b/src/coordination/request-router.ts
@@ -9,7 +9,9 @@
 } from '../protocol/mod.js';
 import type {AnswerEnd, Member} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
-import type {AttemptOutcome, AttemptRunner, RoutedCall} from './attempt-runner.js';
+import {
+	isNothingFound, type Attempt, type AttemptOutcome, type AttemptRunner, type RoutedCall,
+} from './attempt-runner.js';
 import type {LogFollower} from './log-follower.js';
 import {rankByRendezvous} from './rendezvous.js';
 import type {RetryBudget} from './retry-budget.js';
@@ -29,6 +31,9 @@
 	readonly resumeWithin: number;
 };
 
+/** How one sending ended, and how many chunks it brought. */
+type Sending = {readonly outcome: AttemptOutcome; readonly chunks: number};
+
 /** Routes requests. */
 export type RequestRouter = ReturnType<typeof createRequestRouter>;
 
@@ -138,6 +143,33 @@
 			: failure;
 	}
 
+	async function * runAttempt(attempt: Attempt): AsyncGenerator<Uint8Array, Sending> {
+		const {daemon} = attempt.member;
+		book.noteStart(daemon);
+		const outcome = yield * attempts.run(attempt);
+		book.noteEnd(daemon);
+		return {outcome, chunks: attempt.next};
+	}
+
+	// A repeat that lacks tokens first looks for the run that it repeats.
+	async function * sendTo(call: RoutedCall, member: Readonly<Member>): AsyncGenerator<Uint8Array, Result<Sending, Failure>> {
+		const attached = attempts.attach(call, member);
+		if (attached) {
+			const sending = yield * runAttempt(attached);
+			if (!isNothingFound(sending.outcome)) {
+				return Ok(sending);
+			}
+
+			if (sending.chunks > 0) {
+				const failure = createFailure('answer-cut', `The run at upstream daemon "${member.daemon}" ended after ${sending.chunks} chunks`, {ran: 'yes', retryAfterMs});
+				return Ok({...sending, outcome: {kind: 'refused', failure}});
+			}
+		}
+
+		const started = await attempts.start(call, member);
+		return started.err ? started : Ok(yield * runAttempt(started.val));
+	}
+
 	return {
 		/** Runs a request; yields its chunks and returns how it ended. */
 		async * run(call: RoutedCall): AsyncGenerator<Uint8Array, Result<AnswerEnd, Failure>> {
@@ -155,15 +187,12 @@
 					return Err(worsen(call, explainNoMember(call, last), mayHaveRun));
 				}
 
-				const started = await attempts.start(call, member);
-				if (started.err) {
-					return Err(worsen(call, started.val, mayHaveRun));
+				const sent = yield * sendTo(call, member);
+				if (sent.err) {
+					return Err(worsen(call, sent.val, mayHaveRun));
 				}
 
-				const attempt = started.val;
-				book.noteStart(member.daemon);
-				const outcome = yield * attempts.run(attempt);
-				book.noteEnd(member.daemon);
+				const {outcome, chunks} = sent.val;
 				if (outcome.kind === 'done') {
 					return Ok(outcome.end);
 				}
@@ -177,7 +206,7 @@
 					tried.add(member.daemon);
 				}
 
-				if (!mayTryElsewhere(call, outcome, attempt.next)) {
+				if (!mayTryElsewhere(call, outcome, chunks)) {
 					return Err(worsen(call, last, mayHaveRun));
 				}
 
--- a/src/coordination/service-runner.ts
+++ b/src/coordination/service-runner.ts
@@ -103,11 +103,18 @@
 	 * bounded too, and forgetting there only makes the answer "unknown".
 	 */
 	function takeUpRight(request: string): RunRight {
-		if (notRun.delete(request)) {
-			return {kind: 'mine'};
-		}
+		const right = explainOwnRight(request);
+		notRun.delete(request);
+		return right;
+	}
 
-		return {kind: 'refused', failure: createFailure('outcome-unknown', 'The request was given to this upstream daemon before and is no longer known to it', {ran: 'unknown'})};
+	function explainOwnRight(request: string): RunRight {
+		return notRun.has(request) ? {kind: 'mine'} : {kind: 'refused', failure: createFailure('outcome-unknown', 'The request was given to this upstream daemon before and is no longer known to it', {ran: 'unknown'})};
+	}
+
+	function findRight(request: string): RunRight | undefined {
+		const known = readRight(request);
+		return known?.kind === 'mine' ? explainOwnRight(request) : known;
 	}
 
 	function noteNotRun(request: string): void {
@@ -178,6 +185,8 @@
 
 	return {
 		obtainRight,
+		/** What the log says of a request's right to run, without asking for one; undefined when it knows of none. */
+		findRight,
 		/** Notes that a request with the right to run was refused before it ran. */
 		noteNotRun,
 
--- a/src/coordination/upstream-desk.ts
+++ b/src/coordination/upstream-desk.ts
@@ -13,7 +13,7 @@
 import type {Self} from './membership.js';
 import type {ModelRunner} from './model-runner.js';
 import type {ReceiptReporter} from './receipt-reporter.js';
-import type {ServiceRunner} from './service-runner.js';
+import type {RunRight, ServiceRunner} from './service-runner.js';
 import type {WorkQueue} from './work-queue.js';
 
 /** Options of {@linkcode createUpstreamDesk}. */
@@ -59,6 +59,17 @@
 	return `${requestId}/${attempt}`;
 }
 
+/** @internal */
+function explainRight(right: Exclude<RunRight, {readonly kind: 'mine'}>): Failure {
+	if (right.kind === 'refused') {
+		return right.failure;
+	}
+
+	return createFailure('outcome-unknown', `The log gave the request to upstream daemon "${right.run.daemon}"`, {
+		ran: 'unknown', retryAfterMs: elsewhereRetryAfter, heldBy: formatIncarnation(right.run.daemon, right.run.incarnation),
+	});
+}
+
 /**
  * Creates the desk.
  *
@@ -154,14 +165,8 @@
 		const deadline = clock.now() + run.remainingMs;
 		if (!service.idempotent) {
 			const right = await options.services!.obtainRight(run.requestId, service);
-			if (right.kind === 'refused') {
-				return Err(right.failure);
-			}
-
-			if (right.kind === 'other') {
-				return Err(createFailure('outcome-unknown', `The log gave the request to upstream daemon "${right.run.daemon}"`, {
-					ran: 'unknown', retryAfterMs: elsewhereRetryAfter, heldBy: formatIncarnation(right.run.daemon, right.run.incarnation),
-				}));
+			if (right.kind !== 'mine') {
+				return Err(explainRight(right));
 			}
 		}
 
@@ -206,8 +211,22 @@
 		}
 	}
 
+	// A request that waits for its turn is found too. One whose run record stands on the log and that is not known here may
+	// have run, which its caller is told whatever its budget.
+	async function findOpening(run: RunRequest): Promise<Result<TrackedRequest, Failure>> {
+		const running = opening.get(run.requestId);
+		if (running) {
+			return running;
+		}
+
+		const right = options.services?.findRight(run.requestId);
+		return Err(right && right.kind !== 'mine'
+			? explainRight(right)
+			: createFailure('unknown-object', `Upstream daemon "${self.id}" knows no request "${run.requestId}"`));
+	}
+
 	return {
-		/** Finds the request, or starts it. */
+		/** Finds the request, or starts it unless it should only attach. */
 		async open(run: RunRequest): Promise<Result<TrackedRequest, Failure>> {
 			const lookup = table.get(run.requestId);
 			if (lookup.kind === 'gone') {
@@ -215,7 +234,7 @@
 			}
 
 			if (lookup.kind === 'unknown') {
-				return startOnce(run);
+				return run.attachOnly ? findOpening(run) : startOnce(run);
 			}
 
 			if (lookup.request.payloadDigest !== run.payloadDigest) {
--- a/tools/prove/budget-proofs.ts
+++ b/tools/prove/budget-proofs.ts
@@ -6,10 +6,10 @@
  */
 import {setTimeout as wait} from 'node:timers/promises';
 import {
-	fetchDocument, waitUntil, type TestFleet,
+	bookSlot, fetchDocument, waitUntil, type CallerAnswer, type TestFleet,
 } from '../harness/mod.js';
 import {
-	beginStream, city, configureCity, countEngines, describeRefusals, listen, readBudget, readStatus, setLog, spendUntilRefused, sumTokens, tryChat, waitForReceipts,
+	beginStream, city, configureCity, countBookings, countEngines, describeRefusals, listen, readBudget, readStatus, setLog, spendUntilRefused, sumTokens, tryChat, waitForReceipts,
 } from './count.js';
 import {
 	quick, refusalMeasure, replaceModule, spendPromise, type Proof, type ProofOutcome,
@@ -186,6 +186,49 @@
 	},
 };
 
+// What the customer bought covers each request once and not a second time.
+async function repeatStream(fleet: TestFleet): Promise<CallerAnswer | undefined> {
+	const call = {
+		content: 'answer 300', maxTokens: 300, stream: true, idempotencyKey: 'letter-8',
+	};
+	const first = await beginStream(listen(fleet.entries[0]), call);
+	await fleet.entries[0]!.process.kill();
+	await first.outcome;
+	return tryChat(listen(fleet.entries[1]), call);
+}
+
+const repeatWithoutTokens: Proof = {
+	name: 'repeat-without-tokens',
+	promise: billPromise,
+	story: `A caller asks again with its key for what has run and is billed, and is refused: too few tokens are left for
+a second run, which nobody needs. A booking that stands is refused as "not run".`,
+	isInCi: true,
+	fleet: {
+		entries: 2, engines: 1, bookings: 1, settings: quick,
+	},
+	withoutGuard: replaceModule('src/coordination/attempt-runner', 'runner-that-always-reserves'),
+	async run(fleet) {
+		const village = {key: 'village-key', booking: 'slot-8', idempotencyKey: 'slot-8'};
+		await fleet.configure([{name: city.name, key: city.key, tokens: 500}, {name: 'village', key: village.key, tokens: 50}]);
+		const booked = await bookSlot(listen(fleet.entries[1]), village);
+		const bookedAgain = await bookSlot(listen(fleet.entries[1]), village);
+		const letter = await repeatStream(fleet);
+		await waitForReceipts(fleet);
+		const {runs} = await countEngines(fleet);
+		const bookings = await countBookings(fleet);
+		const executions = bookings.get(village.booking) ?? 0;
+		const budget = await fleet.findBudget(city.budget);
+		const isLetterWhole = Boolean(letter?.isWhole) && letter?.tokens === 300;
+		return {
+			holds: booked.isWhole && bookedAgain.text === booked.text && executions === 1 && isLetterWhole && runs === 1 && budget.billed > 300 && budget.billed < 320,
+			figures: {
+				isLetterWhole, runs, executions, billed: budget.billed, booked: booked.status, bookedAgain: bookedAgain.status,
+				refusals: describeRefusals([bookedAgain, letter]),
+			},
+		};
+	},
+};
+
 const killedUpstream: Proof = {
 	name: 'killed-upstream',
 	promise: billPromise,
@@ -280,5 +323,5 @@
 
 /** Proofs of budgets. */
 export const budgetProofs: readonly Proof[] = [
-	pausedHolder, lostReceipts, logDown, slowLog, retryElsewhere, killedUpstream, overrunningEngine, topUpMidStream,
+	pausedHolder, lostReceipts, logDown, slowLog, retryElsewhere, repeatWithoutTokens, killedUpstream, overrunningEngine, topUpMidStream,
 ];
