Log when a loan is given up for repayment

An entry that had tokens when it was paused and none when it woke left no line about them: FL1211 says that a loan was given up, and how long it had been idle.

--- a/src/coordination/loan-desk.ts
+++ b/src/coordination/loan-desk.ts
@@ -207,8 +207,14 @@
 				continue;
 			}
 
-			if (clock.now() - (usedAt.get(loan) ?? 0) >= minIdle) {
-				repayments.set(loan, {loan, lender: sources[0]!.lender!, unspent: sources.map(source => ({grant: source.grant, amount: source.free}))});
+			const idleMs = clock.now() - (usedAt.get(loan) ?? 0);
+			if (idleMs >= minIdle) {
+				const {budget, lender} = sources[0]!;
+				const unspent = sources.map(source => ({grant: source.grant, amount: source.free}));
+				events.write('loanEnded', {
+					budget, to: lender, amount: sumShares(unspent), idleMs: Math.round(idleMs),
+				});
+				repayments.set(loan, {loan, lender: lender!, unspent});
 				usedAt.delete(loan);
 				for (const source of sources) {
 					holder.dropLoan(source);
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -34,6 +34,7 @@
 	engineOverran: {number: 1208, text: 'engine generated past its limit'},
 	budgetShort: {number: 1209, text: 'too few tokens for a request'},
 	loanUnanswered: {number: 1210, text: 'gateway did not answer a request for tokens'},
+	loanEnded: {number: 1211, text: 'loan given up for repayment'},
 	peerSuspected: {number: 1301, text: 'peer does not answer'},
 	peerBack: {number: 1302, text: 'peer answers again'},
 	peerLeaving: {number: 1303, text: 'peer is leaving'},
