Do not count the time in which an entry stood still as idle time of its loans

An entry that is paused for over 3 s and cut off refused its callers when it woke, 429 with 0 tokens, though it held 426 when it was paused.

Cause: a loan that no request has used for 3 s is repaid, by the clock. The first round after the pause took the pause for idleness and gave the tokens up before the requests that had come meanwhile were read.

Ruled out: holding nothing when cut off; a record that was under way (the entry's offset is the same before and after); connections that had died (each refusal is a 429 of the entry within 10 ms).

Change: idle time is added up by rounds, each counted for 1 s at most.

--- a/src/coordination/loan-desk.ts
+++ b/src/coordination/loan-desk.ts
@@ -60,6 +60,8 @@
 
 const askTimeout = 1000;
 const idleBeforeRepay = 3000;
+/** Longest time between two rounds that counts as idle, in milliseconds; beyond it the process stood still. */
+const longestIdleStep = 1000;
 const extraLoans = 8;
 const answeredLimit = 10_000;
 
@@ -82,7 +84,8 @@
 	const ended = new Set<string>();
 	const asked = new Map<string, AskedLoan>();
 	const repayments = new Map<string, Repayment>();
-	const usedAt = new Map<string, number>();
+	const idleTimes = new Map<string, number>();
+	let roundAt = clock.now();
 
 	function noteEnded(loan: string): void {
 		ended.add(loan);
@@ -130,7 +133,7 @@
 		}
 
 		if (shares.length > 0) {
-			usedAt.set(loan.loan, clock.now());
+			idleTimes.set(loan.loan, 0);
 			events.write('loanTaken', {budget: loan.budget, from: loan.lender, amount: sumShares(shares)});
 		}
 	}
@@ -199,23 +202,27 @@
 		return loans;
 	}
 
+	// Requests that came while the process stood still have yet to be read, and need what was borrowed for them.
+	function countIdleStep(): number {
+		const step = Math.min(clock.now() - roundAt, longestIdleStep);
+		roundAt = clock.now();
+		return step;
+	}
+
 	function endIdleLoans(minIdle: number): void {
+		const step = countIdleStep();
 		for (const [loan, sources] of listLoans()) {
 			const isRunning = sources.some(source => source.reserved > 0);
-			if (isRunning) {
-				usedAt.set(loan, clock.now());
-				continue;
-			}
-
-			const idleMs = clock.now() - (usedAt.get(loan) ?? 0);
-			if (idleMs >= minIdle) {
+			const idleMs = isRunning ? 0 : (idleTimes.get(loan) ?? 0) + step;
+			idleTimes.set(loan, idleMs);
+			if (!isRunning && idleMs >= minIdle) {
 				const {budget, lender} = sources[0]!;
 				const unspent = sources.map(source => ({grant: source.grant, amount: source.free}));
 				events.write('loanEnded', {
 					budget, to: lender, amount: sumShares(unspent), idleMs: Math.round(idleMs),
 				});
 				repayments.set(loan, {loan, lender: lender!, unspent});
-				usedAt.delete(loan);
+				idleTimes.delete(loan);
 				for (const source of sources) {
 					holder.dropLoan(source);
 				}
