Claim again when a claim under way did not count the request

A caller's first booking after a top-up was refused within 50 ms, as spent for half a minute, though all of the budget was left.

Cause: a request that finds a claim under way waits for it and makes none of its own. That claim was sized before (a fair share, 25 of 50); what nobody held stayed with nobody, the peer had nothing to lend, and nothing seemed able to free tokens. Evidence: FL1209 free 25, remaining 25, amount 50, reserved 0, log up.

Change: while the log answers, a request that the free and the unheld tokens cover together goes on waiting, and the next step claims what it lacks.

Before: the new test of grant-keeper.test.ts failed. After: it passes.

--- a/src/coordination/grant-keeper.test.ts
+++ b/src/coordination/grant-keeper.test.ts
@@ -32,8 +32,15 @@
 	{kind: 'confirm', plan: 'p', by: 'operator'},
 ];
 
-/** An entry that holds nothing, beside another one that holds the whole budget. */
-function createWorld(borrow: () => Promise<LoanAnswer>) {
+type WorldOptions = {
+	/** Tokens that the other entry holds, of 1000 bought; default all. */
+	readonly heldByPeer?: number;
+	/** Milliseconds that a claim takes; default 0. */
+	readonly claimTime?: number;
+};
+
+/** An entry that holds nothing, beside another one. */
+function createWorld(borrow: () => Promise<LoanAnswer>, {heldByPeer = 1000, claimTime = 0}: WorldOptions = {}) {
 	const time = createVirtualTime();
 	const state = createFleetState({window: 1_000_000});
 	const emitter = new Emittery();
@@ -51,7 +58,7 @@
 	}
 
 	void fold({
-		kind: 'claim', grant: `g@${budget}`, budget, daemon: 'entry-1', incarnation: 'i', amount: 1000,
+		kind: 'claim', grant: `g@${budget}`, budget, daemon: 'entry-1', incarnation: 'i', amount: heldByPeer,
 	});
 	const self: Self = {
 		id: 'entry-2', role: 'entry', incarnation: 'i', isLeaving: false,
@@ -66,6 +73,7 @@
 	const follower = {events: emitter, state: () => state, isLogUp: () => isLogUp} as unknown as LogFollower;
 	const writer = {
 		async commit(record: LogRecord) {
+			await time.sleep(claimTime);
 			await fold(record);
 			return Ok(undefined);
 		},
@@ -88,7 +96,7 @@
 		follower, writer, membership, holder, loans, clock: time, events, policy: new AheadGrantPolicy(), every: 250,
 	});
 	return {
-		time,
+		time, keeper,
 		listAsked: () => asked,
 		setLogUp(value: boolean) {
 			isLogUp = value;
@@ -101,7 +109,7 @@
 				kind: 'leave', daemon: 'entry-1', incarnation: 'i', graceful: false, by: 'entry-2',
 			});
 		},
-		acquire: async () => keeper.acquire(budget, 338, {patience: 5000, signal: new AbortController().signal}),
+		acquire: async (amount = 338) => keeper.acquire(budget, amount, {patience: 5000, signal: new AbortController().signal}),
 	};
 }
 
@@ -154,6 +162,19 @@
 	expect(new Set(listAsked()).size).toBe(1);
 });
 
+// Guards against a refusal as spent because the claim under way was sized before the request came.
+test('a request that a running claim does not cover is claimed for', async () => {
+	const {time, keeper, acquire} = createWorld(lendNothing, {heldByPeer: 0, claimTime: 100});
+	const stopper = new AbortController();
+	void keeper.run(stopper.signal);
+	await time.runUntil(50);
+	const answer = acquire(700);
+	await time.runUntil(2000);
+	const reserved = await answer;
+	expect(reserved.ok).toBe(true);
+	stopper.abort();
+});
+
 // Guards against waiting for tokens that no daemon has.
 test('a budget that every peer says is used up is refused at once as spent', async () => {
 	const {time, acquire} = createWorld(lendNothing);
--- a/src/coordination/grant-keeper.ts
+++ b/src/coordination/grant-keeper.ts
@@ -271,16 +271,25 @@
 		freed.off();
 	}
 
+	function countRemaining(budget: string): number {
+		return Math.max(0, follower.state().ledger.computeRemaining(budget));
+	}
+
+	// A claim that was sized before the request came may have left it short of what nobody holds.
+	function isClaimable(budget: string, amount: number): boolean {
+		return holder.countFree(budget) + countRemaining(budget) >= amount;
+	}
+
 	// A peer that has just died still counts as alive and does not say what it holds.
-	function mayBeFreed(budget: string, {reserved, isComplete}: LoanSearch): boolean {
-		const isReserved = holder.countReserved(budget) + reserved > 0;
-		return isReserved || !isComplete || claims.has(budget) || (follower.isLogUp() && isHeldAway(budget, {follower, membership, loans}));
+	function mayBeFreed(budget: string, amount: number, {reserved, isComplete}: LoanSearch): boolean {
+		const isInFlight = holder.countReserved(budget) + reserved > 0 || !isComplete || claims.has(budget);
+		return isInFlight || (follower.isLogUp() && (isClaimable(budget, amount) || isHeldAway(budget, {follower, membership, loans})));
 	}
 
 	function refuse(budget: string, amount: number, isBusy: boolean): Failure {
-		const remaining = Math.max(0, follower.state().ledger.computeRemaining(budget));
+		const remaining = countRemaining(budget);
 		const free = holder.countFree(budget) + remaining;
-		const isOutOfReach = free >= amount || isHeldAway(budget, {follower, membership, loans});
+		const isOutOfReach = isClaimable(budget, amount) || isHeldAway(budget, {follower, membership, loans});
 		events.write('budgetShort', {
 			budget, amount, free: holder.countFree(budget), remaining, reserved: holder.countReserved(budget), isBusy, isOutOfReach, isLogUp: follower.isLogUp(),
 		});
@@ -304,7 +313,7 @@
 			}
 
 			demand.noteShort(budget);
-			isBusy = mayBeFreed(budget, search);
+			isBusy = mayBeFreed(budget, amount, search);
 			// Nothing in flight can free tokens: waiting would only hold the answer back.
 			if (!isBusy) {
 				break;
