Refuse a budget as used up only when gateways that fell silent have been heard

Callers were refused for good, 402, in the two seconds after all gateways had been killed: a gateway that had just started had not heard the others yet, so nobody was asked for tokens, and a search that asked nobody counted as complete.

Change: a search for loans is complete only if each gateway that the log names as running has been heard within 1.5 s, or has been silent for 10 s. The 10 s bound what a host that never returns can do.

--- a/src/coordination/budget-keeper.test.ts
+++ b/src/coordination/budget-keeper.test.ts
@@ -66,6 +66,7 @@
 			listViews: () => gateways.filter(other => other.daemon !== daemon).map((other): PeerView => ({
 				daemon: other.daemon, incarnation: 'i', address: other.daemon, free: [], uses: [], version: 1, isLeaving: false,
 			})),
+			listSilent: () => [],
 			countWanted: id => keeper.countWanted(id),
 			ask: async (address: string, ask: LendAsk) => gateways.find(other => other.daemon === address)!.lending.lend(ask),
 		});
--- a/src/coordination/peer-exchange.ts
+++ b/src/coordination/peer-exchange.ts
@@ -47,6 +47,8 @@
 
 /** A view older than this counts for nothing, in milliseconds. */
 const viewLife = 1500;
+/** A gateway that was silent for so long, in milliseconds, is taken for lost: it restarts in less, and so do most cuts end. */
+const silenceLife = 10_000;
 /** Pause before a peer that does not answer is asked again, in milliseconds. */
 const silentPause = 500;
 
@@ -65,6 +67,19 @@
 export function createPeerExchange(options: CreatePeerExchangeOptions) {
 	const {clock, events} = options;
 	const known = new Map<string, Known>();
+	/** Clock at which a gateway was last heard, or first asked for. */
+	const heardAt = new Map<string, number>();
+
+	function isFresh(daemon: string): boolean {
+		const item = known.get(daemon);
+		return item !== undefined && clock.now() - item.at < viewLife;
+	}
+
+	function countSinceHeard(daemon: string): number {
+		const at = heardAt.get(daemon) ?? clock.now();
+		heardAt.set(daemon, at);
+		return clock.now() - at;
+	}
 
 	function take(view: PeerView): void {
 		if (!known.has(view.daemon)) {
@@ -72,6 +87,7 @@
 		}
 
 		known.set(view.daemon, {view, at: clock.now()});
+		heardAt.set(view.daemon, clock.now());
 		options.onView(view);
 	}
 
@@ -97,8 +113,12 @@
 
 		/** The views of gateways that answered lately. */
 		listViews(): PeerView[] {
-			const now = clock.now();
-			return [...known.values()].filter(({at}) => now - at < viewLife).map(({view}) => view);
+			return [...known.values()].map(({view}) => view).filter(({daemon}) => isFresh(daemon));
+		},
+
+		/** Gateways that the log names and that fell silent, or have not been heard yet, within the last seconds. */
+		listSilent(): string[] {
+			return options.listPeers().map(({daemon}) => daemon).filter(daemon => !isFresh(daemon) && countSinceHeard(daemon) < silenceLife);
 		},
 
 		/** Takes a peer's use of some upstreams, which is newer than that in its view. */
--- /dev/null
+++ b/src/coordination/token-lending.test.ts
@@ -0,0 +1,24 @@
+import {expect, test} from 'vitest';
+import type {EventLog} from '../protocol/mod.js';
+import {createTokenAccount} from '../state/mod.js';
+import {createTokenLending, type PeerView} from './mod.js';
+
+const events: EventLog = {write: () => undefined, counts: new Map()};
+
+function createLending(silent: readonly string[]) {
+	const view: PeerView = {
+		daemon: 'e2', incarnation: 'i', address: 'e2', free: [], uses: [], version: 1, isLeaving: false,
+	};
+	return createTokenLending({
+		daemon: 'e1', account: createTokenAccount(), events, listViews: () => [view], listSilent: () => silent, countWanted: () => 0, ask: async () => 0,
+	});
+}
+
+test('a search is complete when every gateway on the log has answered', async () => {
+	expect(await createLending([]).borrow('c1', 100)).toEqual({tokens: 0, isComplete: true});
+});
+
+// Guards against a refusal for good while a gateway that has just started, or is cut off, has not said what it holds.
+test('a search is not complete while a gateway on the log keeps silent', async () => {
+	expect(await createLending(['e3']).borrow('c1', 100)).toEqual({tokens: 0, isComplete: false});
+});
--- a/src/coordination/token-lending.ts
+++ b/src/coordination/token-lending.ts
@@ -26,6 +26,8 @@
 	readonly account: TokenAccount;
 	readonly events: EventLog;
 	readonly listViews: () => PeerView[];
+	/** Gateways that the log names as running and that have just fallen silent. */
+	readonly listSilent: () => readonly string[];
 	/** What this gateway's own waiting requests ask for, in tokens. */
 	readonly countWanted: (customer: string) => number;
 	/** Asks one gateway; throws when it does not answer. */
@@ -38,7 +40,7 @@
 /** What a search for tokens came to. */
 export type BorrowOutcome = {
 	readonly tokens: number;
-	/** True when every gateway known to live has said what it has. */
+	/** True when every gateway that is not taken for lost has said what it has. */
 	readonly isComplete: boolean;
 };
 
@@ -98,7 +100,7 @@
 	async function search(customer: string, needed: number): Promise<BorrowOutcome> {
 		let missing = needed;
 		let tokens = 0;
-		let isComplete = true;
+		let isComplete = options.listSilent().length === 0;
 		for (const peer of rankLenders(customer)) {
 			const ask: LendAsk = {
 				loan: createId('l'), customer, needed: missing, wanted: missing * wantedFactor, from: options.daemon,
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -178,6 +178,7 @@
 	const lending = createTokenLending({
 		daemon: self.daemon, account, events,
 		listViews: exchange.listViews,
+		listSilent: exchange.listSilent,
 		countWanted: customer => keeper.countWanted(customer),
 		async ask(address, ask) {
 			const {tokens} = await fleet.connect(address).gateway.lend(ask, {timeoutMs: peerTimeout});
