Forget loans asked of an entry that has left

An entry that came back under its name was asked for tokens for requests that had been refused long before, and went on with less while they lay idle for 3 s elsewhere. A loan without an answer was repeated for good, also while its lender had no address.

Its lender's grants are closed when it leaves, so what a lost answer lent comes back.

Found when looking for other places where a peer's silence is misread. Before: the new test of loan-desk.test.ts failed (asked again, 400 taken). After: it passes.

--- a/src/coordination/loan-desk.test.ts
+++ b/src/coordination/loan-desk.test.ts
@@ -14,15 +14,25 @@
 	const holder = createGrantHolder();
 	const lender = {daemon: 'entry-1', address: 'entry-1:1'} as unknown as Member;
 	const repaid: string[] = [];
+	let members = [lender];
+	let answers = true;
+	let asks = 0;
 	const peer = {
-		borrow: async () => ({shares: [{grant: `g@${budget}`, amount: 400}], reserved: 0}),
+		async borrow() {
+			asks += 1;
+			if (!answers) {
+				throw new Error('The lender does not answer');
+			}
+
+			return {shares: [{grant: `g@${budget}`, amount: 400}], reserved: 0};
+		},
 		async repay({loan}: {loan: string}) {
 			repaid.push(loan);
 			return {};
 		},
 	};
 	const loans = createLoanDesk({
-		holder, clock: time, events, listWanted: () => [], listMembers: () => [lender],
+		holder, clock: time, events, listWanted: () => [], listMembers: () => members,
 		membership: {self: {id: 'entry-2', incarnation: 'i'}, get: () => undefined, listLiveEntries: () => [lender]} as unknown as Membership,
 		fleet: {connect: () => ({peer})} as unknown as FleetClient,
 	});
@@ -35,7 +45,11 @@
 	}
 
 	return {
-		time, holder, loans, runRounds, countRepaid: () => repaid.length,
+		time, holder, loans, runRounds, countRepaid: () => repaid.length, countAsks: () => asks,
+		setLender(state: {readonly answers: boolean; readonly isMember: boolean}) {
+			answers = state.answers;
+			members = state.isMember ? [lender] : [];
+		},
 	};
 }
 
@@ -63,3 +77,19 @@
 	await runRounds(10_500);
 	expect(countRepaid()).toBe(1);
 });
+
+// Guards against tokens that are taken from an entry after its restart for a request that has long been refused.
+test('a loan asked of an entry that has left is forgotten', async () => {
+	const {
+		holder, loans, runRounds, countAsks, setLender,
+	} = createWorld();
+	setLender({answers: false, isMember: true});
+	await loans.borrow(budget, 100);
+	await runRounds(1000);
+	setLender({answers: false, isMember: false});
+	await runRounds(2000);
+	const asks = countAsks();
+	setLender({answers: true, isMember: true});
+	await runRounds(3000);
+	expect([countAsks() - asks, holder.countFree(budget)]).toEqual([0, 0]);
+});
--- a/src/coordination/loan-desk.ts
+++ b/src/coordination/loan-desk.ts
@@ -146,6 +146,7 @@
 	async function askLender(loan: AskedLoan): Promise<LoanAnswer | undefined> {
 		const address = findAddress(loan.lender);
 		if (!address) {
+			asked.delete(loan.loan);
 			return undefined;
 		}
 
