Compare the bodies of requests under one key also when the first one waits

A caller that used an idempotency key again with another body, while the key's first request waited for its turn or for its run record, got 200 and that request's answer instead of 422.

Cause: the upstream daemon compared bodies only of requests in its table; one that is being opened was joined by its key alone.

Evidence: the new test of whole-path.test.ts, a log that answers after 0.8 s, got 200 and the other booking before; 422 after, and the first request its own answer.

--- a/src/coordination/upstream-desk.ts
+++ b/src/coordination/upstream-desk.ts
@@ -233,19 +233,22 @@
 				return Err(createFailure('answer-gone', 'The request ran and its answer is no longer kept', {ran: 'yes'}));
 			}
 
-			if (lookup.kind === 'unknown') {
-				return run.attachOnly ? findOpening(run) : startOnce(run);
+			const found = lookup.kind === 'tracked' ? Ok(lookup.request) : await (run.attachOnly ? findOpening(run) : startOnce(run));
+			if (found.err) {
+				return found;
 			}
 
-			if (lookup.request.payloadDigest !== run.payloadDigest) {
+			// Checked last: a request that still waited for its turn when this one came is known by its key alone until then.
+			const request = found.val;
+			if (request.payloadDigest !== run.payloadDigest) {
 				return Err(createFailure('key-reused', 'The idempotency key was used with another body'));
 			}
 
-			if (run.fromSequence === 0 && run.attempt !== lookup.request.attempt) {
+			if (run.fromSequence === 0 && run.attempt !== request.attempt) {
 				events.write('requestAttached', {request: run.requestId, from: run.from});
 			}
 
-			return Ok(lookup.request);
+			return found;
 		},
 
 		/** Follows a request's chunks from a sequence on; tells of progress when nothing else was sent for a second. */
--- a/src/daemon/whole-path.test.ts
+++ b/src/daemon/whole-path.test.ts
@@ -3,6 +3,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
+import {setTimeout as wait} from 'node:timers/promises';
 import OpenAI from 'openai';
 import {
 	afterAll, beforeAll, expect, test,
@@ -133,6 +134,18 @@
 	expect(answer).toMatchObject({status: 422, problem: {type: 'urn:fireflylane:key-reused'}});
 });
 
+// Guards against another request's answer: the key's first request waits for its right to run when the second one comes.
+test('an idempotency key used with another body is refused while its first request waits', async () => {
+	const control = `${fleet.log.ready.url}/control`;
+	await fetchDocument(control, {delay: 800});
+	const first = bookSlot(callers, {key, booking: 'three', idempotencyKey: 'waiting'});
+	await wait(200);
+	const second = await bookSlot(callers, {key, booking: 'four', idempotencyKey: 'waiting'});
+	await fetchDocument(control, {delay: 0});
+	expect(second).toMatchObject({status: 422, problem: {type: 'urn:fireflylane:key-reused'}});
+	expect(await first).toMatchObject({status: 200});
+});
+
 test('the operators\' interface refuses a wrong key', async () => {
 	const answer = await fetch(`${operators}/v1/status`, {headers: {authorization: 'Bearer wrong'}});
 	expect(answer.status).toBe(401);
