Count a new loan as idle from when it was taken

A loan counted as idle since the round before it was taken, so it was given up to a quarter of a second early.

--- a/src/coordination/loan-desk.ts
+++ b/src/coordination/loan-desk.ts
@@ -87,6 +87,11 @@
 	const idleTimes = new Map<string, number>();
 	let roundAt = clock.now();
 
+	// Requests that came while the process stood still have yet to be read, and need what was borrowed for them.
+	function countSinceRound(): number {
+		return Math.min(clock.now() - roundAt, longestIdleStep);
+	}
+
 	function noteEnded(loan: string): void {
 		ended.add(loan);
 		for (const old of ended) {
@@ -133,7 +138,8 @@
 		}
 
 		if (shares.length > 0) {
-			idleTimes.set(loan.loan, 0);
+			// The next round counts the time since the one before, of which this loan has not lain idle yet.
+			idleTimes.set(loan.loan, -countSinceRound());
 			events.write('loanTaken', {budget: loan.budget, from: loan.lender, amount: sumShares(shares)});
 		}
 	}
@@ -203,15 +209,9 @@
 		return loans;
 	}
 
-	// Requests that came while the process stood still have yet to be read, and need what was borrowed for them.
-	function countIdleStep(): number {
-		const step = Math.min(clock.now() - roundAt, longestIdleStep);
-		roundAt = clock.now();
-		return step;
-	}
-
 	function endIdleLoans(minIdle: number): void {
-		const step = countIdleStep();
+		const step = countSinceRound();
+		roundAt = clock.now();
 		for (const [loan, sources] of listLoans()) {
 			const isRunning = sources.some(source => source.reserved > 0);
 			const idleMs = isRunning ? 0 : (idleTimes.get(loan) ?? 0) + step;
