--- a/src/coordination/grant-keeper.ts
+++ b/src/coordination/grant-keeper.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import {
-	Err, Ok, createFailure, createId, type EventLog, type Failure, type GrantShare, type RecordOf, type Result,
+	Err, Ok, createId, type EventLog, type Failure, type GrantShare, type RecordOf, type Result,
 } from '../protocol/mod.js';
 import {
 	formatGrant, sumShares, type GrantHolder, type Reservation, type Source,
@@ -14,11 +14,11 @@
 import type {Clock} from '../transport/mod.js';
 import {createDemand} from './demand.js';
 import type {BudgetView, GrantPolicy} from './grant-policy.js';
-import {isHeldAway} from './held-away.js';
 import type {LoanDesk, LoanSearch} from './loan-desk.js';
 import type {LogFollower} from './log-follower.js';
 import type {LogWriter} from './log-writer.js';
 import type {Membership} from './membership.js';
+import {createShortage} from './shortage.js';
 
 /** Options of {@linkcode createGrantKeeper}. */
 export type CreateGrantKeeperOptions = {
@@ -49,8 +49,6 @@
 const defaultAppendBound = 10_000;
 const claimPatience = 300;
 const waitStep = 250;
-const spentRetryAfter = 30_000;
-const busyRetryAfter = 2000;
 
 /**
  * Creates the keeper; `run` is its task.
@@ -69,6 +67,9 @@
 	} = options;
 	const appendBound = options.appendBound ?? defaultAppendBound;
 	const demand = createDemand(clock);
+	const shortage = createShortage({
+		follower, membership, holder, loans, events,
+	});
 	const claims = new Map<string, Promise<void>>();
 	const seeks = new Map<string, Promise<LoanSearch>>();
 	const claimed = new Set<string>();
@@ -271,37 +272,6 @@
 		freed.off();
 	}
 
-	function countRemaining(budget: string): number {
-		return Math.max(0, follower.state().ledger.computeRemaining(budget));
-	}
-
-	// A claim that was sized before the request came may have left it short of what nobody holds.
-	function isClaimable(budget: string, amount: number): boolean {
-		return holder.countFree(budget) + countRemaining(budget) >= amount;
-	}
-
-	// A peer that has just died still counts as alive and does not say what it holds.
-	function mayBeFreed(budget: string, amount: number, {reserved, isComplete}: LoanSearch): boolean {
-		const isInFlight = holder.countReserved(budget) + reserved > 0 || !isComplete || claims.has(budget);
-		return isInFlight || (follower.isLogUp() && (isClaimable(budget, amount) || isHeldAway(budget, {follower, membership, loans})));
-	}
-
-	function refuse(budget: string, amount: number, isBusy: boolean): Failure {
-		const remaining = countRemaining(budget);
-		const free = holder.countFree(budget) + remaining;
-		const isOutOfReach = isClaimable(budget, amount) || isHeldAway(budget, {follower, membership, loans});
-		events.write('budgetShort', {
-			budget, amount, free: holder.countFree(budget), remaining, reserved: holder.countReserved(budget), isBusy, isOutOfReach, isLogUp: follower.isLogUp(),
-		});
-		if (isBusy) {
-			return createFailure('budget-busy', `Budget "${budget}" has ${free} tokens free and the request may need ${amount}; running requests or silent daemons hold the rest`, {retryAfterMs: busyRetryAfter});
-		}
-
-		return isOutOfReach
-			? createFailure('budget-busy', `Budget "${budget}" has tokens left that cannot be used here now; the request may need ${amount}`, {retryAfterMs: busyRetryAfter})
-			: createFailure('budget-spent', `Budget "${budget}" has ${free} tokens left and the request may need ${amount}`, {retryAfterMs: spentRetryAfter});
-	}
-
 	async function waitForTokens(budget: string, amount: number, {patience, signal}: AcquireOptions): Promise<Result<Reservation, Failure>> {
 		const until = clock.now() + patience;
 		let isBusy = false;
@@ -313,7 +283,7 @@
 			}
 
 			demand.noteShort(budget);
-			isBusy = mayBeFreed(budget, amount, search);
+			isBusy = claims.has(budget) || shortage.mayEnd(budget, amount, search);
 			// Nothing in flight can free tokens: waiting would only hold the answer back.
 			if (!isBusy) {
 				break;
@@ -323,7 +293,7 @@
 		}
 
 		const last = holder.reserve(budget, amount);
-		return last ? Ok(last) : Err(refuse(budget, amount, isBusy));
+		return last ? Ok(last) : Err(shortage.refuse(budget, amount, isBusy));
 	}
 
 	return {
--- a/src/coordination/upstream-desk.ts
+++ b/src/coordination/upstream-desk.ts
@@ -14,6 +14,7 @@
 import type {ModelRunner} from './model-runner.js';
 import type {ReceiptReporter} from './receipt-reporter.js';
 import type {RunRight, ServiceRunner} from './service-runner.js';
+import {createWakeUp} from './wake-up.js';
 import type {WorkQueue} from './work-queue.js';
 
 /** Options of {@linkcode createUpstreamDesk}. */
@@ -51,7 +52,6 @@
 /** The upstream daemon's side of requests. */
 export type UpstreamDesk = ReturnType<typeof createUpstreamDesk>;
 
-const progressEvery = 1000;
 const elsewhereRetryAfter = 1000;
 
 /** @internal */
@@ -332,28 +332,3 @@
 		},
 	};
 }
-
-type WakeReason = 'changed' | 'quiet';
-
-// One listener and one timer for each stream: making them anew for each chunk took a tenth of the daemon's time.
-/** @internal */
-function createWakeUp(request: TrackedRequest) {
-	let wake: (reason: WakeReason) => void = () => undefined;
-	const stopListening = request.events.on('changed', () => {
-		wake('changed');
-	});
-	const timer = setInterval(() => {
-		wake('quiet');
-	}, progressEvery);
-	return {
-		async next(): Promise<WakeReason> {
-			return new Promise(resolve => {
-				wake = resolve;
-			});
-		},
-		stop(): void {
-			clearInterval(timer);
-			stopListening();
-		},
-	};
-}
