Look for the run that a request repeats only when no tokens come at once

A customer's first bookings were sent without the right to run while the first claim of their budget was under way, and to an upstream daemon that stood still for seconds.

Cause: a request with a key attached whenever no tokens were free.

Change: a request with a key waits 0.5 s for tokens, in which a claim or a loan comes if there is one, then attaches, then waits on. Budgets that are used up answer at once.

--- a/src/coordination/attempt-runner.ts
+++ b/src/coordination/attempt-runner.ts
@@ -294,8 +294,8 @@
 		}
 	}
 
-	async function startAttempt(call: RoutedCall, member: Readonly<Member>): Promise<Result<Attempt, Failure>> {
-		const reserved = await keeper.acquire(call.budget, call.worstCase, {patience: Math.min(call.patience, call.deadline - clock.now()), signal: call.signal});
+	async function startAttempt(call: RoutedCall, member: Readonly<Member>, patience = call.patience): Promise<Result<Attempt, Failure>> {
+		const reserved = await keeper.acquire(call.budget, call.worstCase, {patience: Math.min(patience, call.deadline - clock.now()), signal: call.signal});
 		if (reserved.err) {
 			return reserved;
 		}
@@ -305,7 +305,7 @@
 
 	// What has run has been paid for: reserving its worst case again would refuse the answer once the budget is used up.
 	function attachToRun(call: RoutedCall, member: Readonly<Member>): Attempt | undefined {
-		if (!call.isKeyed || keeper.hasFree(call.budget, call.worstCase)) {
+		if (!call.isKeyed) {
 			return undefined;
 		}
 
@@ -325,9 +325,9 @@
 	}
 
 	return {
-		/** Reserves tokens for one sending. */
+		/** Reserves tokens for one sending; the patience is the call's unless it is given, in milliseconds. */
 		start: startAttempt,
-		/** Begins a sending without tokens, which finds an earlier run or nothing; undefined when it could reserve at once. */
+		/** Begins a sending without tokens, which finds an earlier run or nothing; undefined for a call without a key. */
 		attach: attachToRun,
 		/** Sends; yields the answer's chunks and returns how it ended. */
 		run: runAttempt,
--- a/src/coordination/grant-keeper.ts
+++ b/src/coordination/grant-keeper.ts
@@ -301,9 +301,6 @@
 		isShort: demand.isShort,
 		syncGrants,
 
-		/** Tells whether a request could reserve so much without waiting. */
-		hasFree: (budget: string, amount: number): boolean => holder.countFree(budget) >= amount,
-
 		/** Reserves tokens for a request, waiting for some to become free if that can happen. */
 		async acquire(budget: string, amount: number, acquire: AcquireOptions): Promise<Result<Reservation, Failure>> {
 			const reservation = holder.reserve(budget, amount);
--- a/src/coordination/request-router.ts
+++ b/src/coordination/request-router.ts
@@ -39,6 +39,8 @@
 
 const heldPause = 300;
 const memberPause = 50;
+/** How long a request with a key waits for tokens before it looks for its earlier run, in milliseconds: a claim takes less. */
+const keyedPatience = 500;
 const retryAfterMs = 1000;
 /** Refusals of one upstream daemon that another one may not share. */
 const movableFailures: ReadonlySet<FailureType> = new Set(['overloaded', 'leaving', 'not-ready', 'grant-closed', 'no-upstream']);
@@ -151,19 +153,28 @@
 		return {outcome, chunks: attempt.next};
 	}
 
-	// A repeat that lacks tokens first looks for the run that it repeats.
+	// Finds the run that a request repeats; undefined when there is none.
+	async function * attachTo(call: RoutedCall, member: Readonly<Member>): AsyncGenerator<Uint8Array, Sending | undefined> {
+		const attempt = attempts.attach(call, member);
+		const sending = attempt && (yield * runAttempt(attempt));
+		if (!sending || !isNothingFound(sending.outcome)) {
+			return sending;
+		}
+
+		const failure = createFailure('answer-cut', `The run at upstream daemon "${member.daemon}" ended after ${sending.chunks} chunks`, {ran: 'yes', retryAfterMs});
+		return sending.chunks > 0 ? {...sending, outcome: {kind: 'refused', failure}} : undefined;
+	}
+
+	// A repeat may lack tokens for a second run, which it does not need if the first one is known.
 	async function * sendTo(call: RoutedCall, member: Readonly<Member>): AsyncGenerator<Uint8Array, Result<Sending, Failure>> {
-		const attached = attempts.attach(call, member);
-		if (attached) {
-			const sending = yield * runAttempt(attached);
-			if (!isNothingFound(sending.outcome)) {
-				return Ok(sending);
-			}
+		const first = await attempts.start(call, member, call.isKeyed ? keyedPatience : call.patience);
+		if (first.ok || !call.isKeyed) {
+			return first.err ? first : Ok(yield * runAttempt(first.val));
+		}
 
-			if (sending.chunks > 0) {
-				const failure = createFailure('answer-cut', `The run at upstream daemon "${member.daemon}" ended after ${sending.chunks} chunks`, {ran: 'yes', retryAfterMs});
-				return Ok({...sending, outcome: {kind: 'refused', failure}});
-			}
+		const attached = yield * attachTo(call, member);
+		if (attached) {
+			return Ok(attached);
 		}
 
 		const started = await attempts.start(call, member);
