--- a/src/state/upstream-directory.ts
+++ b/src/state/upstream-directory.ts
@@ -60,8 +60,8 @@
 		 * takes no requests until it registers itself again.
 		 *
 		 * After all engines of a service lost power their entries stand for three
-		 * heartbeats, and rendezvous sends each request of a prompt to the same
-		 * dead entry: 132 to 169 of about 2,000 requests of a day were refused so.
+		 * heartbeats, and rendezvous hashing sends each request of a prompt to the
+		 * same dead entry, where it is refused.
 		 */
 		markMoved(id: string): void {
 			const known = entries.get(id);
