Measure what a gateway spends beside requests, by the number of gateways

Change: `npm run measure -- contention` starts a fleet on the stand-ins with 24 customers at each size, and takes processor time of the gateways while nobody asks and at three requests a second each, spans, and calls to the store. The store's stand-in counts appends that came behind.

--- a/tools/measure/main.ts
+++ b/tools/measure/main.ts
@@ -5,31 +5,38 @@
  */
 import process from 'node:process';
 import {
-	command, flag, oneOf, positional, run,
+	command, flag, oneOf, option, positional, run, string,
 } from 'cmd-ts';
 import {measureBudgets} from './budgets.js';
 import {measureConfiguration} from './configuration.js';
+import {measureContention} from './contention.js';
 import {measurePath} from './path.js';
 import {printDocument} from './report.js';
 import {measureRouting} from './routing.js';
 import {measureSlopes} from './slopes.js';
 
-const measurements: Record<string, () => Promise<Record<string, unknown>>> = {
+type MeasureOptions = {readonly sizes: readonly number[]};
+
+const measurements: Record<string, (options: MeasureOptions) => Promise<Record<string, unknown>>> = {
 	path: measurePath,
 	budgets: measureBudgets,
 	routing: measureRouting,
 	configuration: measureConfiguration,
 	slopes: measureSlopes,
+	contention: measureContention,
 };
 
 await run(command({
 	name: 'measure',
-	description: 'Runs one measurement; each ends within 50 s',
+	description: 'Runs one measurement; each ends within 50 s, contention within 30 s a size',
 	args: {
 		name: positional({type: oneOf(Object.keys(measurements)), displayName: 'NAME'}),
+		sizes: option({
+			long: 'sizes', type: string, defaultValue: () => '4,14,31,90', description: 'numbers of gateways, for contention',
+		}),
 		json: flag({long: 'json', description: 'print one JSON document'}),
 	},
-	async handler({name, json}) {
-		printDocument(await measurements[name]!(), json);
+	async handler({name, sizes, json}) {
+		printDocument(await measurements[name]!({sizes: sizes.split(',').map(Number)}), json);
 	},
 }), process.argv.slice(2));
--- a/tools/measure/slopes.ts
+++ b/tools/measure/slopes.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
 import {create, toBinary} from '@bufbuild/protobuf';
@@ -13,10 +12,10 @@
 import {createFleetState, formatGrant} from '../../src/state/mod.js';
 import {startFleet} from '../harness/mod.js';
 import {fitLine, type FittedLine} from './fit-line.js';
+import {readProcessUse} from './process-time.js';
 import {roundTo} from './report.js';
 
 const window = 3_600_000;
-const ticksPerSecond = 100;
 const idleSpan = 4000;
 const kilobyte = 1024;
 
@@ -126,12 +125,6 @@
 	];
 }
 
-function readProcess(pid: number): {seconds: number; kilobytes: number} {
-	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
-	const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-	return {seconds: (Number(fields[11]) + Number(fields[12])) / ticksPerSecond, kilobytes: Number(/VmRSS:\s+(\d+)/.exec(status)?.[1])};
-}
-
 // Processor time of an idle entry daemon by the peers it exchanges heartbeats with, at one a second each.
 async function measurePeers(sizes: readonly number[]): Promise<Slope[]> {
 	const time: Array<[number, number]> = [];
@@ -144,9 +137,9 @@
 		await fleet.waitForVersion(0);
 		await wait(2500);
 		const {pid} = fleet.entries[0]!.process.ready;
-		const before = readProcess(pid);
+		const before = readProcessUse(pid);
 		await wait(idleSpan);
-		const after = readProcess(pid);
+		const after = readProcessUse(pid);
 		time.push([size, (after.seconds - before.seconds) / (idleSpan / 1000) * 100]);
 		memory.push([size, after.kilobytes]);
 		await fleet.kill();
