Spread news between gateways by datagrams that are passed on, in place of pairs

Cause: each pair of gateways exchanged views four times a second and followed each other's placements on a stream, by unary calls and streams of Connect over HTTP/2. A profile of 14 gateways that nobody asks (0.33 cores each under the profiler) has nearly all of it in these calls: abort controllers, streams and sessions of HTTP/2, async iterables, serialisation; our own code is under a tenth. The cost grows with the number of peers.

Ruled out: the store (2 reads and under 1 append a second while idle), garbage collection (3%), the placement of requests (there are none while idle).

Change: one datagram socket a gateway. A gateway sends its own entry to three others in turn; each passes it on once. What arrives is authenticated by the fleet's key. Requests of all peers at an upstream are summed as entries arrive and not for each candidate of each request. A newer deployment, and what caches hold after a start, are fetched from one peer by a call. The sums of the grant book and its list of running daemons are kept and not recomputed.

Weighed: the same mesh with cheaper messages (still linear); everything through the store (priced, and away when it is needed most); a home gateway for each upstream (a call in the way of each request).

--- a/src/coordination/budget-keeper.test.ts
+++ b/src/coordination/budget-keeper.test.ts
@@ -3,10 +3,10 @@
 import {createFakeKeyedLog, type AppendFate, type FakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
 import type {Deployment, EventLog} from '../protocol/mod.js';
 import {
-	createGrantBook, createRouteTable, createTokenAccount, holderRecordSchema, type RouteTable, type TokenReservation,
+	createGrantBook, createRouteTable, createTokenAccount, holderRecordSchema, type PeerView, type RouteTable, type TokenReservation,
 } from '../state/mod.js';
 import {
-	createBudgetKeeper, createKeyedFollower, createTokenLending, type LendAsk, type PeerView,
+	createBudgetKeeper, createKeyedFollower, createTokenLending, type LendAsk,
 } from './mod.js';
 
 // A small world of real keepers over one log in memory: appends collide, their
--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -17,7 +17,7 @@
 import type {BorrowOutcome} from './token-lending.js';
 
 /** Who holds the grants of one gateway. */
-export type HolderIdentity = Pick<HolderRecord, 'role' | 'daemon' | 'incarnation' | 'address' | 'failureDomain'>;
+export type HolderIdentity = Pick<HolderRecord, 'role' | 'daemon' | 'incarnation' | 'address' | 'newsAddress' | 'failureDomain'>;
 
 /** Options of {@linkcode BudgetKeeper.acquire}. */
 export type AcquireTokensOptions = {
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -67,7 +67,7 @@
 	const forwarder = createRequestForwarder({
 		wire, clock, events,
 		book: createUpstreamBook({
-			directory, clock, failureDomain: 'd', listViews: () => [],
+			directory, clock, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
 		}),
 		findRetries: () => retries,
 		client: {
--- a/src/coordination/return-forecast.test.ts
+++ b/src/coordination/return-forecast.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import type {PeerView} from './peer-exchange.js';
+import type {PeerView} from '../state/mod.js';
 import {createReturnForecast} from './return-forecast.js';
 
 function createWorld() {
--- a/src/coordination/return-forecast.ts
+++ b/src/coordination/return-forecast.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
+import type {PeerView} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
-import type {PeerView} from './peer-exchange.js';
 
 /** Options of {@linkcode createReturnForecast}. */
 export type CreateReturnForecastOptions = {
@@ -31,7 +31,7 @@
  * @example
  * ```ts
  * forecast.note(view);
- * forecast.estimate(exchange.listViews(), {ownLeft: 4800});
+ * forecast.estimate(views.list(), {ownLeft: 4800});
  * ```
  *
  * @param options The clock, and how long stops take
--- a/src/coordination/token-lending.ts
+++ b/src/coordination/token-lending.ts
@@ -5,8 +5,7 @@
  * @module
  */
 import {createId, type EventLog} from '../protocol/mod.js';
-import type {TokenAccount} from '../state/mod.js';
-import type {PeerView} from './peer-exchange.js';
+import type {PeerView, TokenAccount} from '../state/mod.js';
 
 /** A request for a loan. */
 export type LendAsk = {
--- a/src/coordination/upstream-book.ts
+++ b/src/coordination/upstream-book.ts
@@ -7,10 +7,10 @@
 import type {
 	GatewayService, Generation, ToldLoad, UpstreamEntry,
 } from '../protocol/mod.js';
-import {createPromptCache, type LiveUpstream, type UpstreamDirectory} from '../state/mod.js';
+import {
+	createPromptCache, type LiveUpstream, type PlacedPrompt, type UpstreamDirectory, type UpstreamUse,
+} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
-import type {PeerView, UpstreamUse} from './peer-exchange.js';
-import type {PlacedPrompt} from './placement-feed.js';
 import type {PlacementCandidate} from './placement-policy.js';
 
 /** Options of {@linkcode createUpstreamBook}. */
@@ -20,10 +20,10 @@
 	readonly failureDomain: string;
 	/** Age of what the directory knows, in milliseconds. */
 	readonly countViewAge?: () => number | undefined;
-	/** What other gateways say of their requests. */
-	readonly listViews: () => readonly PeerView[];
+	/** What all other gateways have at an upstream. */
+	readonly sumPeerUse: (upstream: string) => UpstreamUse;
 	/** Called when this gateway's use of an upstream has changed. */
-	readonly onUse?: (upstream: string) => void;
+	readonly onUse?: () => void;
 	/** Called when a prompt is sent to an upstream. */
 	readonly onPrompt?: (prompt: PlacedPrompt) => void;
 };
@@ -117,21 +117,6 @@
 		return paces[Math.floor(paces.length / 2)] ?? 0;
 	}
 
-	function sumPeerUse(id: string): UpstreamUse {
-		let inFlight = 0;
-		let waitingTokens = 0;
-		for (const view of options.listViews()) {
-			for (const use of view.uses) {
-				if (use.upstream === id) {
-					inFlight += use.inFlight;
-					waitingTokens += use.waitingTokens;
-				}
-			}
-		}
-
-		return {upstream: id, inFlight, waitingTokens};
-	}
-
 	function estimateSlowness(item: Seen, median: number, isWarm: boolean): number {
 		const measured = item.pace > 0 && median > 0 ? item.pace / median : 1;
 		return Math.min(slownessRange.most, Math.max(slownessRange.least, measured)) * (isWarm ? 1 : warmUpSlowness);
@@ -139,7 +124,7 @@
 
 	function buildCandidate({upstream, isWarm, isOnGrace}: LiveUpstream, generation: Generation | undefined, median: number): PlacementCandidate {
 		const item = ensureSeen(upstream.id);
-		const peers = sumPeerUse(upstream.id);
+		const peers = options.sumPeerUse(upstream.id);
 		const told = item.told && clock.now() - item.toldAt < toldLife ? item.told.running + item.told.waiting : 0;
 		return {
 			id: upstream.id,
@@ -183,13 +168,13 @@
 				const memory = service.engine?.memory ?? Number.POSITIVE_INFINITY;
 				cache.note(id, generation.parts, memory);
 				options.onPrompt?.({upstream: id, memory, parts: [...generation.parts]});
-				options.onUse?.(id);
+				options.onUse?.();
 			}
 
 			const endWait = () => {
 				item.waitingTokens -= waiting;
 				if (waiting > 0) {
-					options.onUse?.(id);
+					options.onUse?.();
 				}
 
 				waiting = 0;
@@ -232,12 +217,6 @@
 		/** What upstreams are believed to keep, for a gateway that has just started. */
 		listCached: (): PlacedPrompt[] => cache.list(),
 
-		/** This gateway's own requests at one upstream. */
-		readUse(upstream: string): UpstreamUse {
-			const {inFlight, waitingTokens} = ensureSeen(upstream);
-			return {upstream, inFlight, waitingTokens};
-		},
-
 		/** This gateway's own requests at upstreams. */
 		listUses: (): UpstreamUse[] => [...seen].filter(([, item]) => item.inFlight > 0)
 			.map(([upstream, {inFlight, waitingTokens}]) => ({upstream, inFlight, waitingTokens})),
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -7,21 +7,20 @@
 import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
-	createBudgetKeeper, createDirectPath, createMetrics, createPeerExchange, createPlacementFeed, createRelayedLog, createRequestForwarder,
-	createReturnForecast, createRetryBudget, createTokenLending, createUpstreamBook, runPlacementReader,
-	type HolderIdentity, type PeerAddress, type PeerView, type PlacementNews, type RetryBudget,
+	createBudgetKeeper, createDirectPath, createMetrics, createPeerCatchUp, createPeerNews, createRelayedLog, createRequestForwarder, createReturnForecast,
+	createRetryBudget, createTokenLending, createUpstreamBook, type CatchUpAnswer, type CatchUpAsk, type HolderIdentity, type NewsPeer, type RetryBudget,
 } from '../coordination/mod.js';
 import {
 	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
 } from '../protocol/mod.js';
-import type {HolderRecord} from '../state/mod.js';
+import {createPeerViews, type HolderRecord, type PeerView} from '../state/mod.js';
 import {
-	createFleetClient, createSystemClock, createUpstreamClient, startCallerServer, startFleetServer, startHttpServer,
+	createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, startCallerServer, startFleetServer, startHttpServer,
 } from '../transport/mod.js';
 import type {RunningDaemon} from './core.js';
 import {formatGatewayMetrics} from './gateway-metrics.js';
 import {createGatewayInterface} from './gateway-interface.js';
-import {createGatewayPeerInterface, type GatewayMessage} from './gateway-peer-interface.js';
+import {createGatewayPeerInterface} from './gateway-peer-interface.js';
 import {createGatewayState, type GatewayAdapter} from './gateway-state.js';
 import {createRelayInterface, openLogThrough} from './relay-interface.js';
 import {createStopWindow} from './stop-window.js';
@@ -40,8 +39,10 @@
 const connectTimeout = 400;
 /** Connections to one upstream: as many as a model engine runs at once. */
 const upstreamConnections = 64;
-/** Pause between exchanges with one peer, in milliseconds. */
-const exchangeEvery = 250;
+/** Characters of an incarnation beside its time: two starts of one daemon in the same millisecond differ. */
+const incarnationLength = 8;
+/** Customers whose free tokens are told to other gateways, those with most first. */
+const customersTold = 12;
 /** A call to a peer may take this long, in milliseconds: many times the way between two failure domains. */
 const peerTimeout = 300;
 /** How long a stopping gateway takes every request, in milliseconds; the balancer needs two of its questions. */
@@ -57,8 +58,8 @@
 	return {
 		role: 'gateway',
 		daemon: settings.id,
-		// Begins with the time, so that a later start of the same daemon sorts after it.
-		incarnation: `${Date.now().toString(36)}-${createId('i')}`,
+		// Begins with the time, so that a later start of the same daemon sorts after it; short, since each entry of its news bears it.
+		incarnation: `${Date.now().toString(36)}-${createId('i').slice(0, incarnationLength)}`,
 		address: `${host}:${port}`,
 		failureDomain: settings.failureDomain,
 	};
@@ -83,7 +84,6 @@
 	const metrics = createMetrics();
 	const stopper = new AbortController();
 	const {signal} = stopper;
-	// Each task and each feed of a peer listens; their number is bounded by that of the gateways.
 	setMaxListeners(0, signal);
 	const self = createIdentity(settings);
 	const fleet = createFleetClient(settings.fleetKey);
@@ -105,18 +105,16 @@
 		},
 	});
 	const {account, book, directory, findTable} = state;
+	const views = createPeerViews();
 	const upstreams = createUpstreamBook({
-		directory, clock, failureDomain: settings.failureDomain, countViewAge: state.countViewAge, listViews: () => exchange.listViews(),
-		onUse(upstream) {
-			feed.noteUse(upstream);
+		directory, clock, failureDomain: settings.failureDomain, countViewAge: state.countViewAge, sumPeerUse: views.sumUse,
+		onUse() {
+			news.noteChange();
 		},
 		onPrompt(prompt) {
-			feed.notePrompt(prompt);
+			news.notePrompt(prompt);
 		},
 	});
-	const feed = createPlacementFeed({
-		clock, readUse: upstreams.readUse, readAll: () => ({uses: upstreams.listUses(), prompts: upstreams.listCached()}),
-	});
 
 	// Daemons beside upstreams first: a partition that cuts this gateway off from the store often cuts the others off too.
 	function listRelays(): string[] {
@@ -125,15 +123,18 @@
 		return [...known.map(({address}) => address), ...settings.seeds.filter(address => address !== self.address)];
 	}
 
-	function listPeers(): PeerAddress[] {
-		return book.listRunning().filter(({role, daemon}) => role === 'gateway' && daemon !== self.daemon);
+	function listPeers(): NewsPeer[] {
+		return book.listRunning().flatMap(({role, daemon, newsAddress}) => role === 'gateway' && daemon !== self.daemon && newsAddress !== undefined ? [{daemon, newsAddress}] : []);
 	}
 
-	function takeNews(daemon: string, {uses, prompts}: PlacementNews): void {
-		exchange.takeUses(daemon, uses);
-		for (const prompt of prompts) {
-			upstreams.takePrompt(prompt);
-		}
+	const findVersion = () => findTable()?.version ?? 0;
+
+	function listFree() {
+		return account.listCustomers()
+			.map(customer => ({customer, tokens: keeper.countSpare(customer)}))
+			.filter(({tokens}) => tokens > 0)
+			.sort((left, right) => right.tokens - left.tokens)
+			.slice(0, customersTold);
 	}
 
 	function buildView(): PeerView {
@@ -142,43 +143,48 @@
 			daemon: self.daemon,
 			incarnation: self.incarnation,
 			address: self.address,
-			free: account.listCustomers().map(customer => ({customer, tokens: keeper.countSpare(customer)})),
+			free: listFree(),
 			uses: upstreams.listUses(),
-			version: findTable()?.version ?? 0,
+			version: findVersion(),
 			isLeaving: stopWindow.hasBegun(),
 		};
 	}
 
-	function buildMessage(peerVersion: number): GatewayMessage {
-		const isNews = peerVersion < (findTable()?.version ?? 0);
-		return {...buildView(), deployment: isNews ? new TextEncoder().encode(state.deploymentRecord()) : new Uint8Array()};
-	}
-
-	function takeDeployment(message: GatewayMessage): void {
-		if (message.deployment.length > 0) {
-			state.adoptFromPeer(new TextDecoder().decode(message.deployment), message.daemon);
-		}
+	function answerCatchUp({knownVersion, wantsPrompts}: CatchUpAsk): CatchUpAnswer {
+		return {
+			deployment: knownVersion < findVersion() ? new TextEncoder().encode(state.deploymentRecord()) : new Uint8Array(),
+			prompts: wantsPrompts ? upstreams.listCached() : [],
+		};
 	}
 
 	const findStopSpan = () => settings.stopWithin - stopReserve;
 	const forecast = createReturnForecast({clock, findStopSpan});
-	const exchange = createPeerExchange({
-		clock, events, daemon: self.daemon, every: exchangeEvery,
-		listPeers,
-		async exchange(address, knownVersion) {
-			const answer = await fleet.connect(address).gateway.exchange(buildMessage(knownVersion), {timeoutMs: peerTimeout});
-			takeDeployment(answer);
-			return answer;
-		},
-		onView: forecast.note,
+	const catchUp = createPeerCatchUp({
+		clock, events, findVersion,
+		ask: async (address, ask) => fleet.connect(address).gateway.catchUp(ask, {timeoutMs: peerTimeout}),
+		onDeployment: state.adoptFromPeer,
+		onPrompt: upstreams.takePrompt,
 		abandon(address) {
 			fleet.connect(address).abandon();
 		},
 	});
+	const news = createPeerNews({
+		clock, events, daemon: self.daemon, views, listPeers,
+		readOwn: buildView,
+		send(message, addresses) {
+			newsSocket.send(message, addresses);
+		},
+		onView(view) {
+			forecast.note(view);
+			catchUp.note(view);
+		},
+		onPrompt: upstreams.takePrompt,
+		random: Math.random,
+	});
 	const lending = createTokenLending({
 		daemon: self.daemon, account, events,
-		listViews: exchange.listViews,
-		listSilent: exchange.listSilent,
+		listViews: views.list,
+		listSilent: news.listSilent,
 		countWanted: customer => keeper.countWanted(customer),
 		async ask(address, ask) {
 			const {tokens} = await fleet.connect(address).gateway.lend(ask, {timeoutMs: peerTimeout});
@@ -210,7 +216,7 @@
 	});
 	const callers = createGatewayInterface({
 		wire: adapter.wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow,
-		findLeavingRetryAfter: () => forecast.estimate(exchange.listViews(), {ownLeft: stopWindow.countLeft()}),
+		findLeavingRetryAfter: () => forecast.estimate(views.list(), {ownLeft: stopWindow.countLeft()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callers.serve);
 	const readinessServer = await startHttpServer(settings.listen.readiness, service => {
@@ -231,20 +237,24 @@
 		fleetKey: settings.fleetKey,
 		routes(router) {
 			router.service(Relay, createRelayInterface(Object.values(adapter.logs), signal));
-			router.service(Gateway, createGatewayPeerInterface({
-				lending, feed, signal,
-				answerView(view) {
-					exchange.take(view);
-					takeDeployment(view);
-					return buildMessage(view.version);
-				},
-			}));
+			router.service(Gateway, createGatewayPeerInterface({answerCatchUp, lend: async ask => lending.lend(ask)}));
 		},
 		onRefused() {
 			events.write('peerRefused');
 		},
 	});
+	const newsSocket = await openDatagramSocket(settings.listen.news, {
+		fleetKey: settings.fleetKey,
+		onMessage: news.take,
+		onRefused() {
+			events.write('peerRefused');
+		},
+		onLost(error) {
+			events.write('peerNewsLost', {detail: error.message});
+		},
+	});
 	self.address = peerServer.address;
+	self.newsAddress = newsSocket.address;
 	const addresses = {
 		callers: callerServer.url, readiness: readinessServer.url, peers: peerServer.address, metrics: metricsServer.url,
 	};
@@ -253,15 +263,7 @@
 	});
 	state.run(signal);
 	void keeper.run();
-	void exchange.run(signal);
-	void runPlacementReader({
-		clock, events, listPeers, signal,
-		open: (address, feedSignal) => fleet.connect(address).gateway.followPlacements({from: self.daemon}, {signal: feedSignal}),
-		take: takeNews,
-		abandon(address) {
-			fleet.connect(address).abandon();
-		},
-	});
+	void news.run(signal);
 
 	return {
 		addresses,
@@ -275,6 +277,7 @@
 		async stop() {
 			events.write('daemonStopping', {running: callers.countRunning()});
 			stopWindow.begin(findStopSpan());
+			news.noteChange();
 			callerServer.leave();
 			await clock.sleep(leaveNotice);
 			const connections = callerServer.drain();
@@ -290,6 +293,7 @@
 			callerServer.cut();
 			readinessServer.cut();
 			metricsServer.cut();
+			newsSocket.close();
 			await peerServer.close();
 			fleet.close();
 			await adapter.close();
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -1,26 +1,16 @@
 /**
- * Serves other gateways, and turns what they say into the product's types.
+ * Serves other gateways.
  *
  * @module
  */
 import type {ServiceImpl} from '@connectrpc/connect';
-import type {
-	LendAsk, PeerView, PlacementFeed, TokenLending,
-} from '../coordination/mod.js';
+import type {CatchUpAnswer, CatchUpAsk, LendAsk} from '../coordination/mod.js';
 import type {Gateway} from '../protocol/mod.js';
-import {joinSignals} from '../transport/mod.js';
-
-/** A view as it travels, with the deployment's record for a peer that needs it. */
-export type GatewayMessage = PeerView & {readonly deployment: Uint8Array};
 
 /** Options of {@linkcode createGatewayPeerInterface}. */
 export type CreateGatewayPeerInterfaceOptions = {
-	/** Takes a peer's view and returns this gateway's. */
-	readonly answerView: (view: GatewayMessage) => GatewayMessage;
-	readonly lending: TokenLending;
-	readonly feed: PlacementFeed;
-	/** Aborted when this gateway stops. */
-	readonly signal: AbortSignal;
+	readonly answerCatchUp: (ask: CatchUpAsk) => CatchUpAnswer;
+	readonly lend: (ask: LendAsk) => Promise<number>;
 };
 
 /**
@@ -28,7 +18,7 @@
  *
  * @example
  * ```ts
- * router.service(Gateway, createGatewayPeerInterface({answerView, lending}));
+ * router.service(Gateway, createGatewayPeerInterface({answerCatchUp, lend}));
  * ```
  *
  * @param options What answers
@@ -36,15 +26,10 @@
  */
 export function createGatewayPeerInterface(options: CreateGatewayPeerInterfaceOptions): ServiceImpl<typeof Gateway> {
 	return {
-		exchange: options.answerView,
-		async * followPlacements(_request, context) {
-			const ended = joinSignals([context.signal, options.signal]);
-			try {
-				yield * options.feed.follow(ended.signal);
-			} finally {
-				ended.clear();
-			}
+		catchUp(ask) {
+			const {deployment, prompts} = options.answerCatchUp(ask);
+			return {deployment, prompts: [...prompts]};
 		},
-		lend: (ask: LendAsk) => ({tokens: options.lending.lend(ask)}),
+		lend: async ask => ({tokens: await options.lend(ask)}),
 	};
 }
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -67,7 +67,7 @@
 		onOwnGrants: () => undefined,
 	});
 	const book = createUpstreamBook({
-		directory: state.directory, clock: time, failureDomain: 'd', listViews: () => [],
+		directory: state.directory, clock: time, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
 	});
 	state.run(stopper.signal);
 
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -19,6 +19,8 @@
 		readiness: addressSchema,
 		/** Where other gateways reach this one. */
 		peers: addressSchema,
+		/** Where it takes other gateways' datagrams. */
+		news: addressSchema,
 		/** Where metrics are read; port 0 lets the system choose. */
 		metrics: addressSchema,
 	}),
--- a/src/state/grant-book.ts
+++ b/src/state/grant-book.ts
@@ -22,6 +22,8 @@
 	incarnation: z.string(),
 	/** Where other gateways reach it: IP number and port. */
 	address: z.string(),
+	/** Where a gateway takes news from other gateways: IP number and port. */
+	newsAddress: z.string().optional(),
 	failureDomain: z.string(),
 	/** The deployment version whose amounts the writer had seen. */
 	version: z.number().int(),
@@ -55,10 +57,39 @@
  */
 export function createGrantBook() {
 	const holders = new Map<string, HolderRecord>();
+	const sums = new Map<string, number>();
+	let newestVersion = Number.NEGATIVE_INFINITY;
+	let running: HolderRecord[] | undefined;
+
+	function addGranted({granted}: HolderRecord, sign: 1 | -1): void {
+		for (const [customer, tokens] of Object.entries(granted)) {
+			sums.set(customer, (sums.get(customer) ?? 0) + (sign * tokens));
+		}
+	}
+
+	function findRunning(): HolderRecord[] {
+		const newest = new Map<string, HolderRecord>();
+		for (const holder of holders.values()) {
+			const known = newest.get(holder.daemon);
+			if (!known || known.incarnation < holder.incarnation) {
+				newest.set(holder.daemon, holder);
+			}
+		}
+
+		return [...newest.values()].filter(holder => !holder.hasEnded);
+	}
 
 	return {
 		put(key: string, record: HolderRecord): void {
+			const known = holders.get(key);
+			if (known) {
+				addGranted(known, -1);
+			}
+
+			addGranted(record, 1);
 			holders.set(key, record);
+			newestVersion = Math.max(newestVersion, record.version);
+			running = undefined;
 		},
 
 		get: (key: string): HolderRecord | undefined => holders.get(key),
@@ -66,23 +97,12 @@
 
 		/** Tokens of a customer's budget that were granted to holders other than the one named. */
 		sumGranted(customer: string, except?: string): number {
-			let sum = 0;
-			for (const [key, holder] of holders) {
-				sum += key === except ? 0 : holder.granted[customer] ?? 0;
-			}
-
-			return sum;
+			const own = except === undefined ? 0 : holders.get(except)?.granted[customer] ?? 0;
+			return (sums.get(customer) ?? 0) - own;
 		},
 
 		/** The newest deployment version that any writer had seen. */
-		findNewestVersion(): number {
-			let newest = Number.NEGATIVE_INFINITY;
-			for (const {version} of holders.values()) {
-				newest = Math.max(newest, version);
-			}
-
-			return newest;
-		},
+		findNewestVersion: (): number => newestVersion,
 
 		/** The newest incarnation of a daemon before the one named. */
 		findPredecessor(daemon: string, incarnation: string): HolderRecord | undefined {
@@ -91,16 +111,9 @@
 		},
 
 		/** The newest incarnation of each daemon that has not stopped. */
-		listRunning(): HolderRecord[] {
-			const newest = new Map<string, HolderRecord>();
-			for (const holder of holders.values()) {
-				const known = newest.get(holder.daemon);
-				if (!known || known.incarnation < holder.incarnation) {
-					newest.set(holder.daemon, holder);
-				}
-			}
-
-			return [...newest.values()].filter(holder => !holder.hasEnded);
+		listRunning(): readonly HolderRecord[] {
+			running ??= findRunning();
+			return running;
 		},
 	};
 }
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -9,6 +9,7 @@
 export * from './grant-book.js';
 export * from './grant-holder.js';
 export * from './ledger.js';
+export * from './peer-views.js';
 export * from './placement.js';
 export * from './prompt-cache.js';
 export * from './receipt-book.js';
--- /dev/null
+++ b/src/state/peer-views.test.ts
@@ -0,0 +1,50 @@
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {createPeerViews, type PeerView} from './mod.js';
+
+function buildView(daemon: string, incarnation: string, uses: PeerView['uses']): PeerView {
+	return {
+		daemon, incarnation, address: `${daemon}:1`, free: [], uses, version: 1, isLeaving: false,
+	};
+}
+
+test('an entry is news once, and never after a newer one', () => {
+	const views = createPeerViews();
+	views.put(buildView('e1', 'b', []), {sequence: 5, now: 0});
+	expect(views.isNews({daemon: 'e1', incarnation: 'b', sequence: 5})).toBe(false);
+	expect(views.isNews({daemon: 'e1', incarnation: 'b', sequence: 6})).toBe(true);
+	expect(views.isNews({daemon: 'e1', incarnation: 'a', sequence: 9})).toBe(false);
+	expect(views.isNews({daemon: 'e1', incarnation: 'c', sequence: 1})).toBe(true);
+});
+
+test('views older than the bound are dropped with their requests', () => {
+	const views = createPeerViews();
+	views.put(buildView('e1', 'a', [{upstream: 'u', inFlight: 2, waitingTokens: 10}]), {sequence: 1, now: 0});
+	views.put(buildView('e2', 'a', [{upstream: 'u', inFlight: 1, waitingTokens: 5}]), {sequence: 1, now: 100});
+	expect(views.dropOlder(50)).toEqual(['e1']);
+	expect(views.sumUse('u')).toEqual({upstream: 'u', inFlight: 1, waitingTokens: 5});
+});
+
+// Guards against sums that drift from the views: an upstream would look loaded, or empty, for good.
+test('the sums are those of the views after any changes', () => {
+	const use = fc.record({upstream: fc.constantFrom('u1', 'u2'), inFlight: fc.nat(5), waitingTokens: fc.nat(100)});
+	const change = fc.record({daemon: fc.constantFrom('e1', 'e2', 'e3'), uses: fc.uniqueArray(use, {selector: item => item.upstream}), isDropped: fc.boolean()});
+	fc.assert(fc.property(fc.array(change), changes => {
+		const views = createPeerViews();
+		for (const [now, {daemon, uses, isDropped}] of changes.entries()) {
+			views.put(buildView(daemon, 'a', uses), {sequence: now, now});
+			if (isDropped) {
+				views.dropOlder(now);
+			}
+		}
+
+		for (const upstream of ['u1', 'u2']) {
+			const all = views.list().flatMap(view => view.uses.filter(item => item.upstream === upstream));
+			expect(views.sumUse(upstream)).toEqual({
+				upstream,
+				inFlight: all.reduce((sum, item) => sum + item.inFlight, 0),
+				waitingTokens: all.reduce((sum, item) => sum + item.waitingTokens, 0),
+			});
+		}
+	}));
+});
--- a/src/state/prompt-cache.ts
+++ b/src/state/prompt-cache.ts
@@ -12,6 +12,14 @@
 /** Share of an engine's memory that cached parts are taken to fill; running requests need the rest. */
 const cachedShare = 0.7;
 
+/** A prompt that an upstream reads and then keeps. */
+export type PlacedPrompt = {
+	readonly upstream: string;
+	/** Tokens that the upstream's memory holds. */
+	readonly memory: number;
+	readonly parts: PromptPart[];
+};
+
 /** What upstreams are believed to keep. */
 export type PromptCache = ReturnType<typeof createPromptCache>;
 
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -8,6 +8,7 @@
 export * from './caller-server.js';
 export * from './clock.js';
 export * from './connection-register.js';
+export * from './datagram-socket.js';
 export * from './engine-client.js';
 export * from './fleet-client.js';
 export * from './fleet-server.js';
