Bound the requests that run at a gateway whose processor is full

Change: an admission looks at how late the event loop is. While it stays over 100 ms the bound on running requests falls by a share, under 40 ms it rises by one, and ends when it no longer binds. What is refused gets 503 at once with a moment to come back, within a quarter of its patience; urgent requests have a quarter more room. One pause of the process changes nothing.

--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from './admission.js';
 export * from './answer-relay.js';
 export * from './attempt-runner.js';
 export * from './budget-homes.js';
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -7,7 +7,7 @@
 import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
-	createBudgetHomes, createBudgetKeeper, createDirectPath, createMetrics, createPeerCatchUp, createPeerNews, createRelayedLog, createRequestForwarder, createReturnForecast,
+	createAdmission, createBudgetHomes, createBudgetKeeper, createDirectPath, createMetrics, createPeerCatchUp, createPeerNews, createRelayedLog, createRequestForwarder, createReturnForecast,
 	createRetryBudget, createTokenLending, createUpstreamBook, type CatchUpAnswer, type CatchUpAsk, type HolderIdentity, type NewsPeer, type RetryBudget,
 } from '../coordination/mod.js';
 import {
@@ -223,8 +223,14 @@
 			return known;
 		},
 	});
+	const admission = createAdmission({
+		clock, random: Math.random,
+		onChange(change) {
+			events.write('admissionChanged', change);
+		},
+	});
 	const callers = createGatewayInterface({
-		wire: adapter.wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow,
+		wire: adapter.wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow, admission,
 		findLeavingRetryAfter: () => forecast.estimate(views.list(), {ownLeft: stopWindow.countLeft()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callers.serve);
@@ -273,6 +279,7 @@
 	state.run(signal);
 	void keeper.run();
 	void news.run(signal);
+	void admission.run(signal);
 
 	return {
 		addresses,
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -7,7 +7,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {
-	BudgetKeeper, CallerAnswer, ForwardReport, ForwardRequest, Metrics, RequestForwarder,
+	Admission, BudgetKeeper, CallerAnswer, ForwardReport, ForwardRequest, Metrics, RequestForwarder,
 } from '../coordination/mod.js';
 import {
 	Err, Ok, createFailure, type GatewayCustomer, type EventLog, type Failure, type GatewayWire, type RequestFacts, type Result, type Route, type GatewayService,
@@ -29,6 +29,7 @@
 	readonly clock: Clock;
 	readonly events: EventLog;
 	readonly stopWindow: StopWindow;
+	readonly admission: Admission;
 	/** When a caller may come back whom a stopping gateway refuses, in milliseconds. */
 	readonly findLeavingRetryAfter: () => number;
 };
@@ -111,7 +112,7 @@
  */
 export function createGatewayInterface(options: CreateGatewayInterfaceOptions) {
 	const {
-		wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow, findLeavingRetryAfter,
+		wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow, admission, findLeavingRetryAfter,
 	} = options;
 	const running = new Set<IncomingMessage>();
 	const served = new WeakMap<Socket, number>();
@@ -225,11 +226,33 @@
 		});
 	}
 
+	function findPriority({route, customer}: Admitted): number {
+		return customer?.priority ?? route.priority;
+	}
+
+	function findSpan({route, facts}: Admitted): number {
+		return Math.min(route.timeout, facts.patience ?? route.timeout);
+	}
+
+	async function serveInTurn(request: IncomingMessage, admitted: Admitted, serving: Serving): Promise<void> {
+		const entered = admission.enter({priority: findPriority(admitted), patience: findSpan(admitted)});
+		if (entered.err) {
+			refuse(serving, admitted.facts.id, entered.val);
+			return;
+		}
+
+		try {
+			await serveAdmitted(request, admitted, serving);
+		} finally {
+			entered.val();
+		}
+	}
+
 	async function serveAdmitted(request: IncomingMessage, admitted: Admitted, serving: Serving): Promise<void> {
 		const {facts, route, service, customer} = admitted;
 		const {answer, leaving, arrival} = serving;
 		const startedAt = clock.now();
-		const span = Math.min(route.timeout, facts.patience ?? route.timeout);
+		const span = findSpan(admitted);
 		const deadline = startedAt + span;
 		const timer = setTimeout(() => {
 			leaving.abort(new Error(deadlinePassed));
@@ -267,7 +290,7 @@
 				route,
 				service,
 				customer: customer?.id,
-				priority: customer?.priority ?? route.priority,
+				priority: findPriority(admitted),
 				method: request.method ?? 'GET',
 				path: request.url ?? '/',
 				rawHeaders: request.rawHeaders,
@@ -326,7 +349,7 @@
 				if (admitted.err) {
 					refuse(serving, wire.readId(request.headers), admitted.val);
 				} else {
-					await serveAdmitted(request, admitted.val, serving);
+					await serveInTurn(request, admitted.val, serving);
 				}
 			} catch (error) {
 				// The caller broke off while its body was read, or the gateway is at fault; either way only this request ends.
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -46,6 +46,7 @@
 	storePathBack: {number: 1110, text: 'direct way to the store works'},
 	relayChosen: {number: 1111, text: 'store reached through another daemon'},
 	requestRefused: {number: 1401, text: 'request refused'},
+	admissionChanged: {number: 1411, text: 'bound on running requests set or lifted'},
 	requestRetried: {number: 1402, text: 'request sent again'},
 	requestAttached: {number: 1403, text: 'request attached to its earlier run'},
 	frameDropped: {number: 1404, text: 'frame dropped'},
