Leave daemons that are all cut off alone for a while

Change: after eight calls in a row that reached the store through no daemon, daemons are asked again after 0.5 s, then each second. The direct way is tried each second as before; one call that gets through ends it.

Test: a read each 200 ms asked 15 daemons a second before, now 3 at the most.

--- a/src/coordination/relayed-log.test.ts
+++ b/src/coordination/relayed-log.test.ts
@@ -236,3 +236,41 @@
 	await time.runUntil(3000 + readSpan);
 	expect(second.took).toBeLessThan(readSpan);
 });
+
+// Guards against calls through daemons that are all cut off: each costs two processes more than one to the store, and took
+// half of the processor of 14 gateways in each partition.
+test('daemons that are all cut off are left alone for a while', async () => {
+	const time = createVirtualTime();
+	const asked: number[] = [];
+	const away = createFailure('log-unavailable', 'It is cut off');
+	const lost: KeyedLog = {
+		name: 'grants',
+		readNewest: async () => Err(away),
+		read: async () => Err({kind: 'away', failure: away}),
+		append: async () => ({kind: 'unknown', failure: away}),
+	};
+	const log = createRelayedLog({
+		direct: lost,
+		path: createDirectPath({clock: time, events}),
+		clock: time,
+		listRelays: () => ['a', 'b', 'c', 'd'],
+		openThrough() {
+			asked.push(time.now());
+			return lost;
+		},
+	});
+	const stopper = new AbortController();
+	void (async () => {
+		while (!stopper.signal.aborted) {
+			await log.readNewest();
+			await time.sleep(200);
+		}
+	})();
+
+	await time.runUntil(20_000);
+	stopper.abort();
+	const late = asked.filter(at => at > 10_000).length / 10;
+	// Five calls a second with three daemons each would be fifteen.
+	expect(late).toBeLessThanOrEqual(3);
+	expect(late).toBeGreaterThan(0);
+});
--- a/src/coordination/relayed-log.ts
+++ b/src/coordination/relayed-log.ts
@@ -46,6 +46,12 @@
  * milliseconds: longer than a slow store takes, which is not helped by more calls.
  */
 const relayPatience = 450;
+/** Calls that reach the store through no relay before relays are left alone: by then most of a fleet's were asked. */
+const lostCallsBorne = 8;
+/** How long relays are first left alone, in milliseconds, doubled with each further call that reaches nothing. */
+const restStep = 500;
+/** Longest time for which relays are left alone, in milliseconds: half of the time for which an upstream that left serves. */
+const restLimit = 1000;
 
 /**
  * Creates the record of the direct way to the store.
@@ -64,6 +70,9 @@
 	let isUp = true;
 	let lastRelay = '';
 	const lostRelays = new Map<string, number>();
+	/** Calls in a row that reached the store through no relay. */
+	let lostCalls = 0;
+	let restsUntil = Number.NEGATIVE_INFINITY;
 	// The relay that answered last comes first; those that did not reach the store come last, the longest lost before the others.
 	const rankRelay = (address: string): number => address === lastRelay ? Number.NEGATIVE_INFINITY : lostRelays.get(address) ?? -1;
 
@@ -89,8 +98,18 @@
 			isUp = nowUp;
 		},
 
-		/** The relays to ask in one call, in order. */
-		rankRelays: (addresses: readonly string[]): string[] => [...addresses].sort((left, right) => rankRelay(left) - rankRelay(right)).slice(0, relaysTried),
+		/** The relays to ask in one call, in order; none for a while after calls that reached the store through none. */
+		rankRelays: (addresses: readonly string[]): string[] => clock.now() < restsUntil
+			? []
+			: [...addresses].sort((left, right) => rankRelay(left) - rankRelay(right)).slice(0, relaysTried),
+
+		/** Notes whether a call reached the store through any relay. */
+		noteRelayed(hasReached: boolean): void {
+			lostCalls = hasReached ? 0 : lostCalls + 1;
+			if (lostCalls > lostCallsBorne) {
+				restsUntil = clock.now() + Math.min(restLimit, restStep * (2 ** (lostCalls - lostCallsBorne - 1)));
+			}
+		},
 		noteRelay(address: string): void {
 			if (address !== lastRelay) {
 				events.write('relayChosen', {relay: address});
@@ -176,11 +195,18 @@
 			calls.push(callRelay(relay, call));
 			const early = await waitAtMost(takeFirstReached(calls, call.hasReached), {clock, span: relayPatience + (call.wait ?? 0)});
 			if (early !== undefined && call.hasReached(early)) {
+				path.noteRelayed(true);
 				return early;
 			}
 		}
 
-		return calls.length > 0 ? takeFirstReached(calls, call.hasReached) : undefined;
+		if (calls.length === 0) {
+			return undefined;
+		}
+
+		const value = await takeFirstReached(calls, call.hasReached);
+		path.noteRelayed(call.hasReached(value));
+		return value;
 	}
 
 	// Goes through relays beside a direct call that has not ended. The direct way counts as lost if a relay is faster.
