Bound a full gateway by the shortest objective, and within two seconds

The admission counted five looks a round, which take seconds while the loop is late, and 100 ms as late for everyone.

Change: a round is 250 ms of time, and a loop is late by a quarter of the deployment's shortest objective, within 30 to 100 ms.

--- a/src/coordination/admission.test.ts
+++ b/src/coordination/admission.test.ts
@@ -15,7 +15,7 @@
 	};
 	const stopper = new AbortController();
 	const admission = createAdmission({
-		clock, random: () => 0.5,
+		clock, findObjective: () => 400, random: () => 0.5,
 		onChange({isBounded}) {
 			world.changes.push(isBounded);
 		},
@@ -98,3 +98,13 @@
 	expect(refused.err && refused.val.retryAfterMs).toBe(150);
 	stopper.abort();
 });
+
+// Guards against a bound that comes seconds late: looks come at long pauses while the event loop is late.
+test('a gateway that fills at once is bounded within two seconds', async () => {
+	const {time, world, admission, stopper} = createWorld();
+	enterMany(admission, 40);
+	world.lag = 400;
+	await time.runUntil(2000);
+	expect(admission.countBound()).toBeLessThan(40);
+	stopper.abort();
+});
--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -15,6 +15,8 @@
 /** Options of {@linkcode createAdmission}. */
 export type CreateAdmissionOptions = {
 	readonly clock: Clock;
+	/** The shortest objective of any route, in milliseconds. */
+	readonly findObjective: () => number;
 	/** Draws a number from 0 to 1. */
 	readonly random: () => number;
 	/** Called when the bound changes from or to none. */
@@ -34,12 +36,14 @@
 
 /** Pause between looks at how late the event loop is, in milliseconds. */
 const lookEvery = 50;
-/** Looks after which the bound is set anew. */
-const looksPerRound = 5;
-/** An event loop this late, in milliseconds, is too full: a request takes about eight of its turns. */
-const fullLag = 100;
-/** An event loop less late than this, in milliseconds, has room. */
-const freeLag = 40;
+/** Time after which the bound is set anew, in milliseconds. */
+const roundSpan = 250;
+/** Share of the shortest objective by which the event loop of a full gateway is late: a request takes several of its turns. */
+const fullShare = 0.25;
+/** Bounds on what counts as late, in milliseconds: a single long turn, and what any caller notices. */
+const fullRange = {least: 30, most: 100} as const;
+/** An event loop late by less than this share of what counts as full has room. */
+const freeShare = 0.4;
 /** Full rounds in a row that lower the bound; a pause of the process shows in one. */
 const fullRounds = 2;
 const decreaseShare = 0.85;
@@ -87,10 +91,11 @@
 	}
 
 	function adapt(lag: number): void {
+		const fullLag = Math.min(fullRange.most, Math.max(fullRange.least, options.findObjective() * fullShare));
 		fullInRow = lag > fullLag ? fullInRow + 1 : 0;
 		if (fullInRow >= fullRounds && running > leastBound) {
 			setBound(Math.max(leastBound, Math.min(bound, running) * decreaseShare), lag);
-		} else if (lag < freeLag && Number.isFinite(bound)) {
+		} else if (lag < fullLag * freeShare && Number.isFinite(bound)) {
 			setBound(bound > (running * looseFactor) + leastBound ? Number.POSITIVE_INFINITY : bound + 1, lag);
 		}
 	}
@@ -120,7 +125,8 @@
 		async run(signal: AbortSignal): Promise<void> {
 			while (!signal.aborted) {
 				let lag = 0;
-				for (let look = 0; look < looksPerRound && !signal.aborted; look += 1) {
+				const until = clock.now() + roundSpan;
+				while (clock.now() < until && !signal.aborted) {
 					const dueAt = clock.now() + lookEvery;
 					await clock.sleep(lookEvery, signal);
 					lag = Math.max(lag, clock.now() - dueAt);
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -225,6 +225,7 @@
 	});
 	const admission = createAdmission({
 		clock, random: Math.random,
+		findObjective: () => Math.min(...findTable()?.deployment.routes.map(({objective}) => objective) ?? []),
 		onChange(change) {
 			events.write('admissionChanged', change);
 		},
