End a request at its time limit also while it waits for its body or tokens

Cause: the wait for tokens asks several gateways in turn, each up to 300 ms, and claims beside that; the time limit of the route only ended what had been sent.

Change: the body and the tokens are waited for until the time limit or the caller's leaving ends the request; tokens that come later are given back. Waits for a connection and for an answer had the limit already.

Test: with tokens that never come the request was not answered within 40 s (the run was ended), now it is at its limit of 0.3 s.

--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -14,7 +14,7 @@
 } from '../protocol/mod.js';
 import type {RouteTable, TokenReservation} from '../state/mod.js';
 import {
-	readArrived, readBody, waitUntilSent, type Clock,
+	readArrived, readBody, waitUnlessAborted, waitUntilSent, type Clock,
 } from '../transport/mod.js';
 import {createCallerAnswer} from './caller-answer.js';
 import type {StopWindow} from './stop-window.js';
@@ -226,6 +226,20 @@
 		});
 	}
 
+	// The request has ended by its time limit, or its caller has left, before anything was sent.
+	function refuseUnsent(serving: Serving, id: string | undefined): void {
+		const {message} = serving.leaving.signal.reason as Error;
+		refuse(serving, id, createFailure('overloaded', `Nothing was sent: ${message}`, {retryAfterMs: notReadyRetryAfter}));
+	}
+
+	// Gives tokens back that came after the request had ended.
+	async function returnLate(pending: Promise<Result<TokenReservation | undefined, Failure>>): Promise<void> {
+		const late = await pending;
+		if (late.ok && late.val) {
+			keeper.settle(late.val, 0);
+		}
+	}
+
 	function findPriority({route, customer}: Admitted): number {
 		return customer?.priority ?? route.priority;
 	}
@@ -259,15 +273,27 @@
 		}, span);
 		try {
 			const limit = findTable()!.deployment.limits.bodyBytes;
-			const body = await readBody(request, limit);
+			const body = await waitUnlessAborted(readBody(request, limit), leaving.signal);
+			if (!body) {
+				refuseUnsent(serving, facts.id);
+				return;
+			}
+
 			if (body.err) {
 				refuse(serving, facts.id, body.val);
 				return;
 			}
 
 			const readAt = clock.now();
-			const reservation = await reserveInTime(admitted, {span, deadline});
+			const pending = reserveInTime(admitted, {span, deadline});
+			const reservation = await waitUnlessAborted(pending, leaving.signal);
 			const reserveMs = clock.now() - readAt;
+			if (!reservation) {
+				void returnLate(pending);
+				refuseUnsent(serving, facts.id);
+				return;
+			}
+
 			if (reservation.err) {
 				refuse(serving, facts.id, reservation.val);
 				return;
@@ -281,7 +307,7 @@
 					keeper.settle(reservation.val, 0);
 				}
 
-				refuse(serving, facts.id, createFailure('overloaded', `Nothing was sent: ${(leaving.signal.reason as Error).message}`, {retryAfterMs: notReadyRetryAfter}));
+				refuseUnsent(serving, facts.id);
 				return;
 			}
 
--- a/src/transport/bound.ts
+++ b/src/transport/bound.ts
@@ -94,3 +94,34 @@
 		},
 	};
 }
+
+/**
+ * Waits for a value until a signal is aborted.
+ *
+ * @example
+ * ```ts
+ * await waitUnlessAborted(reserve(), caller.signal); // undefined once the caller has left
+ * ```
+ *
+ * @param pending The value to come
+ * @param signal Ends the wait
+ * @returns The value; undefined when the signal was aborted first
+ */
+export async function waitUnlessAborted<Value>(pending: Promise<Value>, signal: AbortSignal): Promise<Value | undefined> {
+	let stop: () => void = () => undefined;
+	const aborted = new Promise<undefined>(resolve => {
+		stop = () => {
+			resolve(undefined);
+		};
+
+		signal.addEventListener('abort', stop);
+		if (signal.aborted) {
+			stop();
+		}
+	});
+	try {
+		return await Promise.race([pending, aborted]);
+	} finally {
+		signal.removeEventListener('abort', stop);
+	}
+}
