Leave the rest of a budget at its home when it does not cover a request

A home that had less than a request needs lent what it had, so each large request that was refused took the rest of the budget along, to a gateway where nobody asked for it; and each loan covered two seconds of demand more, at 31 gateways.

Change: a home lends all that is needed or nothing; the others are asked for what they have free, then the home for what is missing. A loan covers half a second of demand beyond the request.

Ruled out: rates after the start (the first claims cover all customers).

Test: a request over the rest took 3,000 of 3,000 tokens along before, now none.

--- a/src/coordination/budget-keeper.test.ts
+++ b/src/coordination/budget-keeper.test.ts
@@ -424,3 +424,14 @@
 	const reservation = await world.gateways[2]!.keeper.acquire(customer, 2500, {patience: 300});
 	expect(reservation.ok).toBe(true);
 });
+
+// Guards against the rest of a budget that lies at gateways whose large requests were refused, while smaller ones elsewhere
+// are refused too.
+test('a request that the rest does not cover leaves it to smaller ones', async () => {
+	const world = await createWorld(3000, 'first');
+	const refused = await world.gateways[1]!.keeper.acquire(customer, 5000, {patience: 300});
+	expect(refused.ok).toBe(false);
+	expect(world.gateways[1]!.account.countFree(customer)).toBe(0);
+	const small = await world.gateways[2]!.keeper.acquire(customer, 2500, {patience: 300});
+	expect(small.ok).toBe(true);
+});
--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -66,7 +66,7 @@
 /** A borrower asks for this many times what it lacks where each gateway claims for itself, so that its next requests need not ask. */
 const wantedFactor = 3;
 /** Demand beyond what is lacking that a loan from a budget's home covers, in milliseconds. */
-const borrowedSpan = 2000;
+const borrowedSpan = 500;
 const millisecondsPerSecond = 1000;
 /** When a caller may come back whose tokens are held by requests still running, in milliseconds. */
 const busyRetryAfter = 1000;
--- a/src/coordination/token-lending.ts
+++ b/src/coordination/token-lending.ts
@@ -130,41 +130,54 @@
 	}
 
 	// Homes first, then those that have most free. Where each gateway claims for itself, all are asked.
-	function rankLenders(customer: string): PeerView[] {
+	function rankLenders(customer: string): {readonly homes: readonly PeerView[]; readonly others: readonly PeerView[]} {
 		const countFree = (view: PeerView) => view.free.find(item => item.customer === customer)?.tokens ?? 0;
 		const byFree = options.listViews().sort((left, right) => countFree(right) - countFree(left));
 		const homes = options.listHomes(customer);
 		if (homes.length === 0) {
-			return byFree;
+			return {homes: [], others: byFree};
 		}
 
 		const byName = new Map(byFree.map(view => [view.daemon, view]));
 		const ranked = homes.flatMap(home => byName.get(home) ?? []);
 		const first = [...ranked.filter(view => !isSilent(view)), ...ranked.filter(view => isSilent(view))].slice(0, homesAsked);
 		const others = byFree.filter(view => countFree(view) > 0 && !first.includes(view)).slice(0, othersAsked);
-		return [...first, ...others];
+		return {homes: first, others};
 	}
 
 	async function search(customer: string, {needed, wanted}: BorrowAsk): Promise<BorrowOutcome> {
 		const wantedShare = wanted / Math.max(1, needed);
 		const home = options.listHomes(customer)[0];
+		const mayClaim = home !== undefined && home !== options.daemon;
 		let missing = needed;
-		let tokens = 0;
 		let isComplete = options.listSilent().length === 0;
-		for (const [index, peer] of rankLenders(customer).entries()) {
-			const ask: LendAsk = {
-				loan: createId('l'), customer, needed: missing, wanted: Math.ceil(missing * wantedShare), from: options.daemon, mayClaim: home !== undefined && home !== options.daemon && index < homesAsked,
-			};
-			const lent = await askOne(peer, ask);
+		const askFor = async (peer: PeerView, claims: boolean) => {
+			const lent = await askOne(peer, {
+				loan: createId('l'), customer, needed: missing, wanted: Math.ceil(missing * wantedShare), from: options.daemon, mayClaim: claims,
+			});
 			isComplete &&= lent !== undefined;
-			tokens += lent ?? 0;
 			missing -= lent ?? 0;
-			if (missing <= 0) {
-				break;
+		};
+
+		const {homes, others} = rankLenders(customer);
+		for (const peer of homes) {
+			if (missing > 0) {
+				await askFor(peer, mayClaim);
+			}
+		}
+
+		for (const peer of others) {
+			if (missing > 0) {
+				await askFor(peer, false);
 			}
 		}
 
-		return {tokens, isComplete};
+		// A home lends all or nothing; what the others brought may leave it less to lend.
+		if (mayClaim && homes[0] && missing > 0 && missing < needed) {
+			await askFor(homes[0], true);
+		}
+
+		return {tokens: needed - missing, isComplete};
 	}
 
 	function countSpare(customer: string): number {
@@ -173,6 +186,12 @@
 
 	function giveLoan({customer, needed, wanted, from, mayClaim}: LendAsk): number {
 		const spare = countSpare(customer);
+		// Guards against a large request that takes what is left of a budget from its home and is refused all the same: the
+		// rest would lie where no smaller request asks for it.
+		if (mayClaim && spare < needed) {
+			return 0;
+		}
+
 		const lent = account.lend(customer, Math.min(spare, Math.max(needed, Math.min(wanted, Math.floor(spare * generousShare)))));
 		if (lent > 0) {
 			events.write('loanGiven', {customer, to: from, amount: lent});
