Ask the second home of a budget only when the first is silent

Change: one home is asked, the next when it does not answer; all others are asked for what they have free.

--- a/src/coordination/budget-keeper.test.ts
+++ b/src/coordination/budget-keeper.test.ts
@@ -75,6 +75,7 @@
 			countWanted: id => keeper.countWanted(id),
 			clock,
 			listHomes: () => mode === 'each' ? [] : ['e0', 'e1', 'e2'],
+			isHome: () => mode === 'each' || index === 0,
 			claim: async (id, amount) => keeper.claimFor(id, amount),
 			onLent(id, amount) {
 				keeper.noteLent(id, amount);
--- a/src/coordination/token-lending.test.ts
+++ b/src/coordination/token-lending.test.ts
@@ -11,7 +11,7 @@
 	};
 	return createTokenLending({
 		daemon: 'e1', account: createTokenAccount(), events, listViews: () => [view], listSilent: () => silent, countWanted: () => 0, ask: async () => 0,
-		clock: {now: () => 0, sleep: async () => undefined}, listHomes: () => [], claim: async () => undefined, onLent: () => undefined,
+		clock: {now: () => 0, sleep: async () => undefined}, listHomes: () => [], isHome: () => true, claim: async () => undefined, onLent: () => undefined,
 	});
 }
 
--- a/src/coordination/token-lending.ts
+++ b/src/coordination/token-lending.ts
@@ -34,6 +34,8 @@
 	readonly countWanted: (customer: string) => number;
 	/** Gateways in the order in which they claim the customer's budget for others; none if each claims for itself. */
 	readonly listHomes: (customer: string) => readonly string[];
+	/** True if this gateway claims the customer's budget. */
+	readonly isHome: (customer: string) => boolean;
 	/** Claims until so many tokens are free, for a gateway that asks. */
 	readonly claim: (customer: string, amount: number) => Promise<void>;
 	/** Called with what was lent to a gateway for which this one claims. */
@@ -141,14 +143,13 @@
 		const byName = new Map(byFree.map(view => [view.daemon, view]));
 		const ranked = homes.flatMap(home => byName.get(home) ?? []);
 		const first = [...ranked.filter(view => !isSilent(view)), ...ranked.filter(view => isSilent(view))].slice(0, homesAsked);
-		const others = byFree.filter(view => countFree(view) > 0 && !first.includes(view)).slice(0, othersAsked);
+		const others = byFree.filter(view => countFree(view) > 0).slice(0, othersAsked);
 		return {homes: first, others};
 	}
 
 	async function search(customer: string, {needed, wanted}: BorrowAsk): Promise<BorrowOutcome> {
 		const wantedShare = wanted / Math.max(1, needed);
-		const home = options.listHomes(customer)[0];
-		const mayClaim = home !== undefined && home !== options.daemon;
+		const mayClaim = !options.isHome(customer);
 		let missing = needed;
 		let isComplete = options.listSilent().length === 0;
 		const askFor = async (peer: PeerView, claims: boolean) => {
@@ -157,24 +158,26 @@
 			});
 			isComplete &&= lent !== undefined;
 			missing -= lent ?? 0;
+			return lent !== undefined;
 		};
 
 		const {homes, others} = rankLenders(customer);
+		let home: PeerView | undefined;
 		for (const peer of homes) {
-			if (missing > 0) {
-				await askFor(peer, mayClaim);
+			if (!home && await askFor(peer, mayClaim)) {
+				home = peer;
 			}
 		}
 
 		for (const peer of others) {
-			if (missing > 0) {
+			if (missing > 0 && peer !== home) {
 				await askFor(peer, false);
 			}
 		}
 
 		// A home lends all or nothing; what the others brought may leave it less to lend.
-		if (mayClaim && homes[0] && missing > 0 && missing < needed) {
-			await askFor(homes[0], true);
+		if (home && missing > 0 && missing < needed) {
+			await askFor(home, mayClaim);
 		}
 
 		return {tokens: needed - missing, isComplete};
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -188,6 +188,7 @@
 	const lending = createTokenLending({
 		daemon: self.daemon, account, events, clock,
 		listHomes: homes.listHomes,
+		isHome: homes.isHome,
 		claim: async (customer, amount) => keeper.claimFor(customer, amount),
 		onLent(customer, amount) {
 			keeper.noteLent(customer, amount);
