--- a/src/coordination/admission.test.ts
+++ b/src/coordination/admission.test.ts
@@ -46,6 +46,7 @@
 	world.lag = 300;
 	await time.runUntil(5000);
 	expect(admission.countBound()).toBeLessThan(40);
+	expect(admission.countLag()).toBe(300);
 	const refused = admission.enter(usual);
 	expect(refused.err && refused.val.type).toBe('overloaded');
 	expect(refused.err && refused.val.retryAfterMs).toBe(400);
--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -81,6 +81,7 @@
 	let running = 0;
 	let bound = Number.POSITIVE_INFINITY;
 	let fullInRow = 0;
+	let lastLag = 0;
 
 	function setBound(next: number, lagMs: number): void {
 		const wasBounded = Number.isFinite(bound);
@@ -91,6 +92,7 @@
 	}
 
 	function adapt(lag: number): void {
+		lastLag = lag;
 		const fullLag = Math.min(fullRange.most, Math.max(fullRange.least, options.findObjective() * fullShare));
 		fullInRow = lag > fullLag ? fullInRow + 1 : 0;
 		if (fullInRow >= fullRounds && running > leastBound) {
@@ -121,6 +123,8 @@
 
 		/** Requests that may run; infinite while nothing binds. */
 		countBound: () => bound,
+		/** How late the event loop was at most in the last round, in whole milliseconds. */
+		countLag: () => Math.round(lastLag),
 
 		async run(signal: AbortSignal): Promise<void> {
 			while (!signal.aborted) {
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -246,7 +246,7 @@
 		service.get('/metrics', (_request, response) => {
 			response.setHeader('content-type', 'text/plain; version=0.0.4');
 			response.end(formatGatewayMetrics({
-				metrics, events, running: callers.countRunning(), version: findTable()?.version ?? 0, account,
+				metrics, events, running: callers.countRunning(), version: findVersion(), account, admission,
 			}));
 		});
 	});
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import process from 'node:process';
-import type {Metrics} from '../coordination/mod.js';
+import type {Admission, Metrics} from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
 import type {TokenAccount} from '../state/mod.js';
 
@@ -17,6 +17,7 @@
 	/** Version of the deployment in force. */
 	readonly version: number;
 	readonly account: TokenAccount;
+	readonly admission: Pick<Admission, 'countBound' | 'countLag'>;
 };
 
 /**
@@ -32,12 +33,14 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, running, version, account,
+		metrics, events, running, version, account, admission,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${running}`,
 		`fireflylane_deployment_version ${version}`,
 		`fireflylane_resident_bytes ${process.memoryUsage.rss()}`,
+		`fireflylane_event_loop_late_ms ${admission.countLag()}`,
+		`fireflylane_requests_bound ${Number.isFinite(admission.countBound()) ? Math.floor(admission.countBound()) : '+Inf'}`,
 	];
 	for (const [event, count] of events.counts) {
 		lines.push(`fireflylane_events_total{event="${event}"} ${count}`);
