Take no event loop for full that is late by less than 60 ms

Cause: by a quarter of barka's shortest objective a loop is full from 30 ms on, a length that single turns reach after a start.

--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -41,7 +41,7 @@
 /** Share of the shortest objective by which the event loop of a full gateway is late: a request takes several of its turns. */
 const fullShare = 0.25;
 /** Bounds on what counts as late, in milliseconds: a single long turn, and what any caller notices. */
-const fullRange = {least: 30, most: 100} as const;
+const fullRange = {least: 60, most: 100} as const;
 /** An event loop late by less than this share of what counts as full has room. */
 const freeShare = 0.4;
 /** Full rounds in a row that lower the bound; a pause of the process shows in one. */
