--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -91,7 +91,7 @@
 		}
 	}
 
-	function adapt(lag: number): void {
+	function decideBound(lag: number): void {
 		lastLag = lag;
 		const fullLag = Math.min(fullRange.most, Math.max(fullRange.least, options.findObjective() * fullShare));
 		fullInRow = lag > fullLag ? fullInRow + 1 : 0;
@@ -136,7 +136,7 @@
 					lag = Math.max(lag, clock.now() - dueAt);
 				}
 
-				adapt(lag);
+				decideBound(lag);
 			}
 		},
 	};
--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -303,7 +303,7 @@
 		return Math.max(0, bought - book.sumGranted(customer, key) - account.countBound(customer));
 	}
 
-	async function refreshBook(patience: number): Promise<void> {
+	async function syncBook(patience: number): Promise<void> {
 		if (follower.isUp() && (follower.countSinceAnswer() ?? Number.POSITIVE_INFINITY) > roundEvery) {
 			await Promise.race([follower.catchUp(signal), clock.sleep(patience)]);
 		}
@@ -322,7 +322,7 @@
 			}
 		}
 
-		await refreshBook(patience);
+		await syncBook(patience);
 		const claimed = follower.isUp() && countRest(customer) >= amount ? await claim(customer, amount, patience) : undefined;
 		return claimed ? Ok(claimed) : Err(refuse(customer, amount, {isComplete, request}));
 	}
