--- a/src/coordination/relayed-log.test.ts
+++ b/src/coordination/relayed-log.test.ts
@@ -237,8 +237,8 @@
 	expect(second.took).toBeLessThan(readSpan);
 });
 
-// Guards against calls through daemons that are all cut off: each costs two processes more than one to the store, and took
-// half of the processor of 14 gateways in each partition.
+// Guards against calls through daemons that are all cut off: each is work for two processes, beside requests
+// that they could serve.
 test('daemons that are all cut off are left alone for a while', async () => {
 	const time = createVirtualTime();
 	const asked: number[] = [];
