Tell when a gateway's event loop stood still, and what callers asked of it

Callers saw gateways that said ready and took no new connection for over five seconds. Nothing that a gateway wrote could tell why: its metrics gave the lateness of the last quarter of a second, and no count of connections.

Metrics count accepted and open connections, begun requests and readiness answers, so that "says ready and takes nothing", "takes no turn" and "accepts and reads nothing" differ. The lateness that bounds running requests is measured by the same watch (loop-watch.ts), so no timer is added. What it does not decide: a full link shows only in what is missing here.

No decision changes.

--- a/src/coordination/admission.test.ts
+++ b/src/coordination/admission.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from 'vitest';
 import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
 import type {Clock} from '../transport/mod.js';
-import {createAdmission, type Admission} from './mod.js';
+import {createAdmission, runLoopWatch, type Admission} from './mod.js';
 
 const usual = {priority: 1, patience: 4000};
 
@@ -15,12 +15,12 @@
 	};
 	const stopper = new AbortController();
 	const admission = createAdmission({
-		clock, findObjective: () => 400, random: () => 0.5,
+		findObjective: () => 400, random: () => 0.5,
 		onChange({isBounded}) {
 			world.changes.push(isBounded);
 		},
 	});
-	void admission.run(stopper.signal);
+	void runLoopWatch({clock, onRound: admission.noteLag}, stopper.signal);
 	return {
 		time, world, admission, stopper,
 	};
--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -10,11 +10,8 @@
 import {
 	Err, Ok, createFailure, type Failure, type Result,
 } from '../protocol/mod.js';
-import type {Clock} from '../transport/mod.js';
-
 /** Options of {@linkcode createAdmission}. */
 export type CreateAdmissionOptions = {
-	readonly clock: Clock;
 	/** The shortest objective of any route, in milliseconds. */
 	readonly findObjective: () => number;
 	/** Draws a number from 0 to 1. */
@@ -34,10 +31,6 @@
 /** Bounds the requests that run. */
 export type Admission = ReturnType<typeof createAdmission>;
 
-/** Pause between looks at how late the event loop is, in milliseconds. */
-const lookEvery = 50;
-/** Time after which the bound is set anew, in milliseconds. */
-const roundSpan = 250;
 /** Share of the shortest objective by which the event loop of a full gateway is late: a request takes several of its turns. */
 const fullShare = 0.25;
 /** Bounds on what counts as late, in milliseconds: a single long turn, and what any caller notices. */
@@ -59,7 +52,7 @@
 const returnShare = 0.25;
 
 /**
- * Creates an admission without a bound; `run` is its task.
+ * Creates an admission without a bound.
  *
  * The bound follows the lateness of the event loop: it is lowered by a share
  * while that is too late and raised by one while there is room (additive
@@ -73,11 +66,10 @@
  * }
  * ```
  *
- * @param options The clock, and what is told of changes
+ * @param options The routes, and what is told of changes
  * @returns The admission
  */
 export function createAdmission(options: CreateAdmissionOptions) {
-	const {clock} = options;
 	let running = 0;
 	let bound = Number.POSITIVE_INFINITY;
 	let fullInRow = 0;
@@ -92,7 +84,6 @@
 	}
 
 	function decideBound(lag: number): void {
-		lastLag = lag;
 		const fullLag = Math.min(fullRange.most, Math.max(fullRange.least, options.findObjective() * fullShare));
 		fullInRow = lag > fullLag ? fullInRow + 1 : 0;
 		if (fullInRow >= fullRounds && running > leastBound) {
@@ -126,18 +117,10 @@
 		/** How late the event loop was at most in the last round, in whole milliseconds. */
 		countLag: () => Math.round(lastLag),
 
-		async run(signal: AbortSignal): Promise<void> {
-			while (!signal.aborted) {
-				let lag = 0;
-				const until = clock.now() + roundSpan;
-				while (clock.now() < until && !signal.aborted) {
-					const dueAt = clock.now() + lookEvery;
-					await clock.sleep(lookEvery, signal);
-					lag = Math.max(lag, clock.now() - dueAt);
-				}
-
-				decideBound(lag);
-			}
+		/** Takes how late the event loop was at most in the last round, in milliseconds. */
+		noteLag(lag: number): void {
+			lastLag = lag;
+			decideBound(lag);
 		},
 	};
 }
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -21,6 +21,7 @@
 export * from './loan-desk.js';
 export * from './log-follower.js';
 export * from './log-writer.js';
+export * from './loop-watch.js';
 export * from './membership.js';
 export * from './metrics.js';
 export * from './model-runner.js';
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -8,7 +8,7 @@
 import process from 'node:process';
 import {
 	createAdmission, createBudgetHomes, createBudgetKeeper, createDirectPath, createMetrics, createPeerCatchUp, createPeerNews, createRelayedLog, createRequestForwarder, createReturnForecast,
-	createRetryBudget, createTokenLending, createUpstreamBook, type CatchUpAnswer, type CatchUpAsk, type HolderIdentity, type NewsPeer, type RetryBudget,
+	createRetryBudget, createTokenLending, createUpstreamBook, runLoopWatch, type CatchUpAnswer, type CatchUpAsk, type HolderIdentity, type NewsPeer, type ProcessWork, type RetryBudget,
 } from '../coordination/mod.js';
 import {
 	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
@@ -49,6 +49,7 @@
 const leaveNotice = 2500;
 /** Time kept at the end of a stop for giving grants back, in milliseconds. */
 const stopReserve = 700;
+const microsecondsPerMillisecond = 1000;
 /** The fleet's spare retries are shared out among at least so many gateways: the smallest deployments have four. */
 const leastGateways = 4;
 
@@ -157,6 +158,12 @@
 		};
 	}
 
+	function readWork(): ProcessWork {
+		const {user, system} = process.cpuUsage();
+		const {connections, requests} = callerServer.countWork();
+		return {cpuMs: (user + system) / microsecondsPerMillisecond, connections, requests};
+	}
+
 	const findStopSpan = () => settings.stopWithin - stopReserve;
 	const forecast = createReturnForecast({clock, findStopSpan});
 	const catchUp = createPeerCatchUp({
@@ -225,7 +232,7 @@
 		},
 	});
 	const admission = createAdmission({
-		clock, random: Math.random,
+		random: Math.random,
 		findObjective: () => Math.min(...findTable()?.deployment.routes.map(({objective}) => objective) ?? []),
 		onChange(change) {
 			events.write('admissionChanged', change);
@@ -236,8 +243,10 @@
 		findLeavingRetryAfter: () => forecast.estimate(views.list(), {ownLeft: stopWindow.countLeft()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callers.serve);
+	let readinessAnswers = 0;
 	const readinessServer = await startHttpServer(settings.listen.readiness, service => {
 		service.get(adapter.wire.readinessPath, (_request, response) => {
+			readinessAnswers += 1;
 			response.statusCode = state.isReady() && !stopWindow.hasBegun() ? 200 : 503;
 			response.end();
 		});
@@ -246,7 +255,7 @@
 		service.get('/metrics', (_request, response) => {
 			response.setHeader('content-type', 'text/plain; version=0.0.4');
 			response.end(formatGatewayMetrics({
-				metrics, events, running: callers.countRunning(), version: findVersion(), account, admission,
+				metrics, events, running: callers.countRunning(), version: findVersion(), account, admission, work: callerServer.countWork(), readinessAnswers,
 			}));
 		});
 	});
@@ -281,7 +290,12 @@
 	state.run(signal);
 	void keeper.run();
 	void news.run(signal);
-	void admission.run(signal);
+	void runLoopWatch({
+		clock, onRound: admission.noteLag, readWork,
+		onStall(stall) {
+			events.write('loopStalled', stall);
+		},
+	}, signal);
 
 	return {
 		addresses,
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -7,6 +7,7 @@
 import type {Admission, Metrics} from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
 import type {TokenAccount} from '../state/mod.js';
+import type {CallerWork} from '../transport/mod.js';
 
 /** Options of {@linkcode formatGatewayMetrics}. */
 export type FormatGatewayMetricsOptions = {
@@ -18,6 +19,10 @@
 	readonly version: number;
 	readonly account: TokenAccount;
 	readonly admission: Pick<Admission, 'countBound' | 'countLag'>;
+	/** What callers have asked of this gateway. */
+	readonly work: CallerWork;
+	/** Readiness questions that were answered. */
+	readonly readinessAnswers: number;
 };
 
 /**
@@ -33,7 +38,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, running, version, account, admission,
+		metrics, events, running, version, account, admission, work, readinessAnswers,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${running}`,
@@ -41,6 +46,10 @@
 		`fireflylane_resident_bytes ${process.memoryUsage.rss()}`,
 		`fireflylane_event_loop_late_ms ${admission.countLag()}`,
 		`fireflylane_requests_bound ${Number.isFinite(admission.countBound()) ? Math.floor(admission.countBound()) : '+Inf'}`,
+		`fireflylane_connections_open ${work.open}`,
+		`fireflylane_connections_accepted_total ${work.connections}`,
+		`fireflylane_requests_begun_total ${work.requests}`,
+		`fireflylane_readiness_answers_total ${readinessAnswers}`,
 	];
 	for (const [event, count] of events.counts) {
 		lines.push(`fireflylane_events_total{event="${event}"} ${count}`);
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -26,8 +26,13 @@
 	readonly drain: () => number;
 	/** Ends all connections at once and accepts no more. */
 	readonly cut: () => void;
+	/** Connections that are open, those ever accepted, and requests ever begun on them. */
+	readonly countWork: () => CallerWork;
 };
 
+/** What callers have asked of a server. */
+export type CallerWork = {readonly open: number; readonly connections: number; readonly requests: number};
+
 /** Callers reuse a connection up to their own idle limit; closing it later than that crosses no request. */
 const idleReserve = 1000;
 /** How often timeouts of connections are looked at, in milliseconds. */
@@ -77,10 +82,12 @@
 	const connections = createConnectionRegister(server);
 	let isLeaving = false;
 	let isDraining = false;
+	let requests = 0;
 	restana({
 		server,
 		prioRequestsProcessing: false,
 		defaultRoute(request, response) {
+			requests += 1;
 			const before = connections.noteRequest(request, response);
 			if (isLeaving && !askToClose(response, before)) {
 				return;
@@ -116,5 +123,6 @@
 			server.close();
 			server.closeAllConnections();
 		},
+		countWork: () => ({open: connections.count(), connections: connections.countAccepted(), requests}),
 	};
 }
--- a/src/transport/connection-register.ts
+++ b/src/transport/connection-register.ts
@@ -35,7 +35,9 @@
  */
 export function createConnectionRegister(server: Server) {
 	const connections = new Map<Socket, Known>();
+	let accepted = 0;
 	server.on('connection', (socket: Socket) => {
+		accepted += 1;
 		connections.set(socket, {bytesRead: 0, newest: undefined});
 		socket.once('close', () => {
 			connections.delete(socket);
@@ -51,6 +53,8 @@
 
 	return {
 		count: (): number => connections.size,
+		/** All that were ever accepted. */
+		countAccepted: (): number => accepted,
 
 		/**
 		 * Notes a request; its connection is not idle until the answer is
