Hold back requests that crash the upstreams that run them

Callers' requests were lost beside a request that ends each engine that runs it: it was sent to engines 7 times more after three had ended under it (12 ended in all), as no gateway remembered a request once its attempts were over, and each sending that may go on elsewhere ended two.

Cause: a poison message, and a routing that keeps account of upstreams and not of requests. Ruled out: that it is sent again because the engine that ended is avoided; the repeat fares the same at any engine. FL1402 shows that an engine that has ended refuses connections.

Change: a run counts as crashed if its connection broke by itself, its upstream was listed and not leaving, and the address refuses a connection. Crashes count in a row, each under a run that began after the one before was known; a whole answer ends the row. So what many send is not held back when engines crash beside it or all at once. After two a request is sent to one upstream only, after three it gets 502 at once, with "ran": "no". 502, since a status of 400 or so counts against us for proper requests and 503 asks callers to come back. After 30 s one gateway tries it again, then after twice the time. The account is a lattice of (round, crashes), told with the entries of news, caught up with after a start, and kept on the log of grants from the second crash on. Operators list and release it (fireflylane quarantine, FL1412, two metrics).

--- a/src/cli.ts
+++ b/src/cli.ts
@@ -14,6 +14,7 @@
 } from './cli/inspect-commands.js';
 import {intentCommand, keyCommand} from './cli/intent-commands.js';
 import {lossesCommand} from './cli/losses-command.js';
+import {quarantineCommand} from './cli/quarantine-command.js';
 
 const program = subcommands({
 	name: 'fireflylane',
@@ -29,6 +30,7 @@
 		key: keyCommand,
 		explain: explainCommand,
 		losses: lossesCommand,
+		quarantine: quarantineCommand,
 	},
 });
 
--- a/src/cli/request-story.test.ts
+++ b/src/cli/request-story.test.ts
@@ -51,3 +51,14 @@
 	const story = buildRequestStory('r1', parseLog([formatLine('00.000', 'front-1', 'FL1306', {peer: 'front-2'}), formatLine('00.500', 'front-1', 'FL1001'), logs].join('\n')));
 	expect(story.known.map(({event}) => event)).toEqual(['FL1001', 'FL1506', 'FL1110', 'FL1701']);
 });
+
+test('a story says what was known of crashes under the same request', () => {
+	const crashLogs = [
+		formatLine('01.000', 'front-1', 'FL1412', {digest: 'd1', crashes: 3, cause: 'peer'}),
+		formatLine('01.500', 'front-1', 'FL1412', {digest: 'd2', crashes: 1, request: 'r0'}),
+		formatLine('02.000', 'front-1', 'FL1401', {request: 'r1', type: 'quarantined', digest: 'd1'}),
+	].join('\n');
+	const {known, lines} = buildRequestStory('r1', parseLog(crashLogs));
+	expect(known.map(({fields}) => fields)).toEqual([{digest: 'd1', crashes: 3, cause: 'peer'}]);
+	expect(lines.map(({event}) => event)).toEqual(['FL1401']);
+});
--- a/src/cli/request-story.ts
+++ b/src/cli/request-story.ts
@@ -33,6 +33,7 @@
 	['FL1301', 'peer'],
 	['FL1302', 'peer'],
 	['FL1306', 'peer'],
+	['FL1412', 'digest'],
 	['FL1506', undefined],
 	['FL1701', 'upstream'],
 	['FL1702', 'upstream'],
@@ -84,9 +85,13 @@
 
 	const daemons = new Set(lines.map(({daemon}) => daemon));
 	const upstreams = new Set(lines.map(({fields}) => fields.upstream));
+	const digests = new Set(lines.map(({fields}) => fields.digest));
+	const isOfConcern = ({fields}: LogLine) => fields.digest === undefined
+		? fields.upstream === undefined || upstreams.has(fields.upstream)
+		: digests.has(fields.digest) && fields.request !== request;
 	const from = findStart(lines);
 	const to = Date.parse(lines.at(-1)!.at);
-	const world = sorted.filter(line => daemons.has(line.daemon) && worldEvents.has(line.event) && (line.fields.upstream === undefined || upstreams.has(line.fields.upstream)));
+	const world = sorted.filter(line => daemons.has(line.daemon) && worldEvents.has(line.event) && isOfConcern(line));
 	const known = new Map<string, LogLine>();
 	for (const line of world.filter(({at}) => Date.parse(at) < from)) {
 		const subject = formatSubject(line);
--- a/src/coordination/answer-relay.ts
+++ b/src/coordination/answer-relay.ts
@@ -17,7 +17,8 @@
 export type RelayOutcome =
 	| {readonly kind: 'complete'}
 	| {readonly kind: 'failed'; readonly passOn: () => void}
-	| {readonly kind: 'broken'; readonly detail: string};
+	/** `isTorn` says that its connection ended before the answer did. */
+	| {readonly kind: 'broken'; readonly detail: string; readonly isTorn: boolean};
 
 /** Options of {@linkcode AnswerRelay.relay}. */
 export type RelayOptions = {
@@ -54,7 +55,7 @@
 				options.onProgress();
 			}
 		} catch (error) {
-			return {kind: 'broken', detail: (error as Error).message};
+			return {kind: 'broken', detail: (error as Error).message, isTorn: true};
 		}
 
 		const passOn = () => {
@@ -125,11 +126,11 @@
 				}
 			}
 		} catch (error) {
-			return {kind: 'broken', detail: (error as Error).message};
+			return {kind: 'broken', detail: (error as Error).message, isTorn: true};
 		}
 
 		if (splitter.rest().length > 0) {
-			return {kind: 'broken', detail: 'The stream ended in the middle of an event'};
+			return {kind: 'broken', detail: 'The stream ended in the middle of an event', isTorn: true};
 		}
 
 		this.#start(answer);
@@ -140,7 +141,7 @@
 	async #relayFailure(answer: UpstreamAnswer, options: RelayOptions): Promise<RelayOutcome> {
 		if (this.request.answer.hasStarted()) {
 			answer.abandon();
-			return {kind: 'broken', detail: `The stream was not resumed: status ${answer.status}`};
+			return {kind: 'broken', detail: `The stream was not resumed: status ${answer.status}`, isTorn: false};
 		}
 
 		return this.relayWhole(answer, options);
--- a/src/coordination/budget-keeper.test.ts
+++ b/src/coordination/budget-keeper.test.ts
@@ -69,7 +69,7 @@
 		const lending = createTokenLending({
 			daemon, account, events,
 			listViews: () => gateways.filter(other => other.daemon !== daemon).map((other): PeerView => ({
-				daemon: other.daemon, incarnation: 'i', address: other.daemon, free: [{customer, tokens: Math.max(0, other.account.countFree(customer))}], uses: [], version: 1, isLeaving: false,
+				daemon: other.daemon, incarnation: 'i', address: other.daemon, free: [{customer, tokens: Math.max(0, other.account.countFree(customer))}], uses: [], version: 1, isLeaving: false, crashes: [],
 			})),
 			listSilent: () => [],
 			countWanted: id => keeper.countWanted(id),
--- a/src/coordination/forward-types.ts
+++ b/src/coordination/forward-types.ts
@@ -24,6 +24,8 @@
 /** A request that was admitted. */
 export type ForwardRequest = {
 	readonly id: string | undefined;
+	/** Digest of what makes it the same request when it is sent again. */
+	readonly digest: string;
 	readonly route: Route;
 	readonly service: GatewayService;
 	readonly customer: string | undefined;
--- a/src/coordination/news-codec.ts
+++ b/src/coordination/news-codec.ts
@@ -30,12 +30,13 @@
  */
 export function encodeEntry(view: PeerView, {sequence, tellsFree}: EncodeEntryOptions): PeerEntry {
 	const {
-		daemon, incarnation, address, uses, version, isLeaving, free,
+		daemon, incarnation, address, uses, version, isLeaving, free, crashes,
 	} = view;
 	const state = toBinary(PeerStateSchema, create(PeerStateSchema, {
 		address, version, isLeaving, tellsFree,
 		uses: uses.map(use => ({...use})),
 		free: tellsFree ? free.map(item => ({...item})) : [],
+		crashes: crashes.map(item => ({...item})),
 	}));
 	return create(PeerEntrySchema, {
 		daemon, incarnation, sequence, state,
@@ -46,12 +47,13 @@
 function readEntry(entry: EntryNumber & {readonly state: Uint8Array}, known: PeerView | undefined): PeerView {
 	const {daemon, incarnation} = entry;
 	const {
-		address, uses, version, isLeaving, tellsFree, free,
+		address, uses, version, isLeaving, tellsFree, free, crashes,
 	} = fromBinary(PeerStateSchema, entry.state);
 	return {
 		daemon, incarnation, address, version, isLeaving,
 		uses: uses.map(({upstream, inFlight, waitingTokens}) => ({upstream, inFlight, waitingTokens})),
 		free: tellsFree ? free.map(({customer, tokens}) => ({customer, tokens})) : known?.free ?? [],
+		crashes: crashes.map(({digest, round, crashes: count}) => ({digest, round, crashes: count})),
 	};
 }
 
--- a/src/coordination/peer-catch-up.test.ts
+++ b/src/coordination/peer-catch-up.test.ts
@@ -8,7 +8,7 @@
 
 function buildView(daemon: string, version: number): PeerView {
 	return {
-		daemon, incarnation: 'i', address: `${daemon}:1`, free: [], uses: [], version, isLeaving: false,
+		daemon, incarnation: 'i', address: `${daemon}:1`, free: [], uses: [], version, isLeaving: false, crashes: [],
 	};
 }
 
@@ -30,12 +30,13 @@
 				throw new Error('It does not answer');
 			}
 
-			return {deployment: ask.knownVersion < 7 ? new TextEncoder().encode('7') : new Uint8Array(), prompts: []};
+			return {deployment: ask.knownVersion < 7 ? new TextEncoder().encode('7') : new Uint8Array(), prompts: [], crashes: []};
 		},
 		onDeployment(record) {
 			world.version = Number(record);
 		},
 		onPrompt: () => undefined,
+		onCrashes: () => undefined,
 		abandon() {
 			world.abandoned += 1;
 		},
--- a/src/coordination/peer-catch-up.ts
+++ b/src/coordination/peer-catch-up.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type {EventLog} from '../protocol/mod.js';
-import type {PeerView, PlacedPrompt} from '../state/mod.js';
+import type {CrashRecord, PeerView, PlacedPrompt} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 
 /** What to ask a peer for. */
@@ -16,6 +16,7 @@
 	/** The deployment's record; empty unless it is newer. */
 	readonly deployment: Uint8Array;
 	readonly prompts: readonly PlacedPrompt[];
+	readonly crashes: readonly CrashRecord[];
 };
 
 /** Options of {@linkcode createPeerCatchUp}. */
@@ -29,6 +30,7 @@
 	/** Called with a newer deployment's record. */
 	readonly onDeployment: (record: string, peer: string) => void;
 	readonly onPrompt: (prompt: PlacedPrompt) => void;
+	readonly onCrashes: (record: CrashRecord) => void;
 	/** Abandons the connection to a peer that does not answer. */
 	readonly abandon: (address: string) => void;
 };
@@ -64,6 +66,10 @@
 				options.onPrompt(prompt);
 			}
 
+			for (const record of answer.crashes) {
+				options.onCrashes(record);
+			}
+
 			if (answer.deployment.length > 0) {
 				options.onDeployment(new TextDecoder().decode(answer.deployment), daemon);
 			}
--- a/src/coordination/placement-news.test.ts
+++ b/src/coordination/placement-news.test.ts
@@ -36,7 +36,7 @@
 		clock: time, events, daemon, views, random: () => 0.5,
 		listPeers: () => gateways.filter(gateway => gateway.daemon !== daemon).map(gateway => ({daemon: gateway.daemon, newsAddress: gateway.daemon})),
 		readOwn: () => ({
-			daemon, incarnation: 'i', address: daemon, free: [], uses: book.listUses(), version: 1, isLeaving: false,
+			daemon, incarnation: 'i', address: daemon, free: [], uses: book.listUses(), version: 1, isLeaving: false, crashes: [],
 		}),
 		send(message) {
 			counts.datagrams += 1;
@@ -90,13 +90,14 @@
 	sender.book.start('u1', request).end();
 	const catchUp = createPeerCatchUp({
 		clock: time, events, findVersion: () => 1,
-		ask: async () => ({deployment: new Uint8Array(), prompts: sender.book.listCached()}),
+		ask: async () => ({deployment: new Uint8Array(), prompts: sender.book.listCached(), crashes: []}),
 		onDeployment: () => undefined,
 		onPrompt: receiver.book.takePrompt,
+		onCrashes: () => undefined,
 		abandon: () => undefined,
 	});
 	catchUp.note({
-		daemon: 'sender', incarnation: 'i', address: 'sender', free: [], uses: [], version: 1, isLeaving: false,
+		daemon: 'sender', incarnation: 'i', address: 'sender', free: [], uses: [], version: 1, isLeaving: false, crashes: [],
 	});
 	await time.runUntil(200);
 	expect(sender.book.listCached()).toEqual([{upstream: 'u1', memory: 100_000, parts: generation.parts}]);
--- a/src/coordination/placement-policy.ts
+++ b/src/coordination/placement-policy.ts
@@ -106,3 +106,21 @@
 		return (load * candidate.slowness * (1 + (candidate.failureShare * failureFactor))) + (candidate.isSameDomain ? 0 : otherDomainLoad) + (rank * rankLoad);
 	}
 }
+
+/** Running requests by which an upstream must be emptier to be chosen before one of a better rank. */
+const rankRunning = 1;
+
+/**
+ * Places requests under which upstreams have crashed where little else runs:
+ * if the request is the cause, whatever runs beside it is lost too. Each has an
+ * order of its own, so that those that stood under the same crash part.
+ */
+export class LeastRunningPolicy extends PlacementPolicy {
+	getKey({id}: PlacementQuery): string {
+		return id;
+	}
+
+	estimateCost(_query: PlacementQuery, candidate: PlacementCandidate, rank: number): number {
+		return candidate.inFlight + (rank * rankRunning);
+	}
+}
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -3,10 +3,10 @@
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type GatewayWire, type Route, type UpstreamEntry,
 } from '../protocol/mod.js';
-import {createUpstreamDirectory} from '../state/mod.js';
+import {createCrashBook, createUpstreamDirectory} from '../state/mod.js';
 import {createSystemClock, type CallFailure, type UpstreamCall} from '../transport/mod.js';
 import {
-	createRequestForwarder, createRetryBudget, createUpstreamBook, type ForwardRequest,
+	createQuarantine, createRequestForwarder, createRetryBudget, createUpstreamBook, type ForwardRequest,
 } from './mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
@@ -42,6 +42,10 @@
 		directory.put(entry, 0);
 	}
 
+	const crashed = new Set<string>();
+	const quarantine = createQuarantine({
+		book: createCrashBook(), daemon: 'g', listPeers: () => [], clock, events, onChange: () => undefined, onCrash: () => undefined,
+	});
 	const calls: UpstreamCall[] = [];
 	const sent = {
 		status: 0, body: '', isCut: false, hasEnded: false, refused: undefined as Failure | undefined,
@@ -70,6 +74,8 @@
 			directory, clock, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
 		}),
 		findRetries: () => retries,
+		quarantine,
+		crashes: {hasCrashed: async ({id}) => crashed.has(id)},
 		client: {
 			async call(call) {
 				calls.push(call);
@@ -92,6 +98,7 @@
 		const leaving = new AbortController();
 		const request: ForwardRequest = {
 			id: 'r1',
+			digest: 'd1',
 			route: {
 				id: 'r', host: 'h', prefix: '/', kind: 'stream', timeout: deadline, objective: 300, priority: 0, isOpen: true, attempts: 2, isResumable: false, targets: [{service: 's', weight: 1}], ...route,
 			},
@@ -122,7 +129,7 @@
 	}
 
 	return {
-		forward, calls, sent, retries, directory,
+		forward, calls, sent, retries, directory, crashed, quarantine,
 	};
 }
 
@@ -294,3 +301,41 @@
 	world.directory.put({...world.directory.get(call!.address)!, isDraining: true}, 1);
 	expect(call!.isStillWanted()).toBe(false);
 });
+
+// Guards against one sending of a caller's that ends an upstream with each of its attempts.
+test('a request under which two upstreams crashed is not sent to a third', async () => {
+	const world = createWorld([{fails: 'broken'}, {fails: 'broken'}, {status: 200, chunks: ['ok']}]);
+	world.crashed.add('u1').add('u2').add('u3');
+	await world.forward({kind: 'idempotent', attempts: 3});
+	expect(world.calls.length).toBe(2);
+	expect(world.sent.refused?.type).toBe('outcome-unknown');
+	expect(world.quarantine.listAll()).toMatchObject([{digest: 'd1', crashes: 2}]);
+});
+
+// Guards against a suspicion of requests whose connections something in between resets.
+test('a request whose connection broke off at a live upstream is sent on and not suspected', async () => {
+	const world = createWorld([{fails: 'broken'}, {fails: 'broken'}, {status: 200, chunks: ['ok']}]);
+	await world.forward({kind: 'idempotent', attempts: 3});
+	expect(world.sent.body).toBe('ok');
+	expect(world.quarantine.listAll()).toEqual([]);
+});
+
+test('an answer after a crash clears the request', async () => {
+	const world = createWorld([{fails: 'broken'}, {status: 200, chunks: ['ok']}]);
+	world.crashed.add('u1').add('u2').add('u3');
+	await world.forward({kind: 'idempotent'});
+	expect(world.quarantine.isSuspected('d1')).toBe(false);
+	expect(world.sent.body).toBe('ok');
+});
+
+// Guards against a suspicion of requests that their own time limit or a silent upstream has ended.
+test('a request that is given up is not suspected', async () => {
+	const script = {
+		status: 200, headers: stream, chunks: [], isSilent: true,
+	};
+	const world = createWorld([script]);
+	world.crashed.add('u1').add('u2').add('u3');
+	await world.forward({kind: 'stream'}, 100);
+	expect(world.calls.length).toBe(1);
+	expect(world.quarantine.listAll()).toEqual([]);
+});
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -15,11 +15,13 @@
 import {
 	StreamAnswerRelay, WholeAnswerRelay, type AnswerRelay, type RelayOutcome,
 } from './answer-relay.js';
+import type {CrashWatch} from './crash-watch.js';
 import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
+import type {Quarantine} from './quarantine.js';
 import type {RetryBudget} from './retry-budget.js';
 import {computeUrgency} from './urgency.js';
 import {
-	PromptPlacementPolicy, ServicePlacementPolicy, type PlacementCandidate, type PlacementPolicy,
+	LeastRunningPolicy, PromptPlacementPolicy, ServicePlacementPolicy, type PlacementCandidate, type PlacementPolicy,
 } from './placement-policy.js';
 import type {UpstreamBook, UpstreamVisit} from './upstream-book.js';
 
@@ -30,6 +32,8 @@
 	readonly book: UpstreamBook;
 	/** The retry budget of a service. */
 	readonly findRetries: (service: string) => RetryBudget;
+	readonly quarantine: Pick<Quarantine, 'begin' | 'isSuspected' | 'maySendOn'>;
+	readonly crashes: CrashWatch;
 	readonly clock: Clock;
 	readonly events: EventLog;
 };
@@ -73,9 +77,10 @@
  */
 export function createRequestForwarder(options: CreateRequestForwarderOptions) {
 	const {
-		wire, client, book, findRetries, clock, events,
+		wire, client, book, findRetries, quarantine, crashes, clock, events,
 	} = options;
 
+	const suspectPolicy: PlacementPolicy = new LeastRunningPolicy();
 	const promptPolicy: PlacementPolicy = new PromptPlacementPolicy();
 	const servicePolicy: PlacementPolicy = new ServicePlacementPolicy();
 
@@ -83,10 +88,18 @@
 		return request.route.kind === 'stream' ? new StreamAnswerRelay(request, wire) : new WholeAnswerRelay(request, wire);
 	}
 
+	function findPolicy({digest, generation}: ForwardRequest): PlacementPolicy {
+		if (quarantine.isSuspected(digest)) {
+			return suspectPolicy;
+		}
+
+		return generation ? promptPolicy : servicePolicy;
+	}
+
 	function pickUpstream(request: ForwardRequest, tried: ReadonlySet<string>): PlacementCandidate | undefined {
 		const {service, generation} = request;
 		const candidates = book.listCandidates({service, generation, without: tried});
-		const policy = generation ? promptPolicy : servicePolicy;
+		const policy = findPolicy(request);
 		return candidates.length === 0 ? undefined : policy.pick({id: request.id ?? '', generation}, candidates);
 	}
 
@@ -105,7 +118,7 @@
 			// It says nothing of this request, which was sent: "not run" would be a false promise, and its tokens uncounted.
 			progress.mayHaveRun = true;
 			answer.abandon();
-			return {kind: 'broken', detail: 'The answer belongs to another request'};
+			return {kind: 'broken', detail: 'The answer belongs to another request', isTorn: false};
 		}
 
 		if (facts.isOtherUpstream) {
@@ -122,7 +135,7 @@
 		progress.mayHaveRun = true;
 		if (answer.status < 300 && (!facts.isMarked || answer.headers['content-encoding'] !== undefined)) {
 			answer.abandon();
-			return {kind: 'broken', detail: 'The answer does not bear the upstream\'s mark or is encoded'};
+			return {kind: 'broken', detail: 'The answer does not bear the upstream\'s mark or is encoded', isTorn: false};
 		}
 
 		return relay.relay(answer, {
@@ -175,6 +188,7 @@
 		}
 
 		const visit = book.start(id, request);
+		const run = quarantine.begin(request.digest, request.id);
 		const silence = createSilenceBound(request, relay);
 		const remaining = request.deadline - clock.now();
 		const bound = createBound(remaining, [request.signal, silence.signal]);
@@ -198,6 +212,13 @@
 				visit.noteSilent();
 			} else if (outcome.kind === 'failed') {
 				visit.noteFailure();
+			} else if (outcome.kind === 'complete') {
+				run.noteAnswered();
+			}
+
+			// The outcome is known to the quarantine before the request may go on elsewhere.
+			if (outcome.kind === 'broken' && outcome.isTorn && !bound.signal.aborted && await crashes.hasCrashed(upstream)) {
+				run.noteCrash(id);
 			}
 
 			return outcome;
@@ -214,7 +235,7 @@
 		}
 
 		progress.mayHaveRun = true;
-		return {kind: 'broken', detail: failure.detail};
+		return {kind: 'broken', detail: failure.detail, isTorn: true};
 	}
 
 	function describeEnd(request: ForwardRequest, progress: Progress, detail: string): Failure {
@@ -298,7 +319,7 @@
 				events.write('requestRetried', {
 					request: request.id, upstream: id, outcome: outcome.kind, detail,
 				});
-				if (outcome.kind !== 'not-run' && !relay.canGoOn()) {
+				if (outcome.kind !== 'not-run' && !(relay.canGoOn() && quarantine.maySendOn(request.digest))) {
 					break;
 				}
 			}
--- a/src/coordination/token-lending.test.ts
+++ b/src/coordination/token-lending.test.ts
@@ -7,7 +7,7 @@
 
 function createLending(silent: readonly string[]) {
 	const view: PeerView = {
-		daemon: 'e2', incarnation: 'i', address: 'e2', free: [], uses: [], version: 1, isLeaving: false,
+		daemon: 'e2', incarnation: 'i', address: 'e2', free: [], uses: [], version: 1, isLeaving: false, crashes: [],
 	};
 	return createTokenLending({
 		daemon: 'e1', account: createTokenAccount(), events, listViews: () => [view], listSilent: () => silent, countWanted: () => 0, ask: async () => 0,
--- a/src/coordination/upstream-book.ts
+++ b/src/coordination/upstream-book.ts
@@ -153,6 +153,8 @@
 		get: (id: string): UpstreamEntry | undefined => directory.get(id),
 		/** True while an upstream may get requests. */
 		isLive: (id: string): boolean => directory.isLive(id, clock.now()),
+		/** True for an upstream that is listed and takes requests: nobody expects its end. */
+		isListed: (id: string): boolean => directory.isLive(id, clock.now()) && directory.countGrace(id, clock.now()) === 0,
 		countViewAge: (): number | undefined => options.countViewAge?.(),
 
 		/** Starts a visit; its `end` must follow. */
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -7,21 +7,25 @@
 import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
-	createAdmission, createBudgetHomes, createBudgetKeeper, createDirectPath, createMetrics, createPeerCatchUp, createPeerNews, createRelayedLog, createRequestForwarder, createReturnForecast,
-	createRetryBudget, createTokenLending, createUpstreamBook, runLoopWatch, type CatchUpAnswer, type CatchUpAsk, type HolderIdentity, type NewsPeer, type ProcessWork, type RetryBudget,
+	createAdmission, createBudgetHomes, createBudgetKeeper, createCrashWatch, createDirectPath, createMetrics, createPeerCatchUp, createPeerNews, createQuarantine, createQuarantineRecorder,
+	createRelayedLog, createRequestForwarder, createReturnForecast, createRetryBudget, createTokenLending, createUpstreamBook, runLoopWatch, type CatchUpAnswer, type CatchUpAsk, type HolderIdentity,
+	type NewsPeer, type ProcessWork, type RetryBudget,
 } from '../coordination/mod.js';
 import {
 	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
 } from '../protocol/mod.js';
-import {createPeerViews, type HolderRecord, type PeerView} from '../state/mod.js';
 import {
-	createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, startCallerServer, startFleetServer, startHttpServer,
+	createCrashBook, createPeerViews, type HolderRecord, type PeerView,
+} from '../state/mod.js';
+import {
+	createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, probeAddress, startCallerServer, startFleetServer, startHttpServer,
 } from '../transport/mod.js';
 import type {RunningDaemon} from './core.js';
 import {formatGatewayMetrics} from './gateway-metrics.js';
 import {createGatewayInterface} from './gateway-interface.js';
 import {createGatewayPeerInterface} from './gateway-peer-interface.js';
 import {createGatewayState, type GatewayAdapter} from './gateway-state.js';
+import {addQuarantineRoutes} from './quarantine-interface.js';
 import {createRelayInterface, openLogThrough} from './relay-interface.js';
 import {createStopWindow} from './stop-window.js';
 import {waitUntilIdle} from './wait-until-idle.js';
@@ -45,6 +49,8 @@
 const customersTold = 12;
 /** A call to a peer may take this long, in milliseconds: many times the way between two failure domains. */
 const peerTimeout = 300;
+/** An upstream's host refuses a connection within this time, in milliseconds, if no process listens there. */
+const probeTimeout = 150;
 /** How long a stopping gateway takes every request, in milliseconds; the balancer needs two of its questions. */
 const leaveNotice = 2500;
 /** Time kept at the end of a stop for giving grants back, in milliseconds. */
@@ -104,6 +110,9 @@
 		onOwnGrants(record) {
 			keeper.takeOwnRecord(record);
 		},
+		onQuarantine(record) {
+			recorder.take(record);
+		},
 	});
 	const {account, book, directory, findTable} = state;
 	const views = createPeerViews();
@@ -140,6 +149,7 @@
 
 	function buildView(): PeerView {
 		upstreams.prune();
+		quarantine.prune();
 		return {
 			daemon: self.daemon,
 			incarnation: self.incarnation,
@@ -148,6 +158,7 @@
 			uses: upstreams.listUses(),
 			version: findVersion(),
 			isLeaving: stopWindow.hasBegun(),
+			crashes: quarantine.listNews(),
 		};
 	}
 
@@ -155,6 +166,7 @@
 		return {
 			deployment: knownVersion < findVersion() ? new TextEncoder().encode(state.deploymentRecord()) : new Uint8Array(),
 			prompts: wantsPrompts ? upstreams.listCached() : [],
+			crashes: wantsPrompts ? quarantine.listAll() : [],
 		};
 	}
 
@@ -171,6 +183,9 @@
 		ask: async (address, ask) => fleet.connect(address).gateway.catchUp(ask, {timeoutMs: peerTimeout}),
 		onDeployment: state.adoptFromPeer,
 		onPrompt: upstreams.takePrompt,
+		onCrashes(record) {
+			quarantine.take(record, 'peer');
+		},
 		abandon(address) {
 			fleet.connect(address).abandon();
 		},
@@ -184,13 +199,27 @@
 		onView(view) {
 			forecast.note(view);
 			catchUp.note(view);
+			for (const record of view.crashes) {
+				quarantine.take(record, 'peer');
+			}
 		},
 		onPrompt: upstreams.takePrompt,
 		random: Math.random,
 	});
-	const homes = createBudgetHomes({
-		clock, daemon: self.daemon,
-		listPeers: () => listPeers().map(({daemon}) => daemon).filter(daemon => news.isPresumedUp(daemon)),
+	const listUp = () => listPeers().map(({daemon}) => daemon).filter(daemon => news.isPresumedUp(daemon));
+	const homes = createBudgetHomes({clock, daemon: self.daemon, listPeers: listUp});
+	const crashBook = createCrashBook();
+	const quarantine = createQuarantine({
+		book: crashBook, daemon: self.daemon, listPeers: listUp, clock, events,
+		onChange() {
+			news.noteChange();
+		},
+		onCrash(digest) {
+			recorder.noteCrash(digest);
+		},
+	});
+	const recorder = createQuarantineRecorder({
+		log: logs.grants, book: crashBook, quarantine, daemon: self.daemon, listPeers: listUp, clock, events,
 	});
 	const lending = createTokenLending({
 		daemon: self.daemon, account, events, clock,
@@ -219,6 +248,11 @@
 		wire: adapter.wire, clock, events,
 		client: createUpstreamClient({connectTimeout, connections: upstreamConnections}),
 		book: upstreams,
+		quarantine,
+		crashes: createCrashWatch({
+			isExpected: upstreams.isListed,
+			probe: async address => probeAddress(address, {timeout: probeTimeout}),
+		}),
 		findRetries(service) {
 			const gateways = book.listRunning().filter(({role}) => role === 'gateway').length;
 			if (gateways > mostGateways) {
@@ -239,7 +273,7 @@
 		},
 	});
 	const callers = createGatewayInterface({
-		wire: adapter.wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow, admission,
+		wire: adapter.wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow, admission, quarantine,
 		findLeavingRetryAfter: () => forecast.estimate(views.list(), {ownLeft: stopWindow.countLeft()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callers.serve);
@@ -252,10 +286,11 @@
 		});
 	});
 	const metricsServer = await startHttpServer(settings.listen.metrics, service => {
+		addQuarantineRoutes(service, {operatorKey: settings.operatorKey, quarantine, events});
 		service.get('/metrics', (_request, response) => {
 			response.setHeader('content-type', 'text/plain; version=0.0.4');
 			response.end(formatGatewayMetrics({
-				metrics, events, running: callers.countRunning(), version: findVersion(), account, admission, work: callerServer.countWork(), readinessAnswers,
+				metrics, events, running: callers.countRunning(), version: findVersion(), account, admission, quarantine, work: callerServer.countWork(), readinessAnswers,
 			}));
 		});
 	});
@@ -290,6 +325,7 @@
 	state.run(signal);
 	void keeper.run();
 	void news.run(signal);
+	void recorder.run(signal);
 	void runLoopWatch({
 		clock, onRound: admission.noteLag, readWork,
 		onStall(stall) {
--- a/src/daemon/gateway-interface.test.ts
+++ b/src/daemon/gateway-interface.test.ts
@@ -61,7 +61,7 @@
 	} as unknown as BudgetKeeper;
 	const admission = {enter: () => Ok(() => undefined)} as unknown as Admission;
 	const callers = createGatewayInterface({
-		wire, findTable: () => createRouteTable(deployment), keeper, admission, forwarder: undefined as unknown as RequestForwarder,
+		wire, findTable: () => createRouteTable(deployment), keeper, admission, quarantine: {admit: () => Ok(undefined)}, forwarder: undefined as unknown as RequestForwarder,
 		metrics: createMetrics(), clock, events, stopWindow: createStopWindow({notice: 1, clock}), findLeavingRetryAfter: () => 100,
 	});
 	const server = await startCallerServer({host: '127.0.0.1', port: 0}, callers.serve);
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -7,7 +7,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {
-	Admission, BudgetKeeper, CallerAnswer, ForwardReport, ForwardRequest, Metrics, RequestForwarder,
+	Admission, BudgetKeeper, CallerAnswer, ForwardReport, ForwardRequest, Metrics, Quarantine, RequestForwarder,
 } from '../coordination/mod.js';
 import {
 	Err, Ok, createFailure, type GatewayCustomer, type EventLog, type Failure, type GatewayWire, type RequestFacts, type Result, type Route, type GatewayService,
@@ -17,6 +17,7 @@
 	readArrived, readBody, waitUnlessAborted, waitUntilSent, type Clock,
 } from '../transport/mod.js';
 import {createCallerAnswer} from './caller-answer.js';
+import {computeRequestDigest} from './request-digest.js';
 import type {StopWindow} from './stop-window.js';
 
 /** Options of {@linkcode createGatewayInterface}. */
@@ -30,6 +31,7 @@
 	readonly events: EventLog;
 	readonly stopWindow: StopWindow;
 	readonly admission: Admission;
+	readonly quarantine: Pick<Quarantine, 'admit'>;
 	/** When a caller may come back whom a stopping gateway refuses, in milliseconds. */
 	readonly findLeavingRetryAfter: () => number;
 };
@@ -112,7 +114,7 @@
  */
 export function createGatewayInterface(options: CreateGatewayInterfaceOptions) {
 	const {
-		wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow, admission, findLeavingRetryAfter,
+		wire, findTable, keeper, forwarder, metrics, clock, events, stopWindow, admission, quarantine, findLeavingRetryAfter,
 	} = options;
 	const running = new Set<IncomingMessage>();
 	const served = new WeakMap<Socket, number>();
@@ -219,10 +221,10 @@
 		}
 	}
 
-	function refuse({answer, arrival}: Serving, id: string | undefined, failure: Failure): void {
+	function refuse({answer, arrival}: Serving, id: string | undefined, failure: Failure, digest?: string): void {
 		answer.refuse(failure);
 		events.write('requestRefused', {
-			request: id, type: failure.type, detail: failure.detail, ...arrival,
+			request: id, type: failure.type, detail: failure.detail, digest, ...arrival,
 		});
 	}
 
@@ -284,6 +286,15 @@
 				return;
 			}
 
+			const digest = computeRequestDigest({
+				host: request.headers.host, method: request.method, path: request.url, customer: customer?.id, body: body.val,
+			});
+			const released = quarantine.admit(digest);
+			if (released.err) {
+				refuse(serving, facts.id, released.val, digest);
+				return;
+			}
+
 			const readAt = clock.now();
 			const pending = reserveInTime(admitted, {span, deadline});
 			const reservation = await waitUnlessAborted(pending, leaving.signal);
@@ -313,6 +324,7 @@
 
 			const forward: ForwardRequest = {
 				id: facts.id,
+				digest,
 				route,
 				service,
 				customer: customer?.id,
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import process from 'node:process';
-import type {Admission, Metrics} from '../coordination/mod.js';
+import type {Admission, Metrics, Quarantine} from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
 import type {TokenAccount} from '../state/mod.js';
 import type {CallerWork} from '../transport/mod.js';
@@ -19,6 +19,7 @@
 	readonly version: number;
 	readonly account: TokenAccount;
 	readonly admission: Pick<Admission, 'countBound' | 'countLag'>;
+	readonly quarantine: Pick<Quarantine, 'listAll' | 'listHeld'>;
 	/** What callers have asked of this gateway. */
 	readonly work: CallerWork;
 	/** Readiness questions that were answered. */
@@ -38,7 +39,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, running, version, account, admission, work, readinessAnswers,
+		metrics, events, running, version, account, admission, quarantine, work, readinessAnswers,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${running}`,
@@ -49,6 +50,8 @@
 		`fireflylane_connections_open ${work.open}`,
 		`fireflylane_connections_accepted_total ${work.connections}`,
 		`fireflylane_requests_begun_total ${work.requests}`,
+		`fireflylane_requests_suspected ${quarantine.listAll().filter(({crashes}) => crashes > 0).length}`,
+		`fireflylane_requests_held ${quarantine.listHeld().length}`,
 		`fireflylane_readiness_answers_total ${readinessAnswers}`,
 	];
 	for (const [event, count] of events.counts) {
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -27,8 +27,8 @@
 export function createGatewayPeerInterface(options: CreateGatewayPeerInterfaceOptions): ServiceImpl<typeof Gateway> {
 	return {
 		catchUp(ask) {
-			const {deployment, prompts} = options.answerCatchUp(ask);
-			return {deployment, prompts: [...prompts]};
+			const {deployment, prompts, crashes} = options.answerCatchUp(ask);
+			return {deployment, prompts: [...prompts], crashes: [...crashes]};
 		},
 		lend: async ask => ({tokens: await options.lend(ask)}),
 	};
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -65,6 +65,7 @@
 		upstreamHeartbeat: heartbeat, clock: time, events,
 		onDeployment: () => undefined,
 		onOwnGrants: () => undefined,
+		onQuarantine: () => undefined,
 	});
 	const book = createUpstreamBook({
 		directory: state.directory, clock: time, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {
-	createKeyedFollower, createLapseGrace, formatHolderKey, type HolderIdentity, type KeyedFollower,
+	createKeyedFollower, createLapseGrace, formatHolderKey, isQuarantineKey, type HolderIdentity, type KeyedFollower,
 } from '../coordination/mod.js';
 import type {
 	Deployment, EventLog, GatewayWire, KeyedLog, StoredRecord, UpstreamEntry,
@@ -38,6 +38,8 @@
 	readonly onDeployment: (deployment: Deployment) => void;
 	/** Called with each own record of grants. */
 	readonly onOwnGrants: (record: HolderRecord) => void;
+	/** Called with each record of a request that is held back; throws if it cannot be read. */
+	readonly onQuarantine: (record: StoredRecord) => void;
 };
 
 /** What a gateway follows. */
@@ -136,7 +138,13 @@
 		}
 	}
 
-	function takeGrants({key, value}: StoredRecord): void {
+	function takeGrants(stored: StoredRecord): void {
+		const {key, value} = stored;
+		if (isQuarantineKey(key)) {
+			options.onQuarantine(stored);
+			return;
+		}
+
 		const record = holderRecordSchema.parse(JSON.parse(value ?? 'null'));
 		book.put(key, record);
 		if (key === ownKey) {
--- /dev/null
+++ b/src/daemon/quarantine-interface.test.ts
@@ -0,0 +1,45 @@
+import {expect, test} from 'vitest';
+import {createQuarantine} from '../coordination/mod.js';
+import type {EventLog} from '../protocol/mod.js';
+import {createCrashBook} from '../state/mod.js';
+import {createSystemClock, startHttpServer} from '../transport/mod.js';
+import {addQuarantineRoutes} from './quarantine-interface.js';
+
+const events: EventLog = {write: () => undefined, counts: new Map()};
+
+async function startGateway(operatorKey: string) {
+	const quarantine = createQuarantine({
+		book: createCrashBook(), daemon: 'g', listPeers: () => [], clock: createSystemClock(), events, onChange: () => undefined, onCrash: () => undefined,
+	});
+	for (let crash = 0; crash < 3; crash += 1) {
+		quarantine.begin('d1').noteCrash('u');
+	}
+
+	const server = await startHttpServer({host: '127.0.0.1', port: 0}, service => {
+		addQuarantineRoutes(service, {operatorKey, quarantine, events});
+	});
+	return {server, quarantine};
+}
+
+test('an operator lists what is held back and lets it go once', async () => {
+	const {server, quarantine} = await startGateway('');
+	const listed = await fetch(`${server.url}/v1/quarantine`);
+	expect(await listed.json()).toMatchObject({held: [{digest: 'd1', crashes: 3}]});
+	const release = async () => fetch(`${server.url}/v1/quarantine/d1`, {method: 'POST'});
+	const first = await release();
+	const second = await release();
+	expect([first.status, second.status]).toEqual([200, 404]);
+	expect(quarantine.admit('d1').ok).toBe(true);
+	server.cut();
+});
+
+test('who lacks the operator key sees and changes nothing', async () => {
+	const {server, quarantine} = await startGateway('secret');
+	const listed = await fetch(`${server.url}/v1/quarantine`);
+	const released = await fetch(`${server.url}/v1/quarantine/d1`, {method: 'POST', headers: {authorization: 'Bearer wrong'}});
+	expect([listed.status, released.status]).toEqual([401, 401]);
+	expect(quarantine.admit('d1').ok).toBe(false);
+	const allowed = await fetch(`${server.url}/v1/quarantine`, {headers: {authorization: 'Bearer secret'}});
+	expect(allowed.status).toBe(200);
+	server.cut();
+});
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -55,6 +55,7 @@
 	upstreamLost: {number: 1407, text: 'upstream does not answer'},
 	requestEnded: {number: 1408, text: 'request ended'},
 	requestFailed: {number: 1409, text: 'request ended by a fault'},
+	requestSuspected: {number: 1412, text: 'upstreams crashed under a request'},
 	loopStalled: {number: 1413, text: 'event loop stood still'},
 	callerLost: {number: 1410, text: 'connection of a caller failed'},
 	planRecorded: {number: 1501, text: 'plan recorded'},
--- a/src/protocol/failures.ts
+++ b/src/protocol/failures.ts
@@ -85,6 +85,9 @@
 	'upstream-refused': {
 		status: 502, title: 'The upstream refused the request', retryable: false, exitCode: 6,
 	},
+	quarantined: {
+		status: 502, title: 'Upstreams crash when they run this request', retryable: false, exitCode: 7,
+	},
 	'answer-gone': {
 		status: 410, title: 'The request ran and its answer is no longer kept', retryable: false, exitCode: 7,
 	},
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -28,6 +28,8 @@
 	seeds: z.array(z.string()),
 	/** Secret that gateways share; empty where the network between them is closed to others. */
 	fleetKey: z.string().default(''),
+	/** Secret of operators; empty where the address for metrics is closed to others. */
+	operatorKey: z.string().default(''),
 	/** The store's address: IP number and port. */
 	store: z.string(),
 	/** Pause between two renewals of an upstream's entry in the store, in milliseconds. */
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from './configuration.js';
+export * from './crash-book.js';
 export * from './fleet-state.js';
 export * from './grant-book.js';
 export * from './grant-holder.js';
--- a/src/state/peer-views.ts
+++ b/src/state/peer-views.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import type {CrashRecord} from './crash-book.js';
 
 /** A gateway's own requests at one upstream. */
 export type UpstreamUse = {
@@ -30,6 +31,8 @@
 	/** Version of the deployment in force; 0 before the first. */
 	readonly version: number;
 	readonly isLeaving: boolean;
+	/** Requests under which upstreams have crashed, and that changed of late. */
+	readonly crashes: readonly CrashRecord[];
 };
 
 /** What other gateways have said. */
--- /dev/null
+++ b/src/transport/probe-address.test.ts
@@ -0,0 +1,15 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
+import {expect, test} from 'vitest';
+import {probeAddress} from './mod.js';
+
+test('a listening process is told from one that has ended', async () => {
+	const server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	expect(await probeAddress(address, {timeout: 1000})).toBe('open');
+	server.close();
+	await once(server, 'close');
+	expect(await probeAddress(address, {timeout: 1000})).toBe('refused');
+});
