Give a run up whose engine ended under it, and a request whose runs broke off at two upstreams

The other face of the same fault: a caller's chat request that ends its engine before its first event was begun again by the upstream daemon as soon as the engine was back, up to 20 times, and then sent on by the entry to the next daemon.

Cause: a stream that broke was always resumed, also where the engine had ended; and an answer that was cut counted as a reason to try elsewhere however often. Change: an engine that refuses connections after a run had begun has ended; the run fails at once, as cut. The second run that breaks off at its upstream ends the request. An engine that is not up yet is waited for as before.

--- a/src/coordination/model-runner.ts
+++ b/src/coordination/model-runner.ts
@@ -10,7 +10,7 @@
 } from '../protocol/mod.js';
 import {allocateShares, sumShares, type TrackedRequest} from '../state/mod.js';
 import {
-	createBound, type Clock, type EngineCall, type EngineClient,
+	createBound, isConnectionRefused, type Clock, type EngineCall, type EngineClient,
 } from '../transport/mod.js';
 import {readLimit} from './engine-limit.js';
 import type {ReceiptReporter} from './receipt-reporter.js';
@@ -46,6 +46,7 @@
 
 const resumePause = 100;
 const resumeLimit = 20;
+const retryAfterMs = 1000;
 
 /**
  * Creates a runner.
@@ -118,6 +119,7 @@
 			requestId: request.id, body: Buffer.from(work.payload).toString(), priority: work.priority,
 			signal: bound.signal,
 		};
+		let hasBegun = false;
 		for (let tries = 0; tries < resumeLimit && clock.now() < work.deadline; tries++) {
 			try {
 				const outcome = await readStream(call, request, progress);
@@ -130,6 +132,14 @@
 					return Err(createFailure('answer-cut', 'The request was cancelled', {ran: 'yes'}));
 				}
 
+				const isRefused = isConnectionRefused(error);
+				// The engine's process ended under this run, and may have ended because of it: the next one must not run it too.
+				if (isRefused && hasBegun) {
+					bound.clear();
+					return Err(createFailure('answer-cut', `The engine ended at event ${progress.next}`, {ran: progress.next > 0 ? 'yes' : 'unknown', retryAfterMs}));
+				}
+
+				hasBegun ||= !isRefused;
 				events.write('streamResumed', {
 					request: request.id, hop: 'engine', next: progress.next, reason: (error as Error).message,
 				});
@@ -139,7 +149,7 @@
 
 		bound.clear();
 		void engine.cancel(request.id);
-		return Err(createFailure('answer-cut', `The engine's stream broke at event ${progress.next}`, {ran: progress.next > 0 ? 'yes' : 'unknown', retryAfterMs: 1000}));
+		return Err(createFailure('answer-cut', `The engine's stream broke at event ${progress.next}`, {ran: progress.next > 0 ? 'yes' : 'unknown', retryAfterMs}));
 	}
 
 	function computeCost(progress: Progress, reservation: number): number {
--- /dev/null
+++ b/src/coordination/request-router.test.ts
@@ -0,0 +1,65 @@
+import {expect, test} from 'vitest';
+import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
+import {
+	Ok, createFailure, type EventLog, type Failure,
+} from '../protocol/mod.js';
+import {
+	createRequestRouter, createRetryBudget, type Attempt, type AttemptOutcome, type AttemptRunner, type LogFollower, type RouteBook, type RoutedCall, type RoutingPolicy,
+} from './mod.js';
+
+const events: EventLog = {write: () => undefined, counts: new Map()};
+const daemons = ['up-1', 'up-2', 'up-3', 'up-4'];
+
+/** Runs a call whose sendings end as given, one after the other; returns where it was sent and how it ended. */
+async function play(failures: readonly Failure[]) {
+	const time = createVirtualTime();
+	const left = [...failures];
+	const sentTo: string[] = [];
+	const attempts = {
+		start: async (call: RoutedCall, member: {daemon: string}) => Ok({call, member, next: 0} as unknown as Attempt),
+		attach: () => undefined,
+		// eslint-disable-next-line require-yield
+		async * run({member}: Attempt): AsyncGenerator<Uint8Array, AttemptOutcome> {
+			sentTo.push(member.daemon);
+			const failure = left.shift();
+			return failure ? {kind: 'refused', failure} : {kind: 'done', end: undefined as never};
+		},
+	} as unknown as AttemptRunner;
+	const router = createRequestRouter({
+		follower: {state: () => ({placement: {get: (daemon: string) => ({daemon})}, runs: {get: () => undefined}}), isLogUp: () => true} as unknown as LogFollower,
+		attempts,
+		book: {
+			listCandidates: (_target: string, tried: ReadonlySet<string>) => daemons.filter(daemon => !tried.has(daemon)).map(daemon => ({daemon})),
+			noteStart: () => undefined,
+			noteEnd: () => undefined,
+		} as unknown as RouteBook,
+		policy: {pick: (_query: unknown, candidates: ReadonlyArray<{daemon: string}>) => candidates[0]} as unknown as RoutingPolicy,
+		retries: createRetryBudget({share: 0.2, burst: 10}), clock: time, events, resumeWithin: 1000,
+	});
+	const call: RoutedCall = {
+		requestId: 'r1', isKeyed: false, work: 1, target: 'm', mayRepeat: true, budget: 'b', worstCase: 10, priority: 0, payload: new Uint8Array(), prefix: '', deadline: 60_000, patience: 1000,
+		signal: new AbortController().signal,
+	};
+	const stream = router.run(call);
+	let item = await stream.next();
+	while (!item.done) {
+		item = await stream.next();
+	}
+
+	return {sentTo, result: item.value};
+}
+
+// Guards against a request that ends the engine of each upstream daemon in turn.
+test('a request whose run broke off at two upstreams is not sent to a third', async () => {
+	const cut = createFailure('answer-cut', 'The engine ended at event 0', {ran: 'unknown'});
+	const {sentTo, result} = await play([cut, cut, cut, cut]);
+	expect(sentTo).toEqual(['up-1', 'up-2']);
+	expect(result.err && result.val.type).toBe('answer-cut');
+});
+
+test('a request that upstreams refuse as busy goes on to the next', async () => {
+	const busy = createFailure('overloaded', 'It is full');
+	const {sentTo, result} = await play([busy, busy, busy]);
+	expect(sentTo).toEqual(daemons);
+	expect(result.ok).toBe(true);
+});
--- a/src/coordination/request-router.ts
+++ b/src/coordination/request-router.ts
@@ -37,6 +37,8 @@
 /** Routes requests. */
 export type RequestRouter = ReturnType<typeof createRequestRouter>;
 
+/** Runs that break off at their upstream before a request is given up: it may be the request that ends them. */
+const cutLimit = 2;
 const heldPause = 300;
 const memberPause = 50;
 /** How long a request with a key waits for tokens before it looks for its earlier run, in milliseconds: a claim takes less. */
@@ -187,6 +189,7 @@
 			const tried = new Set<string>();
 			let last: Failure | undefined;
 			let mayHaveRun = false;
+			let cuts = 0;
 			retries.earn();
 			for (let isFirst = true; ; isFirst = false) {
 				if (!isFirst && last?.heldBy === undefined && !retries.take()) {
@@ -217,7 +220,8 @@
 					tried.add(member.daemon);
 				}
 
-				if (!mayTryElsewhere(call, outcome, chunks)) {
+				cuts += outcome.kind === 'refused' && last.type === 'answer-cut' ? 1 : 0;
+				if (cuts >= cutLimit || !mayTryElsewhere(call, outcome, chunks)) {
 					return Err(worsen(call, last, mayHaveRun));
 				}
 
--- a/src/transport/engine-client.ts
+++ b/src/transport/engine-client.ts
@@ -74,6 +74,21 @@
 	}
 }
 
+/**
+ * Tells whether an engine refused a connection: no process listens there.
+ *
+ * @example
+ * ```ts
+ * isConnectionRefused(error); // true for a connect error with the code ECONNREFUSED
+ * ```
+ *
+ * @param error What a call threw
+ * @returns True if it did
+ */
+export function isConnectionRefused(error: unknown): boolean {
+	return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+}
+
 /**
  * Creates a client of an engine.
  *
