Log what another gateway tells of crashes only when it changes what callers get

The gateway that has seen the crash logs it; the others log when a request begins or ends to be held back. The new test failed before (4 lines, 2 now).

--- a/src/coordination/quarantine.test.ts
+++ b/src/coordination/quarantine.test.ts
@@ -8,11 +8,16 @@
 const order = rankByRendezvous(digest, gateways);
 
 function createWorld(daemon = order[0]!) {
-	const world = {now: 0, changes: 0};
+	const world = {now: 0, changes: 0, logged: [] as unknown[]};
 	const quarantine = createQuarantine({
 		book: createCrashBook(), daemon, listPeers: () => gateways.filter(name => name !== daemon),
 		clock: {now: () => world.now, sleep: async () => undefined},
-		events: {write: () => undefined, counts: new Map()},
+		events: {
+			write(_event, fields) {
+				world.logged.push(fields?.cause);
+			},
+			counts: new Map(),
+		},
 		onChange() {
 			world.changes += 1;
 		},
@@ -127,6 +132,17 @@
 	expect(receiver.quarantine.admit(digest).ok).toBe(true);
 });
 
+// Guards against a line at each gateway for each request that stood under a crash.
+test('news of crashes elsewhere are logged only when the request is held back or let go', () => {
+	const {world, quarantine} = createWorld();
+	for (const record of [{round: 0, crashes: 1}, {round: 0, crashes: 2}, {round: 0, crashes: 3}, {round: 1, crashes: 0}]) {
+		quarantine.take({digest, ...record}, 'peer');
+	}
+
+	expect(world.logged).toEqual(['peer', 'peer']);
+	expect(world.changes).toBe(4);
+});
+
 test('what has not changed for ten seconds is told no more', () => {
 	const {world, quarantine, crash} = createWorld();
 	crash(1);
--- a/src/coordination/quarantine.ts
+++ b/src/coordination/quarantine.ts
@@ -94,6 +94,8 @@
 		book, daemon, clock, events, onChange,
 	} = options;
 
+	const isHeld = (digest: string): boolean => book.count(digest) >= holdAfter;
+
 	// Gateways take turns at trials, in an order that all agree on, so that one request ends one upstream and not one for
 	// each gateway. The second in the order has its turn if the request has not come to the first.
 	function countUntilTrial({digest, crashes, changedAt}: CrashRecord & {readonly changedAt: number}): number {
@@ -159,7 +161,15 @@
 
 		/** Takes what another gateway or the log knows. */
 		take(record: CrashRecord, source: string): void {
-			if (book.take(record, clock.now())) {
+			const wasHeld = isHeld(record.digest);
+			if (!book.take(record, clock.now())) {
+				return;
+			}
+
+			// The gateway that has seen a crash logs it; the others only what changes for their callers.
+			if (isHeld(record.digest) === wasHeld) {
+				onChange();
+			} else {
 				tell(book.get(record.digest), source);
 			}
 		},
