Place a request by load alone only after the second crash under it

Cause: each request that had stood under one crash went where least ran, so long prompts left the engines that keep their parts. Ruled out: bodies that many requests share (of 784 requests 9 repeat an earlier one). Change: from the second crash in a row on, when the request itself is the likely cause. Another crash within the first sending is then possible beside what stood there with it; on the stand-ins the eight tests of such requests hold as before.

--- a/src/coordination/quarantine.ts
+++ b/src/coordination/quarantine.ts
@@ -138,8 +138,8 @@
 		/** True if a request may go on at another upstream after it was broken off at one. */
 		maySendOn: (digest: string): boolean => book.count(digest) < sendOnceAfter,
 
-		/** True if upstreams have crashed under a request since it was last answered. */
-		isSuspected: (digest: string): boolean => book.count(digest) > 0,
+		/** True if a request is likely to crash the next upstream too: one crash strikes all that stands beside its cause. */
+		isSuspected: (digest: string): boolean => book.count(digest) >= sendOnceAfter,
 
 		/** Begins a run; the request's id is for the log. */
 		begin(digest: string, request?: string): QuarantineRun {
