Write a crash to the log at once also while another one is written

A request under which engines crash could be forgotten if all gateways lost power in the quarter of a second after a crash that came during another append: the round that was under way cleared the note of it without having written it, and only one gateway writes what others have seen. Found by reading; the new test failed before (one record of two). Notes are now taken before a round's first write, and kept if it fails, bounded by what the book knows.

A refusal's line in the log takes the digest from the request that is served and not as a fourth argument.

--- a/src/coordination/quarantine-recorder.test.ts
+++ b/src/coordination/quarantine-recorder.test.ts
@@ -3,7 +3,7 @@
 import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
 import type {EventLog} from '../protocol/mod.js';
 import {createCrashBook} from '../state/mod.js';
-import {createQuarantine, createQuarantineRecorder} from './mod.js';
+import {createQuarantine, createQuarantineRecorder, rankByRendezvous} from './mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 
@@ -35,6 +35,23 @@
 	};
 }
 
+// Guards against the same for a crash that comes while the one before it is written.
+test('a crash that is noted during a write is written at once too', async () => {
+	const names = ['g1', 'g2', 'g3'];
+	const other = names.find(name => ['d1', 'd2'].every(digest => rankByRendezvous(digest, names)[0] !== name))!;
+	const {time, log, stopper, crash} = startGateway(other, names.filter(name => name !== other));
+	await time.runUntil(100);
+	log.onAppend = () => {
+		log.onAppend = () => undefined;
+		crash('d2', 2);
+	};
+
+	crash('d1', 2);
+	await time.runUntil(110);
+	expect(log.records.map(({key}) => key)).toEqual(['@quarantine/d1', '@quarantine/d2']);
+	stopper.abort();
+});
+
 // Guards against a crash that is forgotten because all gateways lose power in the next moment.
 test('two crashes in a row are on the log at once', async () => {
 	const {time, log, stopper, crash} = startGateway();
--- a/src/coordination/quarantine-recorder.ts
+++ b/src/coordination/quarantine-recorder.ts
@@ -81,8 +81,8 @@
 	let pause = new AbortController();
 
 	// One gateway writes for all; it is another one if that falls silent.
-	function isWriter(digest: string): boolean {
-		return seen.has(digest) || rankByRendezvous(digest, [daemon, ...options.listPeers()])[0] === daemon;
+	function isWriterForAll(digest: string): boolean {
+		return rankByRendezvous(digest, [daemon, ...options.listPeers()])[0] === daemon;
 	}
 
 	function listMissing(): CrashRecord[] {
@@ -113,15 +113,28 @@
 		return true;
 	}
 
+	function keepSeen(digests: ReadonlySet<string>): void {
+		for (const digest of digests) {
+			// The book bounds what is kept while the log is away.
+			if (book.get(digest)) {
+				seen.add(digest);
+			}
+		}
+	}
+
 	async function writeMissing(): Promise<boolean> {
+		// Taken before the first write: what is noted meanwhile has a round of its own.
+		const own = new Set(seen);
+		seen.clear();
 		const missing = [...listMissing().map(record => ({digest: record.digest, record})), ...listForgotten().map(digest => ({digest, record: undefined}))];
 		for (const {digest, record} of missing) {
-			if (isWriter(digest) && !await write(digest, record)) {
+			const isWriter = own.has(digest) || isWriterForAll(digest);
+			if (isWriter && !await write(digest, record)) {
+				keepSeen(own);
 				return false;
 			}
 		}
 
-		seen.clear();
 		return true;
 	}
 
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -56,7 +56,13 @@
 type TimeLimit = {readonly span: number; readonly deadline: number};
 
 /** What a request that is being served ends by, and how it came. */
-type Serving = {readonly answer: CallerAnswer; readonly leaving: AbortController; readonly arrival: LateArrival | undefined};
+type Serving = {
+	readonly answer: CallerAnswer;
+	readonly leaving: AbortController;
+	readonly arrival: LateArrival | undefined;
+	/** What makes it the same request when it is sent again; known once its body is read. */
+	digest?: string;
+};
 
 /** Serves callers' requests. */
 export type GatewayInterface = ReturnType<typeof createGatewayInterface>;
@@ -221,7 +227,7 @@
 		}
 	}
 
-	function refuse({answer, arrival}: Serving, id: string | undefined, failure: Failure, digest?: string): void {
+	function refuse({answer, arrival, digest}: Serving, id: string | undefined, failure: Failure): void {
 		answer.refuse(failure);
 		events.write('requestRefused', {
 			request: id, type: failure.type, detail: failure.detail, digest, ...arrival,
@@ -289,9 +295,10 @@
 			const digest = computeRequestDigest({
 				host: request.headers.host, method: request.method, path: request.url, customer: customer?.id, body: body.val,
 			});
+			serving.digest = digest;
 			const released = quarantine.admit(digest);
 			if (released.err) {
-				refuse(serving, facts.id, released.val, digest);
+				refuse(serving, facts.id, released.val);
 				return;
 			}
 
