--- a/src/coordination/crash-watch.ts
+++ b/src/coordination/crash-watch.ts
@@ -60,11 +60,11 @@
 	return {
 		/** True if the process of an upstream to which a sending broke off has ended by itself. */
 		async hasCrashed(upstream: UpstreamEntry): Promise<boolean> {
-			// Asked before the probe: a process that leaves may be dropped from the list meanwhile.
 			if (crashed.has(upstream.id)) {
 				return true;
 			}
 
+			// Before the probe: what has crashed may be dropped from the list while it is waited for.
 			if (!options.isExpected(upstream.id) || await probeShared(upstream) !== 'refused') {
 				return false;
 			}
