Withhold requests from evacuated failure domains and limit those to cold upstreams

Cause: nothing read the operators' records that evacuate a zone, and the rate that a cold engine tolerates was not decoded. Rendezvous hashing sends every gateway's requests for one prompt to one engine, also when it has just started.

Change. state/evacuations.ts keeps, for each failure domain, the state of the record with the highest offset. It is read with the deployment, at a start, after a lost history (a key that is missing among the newest records was deleted before their end) and through relays; gossip carries it, so that a gateway without the store learns it from its peers. All ways to an engine pass the registry's candidates and its last check before a request is written: first sends, retries, resumes, suspects of a crash, requests that wait for a connection. A running answer ends where it runs. Probes after a crash open a connection and send nothing. If every domain of a service is evacuated, callers get 503 with a time to come back at once. A malformed record is one log line of bounded length and changes nothing; a domain that nobody knows is kept and has no effect. A gateway that is cut off keeps avoiding a domain until the log or a peer says that it has returned.

Cold upstreams, two ways beside none: an equal share for each gateway, or a few owners by rendezvous hashing over the gateways in the log of grants. With 26 gateways and a bound of 12 an equal share is 0, so a cold engine would stay idle (cold-admission.test.ts); with owners it gets as many requests as it tolerates, and not more than the bound in any interleaving of sends if no gateway lacks more than four of the others. A gateway sends nothing to a cold upstream in its first second, and takes the upstreams of a domain that returns for cold for as long as a start takes.

The tests with processes fail on the code before.

--- a/src/coordination/budget-manager.test.ts
+++ b/src/coordination/budget-manager.test.ts
@@ -70,7 +70,7 @@
 		const lending = createTokenLending({
 			daemon, account, events,
 			listViews: () => gateways.filter(other => other.daemon !== daemon).map((other): PeerView => ({
-				daemon: other.daemon, incarnation: 'i', address: other.daemon, free: [{customer, tokens: Math.max(0, other.account.countFreeTokens(customer))}], uses: [], version: 1, isLeaving: false, crashes: [],
+				daemon: other.daemon, incarnation: 'i', address: other.daemon, free: [{customer, tokens: Math.max(0, other.account.countFreeTokens(customer))}], uses: [], version: 1, isLeaving: false, crashes: [], domains: [],
 			})),
 			listUnresponsive: () => [],
 			countWanted: id => manager.countWanted(id),
--- a/src/coordination/gossip-codec.ts
+++ b/src/coordination/gossip-codec.ts
@@ -30,13 +30,14 @@
  */
 export function encodeEntry(view: PeerView, {sequence, shouldIncludeFreeTokens}: EncodeEntryOptions): PeerEntry {
 	const {
-		daemon, incarnation, address, uses, version, isLeaving, free, crashes,
+		daemon, incarnation, address, uses, version, isLeaving, free, crashes, domains,
 	} = view;
 	const state = toBinary(PeerStateSchema, create(PeerStateSchema, {
 		address, version, isLeaving, tellsFree: shouldIncludeFreeTokens,
 		uses: uses.map(use => ({...use})),
 		free: shouldIncludeFreeTokens ? free.map(item => ({...item})) : [],
 		crashes: crashes.map(item => ({...item})),
+		domains: domains.map(item => ({...item})),
 	}));
 	return create(PeerEntrySchema, {
 		daemon, incarnation, sequence, state,
@@ -47,13 +48,14 @@
 function readEntry(entry: PeerEntryId & {readonly state: Uint8Array}, previousView: PeerView | undefined): PeerView {
 	const {daemon, incarnation} = entry;
 	const {
-		address, uses, version, isLeaving, tellsFree, free, crashes,
+		address, uses, version, isLeaving, tellsFree, free, crashes, domains,
 	} = fromBinary(PeerStateSchema, entry.state);
 	return {
 		daemon, incarnation, address, version, isLeaving,
 		uses: uses.map(({upstream, inFlight, waitingTokens}) => ({upstream, inFlight, waitingTokens})),
 		free: tellsFree ? free.map(({customer, tokens}) => ({customer, tokens})) : previousView?.free ?? [],
 		crashes: crashes.map(({digest, round, crashes: count}) => ({digest, round, crashes: count})),
+		domains: domains.map(({failureDomain, offset, isEvacuated}) => ({failureDomain, offset, isEvacuated})),
 	};
 }
 
--- a/src/coordination/gossip.test.ts
+++ b/src/coordination/gossip.test.ts
@@ -35,7 +35,7 @@
 		clock: time, events, daemon, views, random,
 		listPeers: () => members.filter(member => member.daemon !== daemon).map(member => ({daemon: member.daemon, newsAddress: member.daemon})),
 		getOwnView: (): PeerView => ({
-			daemon, incarnation: 'i', address: `${daemon}:1`, version: 1, isLeaving: false, crashes: [],
+			daemon, incarnation: 'i', address: `${daemon}:1`, version: 1, isLeaving: false, crashes: [], domains: [],
 			free: [{customer: 'c', tokens: 1000}],
 			uses: Array.from({length: 8}, (_, upstream) => ({upstream: `upstream-${upstream}`, inFlight: state.inFlight, waitingTokens: 4000})),
 		}),
--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -139,8 +139,9 @@
 		}
 
 		deliverRecords(records.toSorted((left, right) => left.offset - right.offset), nextOffset ?? 0);
+		// The exact offset of the deletion is unknown, but it precedes `end`.
 		for (const key of missingKeys) {
-			onRecord({key, offset: end});
+			onRecord({key, offset: end - 1});
 		}
 
 		nextOffset = Math.max(nextOffset ?? 0, end);
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -9,6 +9,8 @@
 export * from './attempt-runner.js';
 export * from './budget-owners.js';
 export * from './budget-manager.js';
+export * from './cold-admission.js';
+export * from './cold-share-policy.js';
 export * from './crash-detector.js';
 export * from './enrolment.js';
 export * from './event-splitter.js';
--- a/src/coordination/peer-catch-up.test.ts
+++ b/src/coordination/peer-catch-up.test.ts
@@ -8,7 +8,7 @@
 
 function buildView(daemon: string, version: number): PeerView {
 	return {
-		daemon, incarnation: 'i', address: `${daemon}:1`, free: [], uses: [], version, isLeaving: false, crashes: [],
+		daemon, incarnation: 'i', address: `${daemon}:1`, free: [], uses: [], version, isLeaving: false, crashes: [], domains: [],
 	};
 }
 
@@ -30,7 +30,9 @@
 				throw new Error('Peer did not respond');
 			}
 
-			return {deployment: query.knownVersion < 7 ? new TextEncoder().encode('7') : new Uint8Array(), prompts: [], crashes: []};
+			return {
+				deployment: query.knownVersion < 7 ? new TextEncoder().encode('7') : new Uint8Array(), prompts: [], crashes: [], domains: [],
+			};
 		},
 		onDeployment(record) {
 			state.version = Number(record);
--- a/src/coordination/placement-gossip.test.ts
+++ b/src/coordination/placement-gossip.test.ts
@@ -1,4 +1,5 @@
 import {expect, test} from 'vitest';
+import {createUnlimitedUpstreams} from '../../tools/harness/unlimited-upstreams.js';
 import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
 import type {EventLog, GatewayService, GenerationParameters} from '../protocol/mod.js';
 import {createPeerViews, createUpstreamDirectory} from '../state/mod.js';
@@ -24,7 +25,7 @@
 	const views = createPeerViews();
 	const counts = {datagrams: 0};
 	const registry: UpstreamRegistry = createUpstreamRegistry({
-		directory, clock: time, failureDomain: 'd', sumPeerUse: views.sumUse,
+		...createUnlimitedUpstreams(time), directory, clock: time, failureDomain: 'd', sumPeerUse: views.sumUse,
 		onUseChange() {
 			gossip.markChanged();
 		},
@@ -36,7 +37,7 @@
 		clock: time, events, daemon, views, random: () => 0.5,
 		listPeers: () => gateways.filter(gateway => gateway.daemon !== daemon).map(gateway => ({daemon: gateway.daemon, newsAddress: gateway.daemon})),
 		getOwnView: () => ({
-			daemon, incarnation: 'i', address: daemon, free: [], uses: registry.listUses(), version: 1, isLeaving: false, crashes: [],
+			daemon, incarnation: 'i', address: daemon, free: [], uses: registry.listUses(), version: 1, isLeaving: false, crashes: [], domains: [],
 		}),
 		send(message) {
 			counts.datagrams += 1;
@@ -90,14 +91,16 @@
 	sender.registry.trackRequest('u1', request).end();
 	const catchUp = createPeerCatchUp({
 		clock: time, events, findVersion: () => 1,
-		queryPeer: async () => ({deployment: new Uint8Array(), prompts: sender.registry.listCachedPrompts(), crashes: []}),
+		queryPeer: async () => ({
+			deployment: new Uint8Array(), prompts: sender.registry.listCachedPrompts(), crashes: [], domains: [],
+		}),
 		onDeployment: () => undefined,
 		onPrompt: receiver.registry.recordPeerPrompt,
 		onCrashRecord: () => undefined,
 		abandonConnection: () => undefined,
 	});
 	catchUp.handleView({
-		daemon: 'sender', incarnation: 'i', address: 'sender', free: [], uses: [], version: 1, isLeaving: false, crashes: [],
+		daemon: 'sender', incarnation: 'i', address: 'sender', free: [], uses: [], version: 1, isLeaving: false, crashes: [], domains: [],
 	});
 	await time.runUntil(200);
 	expect(sender.registry.listCachedPrompts()).toEqual([{upstream: 'u1', memory: 100_000, parts: generation.parts}]);
--- a/src/coordination/quarantine-soak.test.ts
+++ b/src/coordination/quarantine-soak.test.ts
@@ -70,7 +70,7 @@
 			clock: time, events, daemon: name, views, random,
 			listPeers: () => listPeers().map(daemon => ({daemon, newsAddress: daemon})),
 			getOwnView: () => ({
-				daemon: name, incarnation: String(incarnation).padStart(6, '0'), address: name, version: 1, isLeaving: false, free: [], uses: [], crashes: quarantine.listRecent(),
+				daemon: name, incarnation: String(incarnation).padStart(6, '0'), address: name, version: 1, isLeaving: false, free: [], uses: [], crashes: quarantine.listRecent(), domains: [],
 			}),
 			send(message, addresses) {
 				for (const address of addresses) {
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {expect, test} from 'vitest';
+import {createUnlimitedUpstreams} from '../../tools/harness/unlimited-upstreams.js';
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type GatewayWire, type Route, type UpstreamRegistration,
 } from '../protocol/mod.js';
@@ -71,7 +72,7 @@
 	const forwarder = createRequestForwarder({
 		wire, clock, events,
 		registry: createUpstreamRegistry({
-			directory, clock, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
+			...createUnlimitedUpstreams(clock), directory, clock, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
 		}),
 		findRetryBudget: () => retries,
 		quarantine,
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -53,6 +53,9 @@
 /** State of a request while it is being forwarded. */
 type ForwardingState = {readonly request: ForwardRequest; readonly relay: AnswerRelay; readonly progress: ForwardProgress};
 
+/** Why no upstream answered a request, and when its caller may retry if it has not run, in milliseconds. */
+type UnansweredReason = {readonly detail: string; readonly retryAfterMs: number};
+
 /** Options for receiving an upstream's answer. */
 type ReceiveOptions = {readonly tracker: UpstreamRequestTracker; readonly onProgress: () => void};
 
@@ -192,6 +195,7 @@
 		const trackedRun = quarantine.trackRun(request.digest, request.id);
 		const stallTimeout = createStallTimeout(request, relay);
 		const remaining = request.deadline - clock.now();
+		let isWithheld = false;
 		const timeLimit = createTimeoutSignal(remaining, [request.signal, stallTimeout.signal]);
 		try {
 			const called = await client.call({
@@ -204,9 +208,16 @@
 				body: request.body,
 				signal: timeLimit.signal,
 				shouldUseNewConnection: !relay.canRetry(),
-				shouldStillSend: () => registry.isLive(id),
+				shouldStillSend() {
+					isWithheld = !registry.admitSend(id, request.service);
+					return !isWithheld;
+				},
 			});
 			const outcome = called.ok ? await receive(state, called.val, {tracker, onProgress: stallTimeout.recordProgress}) : classifyCallFailure(called.val, progress);
+			if (isWithheld) {
+				return outcome;
+			}
+
 			if (outcome.kind === 'broken' && !request.signal.aborted) {
 				tracker.recordUnresponsive();
 			} else if (outcome.kind === 'not-run' && outcome.reached === 'none') {
@@ -239,7 +250,11 @@
 		return {kind: 'broken', detail: failure.detail, wasConnectionLost: true};
 	}
 
-	function createFinalFailure(request: ForwardRequest, progress: ForwardProgress, detail: string): Failure {
+	function describeUnsent({service}: ForwardRequest): UnansweredReason {
+		return registry.findBlockage(service) ?? {detail: 'No live upstream is registered for the service', retryAfterMs: overloadedRetryAfterMs};
+	}
+
+	function createFinalFailure(request: ForwardRequest, progress: ForwardProgress, {detail, retryAfterMs}: UnansweredReason): Failure {
 		const isOutOfTime = request.deadline - clock.now() < minRemainingMs;
 		if (progress.mayHaveRun) {
 			return isOutOfTime
@@ -247,7 +262,7 @@
 				: createFailure('outcome-unknown', `The upstream did not answer: ${detail}`, {ran: 'unknown'});
 		}
 
-		return createFailure('overloaded', `No upstream accepted the request: ${detail}`, {retryAfterMs: overloadedRetryAfterMs});
+		return createFailure('overloaded', `No upstream accepted the request: ${detail}`, {retryAfterMs});
 	}
 
 	function buildReport({relay, progress}: ForwardingState, result: ForwardResult, reason?: string): ForwardReport {
@@ -256,14 +271,15 @@
 		};
 	}
 
-	function finishUnanswered(state: ForwardingState, detail: string): ForwardReport {
+	function finishUnanswered(state: ForwardingState, reason: UnansweredReason): ForwardReport {
 		const {request, progress} = state;
+		const {detail} = reason;
 		if (request.answer.hasStarted()) {
 			request.answer.abort();
 			return buildReport(state, 'cut', detail);
 		}
 
-		const failure = createFinalFailure(request, progress, detail);
+		const failure = createFinalFailure(request, progress, reason);
 		request.answer.refuse(failure);
 		return buildReport(state, failure.ran === 'no' ? 'refused' : 'failed', detail);
 	}
@@ -280,7 +296,7 @@
 			const tried = new Set<string>();
 			let deliveries = 0;
 			let deliverFailure: (() => void) | undefined;
-			let detail = 'No live upstream is registered for the service';
+			let detail = '';
 			retryBudget.deposit();
 			for (;;) {
 				const candidate = pickUpstream(request, tried);
@@ -330,7 +346,7 @@
 				return buildReport(state, 'passed-on', detail);
 			}
 
-			return finishUnanswered(state, detail);
+			return finishUnanswered(state, tried.size === 0 ? describeUnsent(request) : {detail, retryAfterMs: overloadedRetryAfterMs});
 		},
 	};
 }
--- a/src/coordination/token-lending.test.ts
+++ b/src/coordination/token-lending.test.ts
@@ -7,7 +7,7 @@
 
 function createLending(unresponsive: readonly string[]) {
 	const view: PeerView = {
-		daemon: 'e2', incarnation: 'i', address: 'e2', free: [], uses: [], version: 1, isLeaving: false, crashes: [],
+		daemon: 'e2', incarnation: 'i', address: 'e2', free: [], uses: [], version: 1, isLeaving: false, crashes: [], domains: [],
 	};
 	return createTokenLending({
 		daemon: 'e1', account: createTokenAccount(), events, listViews: () => [view], listUnresponsive: () => unresponsive, countWanted: () => 0, requestLoan: async () => 0,
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -7,7 +7,7 @@
 import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
-	createAdmission, createBudgetOwners, createBudgetManager, createCrashDetector, createStorePathTracker, createMetrics,
+	OwnedColdShare, createAdmission, createColdAdmission, createBudgetOwners, createBudgetManager, createCrashDetector, createStorePathTracker, createMetrics,
 	createPeerCatchUp, createGossip, createQuarantine, createQuarantineRecorder, createRelayedLog, createRequestForwarder,
 	createRetryAfterEstimator, createRetryBudget, createTokenLending, createUpstreamRegistry, monitorEventLoop,
 	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type GossipPeer, type ProcessStats, type RetryBudget,
@@ -115,10 +115,23 @@
 			quarantineRecorder.applyRecord(record);
 		},
 	});
-	const {account, grantRegistry, directory, findRouteTable} = state;
+	const {
+		account, grantRegistry, directory, evacuations, findRouteTable,
+	} = state;
 	const peerViews = createPeerViews();
+
+	// Other gateways must not be missing from the list, as each would use the share of a missing one as well.
+	function listGateways(): string[] | undefined {
+		return state.grantFollower.getNextOffset() === undefined
+			? undefined
+			: [...new Set([self.daemon, ...grantRegistry.listRunning().filter(({role}) => role === 'gateway').map(({daemon}) => daemon)])];
+	}
+
+	const coldAdmission = createColdAdmission({
+		clock, daemon: self.daemon, policy: new OwnedColdShare(), listGateways, overage: settings.coldOverage, slack: settings.coldSlack,
+	});
 	const upstreamRegistry = createUpstreamRegistry({
-		directory, clock, failureDomain: settings.failureDomain, getViewAgeMs: state.computeViewAgeMs, sumPeerUse: peerViews.sumUse,
+		directory, evacuations, coldAdmission, clock, failureDomain: settings.failureDomain, getViewAgeMs: state.computeViewAgeMs, sumPeerUse: peerViews.sumUse,
 		onUseChange() {
 			gossip.markChanged();
 		},
@@ -161,6 +174,7 @@
 			version: getDeploymentVersion(),
 			isLeaving: stopWindow.hasBegun(),
 			crashes: quarantine.listRecent(),
+			domains: evacuations.listAnnounced(clock.now()),
 		};
 	}
 
@@ -204,6 +218,10 @@
 			for (const record of view.crashes) {
 				quarantine.merge(record, 'peer');
 			}
+
+			for (const domain of view.domains) {
+				state.adoptDomainFromPeer(domain, view.daemon);
+			}
 		},
 		onPrompt: upstreamRegistry.recordPeerPrompt,
 		random: Math.random,
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {createFakeKeyedLog, type FakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
+import {createUnlimitedUpstreams} from '../../tools/harness/unlimited-upstreams.js';
 import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
 import {createUpstreamRegistry} from '../coordination/mod.js';
 import {
@@ -57,6 +58,13 @@
 			deploymentKey: 'deployment',
 			decodeDeployment: () => undefined as never,
 			decodeUpstream: (_id, text) => JSON.parse(text) as UpstreamRegistration,
+			evacuationRecords: {
+				findFailureDomain: key => key.startsWith('out/') ? key.slice('out/'.length) : undefined,
+				formatKey: failureDomain => `out/${failureDomain}`,
+				check(text) {
+					JSON.parse(text);
+				},
+			},
 			close: async () => undefined,
 		},
 		self: {
@@ -68,7 +76,7 @@
 		onQuarantineRecord: () => undefined,
 	});
 	const registry = createUpstreamRegistry({
-		directory: state.directory, clock: time, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
+		...createUnlimitedUpstreams(time), evacuations: state.evacuations, directory: state.directory, clock: time, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
 	});
 	state.run(abortController.signal);
 
@@ -76,9 +84,13 @@
 		logs.upstreams.records.push({key: id, value, offset: logs.upstreams.records.length});
 	}
 
-	function add(id: string): void {
+	function putDeploymentRecord(key: string, value: string | undefined): void {
+		logs.deployment.records.push({key, value, offset: logs.deployment.records.length});
+	}
+
+	function add(id: string, failureDomain = 'd'): void {
 		const registration: UpstreamRegistration = {
-			id, service: 's', address: id, failureDomain: 'd', slots: 4, isDraining: false, warmUp: 0,
+			id, service: 's', address: id, failureDomain, slots: 4, isDraining: false, warmUp: 0,
 		};
 		put(id, JSON.stringify(registration));
 	}
@@ -88,7 +100,7 @@
 	}
 
 	return {
-		time, add,
+		time, add, putDeploymentRecord, logs, state,
 		/** Partitions the gateway from the store on all paths, or ends the partition. */
 		setPartitioned(value: boolean) {
 			isPartitioned = value;
@@ -221,3 +233,80 @@
 		stop();
 	}), {numRuns: 200});
 });
+
+// An evacuated failure domain gets no requests from the time at which its record is read.
+
+test('an evacuated failure domain gets no requests until it returns', async () => {
+	// Guards against requests to upstreams that operators have taken out of service.
+	const {time, add, putDeploymentRecord, listCandidates, stop} = createFixture(['u1']);
+	add('u2', 'e');
+	await time.runUntil(3000);
+	expect(listCandidates()).toEqual(['u1', 'u2']);
+	putDeploymentRecord('out/e', '{}');
+	await time.runUntil(5000);
+	expect(listCandidates()).toEqual(['u1']);
+	putDeploymentRecord('out/e', undefined);
+	await time.runUntil(7000);
+	expect(listCandidates()).toEqual(['u1', 'u2']);
+	stop();
+});
+
+test('an evacuation holds in a partition and is known after a start', async () => {
+	// Guards against forgetting an evacuation while the store is unavailable.
+	const {time, add, putDeploymentRecord, setPartitioned, listCandidates, stop} = createFixture(['u1']);
+	add('u2', 'e');
+	putDeploymentRecord('out/e', '{}');
+	await time.runUntil(2000);
+	expect(listCandidates()).toEqual(['u1']);
+	setPartitioned(true);
+	await time.runUntil(12_000);
+	expect(listCandidates()).toEqual(['u1']);
+	stop();
+});
+
+test('a return that the log no longer retains ends an evacuation', async () => {
+	// Guards against avoiding a failure domain for good because its return was compacted away.
+	const {time, add, putDeploymentRecord, setPartitioned, listCandidates, logs, stop} = createFixture(['u1']);
+	add('u2', 'e');
+	putDeploymentRecord('out/e', '{}');
+	await time.runUntil(3000);
+	setPartitioned(true);
+	await time.runUntil(6000);
+	putDeploymentRecord('out/e', undefined);
+	putDeploymentRecord('other', '{}');
+	logs.deployment.firstOffset = logs.deployment.records.length;
+	setPartitioned(false);
+	await time.runUntil(12_000);
+	expect(listCandidates()).toEqual(['u1', 'u2']);
+	stop();
+});
+
+test('a malformed evacuation changes nothing', async () => {
+	// Guards against taking a failure domain out of service, or back into it, by a record that cannot be read.
+	const {time, add, putDeploymentRecord, listCandidates, stop} = createFixture(['u1']);
+	add('u2', 'e');
+	putDeploymentRecord('out/e', '{"half');
+	await time.runUntil(3000);
+	expect(listCandidates()).toEqual(['u1', 'u2']);
+	putDeploymentRecord('out/e', '{}');
+	putDeploymentRecord('out/e', '{"half');
+	putDeploymentRecord('out/unknown', '{}');
+	await time.runUntil(6000);
+	expect(listCandidates()).toEqual(['u1']);
+	stop();
+});
+
+test('a gateway in a partition learns of evacuations and returns from peers, and an older state changes nothing', async () => {
+	const {time, add, setPartitioned, listCandidates, state, stop} = createFixture(['u1']);
+	add('u2', 'e');
+	await time.runUntil(3000);
+	setPartitioned(true);
+	await time.runUntil(5000);
+	state.adoptDomainFromPeer({failureDomain: 'e', offset: 7, isEvacuated: true}, 'peer');
+	expect(listCandidates()).toEqual(['u1']);
+	state.adoptDomainFromPeer({failureDomain: 'e', offset: 6, isEvacuated: false}, 'peer');
+	expect(listCandidates()).toEqual(['u1']);
+	state.adoptDomainFromPeer({failureDomain: 'e', offset: 8, isEvacuated: false}, 'peer');
+	expect(listCandidates()).toEqual(['u1', 'u2']);
+	stop();
+});
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -11,10 +11,19 @@
 	Deployment, EventLog, GatewayWire, KeyedLog, StoredRecord, UpstreamRegistration,
 } from '../protocol/mod.js';
 import {
-	createGrantRegistry, createRouteTable, createTokenAccount, createUpstreamDirectory, holderRecordSchema, type HolderRecord, type RouteTable,
+	createEvacuations, createGrantRegistry, createRouteTable, createTokenAccount, createUpstreamDirectory, holderRecordSchema, type DomainState, type HolderRecord, type RouteTable,
 } from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 
+/** Maps the records by which operators evacuate failure domains. The presence of a key means that its failure domain is evacuated. */
+export type EvacuationRecords = {
+	/** Returns the failure domain that a key of the deployment log evacuates; undefined for other keys. */
+	readonly findFailureDomain: (key: string) => string | undefined;
+	readonly formatKey: (failureDomain: string) => string;
+	/** Throws if the value of a record is malformed. */
+	readonly check: (text: string) => void;
+};
+
 /** An adapter to a platform: the logs of a deployment, their decoding, and the wire format. */
 export type GatewayAdapter = {
 	readonly wire: GatewayWire;
@@ -23,6 +32,7 @@
 	readonly deploymentKey: string;
 	readonly decodeDeployment: (text: string) => Deployment;
 	readonly decodeUpstream: (id: string, text: string) => UpstreamRegistration;
+	readonly evacuationRecords: EvacuationRecords;
 	readonly close: () => Promise<void>;
 };
 
@@ -59,6 +69,8 @@
 const grantReadIntervalMs = 2000;
 /** Maximum number of customers in one log line, which keeps the line under 4 KB. */
 const maxLoggedCustomers = 100;
+/** Maximum length of the reason why a record is unreadable, in characters; it may quote the record. */
+const maxDetailLength = 200;
 
 /** @internal Returns the tokens bought by each customer for whom they differ from the previous deployment. */
 function listChangedPurchases({customers = []}: Deployment, previous: RouteTable | undefined): Record<string, number> {
@@ -82,6 +94,7 @@
 	const {adapter, clock, events} = options;
 	const ownKey = formatHolderKey(options.self);
 	const directory = createUpstreamDirectory();
+	const evacuations = createEvacuations();
 	const grantRegistry = createGrantRegistry();
 	const account = createTokenAccount();
 	const expiryGrace = createExpiryGrace({heartbeatIntervalMs: options.upstreamHeartbeatMs});
@@ -93,7 +106,7 @@
 		try {
 			apply();
 		} catch (error) {
-			events.write('recordUnreadable', {key: record.key, offset: record.offset, detail: (error as Error).message});
+			events.write('recordUnreadable', {key: record.key, offset: record.offset, detail: (error as Error).message.slice(0, maxDetailLength)});
 		}
 	}
 
@@ -151,8 +164,22 @@
 		}
 	}
 
-	function applyDeploymentRecord({key, value}: StoredRecord): void {
-		if (key === adapter.deploymentKey && value !== undefined) {
+	function adoptDomainState(domain: DomainState, source: string): void {
+		if (evacuations.merge(domain, clock.now())) {
+			const {failureDomain, offset} = domain;
+			events.write(domain.isEvacuated ? 'domainEvacuated' : 'domainReturned', {domain: failureDomain, offset, source});
+		}
+	}
+
+	function applyDeploymentRecord({key, value, offset}: StoredRecord): void {
+		const failureDomain = adapter.evacuationRecords.findFailureDomain(key);
+		if (failureDomain !== undefined) {
+			if (value !== undefined) {
+				adapter.evacuationRecords.check(value);
+			}
+
+			adoptDomainState({failureDomain, offset, isEvacuated: value !== undefined}, 'log');
+		} else if (key === adapter.deploymentKey && value !== undefined) {
 			adoptDeployment(value, 'log');
 		}
 	}
@@ -165,6 +192,7 @@
 
 	const deploymentFollower = createKeyedFollower({
 		log: adapter.logs.deployment, clock, events, longPollMs: deploymentLongPollMs, readIntervalMs: 0, readTimeoutMs, onRecord: skipUnreadable(applyDeploymentRecord),
+		listKnownKeys: () => evacuations.listEvacuated().map(failureDomain => adapter.evacuationRecords.formatKey(failureDomain)),
 	});
 	const upstreamFollower: KeyedFollower = createKeyedFollower({
 		log: adapter.logs.upstreams, clock, events, longPollMs: 0, readIntervalMs: upstreamReadIntervalMs, readTimeoutMs, onRecord: skipUnreadable(applyUpstreamRecord),
@@ -175,7 +203,7 @@
 	});
 
 	return {
-		directory, grantRegistry, account, grantFollower,
+		directory, evacuations, grantRegistry, account, grantFollower,
 		/** Returns the age of the upstreams' data, in whole milliseconds; undefined before the first read. */
 		computeViewAgeMs: () => upstreamFollower.computeStalenessMs(),
 		findRouteTable: () => routeTable,
@@ -189,6 +217,9 @@
 			});
 		},
 
+		/** Adopts the state of a failure domain received from a peer if it is newer. */
+		adoptDomainFromPeer: adoptDomainState,
+
 		/** Returns true if requests can be served. */
 		isReady: () => routeTable !== undefined && directory.hasLive(clock.now()),
 
--- a/src/protocol/deployment.ts
+++ b/src/protocol/deployment.ts
@@ -48,6 +48,14 @@
 	tokensPerEvent: z.number().int().positive(),
 });
 
+/** Schema of how upstreams of a service start. */
+export const coldStartSchema = z.object({
+	/** Requests per second that an upstream tolerates while it is cold. */
+	rate: z.number().positive(),
+	/** Time for which an upstream is cold, in milliseconds. */
+	duration: z.number().nonnegative(),
+});
+
 /** Schema of a service. */
 export const gatewayServiceSchema = z.object({
 	id: z.string(),
@@ -55,6 +63,8 @@
 	connectionLimit: z.number().int().positive(),
 	/** Set only for services of model engines. */
 	engine: engineShapeSchema.optional(),
+	/** Set only for services whose upstreams tolerate few requests while they are cold. */
+	coldStart: coldStartSchema.optional(),
 });
 
 /** Schema of a customer. */
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -66,6 +66,8 @@
 	deploymentAdopted: {number: 1506, text: 'deployment adopted'},
 	upstreamListed: {number: 1701, text: 'upstream registration added or changed'},
 	upstreamGone: {number: 1702, text: 'upstream registration removed'},
+	domainEvacuated: {number: 1703, text: 'failure domain evacuated'},
+	domainReturned: {number: 1704, text: 'failure domain no longer evacuated'},
 	linesDropped: {number: 1801, text: 'log lines dropped'},
 	peerRefused: {number: 1601, text: 'peer without the fleet key refused'},
 	operatorRefused: {number: 1602, text: 'operator without a key refused'},
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -41,6 +41,10 @@
 	retryShare: z.number().min(0).max(1),
 	/** Retries allowed in addition to the share in any retry window, fleet-wide. */
 	retrySlack: z.number().nonnegative(),
+	/** Maximum requests to a cold upstream in any second as a multiple of the rate that it tolerates, fleet-wide. */
+	coldOverage: z.number().min(1).default(1),
+	/** Requests to a cold upstream allowed in addition to that multiple in any second, fleet-wide. */
+	coldSlack: z.number().nonnegative().default(0),
 });
 
 /** Schema of a relay daemon's settings. */
--- /dev/null
+++ b/src/state/evacuations.ts
@@ -0,0 +1,77 @@
+/**
+ * Failure domains whose upstreams get no requests because operators evacuate
+ * them.
+ *
+ * The log orders evacuations and returns: of two records of a failure domain,
+ * the one with the higher offset holds. Records may therefore arrive in any
+ * order and from any source, and time plays no part.
+ *
+ * @module
+ */
+
+/** Whether a failure domain is evacuated, as of a record in the log. */
+export type DomainState = {
+	readonly failureDomain: string;
+	/** Offset of the record in the log. */
+	readonly offset: number;
+	readonly isEvacuated: boolean;
+};
+
+/** Evacuated failure domains. */
+export type Evacuations = ReturnType<typeof createEvacuations>;
+
+type KnownState = DomainState & {readonly changedAt: number};
+
+/** Time for which peers are told that a failure domain has returned; a gateway that is cut off for longer keeps avoiding it. */
+const returnAnnouncementMs = 60_000;
+/** Maximum number of states sent to peers, the newest first, so that a gossip entry fits into a datagram. */
+const maxAnnouncedStates = 16;
+
+/**
+ * Creates an empty collection.
+ *
+ * @example
+ * ```ts
+ * const evacuations = createEvacuations();
+ * evacuations.merge({failureDomain: 'zone-a', offset: 7, isEvacuated: true}, 0);
+ * evacuations.isEvacuated('zone-a'); // true
+ * ```
+ *
+ * @returns The collection
+ */
+export function createEvacuations() {
+	const states = new Map<string, KnownState>();
+
+	return {
+		/** Stores a state at the time `now`. Returns true if it changes whether the failure domain is evacuated. */
+		merge({failureDomain, offset, isEvacuated}: DomainState, now: number): boolean {
+			const known = states.get(failureDomain);
+			if (known && known.offset >= offset) {
+				return false;
+			}
+
+			const hasChanged = (known?.isEvacuated ?? false) !== isEvacuated;
+			states.set(failureDomain, {
+				failureDomain, offset, isEvacuated, changedAt: hasChanged || !known ? now : known.changedAt,
+			});
+			return hasChanged;
+		},
+
+		isEvacuated: (failureDomain: string): boolean => states.get(failureDomain)?.isEvacuated ?? false,
+
+		/** Returns when this process learned that the failure domain has returned; undefined if it was not evacuated. */
+		findReturnedAt(failureDomain: string): number | undefined {
+			const known = states.get(failureDomain);
+			return known && !known.isEvacuated ? known.changedAt : undefined;
+		},
+
+		listEvacuated: (): string[] => [...states.values()].filter(({isEvacuated}) => isEvacuated).map(({failureDomain}) => failureDomain),
+
+		/** Lists the states that peers may not know yet, at the time `now`. */
+		listAnnounced: (now: number): DomainState[] => [...states.values()]
+			.filter(({isEvacuated, changedAt}) => isEvacuated || now - changedAt < returnAnnouncementMs)
+			.sort((left, right) => right.offset - left.offset)
+			.slice(0, maxAnnouncedStates)
+			.map(({failureDomain, offset, isEvacuated}) => ({failureDomain, offset, isEvacuated})),
+	};
+}
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -6,6 +6,7 @@
  */
 export * from './configuration.js';
 export * from './crash-registry.js';
+export * from './evacuations.js';
 export * from './fleet-state.js';
 export * from './grant-holder.js';
 export * from './grant-registry.js';
--- a/src/state/peer-views.ts
+++ b/src/state/peer-views.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type {CrashRecord} from './crash-registry.js';
+import type {DomainState} from './evacuations.js';
 
 /** Requests that one gateway has at one upstream. */
 export type UpstreamUse = {
@@ -33,6 +34,8 @@
 	readonly isLeaving: boolean;
 	/** Recently changed records of requests during which upstreams crashed. */
 	readonly crashes: readonly CrashRecord[];
+	/** Failure domains that are evacuated or that returned recently. */
+	readonly domains: readonly DomainState[];
 };
 
 /** Views of all other gateways. */
--- a/src/state/upstream-directory.ts
+++ b/src/state/upstream-directory.ts
@@ -10,7 +10,8 @@
 /** An upstream that accepts requests. */
 export type LiveUpstream = {
 	readonly upstream: UpstreamRegistration;
-	readonly isWarm: boolean;
+	/** End of the upstream's warm-up. */
+	readonly warmAt: number;
 	/** True if its registration was removed and it accepts requests only until the grace period ends. */
 	readonly isOnGrace: boolean;
 };
@@ -37,6 +38,10 @@
 		return !registration.upstream.isDraining && !registration.isAddressReused && (registration.graceEndsAt === undefined || now < registration.graceEndsAt);
 	}
 
+	function buildLiveUpstream({upstream, warmAt, graceEndsAt}: Registration): LiveUpstream {
+		return {upstream, warmAt, isOnGrace: graceEndsAt !== undefined};
+	}
+
 	return {
 		put(upstream: UpstreamRegistration, now: number): void {
 			const previous = registrations.get(upstream.id);
@@ -81,11 +86,17 @@
 			return registration !== undefined && isLive(registration, now);
 		},
 
+		/** Returns an upstream if it may get requests. */
+		findLive(id: string, now: number): LiveUpstream | undefined {
+			const registration = registrations.get(id);
+			return registration && isLive(registration, now) ? buildLiveUpstream(registration) : undefined;
+		},
+
 		/** Returns the upstreams of a service that may get requests. */
 		listLive(service: string, now: number): LiveUpstream[] {
 			return [...registrations.values()]
 				.filter(registration => registration.upstream.service === service && isLive(registration, now))
-				.map(registration => ({upstream: registration.upstream, isWarm: now >= registration.warmAt, isOnGrace: registration.graceEndsAt !== undefined}));
+				.map(registration => buildLiveUpstream(registration));
 		},
 
 		/** Returns the remaining grace period of an upstream in whole milliseconds; 0 outside a grace period. */
--- a/tools/harness/mod.ts
+++ b/tools/harness/mod.ts
@@ -9,3 +9,4 @@
 export * from './known-red.js';
 export * from './process.js';
 export * from './tcp-proxy.js';
+export * from './unlimited-upstreams.js';
