Return idle loans to the owners of budgets, and hand tokens over at a stop

A loan covered half a second of demand beyond the request, and a rate after one request is that of a burst.

Change, two ways behind LoanPolicy: keep what a loan leaves, as before, or borrow what requests lack and return the rest to the owner each round. Repayments are numbered and addressed to an incarnation, deducted before they are sent and taken back only if the receiver says that it has not accepted them. A stop hands loans over, and all free tokens if the store does not answer. GrantTargetPolicy: grant by observed demand, or also the first tenth of a purchase before demand is seen. A holder's record that cannot be read counts as all that was left. A gateway that is recorded but not heard from yet is asked by a call, at the address in the log.

--- a/src/coordination/budget-manager.test.ts
+++ b/src/coordination/budget-manager.test.ts
@@ -6,7 +6,7 @@
 	createGrantRegistry, createRouteTable, createTokenAccount, holderRecordSchema, type PeerView, type RouteTable, type TokenReservation,
 } from '../state/mod.js';
 import {
-	createBudgetManager, createKeyedFollower, createTokenLending, type TokenLoanRequest,
+	DemandTargetPolicy, ReturnedLoanPolicy, UnseenDemandTargetPolicy, createBudgetManager, createKeyedFollower, createLoanReturns, createTokenLending, type GrantTargetPolicy, type Repayment, type TokenLoanRequest,
 } from './mod.js';
 
 // Simulates gateways with real budget managers over one log in memory. Appends
@@ -25,10 +25,13 @@
 	return createRouteTable(deployment);
 }
 
+/** How a repayment is delivered: answered, not delivered, delivered without an answer, or delivered later without an answer. */
+type Delivery = 'done' | 'lost-before' | 'lost-after' | 'late';
+
 /** Each gateway claims for itself, or the first claims for all. */
 type ClaimMode = 'each' | 'first';
 
-async function createSimulation(bought: number, mode: ClaimMode = 'each') {
+async function createSimulation(bought: number, mode: ClaimMode = 'each', grantTargetPolicy: GrantTargetPolicy = new DemandTargetPolicy()) {
 	const log = createFakeKeyedLog();
 	let table = buildTable(1, bought);
 	let now = 0;
@@ -47,6 +50,9 @@
 	const unresponsive = new Set<string>();
 	/** Tokens spent or reserved at stopped gateways, which callers may have used. */
 	let usedByStopped = 0;
+	/** How the next repayments are delivered, in order; those after them are answered. */
+	const deliveries: Delivery[] = [];
+	const lateRepayments: Array<{address: string; repayment: Repayment}> = [];
 
 	function start(index: number, fake: FakeKeyedLog = log) {
 		serial += 1;
@@ -67,15 +73,16 @@
 				}
 			},
 		});
+		const listViews = () => gateways.filter(other => other.daemon !== daemon).map((other): PeerView => ({
+				daemon: other.daemon, incarnation: other.incarnation, address: other.daemon, free: [{customer, tokens: Math.max(0, other.account.countFreeTokens(customer))}], uses: [], version: 1, isLeaving: false, crashes: [], domains: [],
+			}));
+		const listOwners = () => mode === 'each' ? [] : ['e0', 'e1', 'e2'];
 		const lending = createTokenLending({
-			daemon, account, events,
-			listViews: () => gateways.filter(other => other.daemon !== daemon).map((other): PeerView => ({
-				daemon: other.daemon, incarnation: 'i', address: other.daemon, free: [{customer, tokens: Math.max(0, other.account.countFreeTokens(customer))}], uses: [], version: 1, isLeaving: false, crashes: [], domains: [],
-			})),
+			daemon, account, events, listViews, listOwners,
 			listUnresponsive: () => [],
+			listUnheard: () => [],
 			countWanted: id => manager.countWanted(id),
 			clock,
-			listOwners: () => mode === 'each' ? [] : ['e0', 'e1', 'e2'],
 			isOwner: () => mode === 'each' || index === 0,
 			claim: async (id, amount) => manager.claimForPeer(id, amount),
 			onLent(id, amount) {
@@ -90,15 +97,48 @@
 			},
 		});
 		const manager = createBudgetManager({
-			self, log: fake.open(), follower, grants: grantRegistry, account, findRouteTable: () => table, borrow: lending.borrow, owners: {isOwner: () => mode === 'each' || index === 0, isSmallFleet: () => mode === 'each', countClaimers: () => mode === 'each' ? 3 : 1}, clock, events, signal: stopper.signal,
+			self, log: fake.open(), follower, grants: grantRegistry, account, findRouteTable: () => table, borrow: lending.borrow, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy, owners: {isOwner: () => mode === 'each' || index === 0, isSmallFleet: () => mode === 'each', countGateways: () => 3, countClaimers: () => mode === 'each' ? 3 : 1}, clock, events, signal: stopper.signal,
+		});
+		// A gateway that did not answer gets the next repayment all the same.
+		let returnTime = 0;
+		const returnClock = {
+			...clock,
+			now() {
+				returnTime += 10_000;
+				return returnTime;
+			},
+		};
+		const returns = createLoanReturns({
+			self, account, events, listViews, listOwners,
+			clock: returnClock,
+			computeReturned: id => manager.computeReturned(id),
+			onReceived(id, amount) {
+				manager.recordReturned(id, amount);
+			},
+			sendRepayment: async (address, repayment) => deliverRepayment(address, repayment),
 		});
 		return {
-			daemon, manager, account, lending, stopper, reservations: [] as TokenReservation[],
+			daemon, incarnation: self.incarnation, manager, account, lending, returns, stopper, reservations: [] as TokenReservation[],
 		};
 	}
 
 	type Gateway = ReturnType<typeof start>;
 
+	async function deliverRepayment(address: string, repayment: Repayment): Promise<boolean> {
+		const receiver = gateways.find(other => other.daemon === address)!;
+		const delivery = deliveries.shift() ?? 'done';
+		const isAccepted = (delivery === 'done' || delivery === 'lost-after') && receiver.returns.receive(repayment);
+		if (delivery === 'late') {
+			lateRepayments.push({address, repayment});
+		}
+
+		if (delivery !== 'done') {
+			throw new Error('The gateway does not answer');
+		}
+
+		return isAccepted;
+	}
+
 	function countUsed({account}: Gateway): number {
 		const {spent, reserved} = account.get(customer);
 		return spent + reserved;
@@ -125,6 +165,18 @@
 			gateways[index]!.stopper.abort();
 			gateways[index] = start(index);
 		},
+		deliveries,
+		deliverLate() {
+			for (const {address, repayment} of lateRepayments.splice(0)) {
+				gateways.find(other => other.daemon === address)!.returns.receive(repayment);
+			}
+		},
+		async stop(index: number) {
+			const gateway = gateways[index]!;
+			await gateway.returns.handOver({shouldIncludeGrants: log.isUnavailable});
+			await gateway.manager.releaseUnused();
+			this.restart(index);
+		},
 		sumUsed: () => gateways.reduce((sum, gateway) => sum + countUsed(gateway), usedByStopped),
 		sumFree: () => gateways.reduce((sum, gateway) => sum + gateway.account.countFreeTokens(customer), 0),
 	};
@@ -137,6 +189,10 @@
 	{weight: 4, arbitrary: fc.record({kind: fc.constant('settle' as const), index: indexArbitrary, share: fc.double({min: 0, max: 1, noNaN: true})})},
 	{weight: 3, arbitrary: fc.record({kind: fc.constant('renew' as const), index: indexArbitrary})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('kill' as const), index: indexArbitrary})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('stop' as const), index: indexArbitrary})},
+	{weight: 3, arbitrary: fc.record({kind: fc.constant('return' as const), index: indexArbitrary})},
+	{weight: 2, arbitrary: fc.record({kind: fc.constant('delivery' as const), delivery: fc.constantFrom<Delivery>('lost-before', 'lost-after', 'late')})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('deliver-late' as const)})},
 	{weight: 3, arbitrary: fc.record({kind: fc.constant('fate' as const), fate: fc.constantFrom<AppendBehavior>('lost-after', 'lost-before', 'late')})},
 	{weight: 2, arbitrary: fc.record({kind: fc.constant('release-late' as const)})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('away' as const), isAway: fc.constantFrom(true, false, false)})},
@@ -147,7 +203,7 @@
 	await fc.assert(fc.asyncProperty(fc.array(stepArbitrary, {minLength: 30, maxLength: 80}), async steps => {
 		let bought = 2000;
 		let version = 1;
-		const simulation = await createSimulation(bought, mode);
+		const simulation = await createSimulation(bought, mode, new UnseenDemandTargetPolicy());
 		for (const step of steps) {
 			switch (step.kind) {
 				case 'ask': {
@@ -193,6 +249,26 @@
 					break;
 				}
 
+				case 'stop': {
+					await simulation.stop(step.index);
+					break;
+				}
+
+				case 'return': {
+					await simulation.gateways[step.index]!.returns.handOver({shouldIncludeGrants: false});
+					break;
+				}
+
+				case 'delivery': {
+					simulation.deliveries.push(step.delivery);
+					break;
+				}
+
+				case 'deliver-late': {
+					simulation.deliverLate();
+					break;
+				}
+
 				case 'fate': {
 					simulation.log.appendBehaviors.push(step.fate);
 					break;
@@ -220,6 +296,50 @@
 	}), {numRuns: 150, seed: 7});
 });
 
+test('a gateway that stops returns what it has borrowed, and another can use it', async () => {
+	// Guards against tokens that are lost in a rolling restart, because a grant of 0 cannot release them.
+	const simulation = await createSimulation(1000, 'first');
+	const borrowed = await simulation.gateways[2]!.manager.acquire(customer, 600, {timeoutMs: 300});
+	simulation.gateways[2]!.manager.settle(borrowed.unwrap(), 100);
+	await simulation.stop(2);
+	const all = await simulation.gateways[1]!.manager.acquire(customer, 880, {timeoutMs: 300});
+	expect(all.ok).toBe(true);
+});
+
+test('what requests leave of a loan returns to the owner, so that tokens at many gateways can be used by one', async () => {
+	// Guards against a refusal as exhausted while idle loans at other gateways hold the rest of the budget.
+	const simulation = await createSimulation(1000, 'first');
+	const borrowed = await simulation.gateways[2]!.manager.acquire(customer, 600, {timeoutMs: 300});
+	simulation.gateways[2]!.manager.settle(borrowed.unwrap(), 100);
+	expect(simulation.gateways[2]!.manager.computeReturned(customer)).toBe(500);
+	await simulation.gateways[2]!.returns.handOver({shouldIncludeGrants: false});
+	expect(simulation.gateways[2]!.account.countFreeTokens(customer)).toBe(0);
+	simulation.restart(2);
+	const all = await simulation.gateways[1]!.manager.acquire(customer, 900, {timeoutMs: 300});
+	expect(all.ok).toBe(true);
+});
+
+test('a gateway that stops while the log is unavailable hands over all it holds', async () => {
+	// Guards against losing the grants of every gateway that stops in an outage.
+	const simulation = await createSimulation(1000);
+	const claimed = await simulation.gateways[0]!.manager.acquire(customer, 600, {timeoutMs: 300});
+	simulation.gateways[0]!.manager.settle(claimed.unwrap(), 100);
+	const free = simulation.sumFree();
+	simulation.log.isUnavailable = true;
+	await simulation.stop(0);
+	expect(simulation.sumFree()).toBe(free);
+});
+
+test('a repayment to an earlier incarnation is refused and kept', async () => {
+	// Guards against tokens that two incarnations of a gateway accept.
+	const simulation = await createSimulation(1000, 'first');
+	const {returns} = simulation.gateways[0]!;
+	expect(returns.receive({
+		from: 'e2', fromIncarnation: 'i3', sequence: 1, toIncarnation: 'i0', amounts: [{customer, tokens: 100}],
+	})).toBe(false);
+	expect(simulation.gateways[0]!.account.countFreeTokens(customer)).toBe(0);
+});
+
 test('a claim whose answer is lost is found in the log', async () => {
 	// Guards against a refusal although tokens remain, after the append of a
 	// claim took effect but its answer was lost.
@@ -320,7 +440,11 @@
 		grants: createGrantRegistry(),
 		account,
 		findRouteTable: () => buildTable(1, 1000),
-		owners: {isOwner: () => true, isSmallFleet: () => true, countClaimers: () => 4},
+		loanPolicy: new ReturnedLoanPolicy(),
+		grantTargetPolicy: new DemandTargetPolicy(),
+		owners: {
+			isOwner: () => true, isSmallFleet: () => true, countGateways: () => 4, countClaimers: () => 4,
+		},
 		async borrow(id, {needed}) {
 			if (tokensElsewhere) {
 				account.addBorrowed(id, needed);
--- a/src/coordination/budget-manager.ts
+++ b/src/coordination/budget-manager.ts
@@ -14,8 +14,9 @@
 import type {Clock} from '../transport/mod.js';
 import type {BudgetOwners} from './budget-owners.js';
 import {createDemand} from './demand.js';
-import {computeGrant} from './grant-size.js';
+import {computeGrant, type GrantTargetPolicy} from './grant-size.js';
 import type {KeyedFollower} from './keyed-follower.js';
+import type {LoanPolicy, LoanView} from './loan-policy.js';
 import type {BorrowAmounts, BorrowOutcome} from './token-lending.js';
 
 /** Identity under which a gateway holds its grants. */
@@ -43,7 +44,11 @@
 	readonly findRouteTable: () => RouteTable | undefined;
 	readonly borrow: BorrowTokens;
 	/** Determines which gateway claims a customer's budget. */
-	readonly owners: Pick<BudgetOwners, 'isOwner' | 'isSmallFleet' | 'countClaimers'>;
+	readonly owners: Pick<BudgetOwners, 'isOwner' | 'isSmallFleet' | 'countClaimers' | 'countGateways'>;
+	/** Decides how many free tokens a grant should have. */
+	readonly grantTargetPolicy: GrantTargetPolicy;
+	/** Decides how much is borrowed from owners. */
+	readonly loanPolicy: LoanPolicy;
 	readonly clock: Clock;
 	readonly events: EventLog;
 	readonly signal: AbortSignal;
@@ -66,8 +71,6 @@
 const claimForPeerTimeoutMs = 200;
 /** In a small fleet a gateway borrows this multiple of the tokens it lacks, so that its next requests need not borrow again. */
 const borrowFactor = 3;
-/** Demand that a loan from a budget's owner covers in addition to the missing tokens. */
-const borrowAheadMs = 500;
 const millisecondsPerSecond = 1000;
 /** Retry delay for a caller whose customer's tokens are reserved by running requests. */
 const busyRetryAfterMs = 1000;
@@ -141,9 +144,11 @@
 			rate: isOwner ? demand.findRate(customer) : 0,
 			claimDurationMs,
 			available: bought - grants.sumGranted(customer, key),
+			ungranted: bought - grants.sumGranted(customer),
+			bought,
 			claimers: owners.countClaimers(),
 			isEnding,
-		});
+		}, options.grantTargetPolicy);
 	}
 
 	// Returns the next record, or undefined if nothing changes or another writer has seen a newer deployment, in which
@@ -162,6 +167,7 @@
 			const bought = table.findCustomer(customer)?.bought;
 			// Compares with the total in the log, because a decrease takes effect in the account before it is appended.
 			const recordedTotal = grants.get(key)?.granted[customer] ?? 0;
+			grants.coverUnreadable(customer, bought ?? 0);
 			const nextTotal = bought === undefined ? account.get(customer).granted : computeGrantTotal(customer, bought);
 			hasChanged ||= nextTotal !== recordedTotal;
 			if (nextTotal > 0) {
@@ -294,17 +300,24 @@
 		return !follower.isUp() || Math.max(claimDurationMs, runningMs) > slowClaimMs;
 	}
 
-	async function borrowMissing(customer: string): Promise<BorrowOutcome> {
-		const needed = demand.countWanted(customer) - account.countFreeTokens(customer);
-		const wanted = owners.isSmallFleet() ? needed * borrowFactor : needed + (demand.findRate(customer) * borrowAheadMs);
-		return options.borrow(customer, {needed, wanted});
-	}
-
 	function countRemaining(customer: string): number {
 		const bought = findRouteTable()?.findCustomer(customer)?.bought ?? 0;
+		grants.coverUnreadable(customer, bought);
 		return Math.max(0, bought - grants.sumGranted(customer, key) - account.countCommittedTokens(customer));
 	}
 
+	function buildLoanView(customer: string, needed: number): LoanView {
+		return {
+			needed, rate: demand.findRate(customer), idle: account.countIdleLoans(customer), remaining: countRemaining(customer), gateways: owners.countGateways(),
+		};
+	}
+
+	async function borrowMissing(customer: string): Promise<BorrowOutcome> {
+		const needed = demand.countWanted(customer) - account.countFreeTokens(customer);
+		const wanted = owners.isSmallFleet() ? needed * borrowFactor : options.loanPolicy.computeWanted(buildLoanView(customer, needed));
+		return options.borrow(customer, {needed, wanted});
+	}
+
 	async function syncGrants(timeoutMs: number): Promise<void> {
 		if (follower.isUp() && (follower.computeStalenessMs() ?? Number.POSITIVE_INFINITY) > roundIntervalMs) {
 			await Promise.race([follower.catchUp(signal), clock.sleep(timeoutMs)]);
@@ -411,6 +424,16 @@
 		/** Adds tokens lent to another gateway to the demand of this one, which claims on its behalf. */
 		recordLent: demand.recordSpent,
 
+		/** Subtracts tokens that another gateway has returned from the demand. */
+		recordReturned(customer: string, amount: number): void {
+			demand.recordSpent(customer, -amount);
+		},
+
+		/** Returns the number of borrowed tokens to return to the customer's owner. */
+		computeReturned: (customer: string): number => owners.isOwner(customer) || demand.countWanted(customer) > 0
+			? 0
+			: options.loanPolicy.computeReturned(buildLoanView(customer, 0)),
+
 		/** Returns the number of free tokens beyond the demand expected here until the next round. */
 		countSpare: (customer: string): number => Math.max(0, account.countFreeTokens(customer) - (demand.findRate(customer) * roundIntervalMs)),
 
--- a/src/coordination/budget-owners.ts
+++ b/src/coordination/budget-owners.ts
@@ -83,6 +83,11 @@
 		isOwner: (customer: string): boolean => isSmallFleet() || rankGateways(customer)[0] === daemon,
 		/** Returns the gateways in the order in which they take over the customer's budget; none in a small fleet. */
 		listOwners: (customer: string): readonly string[] => isSmallFleet() ? [] : rankGateways(customer),
+		/** Returns the number of gateways that are presumed to be up, including this one. */
+		countGateways(): number {
+			refreshGateways();
+			return gateways.length;
+		},
 		/** Returns the number of gateways that claim the customer's budget. */
 		countClaimers: (): number => isSmallFleet() ? gateways.length : 1,
 	};
--- a/src/coordination/gossip.test.ts
+++ b/src/coordination/gossip.test.ts
@@ -33,7 +33,7 @@
 
 	const gossip = createGossip({
 		clock: time, events, daemon, views, random,
-		listPeers: () => members.filter(member => member.daemon !== daemon).map(member => ({daemon: member.daemon, newsAddress: member.daemon})),
+		listPeers: () => members.filter(member => member.daemon !== daemon).map(member => ({daemon: member.daemon, newsAddress: member.daemon, address: member.daemon})),
 		getOwnView: (): PeerView => ({
 			daemon, incarnation: 'i', address: `${daemon}:1`, version: 1, isLeaving: false, crashes: [], domains: [],
 			free: [{customer: 'c', tokens: 1000}],
--- a/src/coordination/gossip.ts
+++ b/src/coordination/gossip.ts
@@ -24,6 +24,8 @@
 	readonly daemon: string;
 	/** Where it receives datagrams: IP address and port. */
 	readonly newsAddress: string;
+	/** Where it serves calls: IP address and port. */
+	readonly address: string;
 };
 
 /** Options of {@linkcode createGossip}. */
@@ -76,6 +78,8 @@
 	} = options;
 	/** When each gateway was last heard from or, if it never was, first looked up. */
 	const lastHeardAt = new Map<string, number>();
+	/** Gateways that were heard from at any time. */
+	const heard = new Set<string>();
 	/** Entries to forward, by gateway; the one that has waited longest comes first. */
 	const pendingEntries = new Map<string, PeerEntry>();
 	const pendingPrompts: PlacedPrompt[] = [];
@@ -98,6 +102,7 @@
 
 		views.put(view, {sequence: entrySequence, now: clock.now()});
 		lastHeardAt.set(view.daemon, clock.now());
+		heard.add(view.daemon);
 		options.onView(view);
 	}
 
@@ -212,6 +217,9 @@
 			return options.listPeers().map(peer => peer.daemon).filter(peer => !views.has(peer) && computeMsSinceHeard(peer) < failureTimeoutMs);
 		},
 
+		/** Returns the gateways recorded in the log that have had too little time to send gossip, but may answer a call. */
+		listUnheard: (): GossipPeer[] => options.listPeers().filter(({daemon: peer}) => !heard.has(peer) && computeMsSinceHeard(peer) < rate.viewTimeoutMs),
+
 		/** Returns true for a gateway that has been heard from recently or that has had too little time to send gossip. */
 		isPresumedUp: (peer: string): boolean => views.has(peer) || computeMsSinceHeard(peer) < rate.viewTimeoutMs,
 
--- a/src/coordination/grant-size.test.ts
+++ b/src/coordination/grant-size.test.ts
@@ -1,9 +1,12 @@
 import {expect, test} from 'vitest';
-import {computeGrant, type GrantView} from './grant-size.js';
+import {
+	DemandTargetPolicy, UnseenDemandTargetPolicy, computeGrant as computeGrantBy, type GrantView,
+} from './grant-size.js';
 
 const view: GrantView = {
-	granted: 0, bound: 0, free: 0, wanted: 0, rate: 10, claimDurationMs: 15, available: 4_000_000, claimers: 4, isEnding: false,
+	granted: 0, bound: 0, free: 0, wanted: 0, rate: 10, claimDurationMs: 15, available: 4_000_000, ungranted: 4_000_000, bought: 4_000_000, claimers: 4, isEnding: false,
 };
+const computeGrant = (item: GrantView) => computeGrantBy(item, new DemandTargetPolicy());
 
 test('a grant covers seconds of demand without the store while much of the budget is left', () => {
 	// Guards against callers that wait or are refused as soon as the store is
@@ -42,3 +45,20 @@
 		...view, granted: 5000, bound: 1200, free: 3800, isEnding: true,
 	})).toBe(1200);
 });
+
+test('a tenth of a purchase is granted before demand is seen, once, and is kept while it is not used', () => {
+	// Guards against refusals when the store becomes unavailable in the first seconds.
+	const policy = new UnseenDemandTargetPolicy();
+	const idle = {
+		...view, rate: 0, claimers: 1, bought: 1000, available: 1000, ungranted: 1000,
+	};
+	expect(computeGrantBy(idle, policy)).toBe(100);
+	expect(computeGrantBy({
+		...idle, granted: 100, free: 100, ungranted: 900,
+	}, policy)).toBe(100);
+	expect(computeGrantBy({
+		...idle, granted: 100, bound: 60, free: 40, ungranted: 900,
+	}, policy)).toBe(100);
+	// After the holder has failed, its part of the purchase is not granted a second time.
+	expect(computeGrantBy({...idle, available: 900, ungranted: 900}, policy)).toBe(0);
+});
--- a/src/coordination/grant-size.ts
+++ b/src/coordination/grant-size.ts
@@ -23,6 +23,10 @@
 	readonly claimDurationMs: number;
 	/** Tokens bought minus those granted to other gateways. */
 	readonly available: number;
+	/** Tokens bought minus those granted to any gateway. */
+	readonly ungranted: number;
+	/** Tokens bought. */
+	readonly bought: number;
 	/** Number of gateways that claim the budget. */
 	readonly claimers: number;
 	/** True if the gateway is stopping. */
@@ -50,6 +54,36 @@
  * still have used.
  */
 const maxStrandedShare = 0.16;
+/** Share of a purchase that is granted before it is asked for. */
+const unseenDemandShare = 0.1;
+
+/** Decides how many free tokens a grant should have. */
+export abstract class GrantTargetPolicy {
+	/** Returns the number of tokens to hold free, at most `remaining`. */
+	abstract computeTarget(view: GrantView, remaining: number): number;
+}
+
+/** Holds the demand of the next seconds free, as observed. */
+export class DemandTargetPolicy extends GrantTargetPolicy {
+	computeTarget(view: GrantView, remaining: number): number {
+		const maxStranded = Math.max(remaining * maxStrandedShare / view.claimers, view.rate * minHorizonMs);
+		return Math.min(view.rate * (horizonMs + (view.claimDurationMs * coveredClaims)), maxStranded, remaining);
+	}
+}
+
+/**
+ * Holds the demand of the next seconds free and, until the first part of a
+ * purchase has been granted, the rest of that part.
+ *
+ * Answers a store that becomes unavailable before demand has been observed.
+ */
+export class UnseenDemandTargetPolicy extends DemandTargetPolicy {
+	override computeTarget(view: GrantView, remaining: number): number {
+		const granted = view.bought - view.ungranted;
+		const unseen = ((view.bought * unseenDemandShare) - granted) / view.claimers;
+		return Math.min(Math.max(super.computeTarget(view, remaining), view.free + unseen), remaining);
+	}
+}
 
 /**
  * Computes the total that a gateway should be granted.
@@ -57,14 +91,15 @@
  * @example
  * ```ts
  * computeGrant({
- *   granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, claimDurationMs: 10, available: 10_000, claimers: 4, isEnding: false,
- * }); // 500
+ *   granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, claimDurationMs: 10, available: 10_000, ungranted: 10_000, bought: 10_000, claimers: 4, isEnding: false,
+ * }, new DemandTargetPolicy()); // 500
  * ```
  *
  * @param view State of the budget
+ * @param policy How many tokens to hold free
  * @returns The total to be granted: at most what is available, unless more is bound already
  */
-export function computeGrant(view: GrantView): number {
+export function computeGrant(view: GrantView, policy: GrantTargetPolicy): number {
 	const available = Math.max(0, Math.floor(view.available));
 	const {granted, bound, free, wanted} = view;
 	if (view.isEnding) {
@@ -77,8 +112,7 @@
 	}
 
 	const remaining = Math.max(0, available - bound);
-	const maxStranded = Math.max(remaining * maxStrandedShare / view.claimers, view.rate * minHorizonMs);
-	const targetFree = Math.min(view.rate * (horizonMs + (view.claimDurationMs * coveredClaims)), maxStranded, remaining);
+	const targetFree = policy.computeTarget(view, remaining);
 	const isLow = free < wanted || free < targetFree * renewBelowShare;
 	const isIdle = free > targetFree * reduceAboveFactor && granted > bound;
 	if (!isLow && !isIdle) {
--- /dev/null
+++ b/src/coordination/loan-returns.ts
@@ -0,0 +1,197 @@
+/**
+ * Returns borrowed tokens that a gateway does not need to the gateways that
+ * claim the budgets.
+ *
+ * A returned token must not be counted twice. The gateway deducts tokens before
+ * it sends them and never takes them back unless the receiver states that it has
+ * not accepted them. The receiver accepts each repayment once, and only in the
+ * incarnation that it is addressed to: a later incarnation cannot know what the
+ * earlier one has accepted. Tokens of a repayment that stays unanswered are lost.
+ *
+ * @module
+ */
+import type {EventLog} from '../protocol/mod.js';
+import type {FreeTokens, PeerView, TokenAccount} from '../state/mod.js';
+import type {Clock} from '../transport/mod.js';
+
+/** Tokens that one gateway returns to another. */
+export type Repayment = {
+	readonly from: string;
+	readonly fromIncarnation: string;
+	/** Increases with each repayment of the incarnation; a repeated call has the same number. */
+	readonly sequence: number;
+	readonly toIncarnation: string;
+	readonly amounts: readonly FreeTokens[];
+};
+
+/** Options of {@linkcode createLoanReturns}. */
+export type CreateLoanReturnsOptions = {
+	readonly self: {readonly daemon: string; readonly incarnation: string};
+	readonly account: TokenAccount;
+	readonly listViews: () => readonly PeerView[];
+	/** Returns the gateways in the order in which they take over the customer's budget; none if each claims for itself. */
+	readonly listOwners: (customer: string) => readonly string[];
+	/** Returns the number of borrowed tokens to return while the gateway runs. */
+	readonly computeReturned: (customer: string) => number;
+	/** Called with the number of tokens received from a gateway that borrowed them. */
+	readonly onReceived: (customer: string, amount: number) => void;
+	/** Sends a repayment; throws if it is not answered. */
+	readonly sendRepayment: (address: string, repayment: Repayment) => Promise<boolean>;
+	readonly clock: Clock;
+	readonly events: EventLog;
+};
+
+type ReturnOptions = {
+	readonly computeAmount: (customer: string) => number;
+	readonly findReceiver: (customer: string, receivers: ReadonlyMap<string, PeerView>) => PeerView | undefined;
+};
+
+/** Returns borrowed tokens. */
+export type LoanReturns = ReturnType<typeof createLoanReturns>;
+
+const roundIntervalMs = 500;
+/** Attempts to deliver a repayment before its tokens count as lost. */
+const maxAttempts = 3;
+/** Time for which a gateway that did not answer gets no new repayments. */
+const unresponsivePeriodMs = 2000;
+
+/**
+ * Creates the returns of one gateway; `run` operates them until its signal is
+ * aborted.
+ *
+ * @example
+ * ```ts
+ * void returns.run(signal);
+ * await returns.handOver({shouldIncludeGrants: false}); // before the gateway stops
+ * ```
+ *
+ * @param options The token account and the peers
+ * @returns The returns
+ */
+export function createLoanReturns(options: CreateLoanReturnsOptions) {
+	const {self, account, events, clock} = options;
+	const unansweredAt = new Map<string, number>();
+	/** Number of the last repayment accepted from each incarnation of another gateway. */
+	const lastAccepted = new Map<string, number>();
+	/** Receivers of repayments that are under way: one at a time each, so that numbers arrive in order. */
+	const busyReceivers = new Set<string>();
+	let sequence = 0;
+
+	function canReceive({daemon, isLeaving}: PeerView): boolean {
+		return !isLeaving && !busyReceivers.has(daemon) && clock.now() - (unansweredAt.get(daemon) ?? Number.NEGATIVE_INFINITY) >= unresponsivePeriodMs;
+	}
+
+	function listReceivers(): ReadonlyMap<string, PeerView> {
+		return new Map(options.listViews().filter(view => canReceive(view)).map(view => [view.daemon, view]));
+	}
+
+	// Keeps the tokens if this gateway is next in line after owners that cannot receive them now.
+	function findOwner(customer: string, receivers: ReadonlyMap<string, PeerView>): PeerView | undefined {
+		const owner = options.listOwners(customer).find(daemon => receivers.has(daemon) || daemon === self.daemon);
+		return owner === undefined ? undefined : receivers.get(owner);
+	}
+
+	function findSuccessor(customer: string, receivers: ReadonlyMap<string, PeerView>): PeerView | undefined {
+		const owner = options.listOwners(customer).find(daemon => receivers.has(daemon));
+		return owner === undefined ? receivers.values().next().value : receivers.get(owner);
+	}
+
+	function restore(amounts: readonly FreeTokens[]): void {
+		for (const {customer, tokens} of amounts) {
+			account.addBorrowed(customer, tokens);
+		}
+	}
+
+	function reportUnanswered({daemon}: PeerView, {amounts}: Repayment, detail: string): void {
+		unansweredAt.set(daemon, clock.now());
+		for (const {customer} of amounts) {
+			events.write('loanUnanswered', {peer: daemon, customer, detail});
+		}
+	}
+
+	async function deliver(receiver: PeerView, repayment: Repayment): Promise<void> {
+		for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
+			try {
+				const isAccepted = await options.sendRepayment(receiver.address, repayment);
+				// A refusal after an unanswered attempt does not show that the earlier attempt was not accepted.
+				if (!isAccepted && attempt === 1) {
+					restore(repayment.amounts);
+				}
+
+				return;
+			} catch (error) {
+				reportUnanswered(receiver, repayment, (error as Error).message);
+			}
+		}
+	}
+
+	async function repay(receiver: PeerView, amounts: readonly FreeTokens[]): Promise<void> {
+		const deducted = amounts.map(({customer, tokens}) => ({customer, tokens: account.lend(customer, tokens)})).filter(({tokens}) => tokens > 0);
+		if (deducted.length === 0) {
+			return;
+		}
+
+		for (const {customer, tokens} of deducted) {
+			events.write('loanGiven', {customer, to: receiver.daemon, amount: tokens, isReturned: true});
+		}
+
+		sequence += 1;
+		busyReceivers.add(receiver.daemon);
+		try {
+			await deliver(receiver, {
+				from: self.daemon, fromIncarnation: self.incarnation, sequence, toIncarnation: receiver.incarnation, amounts: deducted,
+			});
+		} finally {
+			busyReceivers.delete(receiver.daemon);
+		}
+	}
+
+	async function returnTokens({computeAmount, findReceiver}: ReturnOptions): Promise<void> {
+		const receivers = listReceivers();
+		const byReceiver = new Map<PeerView, FreeTokens[]>();
+		for (const customer of account.listCustomers()) {
+			const tokens = computeAmount(customer);
+			const receiver = tokens > 0 ? findReceiver(customer, receivers) : undefined;
+			if (receiver) {
+				byReceiver.set(receiver, [...byReceiver.get(receiver) ?? [], {customer, tokens}]);
+			}
+		}
+
+		await Promise.all([...byReceiver].map(async ([receiver, amounts]) => repay(receiver, amounts)));
+	}
+
+	return {
+		/** Accepts tokens that another gateway returns. Returns false if they are addressed to another incarnation. */
+		receive({from, fromIncarnation, sequence: number, toIncarnation, amounts}: Repayment): boolean {
+			if (toIncarnation !== self.incarnation) {
+				return false;
+			}
+
+			const sender = `${from}/${fromIncarnation}`;
+			if (number <= (lastAccepted.get(sender) ?? 0)) {
+				return true;
+			}
+
+			lastAccepted.set(sender, number);
+			for (const {customer, tokens} of amounts) {
+				account.addBorrowed(customer, tokens);
+				options.onReceived(customer, tokens);
+				events.write('loanTaken', {customer, from, amount: tokens, isReturned: true});
+			}
+
+			return true;
+		},
+
+		/** Gives all idle borrowed tokens to other gateways, or all free tokens, when this one stops. */
+		handOver: async ({shouldIncludeGrants}: {readonly shouldIncludeGrants: boolean}): Promise<void> => returnTokens({
+			computeAmount: shouldIncludeGrants ? account.countFreeTokens : account.countIdleLoans, findReceiver: findSuccessor,
+		}),
+
+		async run(signal: AbortSignal): Promise<void> {
+			while (!signal.aborted) {
+				await clock.sleep(roundIntervalMs, signal);
+				void returnTokens({computeAmount: options.computeReturned, findReceiver: findOwner});
+			}
+		},
+	};
+}
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -22,6 +22,8 @@
 export * from './keyed-follower.js';
 export * from './expiry-grace.js';
 export * from './loan-manager.js';
+export * from './loan-policy.js';
+export * from './loan-returns.js';
 export * from './log-follower.js';
 export * from './log-writer.js';
 export * from './event-loop-monitor.js';
--- a/src/coordination/placement-gossip.test.ts
+++ b/src/coordination/placement-gossip.test.ts
@@ -35,7 +35,7 @@
 	});
 	const gossip = createGossip({
 		clock: time, events, daemon, views, random: () => 0.5,
-		listPeers: () => gateways.filter(gateway => gateway.daemon !== daemon).map(gateway => ({daemon: gateway.daemon, newsAddress: gateway.daemon})),
+		listPeers: () => gateways.filter(gateway => gateway.daemon !== daemon).map(gateway => ({daemon: gateway.daemon, newsAddress: gateway.daemon, address: gateway.daemon})),
 		getOwnView: () => ({
 			daemon, incarnation: 'i', address: daemon, free: [], uses: registry.listUses(), version: 1, isLeaving: false, crashes: [], domains: [],
 		}),
--- a/src/coordination/quarantine-soak.test.ts
+++ b/src/coordination/quarantine-soak.test.ts
@@ -68,7 +68,7 @@
 		});
 		const gossip = createGossip({
 			clock: time, events, daemon: name, views, random,
-			listPeers: () => listPeers().map(daemon => ({daemon, newsAddress: daemon})),
+			listPeers: () => listPeers().map(daemon => ({daemon, newsAddress: daemon, address: daemon})),
 			getOwnView: () => ({
 				daemon: name, incarnation: String(incarnation).padStart(6, '0'), address: name, version: 1, isLeaving: false, free: [], uses: [], crashes: quarantine.listRecent(), domains: [],
 			}),
--- a/src/coordination/token-lending.ts
+++ b/src/coordination/token-lending.ts
@@ -23,6 +23,9 @@
 	readonly mayClaim: boolean;
 };
 
+/** A gateway that may lend. */
+type Lender = Pick<PeerView, 'daemon' | 'address'>;
+
 /** Options of {@linkcode createTokenLending}. */
 export type CreateTokenLendingOptions = {
 	readonly daemon: string;
@@ -31,6 +34,8 @@
 	readonly listViews: () => PeerView[];
 	/** Returns the gateways recorded as running in the log that recently became unresponsive or have not been heard from yet. */
 	readonly listUnresponsive: () => readonly string[];
+	/** Returns those of them that have not been heard from yet but may answer a call. */
+	readonly listUnheard: () => readonly Lender[];
 	/** Returns the number of tokens that waiting requests of this gateway need. */
 	readonly countWanted: (customer: string) => number;
 	/** Returns the gateways in the order in which they take over the customer's budget; none if each claims for itself. */
@@ -98,7 +103,7 @@
 		}
 	}
 
-	function recordLoan(peer: PeerView, customer: string, lent: number): void {
+	function recordLoan(peer: Lender, customer: string, lent: number): void {
 		if (lent > 0) {
 			account.addBorrowed(customer, lent);
 			events.write('loanTaken', {customer, from: peer.daemon, amount: lent});
@@ -107,7 +112,7 @@
 
 	// Repeats the request under the same loan ID, because the lender may have subtracted the tokens before its answer was
 	// lost. The caller's request does not wait for this.
-	async function retryLoanRequest(peer: PeerView, request: TokenLoanRequest): Promise<void> {
+	async function retryLoanRequest(peer: Lender, request: TokenLoanRequest): Promise<void> {
 		try {
 			recordLoan(peer, request.customer, await options.requestLoan(peer.address, request));
 		} catch (error) {
@@ -115,7 +120,7 @@
 		}
 	}
 
-	async function sendLoanRequest(peer: PeerView, request: TokenLoanRequest): Promise<number | undefined> {
+	async function sendLoanRequest(peer: Lender, request: TokenLoanRequest): Promise<number | undefined> {
 		try {
 			const lent = await options.requestLoan(peer.address, request);
 			recordLoan(peer, request.customer, lent);
@@ -128,7 +133,7 @@
 		}
 	}
 
-	function isUnresponsive({daemon}: PeerView): boolean {
+	function isUnresponsive({daemon}: Lender): boolean {
 		return clock.now() - (unansweredAt.get(daemon) ?? Number.NEGATIVE_INFINITY) < unresponsivePeriodMs;
 	}
 
@@ -152,13 +157,15 @@
 		const wantedRatio = wanted / Math.max(1, needed);
 		const mayClaim = !options.isOwner(customer);
 		let missing = needed;
-		let isComplete = options.listUnresponsive().length === 0;
-		const requestMissing = async (peer: PeerView, lenderMayClaim: boolean) => {
+		const unresponsive = new Set(options.listUnresponsive());
+		let isComplete = true;
+		const requestMissing = async (peer: Lender, lenderMayClaim: boolean) => {
 			const lent = await sendLoanRequest(peer, {
 				loan: createId('l'), customer, needed: missing, wanted: Math.ceil(missing * wantedRatio), from: options.daemon, mayClaim: lenderMayClaim,
 			});
 			isComplete &&= lent !== undefined;
 			missing -= lent ?? 0;
+			unresponsive.delete(peer.daemon);
 			return lent !== undefined;
 		};
 
@@ -176,12 +183,18 @@
 			}
 		}
 
+		for (const peer of options.listUnheard().slice(0, maxOthersQueried)) {
+			if (missing > 0) {
+				await requestMissing(peer, false);
+			}
+		}
+
 		// An owner lends all that is missing or nothing; after the loans of the others it may be able to lend the remainder.
 		if (answeringOwner && missing > 0 && missing < needed) {
 			await requestMissing(answeringOwner, mayClaim);
 		}
 
-		return {tokens: needed - missing, isComplete};
+		return {tokens: needed - missing, isComplete: isComplete && unresponsive.size === 0};
 	}
 
 	function countSpare(customer: string): number {
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -7,8 +7,8 @@
 import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
-	OwnedColdShare, createAdmission, createColdAdmission, createBudgetOwners, createBudgetManager, createCrashDetector, createStorePathTracker, createMetrics,
-	createPeerCatchUp, createGossip, createQuarantine, createQuarantineRecorder, createRelayedLog, createRequestForwarder,
+	OwnedColdShare, ReturnedLoanPolicy, UnseenDemandTargetPolicy, createAdmission, createColdAdmission, createBudgetOwners, createBudgetManager, createCrashDetector, createStorePathTracker, createMetrics,
+	createPeerCatchUp, createGossip, createLoanReturns, createQuarantine, createQuarantineRecorder, createRelayedLog, createRequestForwarder,
 	createRetryAfterEstimator, createRetryBudget, createTokenLending, createUpstreamRegistry, monitorEventLoop,
 	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type GossipPeer, type ProcessStats, type RetryBudget,
 } from '../coordination/mod.js';
@@ -149,7 +149,8 @@
 	}
 
 	function listPeers(): GossipPeer[] {
-		return grantRegistry.listRunning().flatMap(({role, daemon, newsAddress}) => role === 'gateway' && daemon !== self.daemon && newsAddress !== undefined ? [{daemon, newsAddress}] : []);
+		return grantRegistry.listRunning()
+			.flatMap(({role, daemon, address, newsAddress}) => role === 'gateway' && daemon !== self.daemon && newsAddress !== undefined ? [{daemon, address, newsAddress}] : []);
 	}
 
 	const getDeploymentVersion = () => findRouteTable()?.version ?? 0;
@@ -251,6 +252,7 @@
 		},
 		listViews: peerViews.list,
 		listUnresponsive: gossip.listUnresponsive,
+		listUnheard: gossip.listUnheard,
 		countWanted: customer => budgetManager.countWanted(customer),
 		async requestLoan(address, request) {
 			const {tokens} = await fleet.connect(address).gateway.lend(request, {timeoutMs: peerTimeoutMs});
@@ -259,7 +261,18 @@
 	});
 	const budgetManager = createBudgetManager({
 		self, log: logs.grants, follower: state.grantFollower, grants: grantRegistry, account, owners, clock, events, signal, findRouteTable,
-		borrow: lending.borrow,
+		borrow: lending.borrow, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy: new UnseenDemandTargetPolicy(),
+	});
+	const loanReturns = createLoanReturns({
+		self, account, clock, events,
+		listViews: peerViews.list,
+		listOwners: owners.listOwners,
+		computeReturned: budgetManager.computeReturned,
+		onReceived: budgetManager.recordReturned,
+		async sendRepayment(address, {amounts, ...repayment}) {
+			const {isAccepted} = await fleet.connect(address).gateway.returnLoans({...repayment, amounts: [...amounts]}, {timeoutMs: peerTimeoutMs});
+			return isAccepted;
+		},
 	});
 	const retryBudgets = new Map<string, RetryBudget>();
 	// Never decreases, so that gateways that stop and start do not refill the retry budgets each time.
@@ -326,7 +339,7 @@
 		fleetKey: settings.fleetKey,
 		routes(router) {
 			router.service(Relay, createRelayInterface(Object.values(adapter.logs), signal));
-			router.service(Gateway, createGatewayPeerInterface({handleCatchUp, lend: lending.lend}));
+			router.service(Gateway, createGatewayPeerInterface({handleCatchUp, lend: lending.lend, receiveRepayment: loanReturns.receive}));
 		},
 		onUnauthenticated() {
 			events.write('peerRefused');
@@ -353,6 +366,7 @@
 	state.run(signal);
 	void budgetManager.run();
 	void gossip.run(signal);
+	void loanReturns.run(signal);
 	void quarantineRecorder.run(signal);
 	void monitorEventLoop({
 		clock, onWindow: admission.recordLag, readStats: readProcessStats,
@@ -361,6 +375,14 @@
 		},
 	}, signal);
 
+	// Grants are released in the log. Loans, and everything if the store is unavailable, can only go to another gateway.
+	async function releaseTokens(): Promise<void> {
+		const stepMs = stopReserveMs / 4;
+		const isStoreUp = await Promise.race([state.grantFollower.catchUp(signal), clock.sleep(stepMs)]) ?? false;
+		await Promise.race([loanReturns.handOver({shouldIncludeGrants: !isStoreUp}), clock.sleep(stepMs)]);
+		await Promise.race([budgetManager.releaseUnused(), clock.sleep(stepMs)]);
+	}
+
 	return {
 		addresses,
 		// Never resolves: no other process can supersede a gateway, because each incarnation has its own key.
@@ -383,7 +405,7 @@
 			}
 
 			stopWindow.finish();
-			await Promise.race([budgetManager.releaseUnused(), clock.sleep(stopReserveMs / 2)]);
+			await releaseTokens();
 			abortController.abort();
 			callerInterface.markClosing();
 			callerServer.closeAllConnections();
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -4,13 +4,16 @@
  * @module
  */
 import type {ServiceImpl} from '@connectrpc/connect';
-import type {CatchUpAnswer, CatchUpQuery, TokenLoanRequest} from '../coordination/mod.js';
+import type {
+	CatchUpAnswer, CatchUpQuery, Repayment, TokenLoanRequest,
+} from '../coordination/mod.js';
 import type {Gateway} from '../protocol/mod.js';
 
 /** Options of {@linkcode createGatewayPeerInterface}. */
 export type CreateGatewayPeerInterfaceOptions = {
 	readonly handleCatchUp: (request: CatchUpQuery) => CatchUpAnswer;
 	readonly lend: (request: TokenLoanRequest) => Promise<number>;
+	readonly receiveRepayment: (repayment: Repayment) => boolean;
 };
 
 /**
@@ -18,7 +21,7 @@
  *
  * @example
  * ```ts
- * router.service(Gateway, createGatewayPeerInterface({handleCatchUp, lend}));
+ * router.service(Gateway, createGatewayPeerInterface({handleCatchUp, lend, receiveRepayment}));
  * ```
  *
  * @param options The functions that handle the calls
@@ -31,5 +34,6 @@
 			return {deployment, prompts: [...prompts], crashes: [...crashes]};
 		},
 		lend: async request => ({tokens: await options.lend(request)}),
+		returnLoans: request => ({isAccepted: options.receiveRepayment(request)}),
 	};
 }
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -150,6 +150,16 @@
 		}
 	}
 
+	// A holder whose record cannot be read may have been granted any tokens.
+	function readHolderRecord(key: string, value: string | undefined): HolderRecord {
+		try {
+			return holderRecordSchema.parse(JSON.parse(value ?? 'null'));
+		} catch (error) {
+			grantRegistry.putUnreadable(key);
+			throw error;
+		}
+	}
+
 	function applyGrantRecord(stored: StoredRecord): void {
 		const {key, value} = stored;
 		if (isQuarantineKey(key)) {
@@ -157,7 +167,7 @@
 			return;
 		}
 
-		const record = holderRecordSchema.parse(JSON.parse(value ?? 'null'));
+		const record = readHolderRecord(key, value);
 		grantRegistry.put(key, record);
 		if (key === ownKey) {
 			options.onOwnRecord(record);
--- a/src/state/grant-registry.test.ts
+++ b/src/state/grant-registry.test.ts
@@ -40,3 +40,26 @@
 	registry.put('e1', buildRecord('e1', {}, {hasEnded: true}));
 	expect(registry.listRunning()).toEqual([]);
 });
+
+test('a holder whose record cannot be read may have been granted all that was left', () => {
+	// Guards against overspending while two versions of the program, of which one cannot read the records of the other, run together.
+	const registry = createGrantRegistry();
+	registry.put('e1', buildRecord('e1', {c1: 300}));
+	registry.putUnreadable('e2');
+	registry.coverUnreadable('c1', 1000);
+	expect(registry.sumGranted('c1')).toBe(1000);
+	registry.coverUnreadable('c1', 1400);
+	expect(registry.sumGranted('c1')).toBe(1000);
+	registry.put('e2', buildRecord('e2', {c1: 50}));
+	expect(registry.sumGranted('c1')).toBe(350);
+});
+
+test('an earlier record of a holder still counts when its next one cannot be read', () => {
+	const registry = createGrantRegistry();
+	registry.put('e1', buildRecord('e1', {c1: 300}));
+	registry.putUnreadable('e1');
+	registry.coverUnreadable('c1', 200);
+	expect(registry.sumGranted('c1')).toBe(300);
+	registry.coverUnreadable('c2', 200);
+	expect(registry.sumGranted('c2')).toBe(200);
+});
--- a/src/state/grant-registry.ts
+++ b/src/state/grant-registry.ts
@@ -58,6 +58,8 @@
 export function createGrantRegistry() {
 	const holders = new Map<string, HolderRecord>();
 	const grantedByCustomer = new Map<string, number>();
+	/** Holders whose newest record cannot be read, with the tokens that each may have been granted, by customer. */
+	const unreadableHolders = new Map<string, Map<string, number>>();
 	let newestVersion = Number.NEGATIVE_INFINITY;
 	let runningHolders: HolderRecord[] | undefined;
 
@@ -67,6 +69,14 @@
 		}
 	}
 
+	function forgetUnreadable(key: string): void {
+		for (const [customer, tokens] of unreadableHolders.get(key) ?? []) {
+			grantedByCustomer.set(customer, (grantedByCustomer.get(customer) ?? 0) - tokens);
+		}
+
+		unreadableHolders.delete(key);
+	}
+
 	function findRunning(): HolderRecord[] {
 		const newestByDaemon = new Map<string, HolderRecord>();
 		for (const holder of holders.values()) {
@@ -86,12 +96,39 @@
 				addGranted(previous, -1);
 			}
 
+			forgetUnreadable(key);
 			addGranted(record, 1);
 			holders.set(key, record);
 			newestVersion = Math.max(newestVersion, record.version);
 			runningHolders = undefined;
 		},
 
+		/**
+		 * Records that the newest record of a holder cannot be read, as when it was
+		 * written by another version of the program. Its earlier record still counts.
+		 */
+		putUnreadable(key: string): void {
+			if (!unreadableHolders.has(key)) {
+				unreadableHolders.set(key, new Map());
+			}
+		},
+
+		/**
+		 * Counts all tokens of a customer that are not granted otherwise as granted to
+		 * a holder whose record cannot be read. Must be called before tokens of the
+		 * customer are claimed; what is bought later remains available.
+		 */
+		coverUnreadable(customer: string, bought: number): void {
+			for (const tokensByCustomer of unreadableHolders.values()) {
+				if (!tokensByCustomer.has(customer)) {
+					const granted = grantedByCustomer.get(customer) ?? 0;
+					const tokens = Math.max(0, bought - granted);
+					tokensByCustomer.set(customer, tokens);
+					grantedByCustomer.set(customer, granted + tokens);
+				}
+			}
+		},
+
 		get: (key: string): HolderRecord | undefined => holders.get(key),
 		list: (): HolderRecord[] => [...holders.values()],
 
--- a/src/state/token-account.ts
+++ b/src/state/token-account.ts
@@ -63,6 +63,15 @@
 			return Math.max(0, spent + reserved + lent - borrowed);
 		},
 
+		/**
+		 * Returns the borrowed tokens that are neither lent, reserved nor spent. Unlike
+		 * free tokens of the gateway's own grant, they cannot be released in the log.
+		 */
+		countIdleLoans(customer: string): number {
+			const {borrowed, lent, reserved, spent} = ensureBalance(customer);
+			return Math.max(0, Math.min(countFreeTokens(customer), borrowed - lent - reserved - spent));
+		},
+
 		setGranted(customer: string, total: number): void {
 			ensureBalance(customer).granted = total;
 		},
