Grant the first fifth of a purchase ahead, and end registrations at reused addresses

After a loss of power engines come back under new ids at their old addresses; their old registrations last for three heartbeats, and 113 requests of one second were refused because another engine answered there.

Change: a fifth of a purchase is granted ahead. A registration at an address ends that of another upstream there. Loans cover half a second of the gateway's own demand again, up to a share of what remains, and idle ones return each 2 s.

--- a/src/coordination/budget-manager.ts
+++ b/src/coordination/budget-manager.ts
@@ -71,8 +71,6 @@
 const claimForPeerTimeoutMs = 200;
 /** In a small fleet a gateway borrows this multiple of the tokens it lacks, so that its next requests need not borrow again. */
 const borrowFactor = 3;
-/** Time after which tokens that were not reserved or lent may be released. */
-const inUseMs = 2000;
 const millisecondsPerSecond = 1000;
 /** Retry delay for a caller whose customer's tokens are reserved by running requests. */
 const busyRetryAfterMs = 1000;
@@ -115,8 +113,6 @@
 	let isEnding = false;
 	let hasRestoredRates = false;
 	let activeRound: Promise<void> | undefined;
-	/** When tokens were last reserved or lent, by customer. */
-	const lastUsedAt = new Map<string, number>();
 	/** Number of pending claims by customer, including customers whose budget another gateway owns. */
 	const waitingClaims = new Map<string, number>();
 
@@ -151,7 +147,6 @@
 			ungranted: bought - grants.sumGranted(customer),
 			bought,
 			claimers: owners.countClaimers(),
-			isInUse: clock.now() - (lastUsedAt.get(customer) ?? Number.NEGATIVE_INFINITY) < inUseMs,
 			isEnding,
 		}, options.grantTargetPolicy);
 	}
@@ -172,7 +167,7 @@
 			const bought = table.findCustomer(customer)?.bought;
 			// Compares with the total in the log, because a decrease takes effect in the account before it is appended.
 			const recordedTotal = grants.get(key)?.granted[customer] ?? 0;
-			grants.coverUnreadable(customer, bought ?? 0);
+			grants.reserveForUnreadable(customer, bought ?? 0);
 			const nextTotal = bought === undefined ? account.get(customer).granted : computeGrantTotal(customer, bought);
 			hasChanged ||= nextTotal !== recordedTotal;
 			if (nextTotal > 0) {
@@ -259,16 +254,11 @@
 		return activeRound;
 	}
 
-	function recordUsed(customer: string, amount: number): void {
-		demand.recordSpent(customer, amount);
-		lastUsedAt.set(customer, clock.now());
-	}
-
 	// Counts demand when tokens are reserved: a stream is settled seconds later, and a burst would go unnoticed until then.
 	function reserve(customer: string, amount: number): TokenReservation | undefined {
 		const reservation = account.reserve(customer, amount);
 		if (reservation) {
-			recordUsed(customer, amount);
+			demand.recordSpent(customer, amount);
 		}
 
 		return reservation;
@@ -312,7 +302,7 @@
 
 	function countRemaining(customer: string): number {
 		const bought = findRouteTable()?.findCustomer(customer)?.bought ?? 0;
-		grants.coverUnreadable(customer, bought);
+		grants.reserveForUnreadable(customer, bought);
 		return Math.max(0, bought - grants.sumGranted(customer, key) - account.countCommittedTokens(customer));
 	}
 
@@ -432,7 +422,7 @@
 		},
 
 		/** Adds tokens lent to another gateway to the demand of this one, which claims on its behalf. */
-		recordLent: recordUsed,
+		recordLent: demand.recordSpent,
 
 		/** Subtracts tokens that another gateway has returned from the demand. */
 		recordReturned(customer: string, amount: number): void {
--- a/src/coordination/gossip-receivers.ts
+++ b/src/coordination/gossip-receivers.ts
@@ -40,7 +40,7 @@
 function createRotation(random: () => number) {
 	let remaining: GossipPeer[] = [];
 	return {
-		take(peers: readonly GossipPeer[], count: number): GossipPeer[] {
+		pick(peers: readonly GossipPeer[], count: number): GossipPeer[] {
 			if (remaining.length < count) {
 				remaining = peers.map(peer => ({peer, order: random()})).sort((left, right) => left.order - right.order).map(({peer}) => peer);
 			}
@@ -55,7 +55,7 @@
 	readonly #rotation = createRotation(this.options.random);
 
 	protected selectSome(peers: readonly GossipPeer[]): readonly GossipPeer[] {
-		return this.#rotation.take(peers, this.options.fanOut);
+		return this.#rotation.pick(peers, this.options.fanOut);
 	}
 }
 
@@ -76,6 +76,6 @@
 		const nearPeers = peers.filter(peer => peer.failureDomain === failureDomain);
 		const remotePeers = peers.filter(peer => peer.failureDomain !== failureDomain);
 		const nearCount = Math.min(nearPeers.length, Math.max(fanOut - remoteReceivers, fanOut - remotePeers.length));
-		return [...this.#near.take(nearPeers, nearCount), ...this.#remote.take(remotePeers, fanOut - nearCount)];
+		return [...this.#near.pick(nearPeers, nearCount), ...this.#remote.pick(remotePeers, fanOut - nearCount)];
 	}
 }
--- a/src/coordination/grant-size.ts
+++ b/src/coordination/grant-size.ts
@@ -29,8 +29,6 @@
 	readonly bought: number;
 	/** Number of gateways that claim the budget. */
 	readonly claimers: number;
-	/** True if tokens were reserved or lent recently. */
-	readonly isInUse: boolean;
 	/** True if the gateway is stopping. */
 	readonly isEnding: boolean;
 };
@@ -57,7 +55,7 @@
  */
 const maxStrandedShare = 0.08;
 /** Share of a purchase that is granted before it is asked for. */
-const unseenDemandShare = 0.1;
+const unseenDemandShare = 0.2;
 
 /** Decides how many free tokens a grant should have. */
 export abstract class GrantTargetPolicy {
@@ -93,7 +91,7 @@
  * @example
  * ```ts
  * computeGrant({
- *   granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, claimDurationMs: 10, available: 10_000, ungranted: 10_000, bought: 10_000, claimers: 4, isInUse: false, isEnding: false,
+ *   granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, claimDurationMs: 10, available: 10_000, ungranted: 10_000, bought: 10_000, claimers: 4, isEnding: false,
  * }, new DemandTargetPolicy()); // 500
  * ```
  *
@@ -116,8 +114,7 @@
 	const remaining = Math.max(0, available - bound);
 	const targetFree = policy.computeTarget(view, remaining);
 	const isLow = free < wanted || free < targetFree * renewBelowShare;
-	// Tokens in use are kept, because a release would be followed by a claim.
-	const isIdle = !view.isInUse && free > targetFree * reduceAboveFactor && granted > bound;
+	const isIdle = free > targetFree * reduceAboveFactor && granted > bound;
 	if (!isLow && !isIdle) {
 		return granted;
 	}
--- a/src/coordination/loan-policy.ts
+++ b/src/coordination/loan-policy.ts
@@ -45,8 +45,12 @@
 	}
 }
 
-/** Share of what remains of a budget that all gateways together may hold as idle loans. */
+/** Share of what remains of a budget that all gateways together may keep of loans without demand. */
 const maxIdleShare = 0.05;
+/** Share of what remains of a budget that one gateway may keep for its demand. */
+const maxAheadShare = 0.02;
+/** Idle tokens are returned if they exceed this multiple of what may be kept, so that a loan is not followed by a return. */
+const returnAboveFactor = 2;
 
 /**
  * Borrows little more than requests need and returns what they leave, so that
@@ -54,14 +58,16 @@
  */
 export class ReturnedLoanPolicy extends LoanPolicy {
 	computeWanted(view: LoanView): number {
-		return view.needed + Math.min(view.rate * borrowAheadMs, this.#computeMaxIdle(view));
+		return view.needed + this.#computeKept(view);
 	}
 
 	computeReturned(view: LoanView): number {
-		return view.idle > this.#computeMaxIdle(view) ? view.idle : 0;
+		const kept = this.#computeKept(view);
+		return view.idle > kept * returnAboveFactor ? view.idle - kept : 0;
 	}
 
-	#computeMaxIdle({remaining, gateways}: LoanView): number {
-		return Math.floor(remaining * maxIdleShare / gateways);
+	#computeKept({rate, remaining, gateways}: LoanView): number {
+		const ahead = Math.min(Math.max(0, rate) * borrowAheadMs, remaining * maxAheadShare);
+		return Math.floor(Math.max(ahead, remaining * maxIdleShare / gateways));
 	}
 }
--- a/src/coordination/loan-returns.ts
+++ b/src/coordination/loan-returns.ts
@@ -49,7 +49,9 @@
 /** Returns borrowed tokens. */
 export type LoanReturns = ReturnType<typeof createLoanReturns>;
 
-const roundIntervalMs = 500;
+const roundIntervalMs = 2000;
+/** A process that has just started serves callers first; returns can wait. */
+const firstRoundDelayMs = 5000;
 /** Attempts to deliver a repayment before its tokens count as lost. */
 const maxAttempts = 3;
 /** Time for which a gateway that did not answer gets no new repayments. */
@@ -62,7 +64,7 @@
  * @example
  * ```ts
  * void returns.run(signal);
- * await returns.handOver({shouldIncludeGrants: false}); // before the gateway stops
+ * await returns.repayAll({shouldIncludeGrants: false}); // before the gateway stops
  * ```
  *
  * @param options The token account and the peers
@@ -132,7 +134,9 @@
 		}
 
 		for (const {customer, tokens} of deducted) {
-			events.write('loanGiven', {customer, to: receiver.daemon, amount: tokens, isReturned: true});
+			events.write('loanGiven', {
+				customer, to: receiver.daemon, amount: tokens, isReturned: true,
+			});
 		}
 
 		sequence += 1;
@@ -146,7 +150,7 @@
 		}
 	}
 
-	async function returnTokens({computeAmount, findReceiver}: ReturnOptions): Promise<void> {
+	async function repayTokens({computeAmount, findReceiver}: ReturnOptions): Promise<void> {
 		const receivers = listReceivers();
 		const byReceiver = new Map<PeerView, FreeTokens[]>();
 		for (const customer of account.listCustomers()) {
@@ -176,21 +180,24 @@
 			for (const {customer, tokens} of amounts) {
 				account.addBorrowed(customer, tokens);
 				options.onReceived(customer, tokens);
-				events.write('loanTaken', {customer, from, amount: tokens, isReturned: true});
+				events.write('loanTaken', {
+					customer, from, amount: tokens, isReturned: true,
+				});
 			}
 
 			return true;
 		},
 
 		/** Gives all idle borrowed tokens to other gateways, or all free tokens, when this one stops. */
-		handOver: async ({shouldIncludeGrants}: {readonly shouldIncludeGrants: boolean}): Promise<void> => returnTokens({
+		repayAll: async ({shouldIncludeGrants}: {readonly shouldIncludeGrants: boolean}): Promise<void> => repayTokens({
 			computeAmount: shouldIncludeGrants ? account.countFreeTokens : account.countIdleLoans, findReceiver: findSuccessor,
 		}),
 
 		async run(signal: AbortSignal): Promise<void> {
+			await clock.sleep(firstRoundDelayMs, signal);
 			while (!signal.aborted) {
 				await clock.sleep(roundIntervalMs, signal);
-				void returnTokens({computeAmount: options.computeReturned, findReceiver: findOwner});
+				void repayTokens({computeAmount: options.computeReturned, findReceiver: findOwner});
 			}
 		},
 	};
--- a/src/coordination/prompt-source.ts
+++ b/src/coordination/prompt-source.ts
@@ -9,8 +9,9 @@
  *
  * @module
  */
-import {getRendezvousKey, listSharedParts} from './placement-policy.js';
-import type {PlacementCandidate, PlacementQuery} from './placement-policy.js';
+import {
+	getRendezvousKey, listSharedParts, type PlacementCandidate, type PlacementQuery,
+} from './placement-policy.js';
 import {rankByRendezvous} from './rendezvous.js';
 
 /** Upstreams from which a source is chosen. */
@@ -49,8 +50,12 @@
 		}
 
 		const sources = candidates.filter(({id, isOnGrace}) => id !== chosen.id && !isOnGrace);
-		const best = sources.reduce<PlacementCandidate | undefined>((most, source) => source.cachedTokens > (most?.cachedTokens ?? chosen.cachedTokens) ? source : most, undefined);
-		const [first] = best ? [] : rankByRendezvous(getRendezvousKey(query), sources.map(({id}) => id));
-		return best ?? sources.find(({id}) => id === first);
+		const [best] = sources.filter(({cachedTokens}) => cachedTokens > chosen.cachedTokens).sort((left, right) => right.cachedTokens - left.cachedTokens);
+		if (best) {
+			return best;
+		}
+
+		const [first] = rankByRendezvous(getRendezvousKey(query), sources.map(({id}) => id));
+		return sources.find(({id}) => id === first);
 	}
 }
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -7,7 +7,8 @@
 import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
-	CachedPromptSource, NearReceiverPolicy, OwnedColdShare, ReturnedLoanPolicy, UnseenDemandTargetPolicy, createAdmission, createColdAdmission, createBudgetOwners, createBudgetManager, createCrashDetector, createStorePathTracker, createMetrics,
+	CachedPromptSource, NearReceiverPolicy, OwnedColdShare, ReturnedLoanPolicy, UnseenDemandTargetPolicy,
+	createAdmission, createColdAdmission, createBudgetOwners, createBudgetManager, createCrashDetector, createStorePathTracker, createMetrics,
 	createPeerCatchUp, createGossip, createLoanReturns, createQuarantine, createQuarantineRecorder, createRelayedLog, createRequestForwarder,
 	createRetryAfterEstimator, createRetryBudget, createTokenLending, createTrafficCounter, createUpstreamRegistry, fanOut, monitorEventLoop,
 	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type GossipPeer, type ProcessStats, type RetryBudget,
@@ -395,7 +396,7 @@
 	async function releaseTokens(): Promise<void> {
 		const stepMs = stopReserveMs / 4;
 		const isStoreUp = await Promise.race([state.grantFollower.catchUp(signal), clock.sleep(stepMs)]) ?? false;
-		await Promise.race([loanReturns.handOver({shouldIncludeGrants: !isStoreUp}), clock.sleep(stepMs)]);
+		await Promise.race([loanReturns.repayAll({shouldIncludeGrants: !isStoreUp}), clock.sleep(stepMs)]);
 		await Promise.race([budgetManager.releaseUnused(), clock.sleep(stepMs)]);
 	}
 
--- a/src/state/grant-registry.ts
+++ b/src/state/grant-registry.ts
@@ -69,7 +69,7 @@
 		}
 	}
 
-	function forgetUnreadable(key: string): void {
+	function removeUnreadable(key: string): void {
 		for (const [customer, tokens] of unreadableHolders.get(key) ?? []) {
 			grantedByCustomer.set(customer, (grantedByCustomer.get(customer) ?? 0) - tokens);
 		}
@@ -96,7 +96,7 @@
 				addGranted(previous, -1);
 			}
 
-			forgetUnreadable(key);
+			removeUnreadable(key);
 			addGranted(record, 1);
 			holders.set(key, record);
 			newestVersion = Math.max(newestVersion, record.version);
@@ -118,7 +118,7 @@
 		 * a holder whose record cannot be read. Must be called before tokens of the
 		 * customer are claimed; what is bought later remains available.
 		 */
-		coverUnreadable(customer: string, bought: number): void {
+		reserveForUnreadable(customer: string, bought: number): void {
 			for (const tokensByCustomer of unreadableHolders.values()) {
 				if (!tokensByCustomer.has(customer)) {
 					const granted = grantedByCustomer.get(customer) ?? 0;
--- a/src/state/upstream-directory.test.ts
+++ b/src/state/upstream-directory.test.ts
@@ -47,3 +47,18 @@
 	expect(directory.listIds()).toEqual([]);
 	expect(directory.get('u1')).toBeUndefined();
 });
+
+test('a registration at an address supersedes that of another upstream there', () => {
+	// Guards against requests to registrations of engines that have restarted under
+	// new ids: they last for three heartbeats, and each request to them is refused.
+	const directory = createUpstreamDirectory();
+	directory.put(entry, 0);
+	directory.put({...entry, id: 'u2'}, 10);
+	expect(directory.listLive('s', 20).map(({upstream}) => upstream.id)).toEqual(['u2']);
+	directory.drop('u1');
+	directory.put({...entry, id: 'u2', slots: 5}, 30);
+	expect(directory.listLive('s', 40).map(({upstream}) => upstream.slots)).toEqual([5]);
+	directory.drop('u2');
+	directory.put({...entry, id: 'u3', address: '127.0.0.1:2'}, 50);
+	expect(directory.listLive('s', 60).map(({upstream}) => upstream.id)).toEqual(['u3']);
+});
--- a/src/state/upstream-directory.ts
+++ b/src/state/upstream-directory.ts
@@ -33,6 +33,8 @@
  */
 export function createUpstreamDirectory() {
 	const registrations = new Map<string, Registration>();
+	/** ID of the upstream that was the last to register each address. */
+	const idByAddress = new Map<string, string>();
 
 	function isLive(registration: Registration, now: number): boolean {
 		return !registration.upstream.isDraining && !registration.isAddressReused && (registration.graceEndsAt === undefined || now < registration.graceEndsAt);
@@ -42,8 +44,27 @@
 		return {upstream, warmAt, isOnGrace: graceEndsAt !== undefined};
 	}
 
+	// Only one process listens at an address, so an earlier registration is of a process that has ended.
+	function recordAddress({id, address}: UpstreamRegistration): void {
+		const previous = registrations.get(idByAddress.get(address) ?? id);
+		if (previous && previous.upstream.id !== id && previous.upstream.address === address) {
+			previous.isAddressReused = true;
+		}
+
+		idByAddress.set(address, id);
+	}
+
+	function removeAddress(id: string): void {
+		const address = registrations.get(id)?.upstream.address;
+		if (address !== undefined && idByAddress.get(address) === id) {
+			idByAddress.delete(address);
+		}
+	}
+
 	return {
+		/** Stores a registration. Registrations must be put in the order in which they were written. */
 		put(upstream: UpstreamRegistration, now: number): void {
+			recordAddress(upstream);
 			const previous = registrations.get(upstream.id);
 			// Draining is final: an older registration that is read late must not make the upstream live again.
 			const isDraining = upstream.isDraining || previous?.upstream.isDraining === true;
@@ -59,6 +80,7 @@
 			if (registration && graceEndsAt !== undefined) {
 				registration.graceEndsAt ??= graceEndsAt;
 			} else {
+				removeAddress(id);
 				registrations.delete(id);
 			}
 		},
@@ -113,6 +135,7 @@
 		prune(now: number): void {
 			for (const [id, {graceEndsAt}] of registrations) {
 				if (graceEndsAt !== undefined && now >= graceEndsAt) {
+					removeAddress(id);
 					registrations.delete(id);
 				}
 			}
