Release grants and repay loans side by side at a stop

Cause: three steps of 175 ms each left a host of a quarter of a core too little time to append the record that releases its grants. Loans are deducted before the first wait, so both can run at once.

Measured: platform/gateway-stop.test.ts, gateway.test.ts, evacuation.test.ts and budget-manager.test.ts pass (56 tests).

--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -21,6 +21,7 @@
 } from '../state/mod.js';
 import {
 	createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, probeAddress, startCallerServer, startFleetServer, startHttpServer,
+	waitWithTimeout,
 } from '../transport/mod.js';
 import type {RunningDaemon} from './core.js';
 import {formatGatewayMetrics} from './gateway-metrics.js';
@@ -56,6 +57,8 @@
 const stopNoticeMs = 2500;
 /** Time reserved at the end of a stop for releasing grants. */
 const stopReserveMs = 700;
+/** Time within which the store must answer for a stopping gateway to release its grants in the log. */
+const storeCheckTimeoutMs = 200;
 const trafficReportIntervalMs = 10_000;
 const microsecondsPerMillisecond = 1000;
 /** Minimum number of gateways among which the fleet's retry slack is divided: the smallest deployments have four. */
@@ -404,11 +407,11 @@
 	}, signal);
 
 	// Grants are released in the log. Loans, and everything if the store is unavailable, can only go to another gateway.
+	// They are deducted before the first wait, so the released grants do not include them.
 	async function releaseTokens(): Promise<void> {
-		const stepMs = stopReserveMs / 4;
-		const isStoreUp = await Promise.race([state.grantFollower.catchUp(signal), clock.sleep(stepMs)]) ?? false;
-		await Promise.race([loanReturns.repayAll({shouldIncludeGrants: !isStoreUp}), clock.sleep(stepMs)]);
-		await Promise.race([budgetManager.releaseUnused(), clock.sleep(stepMs)]);
+		const isStoreUp = await waitWithTimeout(state.grantFollower.catchUp(signal), {clock, timeoutMs: storeCheckTimeoutMs}) ?? false;
+		const repaid = loanReturns.repayAll({shouldIncludeGrants: !isStoreUp});
+		await waitWithTimeout(Promise.all([repaid, budgetManager.releaseUnused()]), {clock, timeoutMs: stopReserveMs / 2});
 	}
 
 	return {
