Grant less of a purchase ahead where several gateways claim

Change: a fiftieth of a purchase for each of several claimers; a fifth where one claims for all, as before.

--- a/src/coordination/grant-size.test.ts
+++ b/src/coordination/grant-size.test.ts
@@ -59,6 +59,7 @@
 	expect(computeGrantBy({
 		...idle, granted: 200, bound: 160, free: 40, ungranted: 800,
 	}, policy)).toBe(200);
+	expect(computeGrantBy({...idle, claimers: 4}, policy)).toBe(20);
 	// After the holder has failed, its part of the purchase is not granted a second time.
 	expect(computeGrantBy({...idle, available: 800, ungranted: 800}, policy)).toBe(0);
 });
--- a/src/coordination/grant-size.ts
+++ b/src/coordination/grant-size.ts
@@ -54,8 +54,10 @@
  * still have used.
  */
 const maxStrandedShare = 0.08;
-/** Share of a purchase that is granted before it is asked for. */
+/** Share of a purchase that is granted before it is asked for where one gateway claims for all. */
 const unseenDemandShare = 0.2;
+/** The same for each of several claimers. The failure of one costs every customer its part, so it is smaller. */
+const unseenDemandShareEach = 0.02;
 
 /** Decides how many free tokens a grant should have. */
 export abstract class GrantTargetPolicy {
@@ -80,7 +82,8 @@
 export class UnseenDemandTargetPolicy extends DemandTargetPolicy {
 	override computeTarget(view: GrantView, remaining: number): number {
 		const granted = view.bought - view.ungranted;
-		const unseen = ((view.bought * unseenDemandShare) - granted) / view.claimers;
+		const share = view.claimers === 1 ? unseenDemandShare : Math.min(unseenDemandShare, view.claimers * unseenDemandShareEach);
+		const unseen = ((view.bought * share) - granted) / view.claimers;
 		return Math.min(Math.max(super.computeTarget(view, remaining), view.free + unseen), remaining);
 	}
 }
