Count each unreadable record of a holder, not only its first

Cause: a holder whose records cannot be read was counted once; its next record may claim what was bought since. grant-registry.test.ts fails without the change.

--- a/src/state/grant-registry.test.ts
+++ b/src/state/grant-registry.test.ts
@@ -50,6 +50,10 @@
 	expect(registry.sumGranted('c1')).toBe(1000);
 	registry.reserveForUnreadable('c1', 1400);
 	expect(registry.sumGranted('c1')).toBe(1000);
+	// The holder may have claimed what was bought since with its next record.
+	registry.putUnreadable('e2');
+	registry.reserveForUnreadable('c1', 1400);
+	expect(registry.sumGranted('c1')).toBe(1400);
 	registry.put('e2', buildRecord('e2', {c1: 50}));
 	expect(registry.sumGranted('c1')).toBe(350);
 });
--- a/src/state/grant-registry.ts
+++ b/src/state/grant-registry.ts
@@ -40,6 +40,14 @@
 /** Record of one incarnation of a gateway or relay. */
 export type HolderRecord = z.infer<typeof holderRecordSchema>;
 
+/** A holder whose newest record cannot be read. */
+type UnreadableHolder = {
+	/** Tokens that it may have been granted, by customer. */
+	readonly granted: Map<string, number>;
+	/** Customers of whom its newest record has been counted. */
+	readonly counted: Set<string>;
+};
+
 /** Registry of the tokens granted to every gateway. */
 export type GrantRegistry = ReturnType<typeof createGrantRegistry>;
 
@@ -58,8 +66,7 @@
 export function createGrantRegistry() {
 	const holders = new Map<string, HolderRecord>();
 	const grantedByCustomer = new Map<string, number>();
-	/** Holders whose newest record cannot be read, with the tokens that each may have been granted, by customer. */
-	const unreadableHolders = new Map<string, Map<string, number>>();
+	const unreadableHolders = new Map<string, UnreadableHolder>();
 	let newestVersion = Number.NEGATIVE_INFINITY;
 	let runningHolders: HolderRecord[] | undefined;
 
@@ -70,7 +77,7 @@
 	}
 
 	function removeUnreadable(key: string): void {
-		for (const [customer, tokens] of unreadableHolders.get(key) ?? []) {
+		for (const [customer, tokens] of unreadableHolders.get(key)?.granted ?? []) {
 			grantedByCustomer.set(customer, (grantedByCustomer.get(customer) ?? 0) - tokens);
 		}
 
@@ -108,23 +115,24 @@
 		 * written by another version of the program. Its earlier record still counts.
 		 */
 		putUnreadable(key: string): void {
-			if (!unreadableHolders.has(key)) {
-				unreadableHolders.set(key, new Map());
-			}
+			const granted = unreadableHolders.get(key)?.granted ?? new Map<string, number>();
+			unreadableHolders.set(key, {granted, counted: new Set()});
 		},
 
 		/**
 		 * Counts all tokens of a customer that are not granted otherwise as granted to
 		 * a holder whose record cannot be read. Must be called before tokens of the
-		 * customer are claimed; what is bought later remains available.
+		 * customer are claimed; what is bought after the holder's record remains
+		 * available.
 		 */
 		reserveForUnreadable(customer: string, bought: number): void {
-			for (const tokensByCustomer of unreadableHolders.values()) {
-				if (!tokensByCustomer.has(customer)) {
-					const granted = grantedByCustomer.get(customer) ?? 0;
-					const tokens = Math.max(0, bought - granted);
-					tokensByCustomer.set(customer, tokens);
-					grantedByCustomer.set(customer, granted + tokens);
+			for (const {granted, counted} of unreadableHolders.values()) {
+				if (!counted.has(customer)) {
+					const total = grantedByCustomer.get(customer) ?? 0;
+					const tokens = Math.max(0, bought - total);
+					counted.add(customer);
+					granted.set(customer, (granted.get(customer) ?? 0) + tokens);
+					grantedByCustomer.set(customer, total + tokens);
 				}
 			}
 		},
