Call gateways that have not been heard from only where each claims for itself

Each refusal called up to six gateways that were starting. Where owners claim, such a gateway has nothing to lend. Its effect there is not measured yet.

--- a/src/coordination/token-lending.ts
+++ b/src/coordination/token-lending.ts
@@ -183,7 +183,9 @@
 			}
 		}
 
-		for (const peer of options.listUnheard().slice(0, maxOthersQueried)) {
+		// Where owners claim, a gateway that has just started has borrowed nothing yet.
+		const unheard = options.listOwners(customer).length === 0 ? options.listUnheard() : [];
+		for (const peer of unheard.slice(0, maxOthersQueried)) {
 			if (missing > 0) {
 				await requestMissing(peer, false);
 			}
