Keep tokens that a gateway of an earlier version cannot accept

Found by reading. A gateway without the call for repayments answers that it does not know it; this counted as no answer, so during an upgrade of a fleet the tokens of each repayment were lost. A deleted grants record counted as one that cannot be read and held the rest of all budgets; what it granted stays counted, as before.

--- a/src/coordination/budget-manager.test.ts
+++ b/src/coordination/budget-manager.test.ts
@@ -201,11 +201,16 @@
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('top-up' as const), amount: fc.integer({min: 1, max: 1000})})},
 );
 
-test.each<ClaimMode>(['each', 'first'])('no order of claims, loans, lost answers and deaths spends more than was bought: %s claims', async mode => {
+test.each<[ClaimMode, string, GrantTargetPolicy]>([
+	['each', 'observed', new DemandTargetPolicy()],
+	['each', 'unseen', new UnseenDemandTargetPolicy()],
+	['first', 'observed', new DemandTargetPolicy()],
+	['first', 'unseen', new UnseenDemandTargetPolicy()],
+])('no order of claims, loans, lost answers and deaths spends more than was bought: %s claims, %s demand', async (mode, _demand, policy) => {
 	await fc.assert(fc.asyncProperty(fc.array(stepArbitrary, {minLength: 30, maxLength: 80}), async steps => {
 		let bought = 2000;
 		let version = 1;
-		const simulation = await createSimulation(bought, mode, new UnseenDemandTargetPolicy());
+		const simulation = await createSimulation(bought, mode, policy);
 		for (const step of steps) {
 			switch (step.kind) {
 				case 'ask': {
@@ -313,7 +318,8 @@
 	const simulation = await createSimulation(1000, 'first');
 	const borrowed = await simulation.gateways[2]!.manager.acquire(customer, 600, {timeoutMs: 300});
 	simulation.gateways[2]!.manager.settle(borrowed.unwrap(), 100);
-	expect(simulation.gateways[2]!.manager.computeReturned(customer)).toBeGreaterThan(450);
+	// All gateways together may keep a twentieth of what remains.
+	expect(500 - simulation.gateways[2]!.manager.computeReturned(customer)).toBeLessThanOrEqual(0.05 * 1000 / simulation.gateways.length);
 	await simulation.gateways[2]!.returns.repayAll({shouldIncludeGrants: false});
 	expect(simulation.gateways[2]!.account.countFreeTokens(customer)).toBe(0);
 	simulation.restart(2);
--- a/src/coordination/loan-returns.ts
+++ b/src/coordination/loan-returns.ts
@@ -24,6 +24,9 @@
 	readonly amounts: readonly FreeTokens[];
 };
 
+/** Sends a repayment to a gateway and returns whether it accepted the tokens; throws if that is unknown. */
+export type SendRepayment = (address: string, repayment: Repayment) => Promise<boolean>;
+
 /** Options of {@linkcode createLoanReturns}. */
 export type CreateLoanReturnsOptions = {
 	readonly self: {readonly daemon: string; readonly incarnation: string};
@@ -35,8 +38,7 @@
 	readonly computeReturned: (customer: string) => number;
 	/** Called with the number of tokens received from a gateway that borrowed them. */
 	readonly onReceived: (customer: string, amount: number) => void;
-	/** Sends a repayment; throws if it is not answered. */
-	readonly sendRepayment: (address: string, repayment: Repayment) => Promise<boolean>;
+	readonly sendRepayment: SendRepayment;
 	readonly clock: Clock;
 	readonly events: EventLog;
 };
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -44,6 +44,7 @@
 export * from './reclaimer.js';
 export * from './relayed-log.js';
 export * from './rendezvous.js';
+export * from './repayment-client.js';
 export * from './request-forwarder.js';
 export * from './request-router.js';
 export * from './retry-budget.js';
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -9,7 +9,7 @@
 import {
 	CachedPromptSource, NearReceiverPolicy, OwnedColdShare, ReturnedLoanPolicy, UnseenDemandTargetPolicy,
 	createAdmission, createColdAdmission, createBudgetOwners, createBudgetManager, createCrashDetector, createStorePathTracker, createMetrics,
-	createPeerCatchUp, createGossip, createLoanReturns, createQuarantine, createQuarantineRecorder, createRelayedLog, createRequestForwarder,
+	createPeerCatchUp, createGossip, createLoanReturns, createQuarantine, createQuarantineRecorder, createRelayedLog, createRepaymentClient, createRequestForwarder,
 	createRetryAfterEstimator, createRetryBudget, createTokenLending, createTrafficCounter, createUpstreamRegistry, fanOut, monitorEventLoop,
 	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type GossipPeer, type ProcessStats, type RetryBudget,
 } from '../coordination/mod.js';
@@ -296,10 +296,7 @@
 		listOwners: owners.listOwners,
 		computeReturned: budgetManager.computeReturned,
 		onReceived: budgetManager.recordReturned,
-		async sendRepayment(address, {amounts, ...repayment}) {
-			const {isAccepted} = await fleet.connect(address).gateway.returnLoans({...repayment, amounts: [...amounts]}, {timeoutMs: peerTimeoutMs});
-			return isAccepted;
-		},
+		sendRepayment: createRepaymentClient({fleet, timeoutMs: peerTimeoutMs}),
 	});
 	const retryBudgets = new Map<string, RetryBudget>();
 	// Never decreases, so that gateways that stop and start do not refill the retry budgets each time.
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -296,7 +296,29 @@
 	stop();
 });
 
-test('a gateway in a partition learns of evacuations and returns from peers, and an older state changes nothing', async () => {
+test('a holder\'s record that cannot be read holds the rest of every budget, a deleted one what it held before', async () => {
+	// Guards against tokens that two versions of the program grant twice.
+	const {time, logs, state, stop} = createFixture(['u1']);
+	const putGrants = (key: string, value: string | undefined) => {
+		logs.grants.records.push({key, value, offset: logs.grants.records.length});
+	};
+
+	putGrants('e1/i1', JSON.stringify({
+		role: 'gateway', daemon: 'e1', incarnation: 'i1', address: 'a', failureDomain: 'd', version: 1, sequence: 1, granted: {c: 300}, hasEnded: false,
+	}));
+	await time.runUntil(3000);
+	putGrants('e1/i1', undefined);
+	await time.runUntil(6000);
+	state.grantRegistry.reserveForUnreadable('c', 1000);
+	expect(state.grantRegistry.sumGranted('c')).toBe(300);
+	putGrants('e2/i1', '{"granted":"of another version"}');
+	await time.runUntil(9000);
+	state.grantRegistry.reserveForUnreadable('c', 1000);
+	expect(state.grantRegistry.sumGranted('c')).toBe(1000);
+	stop();
+});
+
+test('a gateway in a partition receives evacuations and returns from peers, and an older state changes nothing', async () => {
 	const {time, add, setPartitioned, listCandidates, state, stop} = createFixture(['u1']);
 	add('u2', 'e');
 	await time.runUntil(3000);
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -150,12 +150,15 @@
 		}
 	}
 
-	// A holder whose record cannot be read may have been granted any tokens.
+	// A holder whose record cannot be read may have been granted any tokens. What a deleted record granted stays counted.
 	function readHolderRecord(key: string, value: string | undefined): HolderRecord {
 		try {
 			return holderRecordSchema.parse(JSON.parse(value ?? 'null'));
 		} catch (error) {
-			grantRegistry.putUnreadable(key);
+			if (value !== undefined) {
+				grantRegistry.putUnreadable(key);
+			}
+
 			throw error;
 		}
 	}
--- a/src/protocol/read-settings.ts
+++ b/src/protocol/read-settings.ts
@@ -180,7 +180,7 @@
  *
  * @example
  * ```ts
- * const settings = readSettings('settings/abrigo.yaml', {daemon: 'entry-1'});
+ * const settings = readSettings('settings/fleet.yaml', {daemon: 'entry-1'});
  * ```
  *
  * @param file The file's path
@@ -196,7 +196,7 @@
  *
  * @example
  * ```ts
- * checkSettings('settings/abrigo.yaml');
+ * checkSettings('settings/fleet.yaml');
  * ```
  *
  * @param file The file's path
--- a/src/state/evacuations.ts
+++ b/src/state/evacuations.ts
@@ -22,7 +22,7 @@
 
 type KnownState = DomainState & {readonly changedAt: number};
 
-/** Time for which peers are told that a failure domain has returned; a gateway that is cut off for longer keeps avoiding it. */
+/** Time for which a return is announced to peers; a gateway that is cut off for longer keeps avoiding the failure domain. */
 const returnAnnouncementMs = 60_000;
 /** Maximum number of states sent to peers, the newest first, so that a gossip entry fits into a datagram. */
 const maxAnnouncedStates = 16;
@@ -59,7 +59,7 @@
 
 		isEvacuated: (failureDomain: string): boolean => states.get(failureDomain)?.isEvacuated ?? false,
 
-		/** Returns when this process learned that the failure domain has returned; undefined if it was not evacuated. */
+		/** Returns when this process received the record of the failure domain's return; undefined if there is none. */
 		findReturnedAt(failureDomain: string): number | undefined {
 			const known = states.get(failureDomain);
 			return known && !known.isEvacuated ? known.changedAt : undefined;
