--- a/src/coordination/budget-manager.ts
+++ b/src/coordination/budget-manager.ts
@@ -1,27 +1,19 @@
 /**
- * Maintains a gateway's supply of tokens from its customers' budgets: claims
- * the expected demand of the next seconds in the grants log, and releases
- * tokens that are idle.
+ * Obtains the tokens that a gateway's requests need from its customers'
+ * budgets: from its own grant, by a claim, or by loans from other gateways.
  *
  * @module
  */
 import {
-	Err, Ok, createFailure, type EventLog, type Failure, type KeyedLog, type Result,
+	Err, Ok, createFailure, type Failure, type Result,
 } from '../protocol/mod.js';
-import {
-	type GrantRegistry, type HolderRecord, type RouteTable, type TokenAccount, type TokenReservation,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+import type {TokenReservation} from '../state/mod.js';
 import type {BudgetOwners} from './budget-owners.js';
 import {createDemand} from './demand.js';
-import {computeGrant, type GrantTargetPolicy} from './grant-size.js';
-import type {KeyedFollower} from './keyed-follower.js';
+import {createGrantWriter, formatHolderKey, type CreateGrantWriterOptions} from './grant-writer.js';
 import type {LoanPolicy, LoanView} from './loan-policy.js';
 import type {BorrowAmounts, BorrowOutcome} from './token-lending.js';
 
-/** Identity under which a gateway holds its grants. */
-export type HolderIdentity = Pick<HolderRecord, 'role' | 'daemon' | 'incarnation' | 'address' | 'newsAddress' | 'failureDomain'>;
-
 /** Options of {@linkcode BudgetManager.acquire}. */
 export type AcquireTokensOptions = {
 	/** Timeout of a claim, in milliseconds. */
@@ -34,24 +26,12 @@
 export type BorrowTokens = (customer: string, amounts: BorrowAmounts) => Promise<BorrowOutcome>;
 
 /** Options of {@linkcode createBudgetManager}. */
-export type CreateBudgetManagerOptions = {
-	readonly self: HolderIdentity;
-	readonly log: KeyedLog;
-	readonly follower: KeyedFollower;
-	readonly grants: GrantRegistry;
-	readonly account: TokenAccount;
-	/** Returns the routes and customers of the deployment in force; undefined before the first one is known. */
-	readonly findRouteTable: () => RouteTable | undefined;
+export type CreateBudgetManagerOptions = Omit<CreateGrantWriterOptions, 'demand' | 'waitingClaims' | 'owners'> & {
 	readonly borrow: BorrowTokens;
 	/** Determines which gateway claims a customer's budget. */
 	readonly owners: Pick<BudgetOwners, 'isOwner' | 'isSmallFleet' | 'countClaimers' | 'countGateways'>;
-	/** Decides how many free tokens a grant should have. */
-	readonly grantTargetPolicy: GrantTargetPolicy;
 	/** Decides how much is borrowed from owners. */
 	readonly loanPolicy: LoanPolicy;
-	readonly clock: Clock;
-	readonly events: EventLog;
-	readonly signal: AbortSignal;
 };
 
 /** Manages the tokens of one gateway. */
@@ -61,8 +41,6 @@
 const rateWarmUpMs = 2000;
 /** Pause between claim rounds; less than the demand that a grant covers. A request that lacks tokens does not wait for the next round. */
 const roundIntervalMs = 500;
-/** Attempts to append a record against concurrent writers before it is left to the next round. */
-const maxAppendAttempts = 6;
 /** If claims take longer than this, tokens are first borrowed from other gateways, which answer in 3 ms. A claim usually takes 10 to 20 ms. */
 const slowClaimMs = 60;
 /** A request is refused as exhausted only if the log was read within this time: two rounds. */
@@ -71,25 +49,9 @@
 const claimForPeerTimeoutMs = 200;
 /** In a small fleet a gateway borrows this multiple of the tokens it lacks, so that its next requests need not borrow again. */
 const borrowFactor = 3;
-const millisecondsPerSecond = 1000;
 /** Retry delay for a caller whose customer's tokens are reserved by running requests. */
 const busyRetryAfterMs = 1000;
 
-/**
- * Formats the key of an incarnation's record in the grants log.
- *
- * @example
- * ```ts
- * formatHolderKey({daemon: 'entry-1', incarnation: 'i-9'}); // 'entry-1/i-9'
- * ```
- *
- * @param holder The incarnation
- * @returns The key
- */
-export function formatHolderKey(holder: Pick<HolderRecord, 'role' | 'daemon' | 'incarnation'>): string {
-	return `${holder.daemon}/${holder.incarnation}`;
-}
-
 /**
  * Creates a budget manager; `run` operates it until the signal is aborted.
  *
@@ -103,156 +65,15 @@
  */
 export function createBudgetManager(options: CreateBudgetManagerOptions) {
 	const {
-		self, log, follower, grants, account, owners, findRouteTable, clock, events, signal,
+		self, follower, grants, account, owners, findRouteTable, clock, events, signal,
 	} = options;
 	const key = formatHolderKey(self);
 	const demand = createDemand(clock, {warmUpMs: rateWarmUpMs});
-	let sequence = 0;
-	let claimDurationMs = 0;
-	let roundStartedAt: number | undefined;
-	let isEnding = false;
-	let hasRestoredRates = false;
-	let activeRound: Promise<void> | undefined;
 	/** Number of pending claims by customer, including customers whose budget another gateway owns. */
 	const waitingClaims = new Map<string, number>();
-
-	// Restores the rates of the previous incarnation, so that the first claim covers all customers. When all gateways lose
-	// power at once, callers of every customer retry together; if each first request needed its own claim, the colliding
-	// claims would take 50 to 600 ms each for two seconds.
-	function restoreRates(): void {
-		if (hasRestoredRates) {
-			return;
-		}
-
-		hasRestoredRates = true;
-		for (const [customer, rate] of Object.entries(grants.findPredecessor(self.daemon, self.incarnation)?.rates ?? {})) {
-			if (demand.findRate(customer) === 0) {
-				demand.setRate(customer, rate / millisecondsPerSecond);
-			}
-		}
-	}
-
-	function computeGrantTotal(customer: string, bought: number): number {
-		const {granted} = account.get(customer);
-		const isOwner = owners.isOwner(customer);
-		return computeGrant({
-			granted,
-			bound: account.countCommittedTokens(customer),
-			free: account.countFreeTokens(customer),
-			wanted: isOwner || waitingClaims.has(customer) ? demand.countWanted(customer) : 0,
-			// Tokens of a budget that another gateway owns are borrowed on demand, not claimed ahead.
-			rate: isOwner ? demand.findRate(customer) : 0,
-			claimDurationMs,
-			available: bought - grants.sumGranted(customer, key),
-			ungranted: bought - grants.sumGranted(customer),
-			bought,
-			claimers: owners.countClaimers(),
-			isEnding,
-		}, options.grantTargetPolicy);
-	}
-
-	// Returns the next record, or undefined if nothing changes or another writer has seen a newer deployment, in which
-	// budgets may have been lowered.
-	function buildNextRecord(): HolderRecord | undefined {
-		const table = findRouteTable();
-		if (!table || grants.findNewestVersion() > table.version) {
-			return undefined;
-		}
-
-		restoreRates();
-		const granted: Record<string, number> = {};
-		const rates: Record<string, number> = {};
-		let hasChanged = grants.get(key) === undefined || (isEnding && !grants.get(key)!.hasEnded);
-		for (const customer of new Set([...account.listCustomers(), ...(table.deployment.customers ?? []).map(({id}) => id)])) {
-			const bought = table.findCustomer(customer)?.bought;
-			// Compares with the total in the log, because a decrease takes effect in the account before it is appended.
-			const recordedTotal = grants.get(key)?.granted[customer] ?? 0;
-			grants.reserveForUnreadable(customer, bought ?? 0);
-			const nextTotal = bought === undefined ? account.get(customer).granted : computeGrantTotal(customer, bought);
-			hasChanged ||= nextTotal !== recordedTotal;
-			if (nextTotal > 0) {
-				granted[customer] = nextTotal;
-				// The rate is negative when large reservations are settled with much smaller amounts.
-				rates[customer] = Math.max(0, Math.round(demand.findRate(customer) * millisecondsPerSecond));
-			}
-		}
-
-		return hasChanged
-			? {
-				...self, version: table.version, sequence: sequence + 1, granted, rates, hasEnded: isEnding,
-			}
-			: undefined;
-	}
-
-	// Removes released tokens from the account before the record is appended: if the answer is lost, the record may be in
-	// the log, and other gateways may claim the tokens.
-	function applyDecreases(record: HolderRecord): void {
-		for (const customer of account.listCustomers()) {
-			const next = record.granted[customer] ?? 0;
-			if (next < account.get(customer).granted) {
-				account.setGranted(customer, next);
-			}
-		}
-	}
-
-	// Reads the log before each claim, and whenever a request lacks tokens. A round that changes nothing does not read,
-	// because the follower's own reads bring the records of other writers.
-	async function tryWriteRecord(): Promise<'done' | 'again'> {
-		const canSkipRead = follower.getNextOffset() !== undefined && waitingClaims.size === 0;
-		if ((canSkipRead && !buildNextRecord()) || !await follower.catchUp(signal)) {
-			return 'done';
-		}
-
-		const record = buildNextRecord();
-		const nextOffset = follower.getNextOffset();
-		if (!record || nextOffset === undefined) {
-			return 'done';
-		}
-
-		sequence = record.sequence;
-		applyDecreases(record);
-		const value = JSON.stringify(record);
-		const outcome = await log.append({key, value}, {expectedEnd: nextOffset});
-		switch (outcome.kind) {
-			case 'appended': {
-				claimDurationMs = clock.now() - (roundStartedAt ?? clock.now());
-				follower.applyOwnRecord({key, value, offset: outcome.offset});
-				return 'done';
-			}
-
-			case 'behind': {
-				return 'again';
-			}
-
-			case 'unknown':
-			case 'refused': {
-				events.write('answerLost', {log: log.name, kind: outcome.kind, detail: outcome.failure.detail});
-				return 'again';
-			}
-		}
-	}
-
-	async function writeGrants(): Promise<void> {
-		for (let attempt = 0; attempt < maxAppendAttempts && !signal.aborted; attempt += 1) {
-			if (await tryWriteRecord() === 'done') {
-				return;
-			}
-		}
-	}
-
-	// Runs one round at a time; concurrent calls wait for the same round.
-	async function renewGrants(): Promise<void> {
-		activeRound ??= (async () => {
-			roundStartedAt = clock.now();
-			try {
-				await writeGrants();
-			} finally {
-				activeRound = undefined;
-				roundStartedAt = undefined;
-			}
-		})();
-		return activeRound;
-	}
+	const writer = createGrantWriter({
+		...options, demand, waitingClaims,
+	});
 
 	// Counts demand when tokens are reserved: a stream is settled seconds later, and a burst would go unnoticed until then.
 	function reserve(customer: string, amount: number): TokenReservation | undefined {
@@ -269,7 +90,7 @@
 		waitingClaims.set(customer, (waitingClaims.get(customer) ?? 0) + 1);
 		// A round that was already running when the request arrived may not have counted it.
 		for (let round = 0; round < 2 && clock.now() < deadline; round += 1) {
-			await Promise.race([renewGrants(), clock.sleep(deadline - clock.now())]);
+			await Promise.race([writer.renew(), clock.sleep(deadline - clock.now())]);
 			if (isDone()) {
 				break;
 			}
@@ -296,8 +117,7 @@
 	}
 
 	function isClaimSlow(): boolean {
-		const runningMs = roundStartedAt === undefined ? 0 : clock.now() - roundStartedAt;
-		return !follower.isUp() || Math.max(claimDurationMs, runningMs) > slowClaimMs;
+		return !follower.isUp() || writer.getClaimDurationMs() > slowClaimMs;
 	}
 
 	function countRemaining(customer: string): number {
@@ -381,14 +201,7 @@
 
 	return {
 		/** Applies a record of this gateway that was read back or confirmed; its increases may not be used before. */
-		applyOwnRecord(record: HolderRecord): void {
-			for (const customer of new Set([...account.listCustomers(), ...Object.keys(record.granted)])) {
-				account.setGranted(customer, record.granted[customer] ?? 0);
-			}
-
-			sequence = Math.max(sequence, record.sequence);
-			events.write('grantClaimed', {sequence: record.sequence, version: record.version, granted: JSON.stringify(record.granted)});
-		},
+		applyOwnRecord: writer.applyOwnRecord,
 
 		/** Reserves the worst case of a request from free tokens, by a claim, or by loans from other gateways. */
 		async acquire(customer: string, amount: number, acquireOptions: AcquireTokensOptions): Promise<Result<TokenReservation, Failure>> {
@@ -438,20 +251,16 @@
 		countSpare: (customer: string): number => Math.max(0, account.countFreeTokens(customer) - (demand.findRate(customer) * roundIntervalMs)),
 
 		/** Runs a round now: claims the demand of the next seconds and releases idle tokens. */
-		renew: renewGrants,
+		renew: writer.renew,
 
 		async run(): Promise<void> {
 			while (!signal.aborted) {
-				await renewGrants();
+				await writer.renew();
 				await clock.sleep(roundIntervalMs, signal);
 			}
 		},
 
 		/** Releases all unused tokens, when the gateway stops. */
-		async releaseUnused(): Promise<void> {
-			isEnding = true;
-			await activeRound;
-			await renewGrants();
-		},
+		releaseUnused: writer.releaseUnused,
 	};
 }
--- a/src/coordination/placement-gossip.test.ts
+++ b/src/coordination/placement-gossip.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {createUnlimitedUpstreams} from '../../tools/harness/unlimited-upstreams.js';
+import {createUnlimitedEligibility} from '../../tools/harness/unlimited-upstreams.js';
 import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
 import type {EventLog, GatewayService, GenerationParameters} from '../protocol/mod.js';
 import {createPeerViews, createUpstreamDirectory} from '../state/mod.js';
@@ -29,7 +29,7 @@
 	const views = createPeerViews();
 	const counts = {datagrams: 0};
 	const registry: UpstreamRegistry = createUpstreamRegistry({
-		...createUnlimitedUpstreams(time), directory, clock: time, failureDomain: 'd', sumPeerUse: views.sumUse,
+		eligibility: createUnlimitedEligibility({directory, clock: time}), directory, clock: time, failureDomain: 'd', sumPeerUse: views.sumUse,
 		onUseChange() {
 			gossip.markChanged();
 		},
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {expect, test} from 'vitest';
-import {createUnlimitedUpstreams} from '../../tools/harness/unlimited-upstreams.js';
+import {createUnlimitedEligibility} from '../../tools/harness/unlimited-upstreams.js';
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type GatewayWire, type Route, type UpstreamRegistration,
 } from '../protocol/mod.js';
@@ -69,10 +69,12 @@
 		}
 	}
 
+	const eligibility = createUnlimitedEligibility({directory, clock});
 	const forwarder = createRequestForwarder({
+		eligibility,
 		wire, clock, events,
 		registry: createUpstreamRegistry({
-			...createUnlimitedUpstreams(clock), directory, clock, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
+			eligibility, directory, clock, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
 		}),
 		traffic: createTrafficCounter('d'),
 		promptSourcePolicy: new CachedPromptSource(),
--- /dev/null
+++ b/src/coordination/request-placement.ts
@@ -0,0 +1,73 @@
+/**
+ * Chooses the upstream for a request, and the one from whose cache that one
+ * fetches the shared part of the prompt.
+ *
+ * @module
+ */
+import type {ForwardRequest} from './forward-types.js';
+import {
+	LeastRunningPolicy, PromptPlacementPolicy, ServicePlacementPolicy, type PlacementCandidate, type PlacementPolicy, type PlacementQuery,
+} from './placement-policy.js';
+import type {PromptSourceOptions, PromptSourcePolicy} from './prompt-source.js';
+import type {Quarantine} from './quarantine.js';
+import type {UpstreamRegistry} from './upstream-registry.js';
+
+/** Options of {@linkcode createRequestPlacement}. */
+export type CreateRequestPlacementOptions = {
+	readonly registry: Pick<UpstreamRegistry, 'get' | 'listCandidates'>;
+	readonly quarantine: Pick<Quarantine, 'isSuspected'>;
+	/** Chooses from where an upstream fetches the cached part of a prompt. */
+	readonly promptSourcePolicy: PromptSourcePolicy;
+};
+
+/** The upstream for a request, and the address of the one from which it fetches the cached part of the prompt. */
+export type Placement = {readonly candidate: PlacementCandidate; readonly fetchFrom: string | undefined};
+
+/** Chooses upstreams for requests. */
+export type RequestPlacement = ReturnType<typeof createRequestPlacement>;
+
+/**
+ * Creates the choice of upstreams.
+ *
+ * @example
+ * ```ts
+ * const placement = createRequestPlacement({registry, quarantine, promptSourcePolicy: new CachedPromptSource()});
+ * placement.pick(request, new Set())?.candidate.id;
+ * ```
+ *
+ * @param options The upstreams, suspected requests and the choice of prompt sources
+ * @returns The choice
+ */
+export function createRequestPlacement({registry, quarantine, promptSourcePolicy}: CreateRequestPlacementOptions) {
+	const suspectPolicy: PlacementPolicy = new LeastRunningPolicy();
+	const promptPolicy: PlacementPolicy = new PromptPlacementPolicy();
+	const servicePolicy: PlacementPolicy = new ServicePlacementPolicy();
+
+	function findPolicy({digest, generation}: ForwardRequest): PlacementPolicy {
+		if (quarantine.isSuspected(digest)) {
+			return suspectPolicy;
+		}
+
+		return generation ? promptPolicy : servicePolicy;
+	}
+
+	function pickSource({service}: ForwardRequest, query: PlacementQuery, options: PromptSourceOptions): string | undefined {
+		const source = query.generation && service.engine?.canFetchPrompts ? promptSourcePolicy.pick(query, options) : undefined;
+		return source && registry.get(source.id)?.address;
+	}
+
+	return {
+		/** Picks an upstream that was not tried yet; undefined if none may get the request now. */
+		pick(request: ForwardRequest, tried: ReadonlySet<string>): Placement | undefined {
+			const {service, generation} = request;
+			const candidates = registry.listCandidates({service, generation, excluded: tried});
+			if (candidates.length === 0) {
+				return undefined;
+			}
+
+			const query = {id: request.id ?? '', generation};
+			const candidate = findPolicy(request).pick(query, candidates);
+			return {candidate, fetchFrom: pickSource(request, query, {chosen: candidate, candidates})};
+		},
+	};
+}
--- /dev/null
+++ b/src/coordination/upstream-eligibility.ts
@@ -0,0 +1,138 @@
+/**
+ * Decides to which upstreams a gateway may send a request now: not to those of
+ * an evacuated failure domain, and to cold ones only within this gateway's share.
+ *
+ * Every request passes `admitSend` just before it is written, also one that was
+ * placed seconds ago and waited for a connection.
+ *
+ * @module
+ */
+import type {GatewayService} from '../protocol/mod.js';
+import type {Evacuations, LiveUpstream, UpstreamDirectory} from '../state/mod.js';
+import type {Clock} from '../transport/mod.js';
+import type {ColdAdmission} from './cold-admission.js';
+
+/** Options of {@linkcode createUpstreamEligibility}. */
+export type CreateUpstreamEligibilityOptions = {
+	readonly directory: UpstreamDirectory;
+	readonly evacuations: Pick<Evacuations, 'isEvacuated' | 'findReturnedAt'>;
+	/** Limits requests to cold upstreams. */
+	readonly coldAdmission: ColdAdmission;
+	/**
+	 * Returns true if this gateway has recent records of the deployment, or hears
+	 * from other gateways. Without either, upstreams may have become cold unnoticed.
+	 */
+	readonly isInformed: () => boolean;
+	readonly clock: Clock;
+};
+
+/** Decides to which upstreams a gateway may send a request. */
+export type UpstreamEligibility = ReturnType<typeof createUpstreamEligibility>;
+
+/** Why no request may be sent to the live upstreams of a service. */
+export type UpstreamBlockage = {
+	readonly detail: string;
+	/** Time after which a caller may retry, in milliseconds. */
+	readonly retryAfterMs: number;
+};
+
+/** Retry delay for a caller whose service has all its failure domains evacuated; nobody knows when one returns. */
+const evacuatedRetryAfterMs = 1000;
+/** Lower limit of the retry delay while all upstreams are cold; another gateway may have capacity at once. */
+const minColdRetryAfterMs = 100;
+
+/**
+ * Creates the decision of one gateway.
+ *
+ * @example
+ * ```ts
+ * const eligibility = createUpstreamEligibility({directory, evacuations, coldAdmission, isInformed, clock});
+ * eligibility.listEligible(service);
+ * eligibility.admitSend('engine-7', service);
+ * ```
+ *
+ * @param options What is known of upstreams and failure domains, and the limit of cold ones
+ * @returns The decision
+ */
+export function createUpstreamEligibility(options: CreateUpstreamEligibilityOptions) {
+	const {
+		directory, evacuations, coldAdmission, isInformed, clock,
+	} = options;
+
+	function isEvacuated({upstream}: LiveUpstream): boolean {
+		return evacuations.isEvacuated(upstream.failureDomain);
+	}
+
+	// The upstreams of a failure domain that returns may have become cold without having registered again since.
+	function computeRemainingColdMs({upstream, warmAt}: LiveUpstream, {coldStart}: GatewayService): number {
+		if (!coldStart) {
+			return 0;
+		}
+
+		if (!isInformed()) {
+			return coldStart.duration;
+		}
+
+		const returnedAt = evacuations.findReturnedAt(upstream.failureDomain) ?? Number.NEGATIVE_INFINITY;
+		return Math.max(0, Math.max(warmAt, returnedAt + coldStart.duration) - clock.now());
+	}
+
+	// Returns 0 if this gateway may send a request now; another gateway may have capacity sooner than this one.
+	function computeColdWaitMs(live: LiveUpstream, service: GatewayService): number {
+		const remainingColdMs = computeRemainingColdMs(live, service);
+		return remainingColdMs > 0 ? Math.min(remainingColdMs, coldAdmission.computeWaitMs(live.upstream.id, service.coldStart!.rate)) : 0;
+	}
+
+	function listInService(service: GatewayService): LiveUpstream[] {
+		return directory.listLive(service.id, clock.now()).filter(live => !isEvacuated(live));
+	}
+
+	return {
+		/** Lists the live upstreams of a service that may get a request of this gateway now. */
+		listEligible: (service: GatewayService): LiveUpstream[] => listInService(service).filter(live => computeColdWaitMs(live, service) === 0),
+
+		/**
+		 * Returns true if a request may be sent to an upstream now, and counts it
+		 * towards the limit of a cold upstream. Must be called just before the request
+		 * is written.
+		 */
+		admitSend(id: string, service: GatewayService): boolean {
+			const live = directory.findLive(id, clock.now());
+			if (!live || isEvacuated(live) || computeColdWaitMs(live, service) > 0) {
+				return false;
+			}
+
+			if (service.coldStart) {
+				coldAdmission.recordSend(id);
+			}
+
+			return true;
+		},
+
+		/** Returns why no upstream of a service may get a request although some are live; undefined if none is live or any may. */
+		findBlockage(service: GatewayService): UpstreamBlockage | undefined {
+			if (directory.listLive(service.id, clock.now()).length === 0) {
+				return undefined;
+			}
+
+			const inService = listInService(service);
+			if (inService.length === 0) {
+				return {detail: 'All failure domains of the service are evacuated', retryAfterMs: evacuatedRetryAfterMs};
+			}
+
+			const waitMs = Math.min(...inService.map(live => computeColdWaitMs(live, service)));
+			return waitMs > 0
+				? {detail: 'All upstreams of the service are cold', retryAfterMs: Math.max(minColdRetryAfterMs, Math.ceil(waitMs))}
+				: undefined;
+		},
+
+		/**
+		 * Returns true if an upstream is live and listed, neither in its grace period
+		 * nor evacuated, so that its process is not expected to end.
+		 */
+		isExpectedUp(id: string): boolean {
+			const live = directory.findLive(id, clock.now());
+			return live !== undefined && !live.isOnGrace && !isEvacuated(live);
+		},
+	};
+}
--- a/src/coordination/upstream-registry.ts
+++ b/src/coordination/upstream-registry.ts
@@ -9,18 +9,16 @@
 	GatewayService, GenerationParameters, ReportedLoad, UpstreamRegistration,
 } from '../protocol/mod.js';
 import {
-	createPromptCache, type Evacuations, type LiveUpstream, type PlacedPrompt, type UpstreamDirectory, type UpstreamUse,
+	createPromptCache, type LiveUpstream, type PlacedPrompt, type UpstreamDirectory, type UpstreamUse,
 } from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
-import type {ColdAdmission} from './cold-admission.js';
 import type {PlacementCandidate} from './placement-policy.js';
+import type {UpstreamEligibility} from './upstream-eligibility.js';
 
 /** Options of {@linkcode createUpstreamRegistry}. */
 export type CreateUpstreamRegistryOptions = {
 	readonly directory: UpstreamDirectory;
-	readonly evacuations: Pick<Evacuations, 'isEvacuated' | 'findReturnedAt'>;
-	/** Limits requests to cold upstreams. */
-	readonly coldAdmission: ColdAdmission;
+	readonly eligibility: Pick<UpstreamEligibility, 'listEligible'>;
 	readonly clock: Clock;
 	readonly failureDomain: string;
 	/** Returns the age of the directory's data, in milliseconds. */
@@ -55,13 +53,6 @@
 	readonly end: () => void;
 };
 
-/** Why no request may be sent to the live upstreams of a service. */
-export type UpstreamBlockage = {
-	readonly detail: string;
-	/** Time after which a caller may retry, in milliseconds. */
-	readonly retryAfterMs: number;
-};
-
 /** Statistics of a gateway on each upstream. */
 export type UpstreamRegistry = ReturnType<typeof createUpstreamRegistry>;
 
@@ -92,11 +83,6 @@
 const warmUpSlowness = 2;
 /** Limits of the estimated slowness relative to the other upstreams. */
 const slownessRange = {min: 0.6, max: 8} as const;
-/** Retry delay for a caller whose service has all its failure domains evacuated; nobody knows when one returns. */
-const evacuatedRetryAfterMs = 1000;
-/** Lower limit of the retry delay while all upstreams are cold; another gateway may have capacity at once. */
-const minColdRetryAfterMs = 100;
-
 /** @internal */
 function updateAverage(current: number, sample: number): number {
 	return current === 0 ? sample : (current * (1 - smoothingFactor)) + (sample * smoothingFactor);
@@ -117,7 +103,7 @@
  */
 export function createUpstreamRegistry(options: CreateUpstreamRegistryOptions) {
 	const {
-		directory, evacuations, coldAdmission, clock, failureDomain,
+		directory, eligibility, clock, failureDomain,
 	} = options;
 	const statsById = new Map<string, UpstreamStats>();
 	const promptCache = createPromptCache();
@@ -140,26 +126,6 @@
 		return Math.min(slownessRange.max, Math.max(slownessRange.min, relative)) * (isWarm ? 1 : warmUpSlowness);
 	}
 
-	function isEvacuated({upstream}: LiveUpstream): boolean {
-		return evacuations.isEvacuated(upstream.failureDomain);
-	}
-
-	// The upstreams of a failure domain that returns may have become cold without having registered again since.
-	function computeRemainingColdMs({upstream, warmAt}: LiveUpstream, {coldStart}: GatewayService): number {
-		const returnedAt = evacuations.findReturnedAt(upstream.failureDomain) ?? Number.NEGATIVE_INFINITY;
-		return coldStart ? Math.max(0, Math.max(warmAt, returnedAt + coldStart.duration) - clock.now()) : 0;
-	}
-
-	// Returns 0 if this gateway may send a request now; another gateway may have capacity sooner than this one.
-	function computeColdWaitMs(live: LiveUpstream, service: GatewayService): number {
-		const remainingColdMs = computeRemainingColdMs(live, service);
-		return remainingColdMs > 0 ? Math.min(remainingColdMs, coldAdmission.computeWaitMs(live.upstream.id, service.coldStart!.rate)) : 0;
-	}
-
-	function listEligible(service: GatewayService): LiveUpstream[] {
-		return directory.listLive(service.id, clock.now()).filter(live => !isEvacuated(live));
-	}
-
 	function buildCandidate({upstream, warmAt, isOnGrace}: LiveUpstream, generation: GenerationParameters | undefined, median: number): PlacementCandidate {
 		const stats = ensureStats(upstream.id);
 		const peerUse = options.sumPeerUse(upstream.id);
@@ -185,7 +151,7 @@
 		 */
 		listCandidates({service, generation, excluded}: ListCandidatesOptions): PlacementCandidate[] {
 			const now = clock.now();
-			const live = listEligible(service).filter(item => !excluded.has(item.upstream.id) && computeColdWaitMs(item, service) === 0);
+			const live = eligibility.listEligible(service).filter(({upstream}) => !excluded.has(upstream.id));
 			const responsive = live.filter(({upstream}) => ensureStats(upstream.id).avoidUntil <= now);
 			const selected = responsive.length > 0 ? responsive : live;
 			const median = findMedianMsPerToken(selected.map(({upstream}) => upstream.id));
@@ -193,49 +159,6 @@
 		},
 
 		get: (id: string): UpstreamRegistration | undefined => directory.get(id),
-		/**
-		 * Returns true if a request may be sent to an upstream now, and counts it
-		 * towards the limit of a cold upstream. Must be called just before the request
-		 * is written.
-		 */
-		admitSend(id: string, service: GatewayService): boolean {
-			const live = directory.findLive(id, clock.now());
-			if (!live || isEvacuated(live) || computeColdWaitMs(live, service) > 0) {
-				return false;
-			}
-
-			if (service.coldStart) {
-				coldAdmission.recordSend(id);
-			}
-
-			return true;
-		},
-
-		/** Returns why no upstream of a service may get a request although some are live; undefined if none is live or any may. */
-		findBlockage(service: GatewayService): UpstreamBlockage | undefined {
-			if (directory.listLive(service.id, clock.now()).length === 0) {
-				return undefined;
-			}
-
-			const eligible = listEligible(service);
-			if (eligible.length === 0) {
-				return {detail: 'All failure domains of the service are evacuated', retryAfterMs: evacuatedRetryAfterMs};
-			}
-
-			const waitMs = Math.min(...eligible.map(live => computeColdWaitMs(live, service)));
-			return waitMs > 0
-				? {detail: 'All upstreams of the service are cold', retryAfterMs: Math.max(minColdRetryAfterMs, Math.ceil(waitMs))}
-				: undefined;
-		},
-
-		/**
-		 * Returns true if an upstream is live and listed, neither in its grace period
-		 * nor evacuated, so that its process is not expected to end.
-		 */
-		isListed(id: string): boolean {
-			const live = directory.findLive(id, clock.now());
-			return live !== undefined && !live.isOnGrace && !isEvacuated(live);
-		},
 		getViewAgeMs: (): number | undefined => options.getViewAgeMs?.(),
 
 		/** Starts tracking a request at an upstream. The caller must call `end` on the returned tracker. */
--- /dev/null
+++ b/src/coordination/upstream-sender.ts
@@ -0,0 +1,186 @@
+/**
+ * Sends a request to one upstream and relays its answer.
+ *
+ * @module
+ */
+import type {AnswerMetadata, GatewayWire} from '../protocol/mod.js';
+import {
+	createTimeoutSignal, type CallFailure, type Clock, type UpstreamResponse, type UpstreamClient,
+} from '../transport/mod.js';
+import type {AnswerRelay, RelayOutcome} from './answer-relay.js';
+import type {CrashDetector} from './crash-detector.js';
+import type {ForwardReport, ForwardRequest} from './forward-types.js';
+import type {Quarantine} from './quarantine.js';
+import type {Placement} from './request-placement.js';
+import {createStallTimeout} from './stall-timeout.js';
+import type {TrafficCounter} from './traffic-counter.js';
+import type {UpstreamEligibility} from './upstream-eligibility.js';
+import type {UpstreamRegistry, UpstreamRequestTracker} from './upstream-registry.js';
+import {computeUrgency} from './urgency.js';
+
+/** Options of {@linkcode createUpstreamSender}. */
+export type CreateUpstreamSenderOptions = {
+	readonly wire: GatewayWire;
+	readonly client: UpstreamClient;
+	readonly registry: Pick<UpstreamRegistry, 'get' | 'trackRequest'>;
+	readonly eligibility: Pick<UpstreamEligibility, 'admitSend'>;
+	readonly traffic: Pick<TrafficCounter, 'record'>;
+	readonly quarantine: Pick<Quarantine, 'trackRun'>;
+	readonly crashDetector: CrashDetector;
+	readonly clock: Clock;
+};
+
+/** Outcome of sending a request to one upstream. */
+export type SendOutcome =
+	/** `reached` is the upstream that received the request: none, another one at the same address, or the chosen one. */
+	| {readonly kind: 'not-run'; readonly detail: string; readonly reached: 'none' | 'other' | 'chosen'}
+	| RelayOutcome;
+
+/** Fields of the report that are filled in while the request is being forwarded. */
+export type ForwardProgress = {-readonly [Field in 'sends' | 'mayHaveRun' | 'upstream' | 'firstMs' | 'waitingTokens' | 'cachedTokens' | 'isOnGrace' | 'viewMs']: ForwardReport[Field]};
+
+/** State of a request while it is being forwarded. */
+export type ForwardingState = {readonly request: ForwardRequest; readonly relay: AnswerRelay; readonly progress: ForwardProgress};
+
+/** Options for receiving an upstream's answer. */
+type ReceiveOptions = {readonly tracker: UpstreamRequestTracker; readonly onProgress: (bytes: number) => void};
+
+/** @internal */
+function classifyCallFailure(failure: CallFailure, progress: ForwardProgress): SendOutcome {
+	if (failure.kind === 'unsent') {
+		return {kind: 'not-run', detail: failure.detail, reached: 'none'};
+	}
+
+	progress.mayHaveRun = true;
+	return {kind: 'broken', detail: failure.detail, wasConnectionLost: true};
+}
+
+/** @internal An answer to another request shows that the connection carries extra answers, so no later answer on it can be trusted. */
+function isForOtherRequest(request: ForwardRequest, metadata: AnswerMetadata): boolean {
+	return metadata.requestId !== undefined && metadata.requestId !== request.id;
+}
+
+/**
+ * Creates a sender.
+ *
+ * @example
+ * ```ts
+ * const outcome = await sender.send({request, relay, progress}, placement);
+ * ```
+ *
+ * @param options The upstreams, the client and what is recorded of each call
+ * @returns The sender
+ */
+export function createUpstreamSender(options: CreateUpstreamSenderOptions) {
+	const {
+		wire, client, registry, eligibility, traffic, quarantine, crashDetector, clock,
+	} = options;
+
+	async function receive({request, relay, progress}: ForwardingState, answer: UpstreamResponse, {tracker, onProgress}: ReceiveOptions): Promise<SendOutcome> {
+		const metadata = wire.readAnswer(answer.status, answer.headers);
+		if (metadata.load) {
+			tracker.recordLoad(metadata.load);
+		}
+
+		if (isForOtherRequest(request, metadata)) {
+			// This request was sent and may have run. Reporting "not run" could be false and would leave its tokens uncounted.
+			progress.mayHaveRun = true;
+			answer.abandon();
+			return {kind: 'broken', detail: 'The answer belongs to another request', wasConnectionLost: false};
+		}
+
+		if (metadata.isWrongUpstream) {
+			answer.abandon();
+			tracker.recordMoved();
+			return {kind: 'not-run', detail: 'Another upstream now listens at this address', reached: 'other'};
+		}
+
+		if (metadata.hasNotRun) {
+			answer.abandon();
+			return {kind: 'not-run', detail: `status ${answer.status}`, reached: 'chosen'};
+		}
+
+		progress.mayHaveRun = true;
+		if (answer.status < 300 && (!metadata.hasUpstreamSignature || answer.headers['content-encoding'] !== undefined)) {
+			answer.abandon();
+			return {kind: 'broken', detail: 'The answer lacks the upstream signature or has a content encoding', wasConnectionLost: false};
+		}
+
+		return relay.relay(answer, {
+			onProgress,
+			onFirstEvent() {
+				progress.firstMs ??= clock.now() - request.startedAt;
+				tracker.recordFirstEvent();
+			},
+		});
+	}
+
+	return {
+		/** Sends a request to one upstream. */
+		async send(state: ForwardingState, {candidate: {id}, fetchFrom}: Placement): Promise<SendOutcome> {
+			const {request, relay} = state;
+			const upstream = registry.get(id);
+			if (!upstream) {
+				return {kind: 'not-run', detail: 'The upstream is no longer registered', reached: 'none'};
+			}
+
+			const tracker = registry.trackRequest(id, request);
+			const trackedRun = quarantine.trackRun(request.digest, request.id);
+			const stallTimeout = createStallTimeout({objective: request.route.objective, canRetry: () => relay.canRetry(), clock});
+			const remaining = request.deadline - clock.now();
+			let isWithheld = false;
+			const timeLimit = createTimeoutSignal(remaining, [request.signal, stallTimeout.signal]);
+			try {
+				const called = await client.call({
+					address: upstream.address,
+					method: request.method,
+					path: request.path,
+					headers: wire.buildForwardHeaders(request.rawHeaders, {
+						requestId: request.id, upstream: id, customer: request.customer, remainingMs: remaining, lastEventId: relay.lastEventId, urgency: computeUrgency(request), fetchFrom,
+					}),
+					body: request.body,
+					signal: timeLimit.signal,
+					shouldUseNewConnection: !relay.canRetry(),
+					shouldStillSend() {
+						isWithheld = !eligibility.admitSend(id, request.service);
+						return !isWithheld;
+					},
+				});
+				const onProgress = (bytes: number) => {
+					stallTimeout.recordProgress();
+					traffic.record('answer', {bytes, failureDomain: upstream.failureDomain});
+				};
+
+				const outcome = called.ok ? await receive(state, called.val, {tracker, onProgress}) : classifyCallFailure(called.val, state.progress);
+				if (called.ok || called.val.kind === 'broken') {
+					traffic.record('request', {bytes: request.body?.length ?? 0, failureDomain: upstream.failureDomain});
+				}
+
+				if (isWithheld) {
+					return outcome;
+				}
+
+				if (outcome.kind === 'broken' && !request.signal.aborted) {
+					tracker.recordUnresponsive();
+				} else if (outcome.kind === 'not-run' && outcome.reached === 'none') {
+					tracker.recordUnresponsive();
+				} else if (outcome.kind === 'failed') {
+					tracker.recordFailure();
+				} else if (outcome.kind === 'complete') {
+					trackedRun.recordAnswer();
+				}
+
+				// The quarantine must know of the crash before the request is sent to another upstream.
+				if (outcome.kind === 'broken' && outcome.wasConnectionLost && !timeLimit.signal.aborted && await crashDetector.hasCrashed(upstream)) {
+					trackedRun.recordCrash(id);
+				}
+
+				return outcome;
+			} finally {
+				stallTimeout.clear();
+				timeLimit.clear();
+				tracker.end();
+			}
+		},
+	};
+}
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -7,29 +7,30 @@
 import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
-	CachedPromptSource, NearReceiverPolicy, OwnedColdShare, ReturnedLoanPolicy, UnseenDemandTargetPolicy,
-	createAdmission, createColdAdmission, createBudgetOwners, createBudgetManager, createCrashDetector, createStorePathTracker, createMetrics,
-	createPeerCatchUp, createGossip, createLoanReturns, createQuarantine, createQuarantineRecorder, createRelayedLog, createRepaymentClient, createRequestForwarder,
-	createRetryAfterEstimator, createRetryBudget, createTokenLending, createTrafficCounter, createUpstreamRegistry, fanOut, monitorEventLoop,
-	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type GossipPeer, type ProcessStats, type RetryBudget,
+	CachedPromptSource, NearReceiverPolicy, OwnedColdShare,
+	createAdmission, createBudgetOwners, createColdAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createMetrics, createPeerCatchUp,
+	createQuarantine, createQuarantineRecorder, createRelayedLog, createRequestForwarder, createRetryAfterEstimator,
+	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, fanOut, monitorEventLoop,
+	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type ProcessStats,
 } from '../coordination/mod.js';
 import {
 	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
 } from '../protocol/mod.js';
 import {
-	createCrashRegistry, createPeerViews, type HolderRecord, type PeerView,
+	createCrashRegistry, createPeerViews, type PeerView,
 } from '../state/mod.js';
 import {
-	createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, probeAddress, startCallerServer, startFleetServer, startHttpServer,
-	waitWithTimeout,
+	createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, probeAddress, startCallerServer, startFleetServer,
 } from '../transport/mod.js';
 import type {RunningDaemon} from './core.js';
 import {formatGatewayMetrics} from './gateway-metrics.js';
+import {createGatewayFleet} from './gateway-fleet.js';
 import {createGatewayInterface} from './gateway-interface.js';
 import {createGatewayPeerInterface} from './gateway-peer-interface.js';
 import {createGatewayState, type GatewayAdapter} from './gateway-state.js';
-import {addQuarantineRoutes} from './quarantine-interface.js';
+import {createGatewayTokens} from './gateway-tokens.js';
 import {createRelayInterface, openRelayedLog} from './relay-interface.js';
+import {startStatusServers} from './status-servers.js';
 import {createStopWindow} from './stop-window.js';
 import {waitUntilIdle} from './wait-until-idle.js';
 
@@ -57,13 +58,8 @@
 const stopNoticeMs = 2500;
 /** Time reserved at the end of a stop for releasing grants. */
 const stopReserveMs = 700;
-/** Time within which the store must answer for a stopping gateway to release its grants in the log. */
-const storeCheckTimeoutMs = 200;
 const trafficReportIntervalMs = 10_000;
 const microsecondsPerMillisecond = 1000;
-/** Minimum number of gateways among which the fleet's retry slack is divided: the smallest deployments have four. */
-const minGateways = 4;
-
 /** @internal */
 function createIdentity(settings: GatewaySettings): HolderIdentity {
 	const {host, port} = settings.listen.peers;
@@ -103,11 +99,12 @@
 	const pathTracker = createStorePathTracker({clock, events});
 	const traffic = createTrafficCounter(settings.failureDomain);
 	const withRelays = (direct: KeyedLog) => createRelayedLog({
-		direct, pathTracker, clock, listRelays,
+		direct, pathTracker, clock,
+		listRelays: () => gatewayFleet.listRelays(),
 		openRelayedLog: address => openRelayedLog(direct.name, {
 			fleet, address,
 			onReceived(bytes) {
-				traffic.record('relay', {bytes, failureDomain: grantRegistry.listRunning().find(holder => holder.address === address)?.failureDomain});
+				traffic.record('relay', {bytes, failureDomain: gatewayFleet.findFailureDomain(address)});
 			},
 		}),
 	});
@@ -130,19 +127,19 @@
 		account, grantRegistry, directory, evacuations, findRouteTable,
 	} = state;
 	const peerViews = createPeerViews();
-
-	// Other gateways must not be missing from the list, as each would use the share of a missing one as well.
-	function listGateways(): string[] | undefined {
-		return state.grantFollower.getNextOffset() === undefined
-			? undefined
-			: [...new Set([self.daemon, ...grantRegistry.listRunning().filter(({role}) => role === 'gateway').map(({daemon}) => daemon)])];
-	}
+	const gatewayFleet = createGatewayFleet({
+		self, grantRegistry, seeds: settings.seeds, hasReadGrants: () => state.grantFollower.getNextOffset() !== undefined,
+	});
 
 	const coldAdmission = createColdAdmission({
-		clock, processStartedAt: 0, daemon: self.daemon, policy: new OwnedColdShare(), listGateways, overage: settings.coldOverage, slack: settings.coldSlack,
+		clock, processStartedAt: 0, daemon: self.daemon, policy: new OwnedColdShare(), listGateways: gatewayFleet.listGateways, overage: settings.coldOverage, slack: settings.coldSlack,
+	});
+	const eligibility = createUpstreamEligibility({
+		directory, evacuations, coldAdmission, clock,
+		isInformed: () => state.isDeploymentRecent() || peerViews.list().length > 0,
 	});
 	const upstreamRegistry = createUpstreamRegistry({
-		directory, evacuations, coldAdmission, clock, failureDomain: settings.failureDomain, getViewAgeMs: state.computeViewAgeMs, sumPeerUse: peerViews.sumUse,
+		directory, eligibility, clock, failureDomain: settings.failureDomain, getViewAgeMs: state.computeViewAgeMs, sumPeerUse: peerViews.sumUse,
 		onUseChange() {
 			gossip.markChanged();
 		},
@@ -151,23 +148,6 @@
 		},
 	});
 
-	// Lists relay daemons, which run next to upstreams, before gateways: a partition that separates this gateway from the
-	// store often separates the other gateways from it as well.
-	function listRelays(): string[] {
-		const rank = (holder: HolderRecord) => (holder.role === 'relay' ? 0 : 2) + (holder.failureDomain === self.failureDomain ? 0 : 1);
-		const holders = grantRegistry.listRunning().filter(({daemon}) => daemon !== self.daemon).sort((left, right) => rank(left) - rank(right));
-		return [...holders.map(({address}) => address), ...settings.seeds.filter(address => address !== self.address)];
-	}
-
-	function listPeers(): GossipPeer[] {
-		return grantRegistry.listRunning()
-			.flatMap(({role, daemon, address, newsAddress, failureDomain}) => role === 'gateway' && daemon !== self.daemon && newsAddress !== undefined
-				? [{
-					daemon, address, newsAddress, failureDomain,
-				}]
-				: []);
-	}
-
 	async function reportTraffic(): Promise<void> {
 		while (!signal.aborted) {
 			await clock.sleep(trafficReportIntervalMs, signal);
@@ -232,7 +212,7 @@
 		},
 	});
 	const gossip = createGossip({
-		clock, events, daemon: self.daemon, views: peerViews, listPeers,
+		clock, events, daemon: self.daemon, views: peerViews, listPeers: gatewayFleet.listPeers,
 		getOwnView: buildView,
 		receiverPolicy: new NearReceiverPolicy({fanOut, failureDomain: settings.failureDomain, random: Math.random}),
 		send(message, receivers) {
@@ -254,7 +234,7 @@
 		},
 		onPrompt: upstreamRegistry.recordPeerPrompt,
 	});
-	const listPresumedUpPeers = () => listPeers().map(({daemon}) => daemon).filter(daemon => gossip.isPresumedUp(daemon));
+	const listPresumedUpPeers = () => gatewayFleet.listPeers().map(({daemon}) => daemon).filter(daemon => gossip.isPresumedUp(daemon));
 	const owners = createBudgetOwners({clock, daemon: self.daemon, listPeers: listPresumedUpPeers});
 	const crashRegistry = createCrashRegistry();
 	const quarantine = createQuarantine({
@@ -269,60 +249,27 @@
 	const quarantineRecorder = createQuarantineRecorder({
 		log: logs.grants, crashRegistry, quarantine, daemon: self.daemon, listPeers: listPresumedUpPeers, clock, events,
 	});
-	const lending = createTokenLending({
-		daemon: self.daemon, account, events, clock,
-		listOwners: owners.listOwners,
-		isOwner: owners.isOwner,
-		claim: async (customer, amount) => budgetManager.claimForPeer(customer, amount),
-		onLent(customer, amount) {
-			budgetManager.recordLent(customer, amount);
-		},
-		listViews: peerViews.list,
-		listUnresponsive: gossip.listUnresponsive,
-		listUnheard: gossip.listUnheard,
-		countWanted: customer => budgetManager.countWanted(customer),
-		async requestLoan(address, request) {
-			const {tokens} = await fleet.connect(address).gateway.lend(request, {timeoutMs: peerTimeoutMs});
-			return tokens;
-		},
-	});
-	const budgetManager = createBudgetManager({
-		self, log: logs.grants, follower: state.grantFollower, grants: grantRegistry, account, owners, clock, events, signal, findRouteTable,
-		borrow: lending.borrow, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy: new UnseenDemandTargetPolicy(),
+	const tokens = createGatewayTokens({
+		self, state, log: logs.grants, fleet, owners, gossip, peerViews, peerTimeoutMs, clock, events, signal,
 	});
-	const loanReturns = createLoanReturns({
-		self, account, clock, events,
-		listViews: peerViews.list,
-		listOwners: owners.listOwners,
-		computeReturned: budgetManager.computeReturned,
-		onReceived: budgetManager.recordReturned,
-		sendRepayment: createRepaymentClient({fleet, timeoutMs: peerTimeoutMs}),
+	const {budgetManager} = tokens;
+	const retryBudgets = createFleetRetryBudgets({
+		countGateways: () => grantRegistry.listRunning().filter(({role}) => role === 'gateway').length,
+		getLimits: () => ({share: settings.retryShare, slack: settings.retrySlack}),
 	});
-	const retryBudgets = new Map<string, RetryBudget>();
-	// Never decreases, so that gateways that stop and start do not refill the retry budgets each time.
-	let maxGatewaysSeen = minGateways;
 	const forwarder = createRequestForwarder({
 		wire: adapter.wire, clock, events,
 		client: createUpstreamClient({connectTimeoutMs, maxConnections: maxUpstreamConnections}),
 		registry: upstreamRegistry,
+		eligibility,
 		traffic,
 		promptSourcePolicy: new CachedPromptSource(),
 		quarantine,
 		crashDetector: createCrashDetector({
-			isExpectedUp: upstreamRegistry.isListed,
+			isExpectedUp: eligibility.isExpectedUp,
 			probe: async address => probeAddress(address, {timeoutMs: probeTimeoutMs}),
 		}),
-		findRetryBudget(service) {
-			const gateways = grantRegistry.listRunning().filter(({role}) => role === 'gateway').length;
-			if (gateways > maxGatewaysSeen) {
-				maxGatewaysSeen = gateways;
-				retryBudgets.clear();
-			}
-
-			const retryBudget = retryBudgets.get(service) ?? createRetryBudget({ratio: settings.retryShare, burst: settings.retrySlack / maxGatewaysSeen});
-			retryBudgets.set(service, retryBudget);
-			return retryBudget;
-		},
+		findRetryBudget: retryBudgets.find,
 	});
 	const admission = createAdmission({
 		random: Math.random,
@@ -336,37 +283,27 @@
 		computeStopRetryAfterMs: () => retryAfterEstimator.estimate(peerViews.list(), {ownRemainingMs: stopWindow.computeRemainingMs()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve);
-	let readinessResponses = 0;
-	const readinessServer = await startHttpServer(settings.listen.readiness, service => {
-		service.get(adapter.wire.readinessPath, (_request, response) => {
-			readinessResponses += 1;
-			response.statusCode = state.isReady() && !stopWindow.hasBegun() ? 200 : 503;
-			response.end();
-		});
-	});
-	const metricsServer = await startHttpServer(settings.listen.metrics, service => {
-		addQuarantineRoutes(service, {operatorKey: settings.operatorKey, quarantine, events});
-		service.get('/metrics', (_request, response) => {
-			response.setHeader('content-type', 'text/plain; version=0.0.4');
-			response.end(formatGatewayMetrics({
-				metrics,
-				events,
-				runningRequests: callerInterface.countRunning(),
-				deploymentVersion: getDeploymentVersion(),
-				account,
-				admission,
-				quarantine,
-				traffic,
-				callerServerStatistics: callerServer.getStatistics(),
-				readinessResponses,
-			}));
-		});
+	const statusServers = await startStatusServers(settings, {
+		readinessPath: adapter.wire.readinessPath, quarantine, events,
+		isReady: () => state.isReady() && !stopWindow.hasBegun(),
+		formatMetrics: readinessResponses => formatGatewayMetrics({
+			metrics,
+			events,
+			runningRequests: callerInterface.countRunning(),
+			deploymentVersion: getDeploymentVersion(),
+			account,
+			admission,
+			quarantine,
+			traffic,
+			callerServerStatistics: callerServer.getStatistics(),
+			readinessResponses,
+		}),
 	});
 	const peerServer = await startFleetServer(settings.listen.peers, {
 		fleetKey: settings.fleetKey,
 		routes(router) {
 			router.service(Relay, createRelayInterface(Object.values(adapter.logs), signal));
-			router.service(Gateway, createGatewayPeerInterface({handleCatchUp, lend: lending.lend, receiveRepayment: loanReturns.receive}));
+			router.service(Gateway, createGatewayPeerInterface({handleCatchUp, lend: tokens.lending.lend, receiveRepayment: tokens.loanReturns.receive}));
 		},
 		onUnauthenticated() {
 			events.write('peerRefused');
@@ -385,16 +322,15 @@
 	self.address = peerServer.address;
 	self.newsAddress = gossipSocket.address;
 	const addresses = {
-		callers: callerServer.url, readiness: readinessServer.url, peers: peerServer.address, metrics: metricsServer.url,
+		callers: callerServer.url, readiness: statusServers.readinessUrl, peers: peerServer.address, metrics: statusServers.metricsUrl,
 	};
 	events.write('daemonStarted', {
 		role: self.role, incarnation: self.incarnation, pid: process.pid, ...addresses,
 	});
 	state.run(signal);
-	void budgetManager.run();
+	tokens.run();
 	void gossip.run(signal);
 	void reportTraffic();
-	void loanReturns.run(signal);
 	void quarantineRecorder.run(signal);
 	void monitorEventLoop({
 		clock, onWindow: admission.recordLag, readStats: readProcessStats,
@@ -403,21 +339,13 @@
 		},
 	}, signal);
 
-	// Grants are released in the log. Loans, and everything if the store is unavailable, can only go to another gateway.
-	// They are deducted before the first wait, so the released grants do not include them.
-	async function releaseTokens(): Promise<void> {
-		const isStoreUp = await waitWithTimeout(state.grantFollower.catchUp(signal), {clock, timeoutMs: storeCheckTimeoutMs}) ?? false;
-		const repaid = loanReturns.repayAll({shouldIncludeGrants: !isStoreUp});
-		await waitWithTimeout(Promise.all([repaid, budgetManager.releaseUnused()]), {clock, timeoutMs: stopReserveMs / 2});
-	}
-
 	return {
 		addresses,
 		// Never resolves: no other process can supersede a gateway, because each incarnation has its own key.
 		superseded: new Promise<void>(() => undefined), // eslint-disable-line no-promise-executor-return
 		reload(changed) {
 			settings = changed;
-			retryBudgets.clear();
+			retryBudgets.drop();
 			events.write('settingsReloaded', {stopWithin: changed.stopWithin, retryShare: changed.retryShare, retrySlack: changed.retrySlack});
 		},
 		async stop() {
@@ -433,12 +361,11 @@
 			}
 
 			stopWindow.finish();
-			await releaseTokens();
+			await tokens.release(stopReserveMs / 2);
 			abortController.abort();
 			callerInterface.markClosing();
 			callerServer.closeAllConnections();
-			readinessServer.closeAllConnections();
-			metricsServer.closeAllConnections();
+			statusServers.closeAllConnections();
 			gossipSocket.close();
 			await peerServer.close();
 			fleet.close();
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {createFakeKeyedLog, type FakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
-import {createUnlimitedUpstreams} from '../../tools/harness/unlimited-upstreams.js';
+import {createUnlimitedEligibility} from '../../tools/harness/unlimited-upstreams.js';
 import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
 import {createUpstreamRegistry} from '../coordination/mod.js';
 import {
@@ -76,7 +76,7 @@
 		onQuarantineRecord: () => undefined,
 	});
 	const registry = createUpstreamRegistry({
-		...createUnlimitedUpstreams(time), evacuations: state.evacuations, directory: state.directory, clock: time, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
+		eligibility: createUnlimitedEligibility({directory: state.directory, clock: time, evacuations: state.evacuations}), directory: state.directory, clock: time, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
 	});
 	state.run(abortController.signal);
 
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -57,6 +57,8 @@
 
 /** Time for which a read of the deployment waits for a change; a longer wait would hide an unresponsive connection. */
 const deploymentLongPollMs = 1500;
+/** Age above which the deployment's data is outdated; a read that waits for a change and the one before it take up to 3 s. */
+const maxDeploymentAgeMs = 4000;
 /** Interval between reads of the upstreams' records: a quarter of the time for which an upstream that left still serves. */
 const upstreamReadIntervalMs = 500;
 /**
@@ -233,6 +235,9 @@
 		/** Adopts the state of a failure domain received from a peer if it is newer. */
 		adoptDomainFromPeer: adoptDomainState,
 
+		/** Returns true if the log of the deployment was read in the last seconds. */
+		isDeploymentRecent: (): boolean => (deploymentFollower.computeStalenessMs() ?? Number.POSITIVE_INFINITY) < maxDeploymentAgeMs,
+
 		/** Returns true if requests can be served. */
 		isReady: () => routeTable !== undefined && directory.hasLive(clock.now()),
 
--- /dev/null
+++ b/src/daemon/gateway-tokens.ts
@@ -0,0 +1,105 @@
+/**
+ * Assembles how a gateway obtains, lends, returns and releases tokens.
+ *
+ * @module
+ */
+import {
+	ReturnedLoanPolicy, UnseenDemandTargetPolicy, createBudgetManager, createLoanReturns, createRepaymentClient, createTokenLending,
+	type BudgetOwners, type Gossip, type HolderIdentity,
+} from '../coordination/mod.js';
+import type {EventLog, KeyedLog} from '../protocol/mod.js';
+import type {PeerViews} from '../state/mod.js';
+import {waitWithTimeout, type Clock, type FleetClient} from '../transport/mod.js';
+import type {GatewayState} from './gateway-state.js';
+
+/** Options of {@linkcode createGatewayTokens}. */
+export type CreateGatewayTokensOptions = {
+	readonly self: HolderIdentity;
+	readonly state: GatewayState;
+	readonly log: KeyedLog;
+	readonly fleet: FleetClient;
+	readonly owners: BudgetOwners;
+	readonly gossip: Pick<Gossip, 'listUnresponsive' | 'listUnheard'>;
+	readonly peerViews: PeerViews;
+	/** Timeout of a call to another gateway, in milliseconds. */
+	readonly peerTimeoutMs: number;
+	readonly clock: Clock;
+	readonly events: EventLog;
+	readonly signal: AbortSignal;
+};
+
+/** The tokens of a gateway. */
+export type GatewayTokens = ReturnType<typeof createGatewayTokens>;
+
+/** Time within which the store must answer for a stopping gateway to release its grants in the log. */
+const storeCheckTimeoutMs = 200;
+
+/**
+ * Creates the parts; `run` operates them until the signal is aborted.
+ *
+ * @example
+ * ```ts
+ * const tokens = createGatewayTokens(options);
+ * tokens.run();
+ * await tokens.release(350); // before the gateway stops
+ * ```
+ *
+ * @param options The log of grants and the other gateways
+ * @returns The parts
+ */
+export function createGatewayTokens(options: CreateGatewayTokensOptions) {
+	const {
+		self, state, fleet, owners, gossip, peerViews, peerTimeoutMs, clock, events, signal,
+	} = options;
+	const {account, grantFollower, grantRegistry, findRouteTable} = state;
+	const lending = createTokenLending({
+		daemon: self.daemon, account, events, clock,
+		listOwners: owners.listOwners,
+		isOwner: owners.isOwner,
+		claim: async (customer, amount) => budgetManager.claimForPeer(customer, amount),
+		onLent(customer, amount) {
+			budgetManager.recordLent(customer, amount);
+		},
+		listViews: peerViews.list,
+		listUnresponsive: gossip.listUnresponsive,
+		listUnheard: gossip.listUnheard,
+		countWanted: customer => budgetManager.countWanted(customer),
+		async requestLoan(address, request) {
+			const {tokens} = await fleet.connect(address).gateway.lend(request, {timeoutMs: peerTimeoutMs});
+			return tokens;
+		},
+	});
+	const budgetManager = createBudgetManager({
+		self, log: options.log, follower: grantFollower, grants: grantRegistry, account, owners, clock, events, signal, findRouteTable,
+		borrow: lending.borrow, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy: new UnseenDemandTargetPolicy(),
+	});
+	const loanReturns = createLoanReturns({
+		self, account, clock, events,
+		listViews: peerViews.list,
+		listOwners: owners.listOwners,
+		computeReturned: budgetManager.computeReturned,
+		onReceived: budgetManager.recordReturned,
+		sendRepayment: createRepaymentClient({fleet, timeoutMs: peerTimeoutMs}),
+	});
+
+	return {
+		budgetManager, lending, loanReturns,
+
+		run(): void {
+			void budgetManager.run();
+			void loanReturns.run(signal);
+		},
+
+		/**
+		 * Releases all unused tokens, when the gateway stops. Grants are released in
+		 * the log. Loans, and everything if the store is unavailable, can only go to
+		 * another gateway. They are deducted before the first wait, so the released
+		 * grants do not include them.
+		 */
+		async release(timeoutMs: number): Promise<void> {
+			const isStoreUp = await waitWithTimeout(grantFollower.catchUp(signal), {clock, timeoutMs: storeCheckTimeoutMs}) ?? false;
+			const repaid = loanReturns.repayAll({shouldIncludeGrants: !isStoreUp});
+			await waitWithTimeout(Promise.all([repaid, budgetManager.releaseUnused()]), {clock, timeoutMs});
+		},
+	};
+}
--- /dev/null
+++ b/src/daemon/status-servers.ts
@@ -0,0 +1,63 @@
+/**
+ * The servers of a gateway for its load balancer and for its metrics.
+ *
+ * @module
+ */
+import type {EventLog, GatewaySettings} from '../protocol/mod.js';
+import {startHttpServer} from '../transport/mod.js';
+import {addQuarantineRoutes, type AddQuarantineRoutesOptions} from './quarantine-interface.js';
+
+/** Options of {@linkcode startStatusServers}. */
+export type StartStatusServersOptions = {
+	/** Path at which the load balancer checks whether the gateway accepts connections. */
+	readonly readinessPath: string;
+	readonly isReady: () => boolean;
+	readonly formatMetrics: (readinessResponses: number) => string;
+	readonly quarantine: AddQuarantineRoutesOptions['quarantine'];
+	readonly events: EventLog;
+};
+
+/** The running servers. */
+export type StatusServers = Awaited<ReturnType<typeof startStatusServers>>;
+
+/**
+ * Starts the servers.
+ *
+ * @example
+ * ```ts
+ * const servers = await startStatusServers(settings, options);
+ * servers.closeAllConnections();
+ * ```
+ *
+ * @param settings The addresses and the operators' key
+ * @param options What the servers report
+ * @returns The running servers
+ * @throws {Error} If a server cannot listen on its address
+ */
+export async function startStatusServers({listen, operatorKey}: GatewaySettings, options: StartStatusServersOptions) {
+	const {quarantine, events} = options;
+	let readinessResponses = 0;
+	const readiness = await startHttpServer(listen.readiness, service => {
+		service.get(options.readinessPath, (_request, response) => {
+			readinessResponses += 1;
+			response.statusCode = options.isReady() ? 200 : 503;
+			response.end();
+		});
+	});
+	const metrics = await startHttpServer(listen.metrics, service => {
+		addQuarantineRoutes(service, {operatorKey, quarantine, events});
+		service.get('/metrics', (_request, response) => {
+			response.setHeader('content-type', 'text/plain; version=0.0.4');
+			response.end(options.formatMetrics(readinessResponses));
+		});
+	});
+
+	return {
+		readinessUrl: readiness.url,
+		metricsUrl: metrics.url,
+		closeAllConnections(): void {
+			readiness.closeAllConnections();
+			metrics.closeAllConnections();
+		},
+	};
+}
--- a/tools/harness/unlimited-upstreams.ts
+++ b/tools/harness/unlimited-upstreams.ts
@@ -1,29 +1,40 @@
 /**
- * Parts of an upstream registry that withhold nothing, for tests of other parts.
+ * An eligibility of upstreams that withholds no request from live ones, for
+ * tests of other parts.
  *
  * @module
  */
-import {UnlimitedColdShare, createColdAdmission, type ColdAdmission} from '../../src/coordination/mod.js';
-import {createEvacuations, type Evacuations} from '../../src/state/mod.js';
+import {
+	UnlimitedColdShare, createColdAdmission, createUpstreamEligibility, type UpstreamEligibility,
+} from '../../src/coordination/mod.js';
+import {createEvacuations, type Evacuations, type UpstreamDirectory} from '../../src/state/mod.js';
 import type {Clock} from '../../src/transport/mod.js';
 
+/** Options of {@linkcode createUnlimitedEligibility}. */
+export type CreateUnlimitedEligibilityOptions = {
+	readonly directory: UpstreamDirectory;
+	readonly clock: Clock;
+	/** Default: no failure domain is evacuated. */
+	readonly evacuations?: Evacuations;
+};
+
 /**
- * Creates the parts: no failure domain is evacuated, and cold upstreams get any
- * number of requests.
+ * Creates the eligibility: cold upstreams get any number of requests.
  *
  * @example
  * ```ts
- * createUpstreamRegistry({...createUnlimitedUpstreams(clock), directory, clock, failureDomain: 'd', sumPeerUse});
+ * const eligibility = createUnlimitedEligibility({directory, clock});
+ * createUpstreamRegistry({eligibility, directory, clock, failureDomain: 'd', sumPeerUse});
  * ```
  *
- * @param clock The clock of the registry
- * @returns The parts
+ * @param options The directory of upstreams and the clock
+ * @returns The eligibility
  */
-export function createUnlimitedUpstreams(clock: Clock): {readonly evacuations: Evacuations; readonly coldAdmission: ColdAdmission} {
-	return {
-		evacuations: createEvacuations(),
-		coldAdmission: createColdAdmission({
-			clock, processStartedAt: 0, daemon: 'g', policy: new UnlimitedColdShare(), listGateways: () => ['g'], overage: 1, slack: 0,
-		}),
-	};
+export function createUnlimitedEligibility({directory, clock, evacuations = createEvacuations()}: CreateUnlimitedEligibilityOptions): UpstreamEligibility {
+	const coldAdmission = createColdAdmission({
+		clock, processStartedAt: 0, daemon: 'g', policy: new UnlimitedColdShare(), listGateways: () => ['g'], overage: 1, slack: 0,
+	});
+	return createUpstreamEligibility({
+		directory, evacuations, coldAdmission, isInformed: () => true, clock,
+	});
 }
