Split the forwarding of a request into shorter steps

Change: the forwarding state, the recorded candidate, the reached upstream and the text of an outcome have a function each; behaviour is unchanged.

--- a/src/cli/loss-report.ts
+++ b/src/cli/loss-report.ts
@@ -28,7 +28,16 @@
 };
 
 const events = {
-	started: 'FL1001', stopped: 'FL1003', granted: 'FL1201', lent: 'FL1206', borrowed: 'FL1207', insufficientTokens: 'FL1209', refused: 'FL1401', ended: 'FL1408', traffic: 'FL1414', deployment: 'FL1506',
+	started: 'FL1001',
+	stopped: 'FL1003',
+	granted: 'FL1201',
+	lent: 'FL1206',
+	borrowed: 'FL1207',
+	insufficientTokens: 'FL1209',
+	refused: 'FL1401',
+	ended: 'FL1408',
+	traffic: 'FL1414',
+	deployment: 'FL1506',
 } as const;
 const defaultWindowSeconds = 2;
 const amount = z.number().nonnegative();
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -9,13 +9,14 @@
 import {createFailure, type EventLog, type Failure} from '../protocol/mod.js';
 import {StreamAnswerRelay, BufferedAnswerRelay, type AnswerRelay} from './answer-relay.js';
 import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
+import type {PlacementCandidate} from './placement-policy.js';
 import type {Quarantine} from './quarantine.js';
 import {createRequestPlacement, type CreateRequestPlacementOptions} from './request-placement.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {UpstreamEligibility} from './upstream-eligibility.js';
 import type {UpstreamRegistry} from './upstream-registry.js';
 import {
-	createUpstreamSender, type CreateUpstreamSenderOptions, type ForwardingState, type ForwardProgress,
+	createUpstreamSender, type CreateUpstreamSenderOptions, type ForwardingState, type ForwardProgress, type SendOutcome,
 } from './upstream-sender.js';
 
 /** Options of {@linkcode createRequestForwarder}. */
@@ -61,6 +62,29 @@
 		return request.route.kind === 'stream' ? new StreamAnswerRelay(request, wire) : new BufferedAnswerRelay(request, wire);
 	}
 
+	function createState(request: ForwardRequest): ForwardingState {
+		const progress: ForwardProgress = {
+			sends: 0, mayHaveRun: false, upstream: undefined, firstMs: undefined, waitingTokens: undefined, cachedTokens: undefined, isOnGrace: undefined, viewMs: undefined,
+		};
+		return {request, relay: createRelay(request), progress};
+	}
+
+	function recordCandidate(progress: ForwardProgress, {id, waitingTokens, cachedTokens, isOnGrace}: PlacementCandidate): void {
+		progress.upstream = id;
+		progress.waitingTokens = waitingTokens;
+		progress.cachedTokens = cachedTokens;
+		progress.isOnGrace = isOnGrace;
+		progress.viewMs = registry.getViewAgeMs();
+	}
+
+	function findReached(outcome: SendOutcome): 'none' | 'other' | 'chosen' {
+		return outcome.kind === 'not-run' ? outcome.reached : 'chosen';
+	}
+
+	function describeOutcome(outcome: Exclude<SendOutcome, {readonly kind: 'complete'}>): string {
+		return outcome.kind === 'failed' ? 'The upstream answered with a server error' : outcome.detail;
+	}
+
 	function describeUnsent({service}: ForwardRequest): UnansweredReason {
 		return eligibility.findBlockage(service) ?? {detail: 'No live upstream is registered for the service', retryAfterMs: overloadedRetryAfterMs};
 	}
@@ -98,12 +122,9 @@
 	return {
 		/** Forwards a request. When the promise resolves, the caller has received its final answer. */
 		async forward(request: ForwardRequest): Promise<ForwardReport> {
-			const relay = createRelay(request);
+			const state = createState(request);
+			const {relay, progress} = state;
 			const retryBudget = findRetryBudget(request.service.id);
-			const progress: ForwardProgress = {
-				sends: 0, mayHaveRun: false, upstream: undefined, firstMs: undefined, waitingTokens: undefined, cachedTokens: undefined, isOnGrace: undefined, viewMs: undefined,
-			};
-			const state: ForwardingState = {request, relay, progress};
 			const tried = new Set<string>();
 			let deliveries = 0;
 			let deliverFailure: (() => void) | undefined;
@@ -116,19 +137,15 @@
 					break;
 				}
 
-				const {candidate} = placement;
-				const {id} = candidate;
+				const {id} = placement.candidate;
 				tried.add(id);
-				progress.upstream = id;
-				progress.waitingTokens = candidate.waitingTokens;
-				progress.cachedTokens = candidate.cachedTokens;
-				progress.isOnGrace = candidate.isOnGrace;
-				progress.viewMs = registry.getViewAgeMs();
+				recordCandidate(progress, placement.candidate);
 				const outcome = await sender.send(state, placement);
 				// The route limits how many upstreams may run a request, so a refused connection or another upstream at the address
 				// does not count as a send. The retry budget limits deliveries, which include those to another upstream at the address.
-				progress.sends += outcome.kind === 'not-run' && outcome.reached !== 'chosen' ? 0 : 1;
-				deliveries += outcome.kind === 'not-run' && outcome.reached === 'none' ? 0 : 1;
+				const reached = findReached(outcome);
+				progress.sends += reached === 'chosen' ? 1 : 0;
+				deliveries += reached === 'none' ? 0 : 1;
 				if (request.signal.aborted && outcome.kind !== 'complete') {
 					detail = String((request.signal.reason as Error).message);
 					break;
@@ -138,11 +155,9 @@
 					return buildReport(state, 'served');
 				}
 
+				detail = describeOutcome(outcome);
 				if (outcome.kind === 'failed') {
 					deliverFailure = outcome.deliver;
-					detail = 'The upstream answered with a server error';
-				} else {
-					detail = outcome.detail;
 				}
 
 				events.write('requestRetried', {
@@ -158,7 +173,8 @@
 				return buildReport(state, 'passed-on', detail);
 			}
 
-			return finishUnanswered(state, tried.size === 0 ? describeUnsent(request) : {detail, retryAfterMs: overloadedRetryAfterMs});
+			const reason = tried.size === 0 ? describeUnsent(request) : {detail, retryAfterMs: overloadedRetryAfterMs};
+			return finishUnanswered(state, reason);
 		},
 	};
 }
