Log how long a request may have waited to be read

Change: the server for callers estimates for how long a request may have waited in the system's buffers, from the last time the event loop had polled its connections. Both events have it as unreadMs.

--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -14,7 +14,7 @@
 } from '../protocol/mod.js';
 import type {RouteTable, TokenReservation} from '../state/mod.js';
 import {
-	readPendingInput, readBody, waitUnlessAborted, waitUntilSent, type Clock,
+	readPendingInput, readBody, waitUnlessAborted, waitUntilSent, type Clock, type ReceivedRequest,
 } from '../transport/mod.js';
 import {createCallerAnswer} from './caller-answer.js';
 import {computeRequestDigest} from './request-digest.js';
@@ -60,6 +60,8 @@
 	readonly answer: CallerAnswer;
 	readonly abortController: AbortController;
 	readonly arrival: ArrivalDuringStop | undefined;
+	/** Longest time for which the request may have waited to be read, in milliseconds. */
+	readonly unreadMs: number;
 	/** Digest shared by all repeats of the request; set once the body has been read. */
 	digest?: string;
 };
@@ -212,11 +214,11 @@
 		return elapsed === undefined ? undefined : {stoppingMs: Math.round(elapsed), onConnection};
 	}
 
-	function recordOutcome(request: ForwardRequest, report: ForwardReport, {reserveMs, arrival}: {readonly reserveMs: number; readonly arrival: ArrivalDuringStop | undefined}): void {
+	function recordOutcome(request: ForwardRequest, report: ForwardReport, {reserveMs, arrival, unreadMs}: Pick<RequestContext, 'arrival' | 'unreadMs'> & {readonly reserveMs: number}): void {
 		const {route, customer, startedAt} = request;
 		events.write('requestEnded', {
 			request: request.id, route: route.id, version: findRouteTable()?.version, customer, ...report, used: computeUsedTokens(request, report),
-			reserveMs: Math.round(reserveMs), ms: Math.round(clock.now() - startedAt), ...arrival,
+			unreadMs: Math.round(unreadMs), reserveMs: Math.round(reserveMs), ms: Math.round(clock.now() - startedAt), ...arrival,
 		});
 		const labels = {customer: customer ?? '-', class: route.id};
 		if (report.result === 'served') {
@@ -228,10 +230,10 @@
 		}
 	}
 
-	function refuse({answer, arrival, digest}: RequestContext, id: string | undefined, failure: Failure): void {
+	function refuse({answer, arrival, digest, unreadMs}: RequestContext, id: string | undefined, failure: Failure): void {
 		answer.refuse(failure);
 		events.write('requestRefused', {
-			request: id, type: failure.type, detail: failure.detail, digest, ...arrival,
+			request: id, type: failure.type, detail: failure.detail, digest, unreadMs: Math.round(unreadMs), ...arrival,
 		});
 	}
 
@@ -353,7 +355,7 @@
 				budgetManager.settle(reservation.val, computeUsedTokens(forwardRequest, report));
 			}
 
-			recordOutcome(forwardRequest, report, {reserveMs, arrival});
+			recordOutcome(forwardRequest, report, {reserveMs, arrival, unreadMs: context.unreadMs});
 		} finally {
 			clearTimeout(timer);
 		}
@@ -371,7 +373,7 @@
 		},
 
 		/** Serves one request and resolves when its response has been sent; never rejects. */
-		async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		async serve(request: IncomingMessage, response: ServerResponse, {unreadMs}: ReceivedRequest): Promise<void> {
 			const answer = createCallerAnswer(response, wire);
 			const abortController = new AbortController();
 			response.on('close', () => {
@@ -388,7 +390,9 @@
 			};
 
 			request.socket.on('end', abortRequest);
-			const context: RequestContext = {answer, abortController, arrival: describeArrival(request)};
+			const context: RequestContext = {
+				answer, abortController, arrival: describeArrival(request), unreadMs,
+			};
 			runningRequests.add(request);
 			try {
 				const resolved = resolveRequest(request);
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -6,11 +6,19 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import restana from 'restana';
 import type {CallerLimits} from '../protocol/mod.js';
+import {createSystemClock} from './clock.js';
 import {createConnectionTracker} from './connection-tracker.js';
 import {listen, type ListenAddress} from './http-server.js';
+import {createReadDelayEstimator} from './read-delay.js';
+
+/** How a request was received. */
+export type ReceivedRequest = {
+	/** Longest time for which the request may have waited to be read, in milliseconds. */
+	readonly unreadMs: number;
+};
 
 /** Handles one request of a caller. */
-export type ServeCaller = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+export type ServeCaller = (request: IncomingMessage, response: ServerResponse, received: ReceivedRequest) => Promise<void>;
 
 /** A running server for callers. */
 export type CallerServer = {
@@ -45,6 +53,8 @@
  */
 const idleTimeoutMarginMs = 1000;
 const timeoutCheckIntervalMs = 1000;
+/** Interval at which the server checks that the event loop runs; a delay of requests that is shorter is not seen. */
+const tickIntervalMs = 100;
 /** Limit on the headers of a request; applies before the limit of the deployment is known. */
 const initialMaxHeaderBytes = 65_536;
 
@@ -89,6 +99,9 @@
 		requestTimeout: 0, connectionsCheckingInterval: timeoutCheckIntervalMs, maxHeaderSize: initialMaxHeaderBytes, noDelay: true,
 	});
 	const tracker = createConnectionTracker(server);
+	const readDelay = createReadDelayEstimator({clock: createSystemClock(), tickIntervalMs});
+	const ticks = setInterval(readDelay.recordTick, tickIntervalMs).unref();
+	server.on('connection', readDelay.recordAccept);
 	let shouldCloseAfterResponse = false;
 	let isDraining = false;
 	let requestCount = 0;
@@ -97,6 +110,7 @@
 		prioRequestsProcessing: false,
 		defaultRoute(request, response) {
 			requestCount += 1;
+			const unreadMs = readDelay.estimateMs(request.socket);
 			const previousResponse = tracker.trackRequest(request, response);
 			if (shouldCloseAfterResponse && !setConnectionClose(response, previousResponse)) {
 				return;
@@ -109,7 +123,7 @@
 					setImmediate(tracker.closeIfIdle, request.socket);
 				}
 			});
-			void serve(request, response);
+			void serve(request, response, {unreadMs});
 		},
 	});
 	const url = await listen(server, address);
@@ -129,6 +143,7 @@
 			return tracker.countOpen();
 		},
 		closeAllConnections() {
+			clearInterval(ticks);
 			server.close();
 			server.closeAllConnections();
 		},
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -16,5 +16,6 @@
 export * from './http-server.js';
 export * from './log-client.js';
 export * from './probe-address.js';
+export * from './read-delay.js';
 export * from './service-client.js';
 export * from './upstream-client.js';
