Count the timeout of a request from its arrival

What callers saw: a request that had reached its route's timeout was not answered, and was run by an upstream seconds after its caller had left. Cause: the deadline began when the gateway read the request. A gateway that was L seconds behind answered up to L seconds after the timeout, told the upstream a deadline that was L seconds late, and sent on what had no time left. Class: a timeout that starts when a request is dequeued instead of when it is enqueued. Change: the deadline, the wait for tokens and the time that upstreams are told begin at the earliest time at which the request can have arrived. A request that may have used up its timeout unread is refused at once. The time left is also checked just before a request is written, by the clock.

--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -12,6 +12,7 @@
 import {
 	Err, Ok, createFailure, type Failure, type Result,
 } from '../protocol/mod.js';
+import {hasTimeLeft} from './remaining-time.js';
 
 /** Options of {@linkcode createAdmission}. */
 export type CreateAdmissionOptions = {
@@ -29,6 +30,8 @@
 	readonly priority: number;
 	/** Time for which the caller waits, in milliseconds. */
 	readonly timeoutMs: number;
+	/** Longest time for which the request may have waited to be read, in milliseconds. */
+	readonly unreadMs: number;
 };
 
 /** Limits the number of concurrent requests. */
@@ -63,7 +66,7 @@
  *
  * @example
  * ```ts
- * const entered = admission.admit({priority: 0, timeoutMs: 4000});
+ * const entered = admission.admit({priority: 0, timeoutMs: 4000, unreadMs: 0});
  * if (entered.ok) {
  * 	entered.val(); // called when the request ends
  * }
@@ -103,7 +106,12 @@
 
 	return {
 		/** Admits a request and returns a function to call when it ends, or refuses it with a retry-after time. */
-		admit({priority, timeoutMs}: AdmissionRequest): Result<() => void, Failure> {
+		admit({priority, timeoutMs, unreadMs}: AdmissionRequest): Result<() => void, Failure> {
+			if (!hasTimeLeft(timeoutMs, unreadMs)) {
+				const detail = `The request has no time left: it may have waited ${Math.round(unreadMs)} ms to be read, and its timeout is ${timeoutMs} ms`;
+				return Err(createFailure('overloaded', detail, {retryAfterMs: chooseRetryAfterMs(timeoutMs)}));
+			}
+
 			const share = priorityShares[Math.min(priority, priorityShares.length - 1)]!;
 			if (running >= minLimit && running >= limit * share) {
 				return Err(createFailure('overloaded', `This gateway is overloaded with ${running} running requests`, {retryAfterMs: chooseRetryAfterMs(timeoutMs)}));
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -45,6 +45,7 @@
 export * from './receipt-reporter.js';
 export * from './reclaimer.js';
 export * from './relayed-log.js';
+export * from './remaining-time.js';
 export * from './rendezvous.js';
 export * from './repayment-client.js';
 export * from './request-forwarder.js';
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -311,6 +311,18 @@
 	expect(call!.shouldStillSend()).toBe(false);
 });
 
+test('a request whose connection opens after its deadline is not written, also before its timer has run', async () => {
+	// Guards against upstreams that run requests whose callers have left, at a gateway whose timers are late.
+	const {forward, calls} = createFixture([{fails: 'unsent'}]);
+	await forward({kind: 'idempotent', attempts: 1}, 20);
+	const until = performance.now() + 20;
+	while (performance.now() < until) {
+		// Keeps the event loop from running timers.
+	}
+
+	expect(calls[0]!.shouldStillSend()).toBe(false);
+});
+
 // Guards against a single request that crashes one upstream with each of its attempts.
 test('a request under which two upstreams crashed is not sent to a third', async () => {
 	const fixture = createFixture([{fails: 'broken'}, {fails: 'broken'}, {status: 200, chunks: ['ok']}]);
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -11,6 +11,7 @@
 import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
 import type {PlacementCandidate} from './placement-policy.js';
 import type {Quarantine} from './quarantine.js';
+import {hasTimeLeft} from './remaining-time.js';
 import {createRequestPlacement, type CreateRequestPlacementOptions} from './request-placement.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {UpstreamEligibility} from './upstream-eligibility.js';
@@ -35,8 +36,6 @@
 /** Why no upstream answered a request, and when its caller may retry if it has not run, in milliseconds. */
 type UnansweredReason = {readonly detail: string; readonly retryAfterMs: number};
 
-/** A request is not sent with less time left than this, because the round trip alone takes part of it. */
-const minRemainingMs = 15;
 /** Retry-after time for callers when every upstream is overloaded or unavailable. */
 const overloadedRetryAfterMs = 500;
 
@@ -90,7 +89,7 @@
 	}
 
 	function createFinalFailure(request: ForwardRequest, progress: ForwardProgress, {detail, retryAfterMs}: UnansweredReason): Failure {
-		const isOutOfTime = request.deadline - clock.now() < minRemainingMs;
+		const isOutOfTime = !hasTimeLeft(request.deadline, clock.now());
 		if (progress.mayHaveRun) {
 			return isOutOfTime
 				? createFailure('deadline-passed', `No upstream answered in time: ${detail}`, {ran: 'unknown'})
@@ -133,7 +132,7 @@
 			for (;;) {
 				const placement = requestPlacement.pick(request, tried);
 				const isFirst = deliveries === 0;
-				if (placement === undefined || request.deadline - clock.now() < minRemainingMs || progress.sends >= request.route.attempts || !(isFirst || retryBudget.tryWithdraw())) {
+				if (placement === undefined || !hasTimeLeft(request.deadline, clock.now()) || progress.sends >= request.route.attempts || !(isFirst || retryBudget.tryWithdraw())) {
 					break;
 				}
 
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/upstream-sender.ts
@@ -11,6 +11,7 @@
 import type {CrashDetector} from './crash-detector.js';
 import type {ForwardReport, ForwardRequest} from './forward-types.js';
 import type {Quarantine} from './quarantine.js';
+import {hasTimeLeft} from './remaining-time.js';
 import type {Placement} from './request-placement.js';
 import {createStallTimeout} from './stall-timeout.js';
 import type {TrafficCounter} from './traffic-counter.js';
@@ -142,7 +143,7 @@
 					signal: timeLimit.signal,
 					shouldUseNewConnection: !relay.canRetry(),
 					shouldStillSend() {
-						isWithheld = !eligibility.admitSend(id, request.service);
+						isWithheld = !hasTimeLeft(request.deadline, clock.now()) || !eligibility.admitSend(id, request.service);
 						return !isWithheld;
 					},
 				});
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -52,7 +52,7 @@
 	readonly customer: GatewayCustomer | undefined;
 };
 
-/** Timeout of a request, and its deadline on the monotonic clock, in milliseconds. */
+/** Time that a request has left when it is read, and its deadline on the monotonic clock, in milliseconds. */
 type RequestTimeout = {readonly timeoutMs: number; readonly deadline: number};
 
 /** State of a request while it is being served. */
@@ -260,7 +260,7 @@
 	}
 
 	async function serveWithAdmission(request: IncomingMessage, resolved: ResolvedRequest, context: RequestContext): Promise<void> {
-		const permit = admission.admit({priority: getPriority(resolved), timeoutMs: computeTimeoutMs(resolved)});
+		const permit = admission.admit({priority: getPriority(resolved), timeoutMs: computeTimeoutMs(resolved), unreadMs: context.unreadMs});
 		if (permit.err) {
 			refuse(context, resolved.metadata.id, permit.val);
 			return;
@@ -275,9 +275,9 @@
 
 	async function serveAdmitted(request: IncomingMessage, resolved: ResolvedRequest, context: RequestContext): Promise<void> {
 		const {metadata, route, service, customer} = resolved;
-		const {answer, abortController, arrival} = context;
+		const {answer, abortController, arrival, unreadMs} = context;
 		const startedAt = clock.now();
-		const timeoutMs = computeTimeoutMs(resolved);
+		const timeoutMs = computeTimeoutMs(resolved) - unreadMs;
 		const deadline = startedAt + timeoutMs;
 		const timer = setTimeout(() => {
 			abortController.abort(new Error(requestTimedOut));
@@ -355,7 +355,7 @@
 				budgetManager.settle(reservation.val, computeUsedTokens(forwardRequest, report));
 			}
 
-			recordOutcome(forwardRequest, report, {reserveMs, arrival, unreadMs: context.unreadMs});
+			recordOutcome(forwardRequest, report, {reserveMs, arrival, unreadMs});
 		} finally {
 			clearTimeout(timer);
 		}
