Keep to the limits that upstreams name, together

What callers saw: an engine in need that had named a limit of one request a second got 13 requests in 4 s, where 11 are allowed. Cause: nothing read the limit. Class: an upstream's admission signal that is dropped at the adapter, and a limit that is meant for all gateways together. Change: the adapter reads the limit of an answer, with and without the platform's prefix. Gateways keep what their own answers name and what others have seen (gossip), with its age, and divide the requests of 4 s into shares by rendezvous. Every request passes the check just before it is written. If all upstreams of a service are at their limit, a request is refused at once with the time until one may get it. A limit ends with an answer to a request that was written after it was last named; if its owners send nothing, the other gateways send one request in turn.

--- a/src/coordination/gossip-codec.ts
+++ b/src/coordination/gossip-codec.ts
@@ -30,7 +30,7 @@
  */
 export function encodeEntry(view: PeerView, {sequence, shouldIncludeFreeTokens}: EncodeEntryOptions): PeerEntry {
 	const {
-		daemon, incarnation, address, uses, version, isLeaving, free, crashes, domains,
+		daemon, incarnation, address, uses, version, isLeaving, free, crashes, domains, limits,
 	} = view;
 	const state = toBinary(PeerStateSchema, create(PeerStateSchema, {
 		address, version, isLeaving, tellsFree: shouldIncludeFreeTokens,
@@ -38,6 +38,7 @@
 		free: shouldIncludeFreeTokens ? free.map(item => ({...item})) : [],
 		crashes: crashes.map(item => ({...item})),
 		domains: domains.map(item => ({...item})),
+		limits: limits.map(item => ({...item})),
 	}));
 	return create(PeerEntrySchema, {
 		daemon, incarnation, sequence, state,
@@ -48,7 +49,7 @@
 function readEntry(entry: PeerEntryId & {readonly state: Uint8Array}, previousView: PeerView | undefined): PeerView {
 	const {daemon, incarnation} = entry;
 	const {
-		address, uses, version, isLeaving, tellsFree, free, crashes, domains,
+		address, uses, version, isLeaving, tellsFree, free, crashes, domains, limits,
 	} = fromBinary(PeerStateSchema, entry.state);
 	return {
 		daemon, incarnation, address, version, isLeaving,
@@ -56,6 +57,7 @@
 		free: tellsFree ? free.map(({customer, tokens}) => ({customer, tokens})) : previousView?.free ?? [],
 		crashes: crashes.map(({digest, round, crashes: count}) => ({digest, round, crashes: count})),
 		domains: domains.map(({failureDomain, offset, isEvacuated}) => ({failureDomain, offset, isEvacuated})),
+		limits: limits.map(({upstream, requestsPerSecond, ageMs}) => ({upstream, requestsPerSecond, ageMs})),
 	};
 }
 
--- a/src/coordination/quarantine-soak.test.ts
+++ b/src/coordination/quarantine-soak.test.ts
@@ -76,7 +76,7 @@
 				daemon, newsAddress: daemon, address: daemon, failureDomain: findDomain(daemon),
 			})),
 			getOwnView: () => ({
-				daemon: name, incarnation: String(incarnation).padStart(6, '0'), address: name, version: 1, isLeaving: false, free: [], uses: [], crashes: quarantine.listRecent(), domains: [],
+				daemon: name, incarnation: String(incarnation).padStart(6, '0'), address: name, version: 1, isLeaving: false, free: [], uses: [], crashes: quarantine.listRecent(), domains: [], limits: [],
 			}),
 			send(message, receivers) {
 				for (const {daemon} of receivers) {
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -76,6 +76,7 @@
 		registry: createUpstreamRegistry({
 			eligibility, directory, clock, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
 		}),
+		limitRecorder: {recordAnswer: () => undefined},
 		traffic: createTrafficCounter('d'),
 		promptSourcePolicy: new CachedPromptSource(),
 		findRetryBudget: () => retries,
--- a/src/coordination/upstream-eligibility.test.ts
+++ b/src/coordination/upstream-eligibility.test.ts
@@ -1,9 +1,10 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import type {GatewayService, UpstreamRegistration} from '../protocol/mod.js';
-import {createEvacuations, createUpstreamDirectory} from '../state/mod.js';
+import {createEvacuations, createUpstreamDirectory, createUpstreamLimits} from '../state/mod.js';
 import {createColdAdmission} from './cold-admission.js';
-import {OwnedColdShare} from './cold-share-policy.js';
+import {createLimitAdmission} from './limit-admission.js';
+import {OwnedShare, SubstitutedShare} from './share-policy.js';
 import {createUpstreamEligibility} from './upstream-eligibility.js';
 
 const service: GatewayService = {id: 'model', connectionLimit: 10, coldStart: {rate: 5.2, duration: 3000}};
@@ -20,14 +21,19 @@
 	const evacuations = createEvacuations();
 	const state = {isInformed: true};
 	const fullClock = {...clock, sleep: async () => undefined};
+	const limits = createUpstreamLimits();
+	const sender = {
+		clock: fullClock, processStartedAt: 0, daemon, listGateways: () => gateways,
+	};
 	const eligibility = createUpstreamEligibility({
 		directory, evacuations, clock: fullClock, isInformed: () => state.isInformed,
 		coldAdmission: createColdAdmission({
-			clock: fullClock, processStartedAt: 0, daemon, policy: new OwnedColdShare(), listGateways: () => gateways, overage: 1.5, slack: 5,
+			...sender, policy: new OwnedShare(), overage: 1.5, slack: 5,
 		}),
+		limitAdmission: createLimitAdmission({...sender, policy: new SubstitutedShare(), limits}),
 	});
 	return {
-		directory, evacuations, state, eligibility,
+		directory, evacuations, limits, state, eligibility,
 	};
 }
 
@@ -125,3 +131,17 @@
 		expect(most).toBeLessThanOrEqual(maxPerSecond);
 	}), {numRuns: 200});
 });
+
+test('an upstream that named a limit is not eligible once its share is used up, whichever way a request came', () => {
+	// Guards against repeats and requests that waited for a connection being sent beside the limit.
+	const {directory, limits, eligibility, setNow} = createSingle();
+	const warm: GatewayService = {id: 'model', connectionLimit: 10};
+	directory.put(buildRegistration('u1', 'a'), 0);
+	limits.recordNamed('u1', {requestsPerSecond: 0.5, now: 10_000});
+	expect(Array.from({length: 3}, () => eligibility.admitSend('u1', warm))).toEqual([true, true, false]);
+	expect(eligibility.listEligible(warm)).toEqual([]);
+	expect(eligibility.findBlockage(warm)?.retryAfterMs).toBe(1000);
+	setNow(14_200);
+	expect(eligibility.findBlockage(warm)).toBeUndefined();
+	expect(eligibility.admitSend('u1', warm)).toBe(true);
+});
--- a/src/coordination/upstream-eligibility.ts
+++ b/src/coordination/upstream-eligibility.ts
@@ -1,6 +1,7 @@
 /**
  * Decides to which upstreams a gateway may send a request now: not to those of
- * an evacuated failure domain, and to cold ones only within this gateway's share.
+ * an evacuated failure domain, and to cold ones and those that named a limit only
+ * within this gateway's share.
  *
  * Every request passes `admitSend` just before it is written, also one that was
  * placed seconds ago and waited for a connection.
@@ -11,6 +12,7 @@
 import type {Evacuations, LiveUpstream, UpstreamDirectory} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 import type {ColdAdmission} from './cold-admission.js';
+import type {LimitAdmission} from './limit-admission.js';
 
 /** Options of {@linkcode createUpstreamEligibility}. */
 export type CreateUpstreamEligibilityOptions = {
@@ -18,6 +20,8 @@
 	readonly evacuations: Pick<Evacuations, 'isEvacuated' | 'findReturnedAt'>;
 	/** Limits requests to cold upstreams. */
 	readonly coldAdmission: ColdAdmission;
+	/** Limits requests to upstreams that named a limit. */
+	readonly limitAdmission: LimitAdmission;
 	/**
 	 * Returns true if this gateway has recent records of the deployment, or hears
 	 * from other gateways. Without either, upstreams may have become cold unnoticed.
@@ -38,25 +42,25 @@
 
 /** Retry delay for a caller whose service has all its failure domains evacuated; nobody knows when one returns. */
 const evacuatedRetryAfterMs = 1000;
-/** Lower limit of the retry delay while all upstreams are cold; another gateway may have capacity at once. */
-const minColdRetryAfterMs = 100;
+/** Lower limit of the retry delay while all upstreams are limited; another gateway may have capacity at once. */
+const minLimitedRetryAfterMs = 100;
 
 /**
  * Creates the decision of one gateway.
  *
  * @example
  * ```ts
- * const eligibility = createUpstreamEligibility({directory, evacuations, coldAdmission, isInformed, clock});
+ * const eligibility = createUpstreamEligibility({directory, evacuations, coldAdmission, limitAdmission, isInformed, clock});
  * eligibility.listEligible(service);
  * eligibility.admitSend('engine-7', service);
  * ```
  *
- * @param options What is known of upstreams and failure domains, and the limit of cold ones
+ * @param options What is known of upstreams and failure domains, and the limits of upstreams
  * @returns The decision
  */
 export function createUpstreamEligibility(options: CreateUpstreamEligibilityOptions) {
 	const {
-		directory, evacuations, coldAdmission, isInformed, clock,
+		directory, evacuations, coldAdmission, limitAdmission, isInformed, clock,
 	} = options;
 
 	function isEvacuated({upstream}: LiveUpstream): boolean {
@@ -83,22 +87,26 @@
 		return remainingColdMs > 0 ? Math.min(remainingColdMs, coldAdmission.computeWaitMs(live.upstream.id, service.coldStart!.rate)) : 0;
 	}
 
+	function isWithinLimits(live: LiveUpstream, service: GatewayService): boolean {
+		return computeColdWaitMs(live, service) === 0 && limitAdmission.computeWaitMs(live.upstream.id) === 0;
+	}
+
 	function listInService(service: GatewayService): LiveUpstream[] {
 		return directory.listLive(service.id, clock.now()).filter(live => !isEvacuated(live));
 	}
 
 	return {
 		/** Lists the live upstreams of a service that may get a request of this gateway now. */
-		listEligible: (service: GatewayService): LiveUpstream[] => listInService(service).filter(live => computeColdWaitMs(live, service) === 0),
+		listEligible: (service: GatewayService): LiveUpstream[] => listInService(service).filter(live => isWithinLimits(live, service)),
 
 		/**
 		 * Returns true if a request may be sent to an upstream now, and counts it
-		 * towards the limit of a cold upstream. Must be called just before the request
+		 * towards the upstream's limits. Must be called just before the request
 		 * is written.
 		 */
 		admitSend(id: string, service: GatewayService): boolean {
 			const live = directory.findLive(id, clock.now());
-			if (!live || isEvacuated(live) || computeColdWaitMs(live, service) > 0) {
+			if (!live || isEvacuated(live) || !isWithinLimits(live, service)) {
 				return false;
 			}
 
@@ -106,6 +114,8 @@
 				coldAdmission.recordSend(id);
 			}
 
+			limitAdmission.recordSend(id);
+
 			return true;
 		},
 
@@ -120,9 +130,9 @@
 				return {detail: 'All failure domains of the service are evacuated', retryAfterMs: evacuatedRetryAfterMs};
 			}
 
-			const waitMs = Math.min(...inService.map(live => computeColdWaitMs(live, service)));
+			const waitMs = Math.min(...inService.map(live => Math.max(computeColdWaitMs(live, service), limitAdmission.computeRetryAfterMs(live.upstream.id))));
 			return waitMs > 0
-				? {detail: 'All upstreams of the service are cold', retryAfterMs: Math.max(minColdRetryAfterMs, Math.ceil(waitMs))}
+				? {detail: 'All upstreams of the service are cold or at their limit', retryAfterMs: Math.max(minLimitedRetryAfterMs, Math.ceil(waitMs))}
 				: undefined;
 		},
 
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/upstream-sender.ts
@@ -10,6 +10,7 @@
 import type {AnswerRelay, RelayOutcome} from './answer-relay.js';
 import type {CrashDetector} from './crash-detector.js';
 import type {ForwardReport, ForwardRequest} from './forward-types.js';
+import type {LimitRecorder} from './limit-recorder.js';
 import type {Quarantine} from './quarantine.js';
 import {hasTimeLeft} from './remaining-time.js';
 import type {Placement} from './request-placement.js';
@@ -25,6 +26,7 @@
 	readonly client: UpstreamClient;
 	readonly registry: Pick<UpstreamRegistry, 'get' | 'trackRequest'>;
 	readonly eligibility: Pick<UpstreamEligibility, 'admitSend'>;
+	readonly limitRecorder: Pick<LimitRecorder, 'recordAnswer'>;
 	readonly traffic: Pick<TrafficCounter, 'record'>;
 	readonly quarantine: Pick<Quarantine, 'trackRun'>;
 	readonly crashDetector: CrashDetector;
@@ -44,7 +46,13 @@
 export type ForwardingState = {readonly request: ForwardRequest; readonly relay: AnswerRelay; readonly progress: ForwardProgress};
 
 /** Options for receiving an upstream's answer. */
-type ReceiveOptions = {readonly tracker: UpstreamRequestTracker; readonly onProgress: (bytes: number) => void};
+type ReceiveOptions = {
+	readonly upstream: string;
+	/** When the request was written, in milliseconds of the clock. */
+	readonly sentAt: number;
+	readonly tracker: UpstreamRequestTracker;
+	readonly onProgress: (bytes: number) => void;
+};
 
 /** @internal */
 function classifyCallFailure(failure: CallFailure, progress: ForwardProgress): SendOutcome {
@@ -74,10 +82,10 @@
  */
 export function createUpstreamSender(options: CreateUpstreamSenderOptions) {
 	const {
-		wire, client, registry, eligibility, traffic, quarantine, crashDetector, clock,
+		wire, client, registry, eligibility, limitRecorder, traffic, quarantine, crashDetector, clock,
 	} = options;
 
-	async function receive({request, relay, progress}: ForwardingState, answer: UpstreamResponse, {tracker, onProgress}: ReceiveOptions): Promise<SendOutcome> {
+	async function receive({request, relay, progress}: ForwardingState, answer: UpstreamResponse, {upstream, sentAt, tracker, onProgress}: ReceiveOptions): Promise<SendOutcome> {
 		const metadata = wire.readAnswer(answer.status, answer.headers);
 		if (metadata.load) {
 			tracker.recordLoad(metadata.load);
@@ -96,6 +104,8 @@
 			return {kind: 'not-run', detail: 'Another upstream now listens at this address', reached: 'other'};
 		}
 
+		limitRecorder.recordAnswer(upstream, {metadata, sentAt});
+
 		if (metadata.hasNotRun) {
 			answer.abandon();
 			return {kind: 'not-run', detail: `status ${answer.status}`, reached: 'chosen'};
@@ -130,6 +140,7 @@
 			const stallTimeout = createStallTimeout({objective: request.route.objective, canRetry: () => relay.canRetry(), clock});
 			const remaining = request.deadline - clock.now();
 			let isWithheld = false;
+			let sentAt = clock.now();
 			const timeLimit = createTimeoutSignal(remaining, [request.signal, stallTimeout.signal]);
 			try {
 				const called = await client.call({
@@ -144,6 +155,7 @@
 					shouldUseNewConnection: !relay.canRetry(),
 					shouldStillSend() {
 						isWithheld = !hasTimeLeft(request.deadline, clock.now()) || !eligibility.admitSend(id, request.service);
+						sentAt = clock.now();
 						return !isWithheld;
 					},
 				});
@@ -152,7 +164,11 @@
 					traffic.record('answer', {bytes, failureDomain: upstream.failureDomain});
 				};
 
-				const outcome = called.ok ? await receive(state, called.val, {tracker, onProgress}) : classifyCallFailure(called.val, state.progress);
+				const outcome = called.ok
+					? await receive(state, called.val, {
+						upstream: id, sentAt, tracker, onProgress,
+					})
+					: classifyCallFailure(called.val, state.progress);
 				if (called.ok || called.val.kind === 'broken') {
 					traffic.record('request', {bytes: request.body?.length ?? 0, failureDomain: upstream.failureDomain});
 				}
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -7,8 +7,8 @@
 import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
-	CachedPromptSource, NearReceiverPolicy, OwnedColdShare,
-	createAdmission, createBudgetOwners, createColdAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createMetrics, createPeerCatchUp,
+	CachedPromptSource, NearReceiverPolicy, OwnedShare, SubstitutedShare,
+	createAdmission, createBudgetOwners, createColdAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createPeerCatchUp,
 	createQuarantine, createQuarantineRecorder, createRelayedLog, createRequestForwarder, createRetryAfterEstimator,
 	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, fanOut, monitorEventLoop,
 	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type ProcessStats,
@@ -17,7 +17,7 @@
 	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
 } from '../protocol/mod.js';
 import {
-	createCrashRegistry, createPeerViews, type PeerView,
+	createCrashRegistry, createPeerViews, createUpstreamLimits, type PeerView,
 } from '../state/mod.js';
 import {
 	createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, probeAddress, startCallerServer, startFleetServer,
@@ -131,11 +131,22 @@
 		self, grantRegistry, seeds: settings.seeds, hasReadGrants: () => state.grantFollower.getNextOffset() !== undefined,
 	});
 
+	const sender = {
+		clock, processStartedAt: 0, daemon: self.daemon, listGateways: gatewayFleet.listGateways,
+	};
 	const coldAdmission = createColdAdmission({
-		clock, processStartedAt: 0, daemon: self.daemon, policy: new OwnedColdShare(), listGateways: gatewayFleet.listGateways, overage: settings.coldOverage, slack: settings.coldSlack,
+		...sender, policy: new OwnedShare(), overage: settings.coldOverage, slack: settings.coldSlack,
+	});
+	const upstreamLimits = createUpstreamLimits();
+	const limitAdmission = createLimitAdmission({...sender, policy: new SubstitutedShare(), limits: upstreamLimits});
+	const limitRecorder = createLimitRecorder({
+		limits: upstreamLimits, clock, events,
+		onChange() {
+			gossip.markChanged();
+		},
 	});
 	const eligibility = createUpstreamEligibility({
-		directory, evacuations, coldAdmission, clock,
+		directory, evacuations, coldAdmission, limitAdmission, clock,
 		isInformed: () => state.isDeploymentRecent() || peerViews.list().length > 0,
 	});
 	const upstreamRegistry = createUpstreamRegistry({
@@ -169,6 +180,7 @@
 
 	function buildView(): PeerView {
 		upstreamRegistry.prune();
+		upstreamLimits.prune(upstream => directory.get(upstream) !== undefined);
 		quarantine.prune();
 		return {
 			daemon: self.daemon,
@@ -180,6 +192,7 @@
 			isLeaving: stopWindow.hasBegun(),
 			crashes: quarantine.listRecent(),
 			domains: evacuations.listAnnounced(clock.now()),
+			limits: upstreamLimits.listAnnouncements(clock.now()),
 		};
 	}
 
@@ -231,6 +244,10 @@
 			for (const domain of view.domains) {
 				state.adoptDomainFromPeer(domain, view.daemon);
 			}
+
+			for (const limit of view.limits) {
+				limitRecorder.recordAnnouncement(limit, view.daemon);
+			}
 		},
 		onPrompt: upstreamRegistry.recordPeerPrompt,
 	});
@@ -262,6 +279,7 @@
 		client: createUpstreamClient({connectTimeoutMs, maxConnections: maxUpstreamConnections}),
 		registry: upstreamRegistry,
 		eligibility,
+		limitRecorder,
 		traffic,
 		promptSourcePolicy: new CachedPromptSource(),
 		quarantine,
@@ -294,6 +312,7 @@
 			account,
 			admission,
 			quarantine,
+			upstreamLimits,
 			traffic,
 			callerServerStatistics: callerServer.getStatistics(),
 			readinessResponses,
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -8,7 +8,7 @@
 	Admission, Metrics, Quarantine, TrafficCounter,
 } from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
-import type {TokenAccount} from '../state/mod.js';
+import type {TokenAccount, UpstreamLimits} from '../state/mod.js';
 import type {CallerServerStatistics} from '../transport/mod.js';
 
 /** Options of {@linkcode formatGatewayMetrics}. */
@@ -22,6 +22,7 @@
 	readonly account: TokenAccount;
 	readonly admission: Pick<Admission, 'getLimit' | 'getLagMs'>;
 	readonly quarantine: Pick<Quarantine, 'listAll' | 'listHeld'>;
+	readonly upstreamLimits: Pick<UpstreamLimits, 'count'>;
 	readonly traffic: Pick<TrafficCounter, 'list'>;
 	/** Connections and requests of this gateway's callers. */
 	readonly callerServerStatistics: CallerServerStatistics;
@@ -35,7 +36,7 @@
  * @example
  * ```ts
  * response.end(formatGatewayMetrics({
- * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, traffic, callerServerStatistics, readinessResponses: 2,
+ * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, upstreamLimits, traffic, callerServerStatistics, readinessResponses: 2,
  * }));
  * ```
  *
@@ -44,7 +45,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, traffic, callerServerStatistics, readinessResponses,
+		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, upstreamLimits, traffic, callerServerStatistics, readinessResponses,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${runningRequests}`,
@@ -57,6 +58,7 @@
 		`fireflylane_requests_begun_total ${callerServerStatistics.requests}`,
 		`fireflylane_requests_suspected ${quarantine.listAll().filter(({crashes}) => crashes > 0).length}`,
 		`fireflylane_requests_held ${quarantine.listHeld().length}`,
+		`fireflylane_upstreams_limited ${upstreamLimits.count()}`,
 		`fireflylane_readiness_answers_total ${readinessResponses}`,
 	];
 	for (const {kind, isCrossDomain, bytes} of traffic.list()) {
--- a/src/protocol/gateway-wire.ts
+++ b/src/protocol/gateway-wire.ts
@@ -63,6 +63,8 @@
 	/** True if the answer has the upstream signature. Without it, the body does not come from the upstream. */
 	readonly hasUpstreamSignature: boolean;
 	readonly load?: ReportedLoad;
+	/** Requests per second that the upstream takes from all gateways together; undefined if it names no limit. */
+	readonly limit?: number | 'malformed';
 };
 
 /** Header names and values, alternating. */
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -21,3 +21,4 @@
 export * from './shares.js';
 export * from './token-account.js';
 export * from './upstream-directory.js';
+export * from './upstream-limits.js';
--- a/src/state/peer-views.ts
+++ b/src/state/peer-views.ts
@@ -9,6 +9,7 @@
  */
 import type {CrashRecord} from './crash-registry.js';
 import type {DomainState} from './evacuations.js';
+import type {LimitAnnouncement} from './upstream-limits.js';
 
 /** Requests that one gateway has at one upstream. */
 export type UpstreamUse = {
@@ -36,6 +37,8 @@
 	readonly crashes: readonly CrashRecord[];
 	/** Failure domains that are evacuated or that returned recently. */
 	readonly domains: readonly DomainState[];
+	/** Limits that it has seen upstreams name, or no longer name. */
+	readonly limits: readonly LimitAnnouncement[];
 };
 
 /** Views of all other gateways. */
--- a/tools/harness/unlimited-upstreams.ts
+++ b/tools/harness/unlimited-upstreams.ts
@@ -5,9 +5,11 @@
  * @module
  */
 import {
-	UnlimitedColdShare, createColdAdmission, createUpstreamEligibility, type UpstreamEligibility,
+	UnlimitedShare, createColdAdmission, createLimitAdmission, createUpstreamEligibility, type UpstreamEligibility,
 } from '../../src/coordination/mod.js';
-import {createEvacuations, type Evacuations, type UpstreamDirectory} from '../../src/state/mod.js';
+import {
+	createEvacuations, createUpstreamLimits, type Evacuations, type UpstreamDirectory,
+} from '../../src/state/mod.js';
 import type {Clock} from '../../src/transport/mod.js';
 
 /** Options of {@linkcode createUnlimitedEligibility}. */
@@ -31,10 +33,12 @@
  * @returns The eligibility
  */
 export function createUnlimitedEligibility({directory, clock, evacuations = createEvacuations()}: CreateUnlimitedEligibilityOptions): UpstreamEligibility {
-	const coldAdmission = createColdAdmission({
-		clock, processStartedAt: 0, daemon: 'g', policy: new UnlimitedColdShare(), listGateways: () => ['g'], overage: 1, slack: 0,
-	});
+	const sender = {
+		clock, processStartedAt: 0, daemon: 'g', policy: new UnlimitedShare(), listGateways: () => ['g'],
+	};
+	const coldAdmission = createColdAdmission({...sender, overage: 1, slack: 0});
+	const limitAdmission = createLimitAdmission({...sender, limits: createUpstreamLimits()});
 	return createUpstreamEligibility({
-		directory, evacuations, coldAdmission, isInformed: () => true, clock,
+		directory, evacuations, coldAdmission, limitAdmission, isInformed: () => true, clock,
 	});
 }
