Read outdated views again before a late request is handled

What callers saw: requests handled by an outdated configuration, or sent to an upstream that had left, though both had been confirmed seconds before. Cause: a process that was stalled reads requests together with the answers of the logs, and handled the requests first, by views as old as the stall. Its own overdue timers also made it take the logs for unavailable. Class: a view whose age nobody asks for when it is used. Change: a request that may have waited unread for a second or more waits, 0.4 s at most, until views older than that are read again; if the store is unavailable it does not wait. A read whose timeout expires late does not count as unanswered: the process was stalled, not the log. Evidence: with a gateway paused for 4.7 s and a change confirmed 3 s before the request is sent, both tests failed (200 on a dropped route, and on engines that had left), as did the one of the follower. They pass now, with 73 tests of the daemon, the gateway, stalls, leaving upstreams and evacuations.

--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -49,6 +49,8 @@
 
 /** Kept short so that a recovered store is noticed within a fraction of a second. */
 const retryDelayMs = 200;
+/** A timeout that expires later than this shows that this process was stalled, not that the log did not answer. */
+const stallMs = 500;
 
 /**
  * Creates a follower of a keyed log; `run` reads until its signal is aborted.
@@ -69,6 +71,7 @@
 	let lastFailureAt: number | undefined;
 	let lastSuccessAt: number | undefined;
 	let pendingCatchUp: Promise<boolean> | undefined;
+	const maxReadMs = options.longPollMs + (options.readTimeoutMs ?? Number.POSITIVE_INFINITY);
 	// A hanging read has already used up its timeout, so the next one is sent at once.
 	const pausesMs: Record<ReadResult, number> = {answered: options.readIntervalMs, failed: retryDelayMs, hanging: 0};
 
@@ -165,7 +168,8 @@
 			return readNewest();
 		}
 
-		if (!signal.aborted) {
+		// A read that exceeded its timeout has been recorded then, unless this process was stalled.
+		if (!signal.aborted && clock.now() - sentAt <= maxReadMs) {
 			recordFailure(sentAt, page.val.failure);
 		}
 
@@ -186,10 +190,12 @@
 			return await pending ? 'answered' : 'failed';
 		}
 
-		const timeoutMs = options.longPollMs + options.readTimeoutMs;
-		const isAnswered = await waitWithTimeout(pending, {clock, timeoutMs});
+		const isAnswered = await waitWithTimeout(pending, {clock, timeoutMs: maxReadMs});
 		if (isAnswered === undefined && !signal.aborted) {
-			recordFailure(sentAt, createFailure('log-unavailable', `A read was not answered within ${timeoutMs} ms`));
+			if (clock.now() - sentAt <= maxReadMs + stallMs) {
+				recordFailure(sentAt, createFailure('log-unavailable', `A read was not answered within ${maxReadMs} ms`));
+			}
+
 			return 'hanging';
 		}
 
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -297,7 +297,7 @@
 		},
 	});
 	const callerInterface = createGatewayInterface({
-		wire: adapter.wire, findRouteTable, budgetManager, forwarder, metrics, clock, events, stopWindow, admission, quarantine,
+		wire: adapter.wire, findRouteTable, syncViews: async unreadMs => state.syncViews(unreadMs, signal), budgetManager, forwarder, metrics, clock, events, stopWindow, admission, quarantine,
 		computeStopRetryAfterMs: () => retryAfterEstimator.estimate(peerViews.list(), {ownRemainingMs: stopWindow.computeRemainingMs()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve);
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -24,6 +24,8 @@
 export type CreateGatewayInterfaceOptions = {
 	readonly wire: GatewayWire;
 	readonly findRouteTable: () => RouteTable | undefined;
+	/** Reads views of the deployment and the upstreams again that are older than a request that may have waited to be read for this time, in milliseconds. */
+	readonly syncViews: (unreadMs: number) => Promise<void>;
 	readonly budgetManager: BudgetManager;
 	readonly forwarder: RequestForwarder;
 	readonly metrics: Metrics;
@@ -122,7 +124,7 @@
  */
 export function createGatewayInterface(options: CreateGatewayInterfaceOptions) {
 	const {
-		wire, findRouteTable, budgetManager, forwarder, metrics, clock, events, stopWindow, admission, quarantine, computeStopRetryAfterMs,
+		wire, findRouteTable, syncViews, budgetManager, forwarder, metrics, clock, events, stopWindow, admission, quarantine, computeStopRetryAfterMs,
 	} = options;
 	const runningRequests = new Set<IncomingMessage>();
 	const requestCounts = new WeakMap<Socket, number>();
@@ -395,6 +397,7 @@
 			};
 			runningRequests.add(request);
 			try {
+				await syncViews(unreadMs);
 				const resolved = resolveRequest(request);
 				if (resolved.err) {
 					refuse(context, wire.readRequestId(request.headers), resolved.val);
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -13,7 +13,7 @@
 import {
 	createEvacuations, createGrantRegistry, createRouteTable, createTokenAccount, createUpstreamDirectory, holderRecordSchema, type DomainState, type HolderRecord, type RouteTable,
 } from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+import {waitWithTimeout, type Clock} from '../transport/mod.js';
 
 /** Maps the records by which operators evacuate failure domains. The presence of a key means that its failure domain is evacuated. */
 export type EvacuationRecords = {
@@ -67,6 +67,11 @@
  * to the time for which an upstream that left still serves.
  */
 const readTimeoutMs = 600;
+/** Shorter delays of a request before it is read do not matter: changes come into force within two seconds. */
+const minSyncDelayMs = 1000;
+/** Time that a request waits for outdated views to be read again; a slow store takes 0.3 s per read. */
+const syncTimeoutMs = 400;
+const syncRetryDelayMs = 20;
 /** Interval between reads of the grants; a claim triggers its own read. */
 const grantReadIntervalMs = 2000;
 /** Maximum number of customers in one log line, which keeps the line under 4 KB. */
@@ -102,6 +107,7 @@
 	const expiryGrace = createExpiryGrace({heartbeatIntervalMs: options.upstreamHeartbeatMs});
 	let routeTable: RouteTable | undefined;
 	let deploymentRecord = '';
+	let pendingSync: Promise<unknown> | undefined;
 
 	// Reports and skips a record that cannot be read, so that it does not block the records after it.
 	function applyOrSkip(record: StoredRecord, apply: () => void): void {
@@ -213,10 +219,30 @@
 		log: adapter.logs.upstreams, clock, events, longPollMs: 0, readIntervalMs: upstreamReadIntervalMs, readTimeoutMs, onRecord: skipUnreadable(applyUpstreamRecord),
 		listKnownKeys: directory.listIds, onRecovery: expiryGrace.recordOutage,
 	});
+	/** The followers whose views decide how a request is handled. */
+	const viewFollowers = [deploymentFollower, upstreamFollower];
 	const grantFollower = createKeyedFollower({
 		log: adapter.logs.grants, clock, events, longPollMs: 0, readIntervalMs: grantReadIntervalMs, onRecord: skipUnreadable(applyGrantRecord),
 	});
 
+	// The first read after a stall can fail, as its connection timed out during the stall.
+	async function readAgain(follower: KeyedFollower, {until, signal}: {readonly until: number; readonly signal: AbortSignal}): Promise<void> {
+		while (!await follower.catchUp(signal) && clock.now() < until) {
+			await clock.sleep(syncRetryDelayMs, signal);
+		}
+	}
+
+	function startSync(unreadMs: number, signal: AbortSignal): Promise<unknown> | undefined {
+		const outdated = viewFollowers.filter(follower => follower.isUp() && (follower.computeStalenessMs() ?? 0) >= unreadMs);
+		if (unreadMs < minSyncDelayMs || outdated.length === 0) {
+			return undefined;
+		}
+
+		const until = clock.now() + syncTimeoutMs;
+		const reads = Promise.all(outdated.map(async follower => readAgain(follower, {until, signal})));
+		return waitWithTimeout(reads, {clock, timeoutMs: syncTimeoutMs});
+	}
+
 	return {
 		directory, evacuations, grantRegistry, account, grantFollower,
 		/** Returns the age of the upstreams' data, in whole milliseconds; undefined before the first read. */
@@ -238,6 +264,18 @@
 		/** Returns true if the log of the deployment was read in the last seconds. */
 		isDeploymentRecent: (): boolean => (deploymentFollower.computeStalenessMs() ?? Number.POSITIVE_INFINITY) < maxDeploymentAgeMs,
 
+		/**
+		 * Reads views again that are older than a request that may have waited to be
+		 * read, and waits for a limited time. A process that was stalled receives
+		 * requests together with the answers of the logs that they depend on.
+		 */
+		async syncViews(unreadMs: number, signal: AbortSignal): Promise<void> {
+			const sync = pendingSync ?? startSync(unreadMs, signal);
+			pendingSync = sync;
+			await sync;
+			pendingSync = undefined;
+		},
+
 		/** Returns true if requests can be served. */
 		isReady: () => routeTable !== undefined && directory.hasLive(clock.now()),
 
