Name the functions of the limit recorder by the list of verbs

Cause: hasChanged() changed state, and writeChange() used a verb that docs/NAMES.md does not have. Change: updateLimits() and reportChange(); behaviour is unchanged.

--- a/src/coordination/limit-recorder.ts
+++ b/src/coordination/limit-recorder.ts
@@ -37,7 +37,7 @@
 export function createLimitRecorder({limits, clock, events, onChange}: CreateLimitRecorderOptions) {
 	const unreadable = new Set<string>();
 
-	function writeChange(upstream: string, source: string): void {
+	function reportChange(upstream: string, source: string): void {
 		const limit = limits.findInForce(upstream);
 		if (limit) {
 			events.write('upstreamLimited', {upstream, requestsPerSecond: limit.requestsPerSecond, source});
@@ -53,7 +53,8 @@
 		}
 	}
 
-	function hasChanged(upstream: string, {metadata, sentAt}: {readonly metadata: AnswerMetadata; readonly sentAt: number}): boolean {
+	// Returns true if a limit is new or ends.
+	function updateLimits(upstream: string, {metadata, sentAt}: {readonly metadata: AnswerMetadata; readonly sentAt: number}): boolean {
 		if (typeof metadata.limit === 'number') {
 			return limits.recordNamed(upstream, {requestsPerSecond: metadata.limit, now: clock.now()});
 		}
@@ -67,8 +68,8 @@
 		recordAnswer(upstream: string, answer: {readonly metadata: AnswerMetadata; readonly sentAt: number}): void {
 			if (answer.metadata.limit === 'malformed') {
 				recordUnreadable(upstream);
-			} else if (hasChanged(upstream, answer)) {
-				writeChange(upstream, 'answer');
+			} else if (updateLimits(upstream, answer)) {
+				reportChange(upstream, 'answer');
 				onChange();
 			}
 		},
@@ -76,7 +77,7 @@
 		/** Records what another gateway has seen. */
 		recordAnnouncement(announcement: LimitAnnouncement, peer: string): void {
 			if (limits.merge(announcement, clock.now())) {
-				writeChange(announcement.upstream, peer);
+				reportChange(announcement.upstream, peer);
 			}
 		},
 	};
