Reset a failed sync of outdated views

Cause: a read that throws, as of a page that cannot be parsed, left the sync pending, and each later request would have failed with its error. Change: the sync is reset in a finally block.

--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -272,8 +272,11 @@
 		async syncViews(unreadMs: number, signal: AbortSignal): Promise<void> {
 			const sync = pendingSync ?? startSync(unreadMs, signal);
 			pendingSync = sync;
-			await sync;
-			pendingSync = undefined;
+			try {
+				await sync;
+			} finally {
+				pendingSync = undefined;
+			}
 		},
 
 		/** Returns true if requests can be served. */
