Count the reading of outdated views towards the timeout of a request

Cause: the deadline was computed after the wait for outdated views, so that the answer could be up to 0.4 s later than the timeout. Change: the earliest arrival is fixed when the request is read, and the deadline and the admission are computed from it.

--- a/src/coordination/admission.test.ts
+++ b/src/coordination/admission.test.ts
@@ -3,7 +3,7 @@
 import type {Clock} from '../transport/mod.js';
 import {createAdmission, monitorEventLoop, type Admission} from './mod.js';
 
-const usualRequest = {priority: 1, timeoutMs: 4000, unreadMs: 0};
+const usualRequest = {priority: 1, timeoutMs: 4000, elapsedMs: 0};
 
 /** Creates an admission control on an event loop with an adjustable lag. */
 function createFixture() {
@@ -86,7 +86,7 @@
 	admitMany(admission, 40);
 	state.lag = 300;
 	await time.runUntil(3500);
-	expect([0, 2].map(priority => admission.admit({priority, timeoutMs: 4000, unreadMs: 0}).ok)).toEqual([admission.getLimit() * 1.25 > 40, false]);
+	expect([0, 2].map(priority => admission.admit({priority, timeoutMs: 4000, elapsedMs: 0}).ok)).toEqual([admission.getLimit() * 1.25 > 40, false]);
 	stopper.abort();
 });
 
@@ -95,7 +95,7 @@
 	admitMany(admission, 40);
 	state.lag = 300;
 	await time.runUntil(5000);
-	const refused = admission.admit({priority: 1, timeoutMs: 600, unreadMs: 0});
+	const refused = admission.admit({priority: 1, timeoutMs: 600, elapsedMs: 0});
 	expect(refused.err && refused.val.retryAfterMs).toBe(150);
 	stopper.abort();
 });
@@ -113,9 +113,9 @@
 test('a request that may have waited for its whole timeout is refused, also without a limit', () => {
 	// Guards against requests that are held on after their timeout because the gateway read them late.
 	const {admission, stopper} = createFixture();
-	const refused = admission.admit({priority: 0, timeoutMs: 2000, unreadMs: 1990});
+	const refused = admission.admit({priority: 0, timeoutMs: 2000, elapsedMs: 1990});
 	expect(refused.err && refused.val.type).toBe('overloaded');
 	expect(refused.err && refused.val.retryAfterMs).toBe(400);
-	expect(admission.admit({priority: 0, timeoutMs: 2000, unreadMs: 1000}).ok).toBe(true);
+	expect(admission.admit({priority: 0, timeoutMs: 2000, elapsedMs: 1000}).ok).toBe(true);
 	stopper.abort();
 });
--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -30,8 +30,8 @@
 	readonly priority: number;
 	/** Time for which the caller waits, in milliseconds. */
 	readonly timeoutMs: number;
-	/** Longest time for which the request may have waited to be read, in milliseconds. */
-	readonly unreadMs: number;
+	/** Longest time since the request can have arrived, in milliseconds. */
+	readonly elapsedMs: number;
 };
 
 /** Limits the number of concurrent requests. */
@@ -66,7 +66,7 @@
  *
  * @example
  * ```ts
- * const entered = admission.admit({priority: 0, timeoutMs: 4000, unreadMs: 0});
+ * const entered = admission.admit({priority: 0, timeoutMs: 4000, elapsedMs: 0});
  * if (entered.ok) {
  * 	entered.val(); // called when the request ends
  * }
@@ -106,9 +106,9 @@
 
 	return {
 		/** Admits a request and returns a function to call when it ends, or refuses it with a retry-after time. */
-		admit({priority, timeoutMs, unreadMs}: AdmissionRequest): Result<() => void, Failure> {
-			if (!hasTimeLeft(timeoutMs, unreadMs)) {
-				const detail = `The request has no time left: it may have waited ${Math.round(unreadMs)} ms to be read, and its timeout is ${timeoutMs} ms`;
+		admit({priority, timeoutMs, elapsedMs}: AdmissionRequest): Result<() => void, Failure> {
+			if (!hasTimeLeft(timeoutMs, elapsedMs)) {
+				const detail = `The request has no time left: it may have arrived ${Math.round(elapsedMs)} ms ago, and its timeout is ${timeoutMs} ms`;
 				return Err(createFailure('overloaded', detail, {retryAfterMs: chooseRetryAfterMs(timeoutMs)}));
 			}
 
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -54,7 +54,7 @@
 	readonly customer: GatewayCustomer | undefined;
 };
 
-/** Time that a request has left when it is read, and its deadline on the monotonic clock, in milliseconds. */
+/** Time that a request has left when it is admitted, and its deadline on the monotonic clock, in milliseconds. */
 type RequestTimeout = {readonly timeoutMs: number; readonly deadline: number};
 
 /** State of a request while it is being served. */
@@ -64,6 +64,8 @@
 	readonly arrival: ArrivalDuringStop | undefined;
 	/** Longest time for which the request may have waited to be read, in milliseconds. */
 	readonly unreadMs: number;
+	/** Earliest time at which the request can have arrived, in milliseconds of the monotonic clock. */
+	readonly arrivedAt: number;
 	/** Digest shared by all repeats of the request; set once the body has been read. */
 	digest?: string;
 };
@@ -262,7 +264,7 @@
 	}
 
 	async function serveWithAdmission(request: IncomingMessage, resolved: ResolvedRequest, context: RequestContext): Promise<void> {
-		const permit = admission.admit({priority: getPriority(resolved), timeoutMs: computeTimeoutMs(resolved), unreadMs: context.unreadMs});
+		const permit = admission.admit({priority: getPriority(resolved), timeoutMs: computeTimeoutMs(resolved), elapsedMs: clock.now() - context.arrivedAt});
 		if (permit.err) {
 			refuse(context, resolved.metadata.id, permit.val);
 			return;
@@ -277,10 +279,10 @@
 
 	async function serveAdmitted(request: IncomingMessage, resolved: ResolvedRequest, context: RequestContext): Promise<void> {
 		const {metadata, route, service, customer} = resolved;
-		const {answer, abortController, arrival, unreadMs} = context;
+		const {answer, abortController, arrival, unreadMs, arrivedAt} = context;
 		const startedAt = clock.now();
-		const timeoutMs = computeTimeoutMs(resolved) - unreadMs;
-		const deadline = startedAt + timeoutMs;
+		const deadline = arrivedAt + computeTimeoutMs(resolved);
+		const timeoutMs = deadline - startedAt;
 		const timer = setTimeout(() => {
 			abortController.abort(new Error(requestTimedOut));
 		}, timeoutMs);
@@ -393,7 +395,7 @@
 
 			request.socket.on('end', abortRequest);
 			const context: RequestContext = {
-				answer, abortController, arrival: describeArrival(request), unreadMs,
+				answer, abortController, arrival: describeArrival(request), unreadMs, arrivedAt: clock.now() - unreadMs,
 			};
 			runningRequests.add(request);
 			try {
