Notice an unavailable log also in a process that is always slow

Cause: a read whose timeout expires late no longer counts as unanswered, so a gateway whose every timer is late would never have noticed an outage of the store in which calls hang. Change: only the first late timeout since the last successful read is excused.

--- a/src/coordination/keyed-follower.test.ts
+++ b/src/coordination/keyed-follower.test.ts
@@ -9,8 +9,15 @@
 const longPollMs = 1500;
 const readTimeoutMs = 600;
 
+type SilentLogOptions = {
+	readonly silentFrom: number;
+	readonly stallMs: number;
+	/** Default: only the first timer is late. */
+	readonly isAlwaysSlow?: boolean;
+};
+
 /** Follows a log that does not answer from `silentFrom` on, in a process whose timers are late by `stallMs` after that. */
-async function followSilentLog({silentFrom, stallMs}: {readonly silentFrom: number; readonly stallMs: number}) {
+async function followSilentLog({silentFrom, stallMs, isAlwaysSlow = false}: SilentLogOptions) {
 	const time = createVirtualTime();
 	const abortController = new AbortController();
 	const {signal} = abortController;
@@ -34,7 +41,7 @@
 		clock: {
 			now: time.now,
 			async sleep(durationMs, sleepSignal) {
-				const isStalling = !hasStalled && time.now() >= silentFrom;
+				const isStalling = (isAlwaysSlow || !hasStalled) && time.now() >= silentFrom;
 				hasStalled ||= isStalling;
 				await time.sleep(durationMs + (isStalling ? stallMs : 0), sleepSignal);
 			},
@@ -62,3 +69,11 @@
 	expect(follower.isUp()).toBe(true);
 	stop();
 });
+
+test('a process that is always slow notices that a log does not answer', async () => {
+	// Guards against an outage of the store that an overloaded gateway never notices.
+	const {time, follower, stop} = await followSilentLog({silentFrom: 1000, stallMs: 1000, isAlwaysSlow: true});
+	await time.runUntil(12_000);
+	expect(follower.isUp()).toBe(false);
+	stop();
+});
--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -70,6 +70,8 @@
 	let isUp = false;
 	let lastFailureAt: number | undefined;
 	let lastSuccessAt: number | undefined;
+	/** Whether a timeout has expired late since the last successful read. */
+	let wasStalled = false;
 	let pendingCatchUp: Promise<boolean> | undefined;
 	const maxReadMs = options.longPollMs + (options.readTimeoutMs ?? Number.POSITIVE_INFINITY);
 	// A hanging read has already used up its timeout, so the next one is sent at once.
@@ -94,6 +96,7 @@
 
 	// Called after the records are delivered: the view is only as recent as the records already processed.
 	function recordSuccess(sentAt: number): void {
+		wasStalled = false;
 		lastSuccessAt = Math.max(lastSuccessAt ?? sentAt, sentAt);
 	}
 
@@ -192,10 +195,13 @@
 
 		const isAnswered = await waitWithTimeout(pending, {clock, timeoutMs: maxReadMs});
 		if (isAnswered === undefined && !signal.aborted) {
-			if (clock.now() - sentAt <= maxReadMs + stallMs) {
+			const isStalled = clock.now() - sentAt > maxReadMs + stallMs;
+			// A process that is always slow must still notice that the log does not answer.
+			if (!isStalled || wasStalled) {
 				recordFailure(sentAt, createFailure('log-unavailable', `A read was not answered within ${maxReadMs} ms`));
 			}
 
+			wasStalled = isStalled;
 			return 'hanging';
 		}
 
