Log the software version of upstreams and the streams that callers resume

Cause: the logs could not show whether a stream changed its version within one answer or over its caller's tries: nothing read an upstream's version or the attempt that a request resumes. Change: the adapter reads both. No decision uses them yet.

--- a/src/coordination/forward-types.ts
+++ b/src/coordination/forward-types.ts
@@ -37,6 +37,8 @@
 	readonly body: Uint8Array | undefined;
 	readonly generation: GenerationParameters | undefined;
 	readonly lastEventId: string | undefined;
+	/** ID of the attempt that received the first event of the stream that the caller resumes. */
+	readonly resumes: string | undefined;
 	/** Start of the request, in milliseconds of the monotonic clock. */
 	readonly startedAt: number;
 	/** Time by which the final answer is due, in milliseconds of the monotonic clock. */
@@ -54,6 +56,8 @@
 	readonly result: ForwardResult;
 	/** The last upstream that was chosen for the request. */
 	readonly upstream: string | undefined;
+	/** Version of that upstream's software. */
+	readonly softwareVersion: string | undefined;
 	/** Number of upstreams to which the request was sent. */
 	readonly sends: number;
 	/** An upstream may have started to run the request. */
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -104,6 +104,7 @@
 		const callerGone = new AbortController();
 		const request: ForwardRequest = {
 			id: 'r1',
+			resumes: undefined,
 			digest: 'd1',
 			route: {
 				id: 'r', host: 'h', prefix: '/', kind: 'stream', timeout: deadline, objective: 300, priority: 0, isOpen: true, attempts: 2, isResumable: false, targets: [{service: 's', weight: 1}], ...route,
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -63,13 +63,14 @@
 
 	function createState(request: ForwardRequest): ForwardingState {
 		const progress: ForwardProgress = {
-			sends: 0, mayHaveRun: false, upstream: undefined, firstMs: undefined, waitingTokens: undefined, cachedTokens: undefined, isOnGrace: undefined, viewMs: undefined,
+			sends: 0, mayHaveRun: false, upstream: undefined, softwareVersion: undefined, firstMs: undefined, waitingTokens: undefined, cachedTokens: undefined, isOnGrace: undefined, viewMs: undefined,
 		};
 		return {request, relay: createRelay(request), progress};
 	}
 
 	function recordCandidate(progress: ForwardProgress, {id, waitingTokens, cachedTokens, isOnGrace}: PlacementCandidate): void {
 		progress.upstream = id;
+		progress.softwareVersion = registry.get(id)?.softwareVersion;
 		progress.waitingTokens = waitingTokens;
 		progress.cachedTokens = cachedTokens;
 		progress.isOnGrace = isOnGrace;
@@ -160,7 +161,7 @@
 				}
 
 				events.write('requestRetried', {
-					request: request.id, upstream: id, outcome: outcome.kind, detail,
+					request: request.id, upstream: id, softwareVersion: progress.softwareVersion, outcome: outcome.kind, events: relay.eventCount, detail,
 				});
 				if (outcome.kind !== 'not-run' && !(relay.canRetry() && quarantine.mayRetry(request.digest))) {
 					break;
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/upstream-sender.ts
@@ -40,7 +40,7 @@
 	| RelayOutcome;
 
 /** Fields of the report that are filled in while the request is being forwarded. */
-export type ForwardProgress = {-readonly [Field in 'sends' | 'mayHaveRun' | 'upstream' | 'firstMs' | 'waitingTokens' | 'cachedTokens' | 'isOnGrace' | 'viewMs']: ForwardReport[Field]};
+export type ForwardProgress = {-readonly [Field in 'sends' | 'mayHaveRun' | 'upstream' | 'softwareVersion' | 'firstMs' | 'waitingTokens' | 'cachedTokens' | 'isOnGrace' | 'viewMs']: ForwardReport[Field]};
 
 /** State of a request while it is being forwarded. */
 export type ForwardingState = {readonly request: ForwardRequest; readonly relay: AnswerRelay; readonly progress: ForwardProgress};
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -221,7 +221,7 @@
 	function recordOutcome(request: ForwardRequest, report: ForwardReport, {reserveMs, arrival, unreadMs}: Pick<RequestContext, 'arrival' | 'unreadMs'> & {readonly reserveMs: number}): void {
 		const {route, customer, startedAt} = request;
 		events.write('requestEnded', {
-			request: request.id, route: route.id, version: findRouteTable()?.version, customer, ...report, used: computeUsedTokens(request, report),
+			request: request.id, route: route.id, version: findRouteTable()?.version, customer, resumes: request.resumes, lastEventId: request.lastEventId, ...report, used: computeUsedTokens(request, report),
 			unreadMs: Math.round(unreadMs), reserveMs: Math.round(reserveMs), ms: Math.round(clock.now() - startedAt), ...arrival,
 		});
 		const labels = {customer: customer ?? '-', class: route.id};
@@ -349,6 +349,7 @@
 				body: body.val.length > 0 ? body.val : undefined,
 				generation: metadata.generation,
 				lastEventId: metadata.lastEventId,
+				resumes: metadata.resumes,
 				startedAt,
 				deadline,
 				signal: abortController.signal,
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -153,7 +153,7 @@
 		directory.put(registration, clock.now());
 		if (known?.isDraining !== registration.isDraining || wasOnGrace) {
 			events.write('upstreamListed', {
-				upstream: key, service: registration.service, isDraining: registration.isDraining, offset, sinceReadMs: upstreamFollower.computeStalenessMs(),
+				upstream: key, service: registration.service, softwareVersion: registration.softwareVersion, isDraining: registration.isDraining, offset, sinceReadMs: upstreamFollower.computeStalenessMs(),
 			});
 		}
 	}
--- a/src/protocol/deployment.ts
+++ b/src/protocol/deployment.ts
@@ -114,6 +114,8 @@
 	isDraining: z.boolean(),
 	/** Time after its start during which the upstream is slow, in milliseconds. */
 	warmUp: z.number().nonnegative(),
+	/** Version of the upstream's software; undefined if it does not say. */
+	softwareVersion: z.string().min(1).optional(),
 });
 
 export type RouteKind = z.infer<typeof routeKindSchema>;
--- a/src/protocol/gateway-wire.ts
+++ b/src/protocol/gateway-wire.ts
@@ -31,6 +31,8 @@
 	readonly generation?: GenerationParameters;
 	/** ID of the last event that the caller has received, after which the stream is to resume. */
 	readonly lastEventId?: string;
+	/** ID of the attempt that received the first event of the stream that the caller resumes. */
+	readonly resumes?: string;
 };
 
 /** Metadata of a request that the gateway forwards to an upstream. */
