Continue a broken stream only at the version that began it

Callers saw streams whose first events came from one software version of an engine and the rest from another. Cause: after an engine crashed or a connection broke in the middle of a stream, the gateway resumed it at any engine of the service. An engine was known by its service, address and load only, so nothing that a request needs of an engine could be kept from one attempt to the next. Change: the first event of a stream fixes its origin, the service and version of the engine as of the write of the request. From then on placement considers only engines of that origin, and the check just before the write repeats it. An unknown version fits none. A call to an engine that makes no progress is ended early only if another engine may continue the stream.

--- a/src/coordination/answer-relay.ts
+++ b/src/coordination/answer-relay.ts
@@ -27,6 +27,8 @@
 export type RelayOptions = {
 	/** Called when the first event or the whole answer has arrived. */
 	readonly onFirstEvent: () => void;
+	/** Called when the first event of a stream has arrived, before it is sent to the caller. */
+	readonly onStreamBegin: () => void;
 	/** Called with the size of the data whenever data arrives. */
 	readonly onProgress: (bytes: number) => void;
 };
@@ -160,6 +162,7 @@
 	async #forwardEvents(events: readonly StreamEvent[], answer: UpstreamResponse, options: RelayOptions): Promise<void> {
 		if (this.#eventCount === 0) {
 			options.onFirstEvent();
+			options.onStreamBegin();
 		}
 
 		this.#startAnswer(answer);
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -33,12 +33,17 @@
 const streamHeaders = {'content-type': 'text/event-stream', mark: 'm', id: 'r1'};
 const bufferedHeaders = {mark: 'm', id: 'r1'};
 
-function createFixture(responses: UpstreamResponse[]) {
+type FixtureOptions = {
+	/** Software version of each upstream; undefined if it registers none. */
+	readonly versions?: Readonly<Record<string, string | undefined>>;
+};
+
+function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}}: FixtureOptions = {}) {
 	const clock = createSystemClock();
 	const directory = createUpstreamDirectory();
 	for (const id of ['u1', 'u2', 'u3']) {
 		const registration: UpstreamRegistration = {
-			id, service: 's', address: id, failureDomain: 'd', slots: 4, isDraining: false, warmUp: 0,
+			id, service: 's', address: id, failureDomain: 'd', slots: 4, isDraining: false, warmUp: 0, softwareVersion: versions[id],
 		};
 		directory.put(registration, 0);
 	}
@@ -286,6 +291,66 @@
 	expect(fixture.received.body).toBe('id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
 });
 
+const firstHalf: UpstreamResponse = {
+	status: 200, headers: streamHeaders, chunks: ['id: 1\ndata: a\n\n'], isReset: true,
+};
+const secondHalf: UpstreamResponse = {status: 200, headers: streamHeaders, chunks: ['id: 2\ndata: b\n\n']};
+
+test('a stream goes on only at an upstream of the version that sent its first event', async () => {
+	// Guards against events of two software versions in one answer.
+	const fixture = createFixture([{fails: 'broken'}, firstHalf, secondHalf], {versions: {u1: 'v1', u2: 'v1', u3: 'v2'}});
+	const report = await fixture.forward({isResumable: true, attempts: 4});
+	const addresses = fixture.calls.map(({address}) => address);
+	const beganAt = addresses[1] === 'u3' ? 'v2' : 'v1';
+	expect(addresses.slice(2).every(address => (address === 'u3' ? 'v2' : 'v1') === beganAt)).toBe(true);
+	expect(report.result).toBe(addresses.length === 3 ? 'served' : 'cut');
+});
+
+test('a stream that broke before its first event goes to an upstream of any version', async () => {
+	const fixture = createFixture([{fails: 'broken'}, {...firstHalf, chunks: []}, secondHalf], {versions: {u1: 'v1', u2: 'v2', u3: 'v3'}});
+	const report = await fixture.forward({isResumable: true, attempts: 3});
+	expect(report.result).toBe('served');
+	expect(new Set(fixture.calls.map(({address}) => address)).size).toBe(3);
+});
+
+test('a stream whose version is unknown or has no other upstream is cut and logged as such', async () => {
+	for (const versions of [{u1: 'v1', u2: 'v2', u3: 'v3'}, {u1: undefined, u2: undefined, u3: undefined}]) {
+		const fixture = createFixture([firstHalf, secondHalf], {versions});
+		const report = await fixture.forward({isResumable: true, attempts: 3});
+		expect(fixture.calls.length).toBe(1);
+		expect(fixture.received.isCut).toBe(true);
+		expect(report.reason).toMatch(/no other upstream of version/);
+	}
+});
+
+test('a stream goes on nowhere if its upstream registered with another version meanwhile', async () => {
+	const fixture = createFixture([firstHalf, secondHalf]);
+	const pending = fixture.forward({isResumable: true, attempts: 3});
+	const {address} = fixture.calls[0]!;
+	fixture.directory.put({...fixture.directory.get(address)!, softwareVersion: 'v2'}, 1);
+	const report = await pending;
+	expect(report.result).toBe('cut');
+	expect(fixture.calls.length).toBe(1);
+});
+
+test('a stream that waits for a connection is not written once its upstream has another version', async () => {
+	// Guards against requests that were placed seconds ago: the version is checked again just before the write.
+	const fixture = createFixture([firstHalf, secondHalf]);
+	await fixture.forward({isResumable: true, attempts: 2});
+	const [, second] = fixture.calls;
+	expect(second!.shouldStillSend()).toBe(true);
+	fixture.directory.put({...fixture.directory.get(second!.address)!, softwareVersion: 'v2'}, 1);
+	expect(second!.shouldStillSend()).toBe(false);
+});
+
+test('a stalled stream that no other upstream may continue is not ended early', async () => {
+	// Guards against streams that are cut although their upstream may still answer.
+	const fixture = createFixture([{...firstHalf, isReset: false, hangs: true}], {versions: {u1: 'v1', u2: 'v2', u3: 'v3'}});
+	const startedAt = performance.now();
+	await fixture.forward({isResumable: true, objective: 100, attempts: 3}, 1800);
+	expect(performance.now() - startedAt).toBeGreaterThan(1700);
+});
+
 test('attempts and the retry budget limit how often a request is sent', async () => {
 	const fixture = createFixture(Array.from({length: 9}, () => ({status: 500, chunks: ['x']})));
 	await fixture.forward({kind: 'idempotent', attempts: 2});
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import {createFailure, type EventLog, type Failure} from '../protocol/mod.js';
+import type {StreamOrigin} from '../state/mod.js';
 import {StreamAnswerRelay, BufferedAnswerRelay, type AnswerRelay} from './answer-relay.js';
 import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
 import type {PlacementCandidate} from './placement-policy.js';
@@ -65,7 +66,9 @@
 		const progress: ForwardProgress = {
 			sends: 0, mayHaveRun: false, upstream: undefined, softwareVersion: undefined, firstMs: undefined, waitingTokens: undefined, cachedTokens: undefined, isOnGrace: undefined, viewMs: undefined,
 		};
-		return {request, relay: createRelay(request), progress};
+		return {
+			request, relay: createRelay(request), progress, tried: new Set(), origin: undefined,
+		};
 	}
 
 	function recordCandidate(progress: ForwardProgress, {id, waitingTokens, cachedTokens, isOnGrace}: PlacementCandidate): void {
@@ -81,12 +84,19 @@
 		return outcome.kind === 'not-run' ? outcome.reached : 'chosen';
 	}
 
+	function describeNoneLeft(detail: string, origin: StreamOrigin | undefined): string {
+		return origin ? `${detail}; no other upstream of version "${origin.softwareVersion ?? 'unknown'}" can continue the stream now` : detail;
+	}
+
 	function describeOutcome(outcome: Exclude<SendOutcome, {readonly kind: 'complete'}>): string {
 		return outcome.kind === 'failed' ? 'The upstream answered with a server error' : outcome.detail;
 	}
 
-	function describeUnsent({service}: ForwardRequest): UnansweredReason {
-		return eligibility.findBlockage(service) ?? {detail: 'No live upstream is registered for the service', retryAfterMs: overloadedRetryAfterMs};
+	function describeUnsent({request: {service}, origin}: ForwardingState): UnansweredReason {
+		return eligibility.findBlockage(service, origin) ?? {
+			detail: origin ? `No live upstream of version "${origin.softwareVersion ?? 'unknown'}" is registered for the service` : 'No live upstream is registered for the service',
+			retryAfterMs: overloadedRetryAfterMs,
+		};
 	}
 
 	function createFinalFailure(request: ForwardRequest, progress: ForwardProgress, {detail, retryAfterMs}: UnansweredReason): Failure {
@@ -123,16 +133,19 @@
 		/** Forwards a request. When the promise resolves, the caller has received its final answer. */
 		async forward(request: ForwardRequest): Promise<ForwardReport> {
 			const state = createState(request);
-			const {relay, progress} = state;
+			const {relay, progress, tried} = state;
 			const retryBudget = findRetryBudget(request.service.id);
-			const tried = new Set<string>();
 			let deliveries = 0;
 			let deliverFailure: (() => void) | undefined;
 			let detail = '';
 			retryBudget.deposit();
 			for (;;) {
-				const placement = requestPlacement.pick(request, tried);
+				const placement = requestPlacement.pick(request, tried, state.origin);
 				const isFirst = deliveries === 0;
+				if (placement === undefined && tried.size > 0) {
+					detail = describeNoneLeft(detail, state.origin);
+				}
+
 				if (placement === undefined || !hasTimeLeft(request.deadline, clock.now()) || progress.sends >= request.route.attempts || !(isFirst || retryBudget.tryWithdraw())) {
 					break;
 				}
@@ -173,7 +186,7 @@
 				return buildReport(state, 'passed-on', detail);
 			}
 
-			const reason = tried.size === 0 ? describeUnsent(request) : {detail, retryAfterMs: overloadedRetryAfterMs};
+			const reason = tried.size === 0 ? describeUnsent(state) : {detail, retryAfterMs: overloadedRetryAfterMs};
 			return finishUnanswered(state, reason);
 		},
 	};
--- a/src/coordination/request-placement.ts
+++ b/src/coordination/request-placement.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type {StreamOrigin} from '../state/mod.js';
 import type {ForwardRequest} from './forward-types.js';
 import {
 	LeastRunningPolicy, PromptPlacementPolicy, ServicePlacementPolicy, type PlacementCandidate, type PlacementPolicy, type PlacementQuery,
@@ -57,10 +58,12 @@
 	}
 
 	return {
-		/** Picks an upstream that was not tried yet; undefined if none may get the request now. */
-		pick(request: ForwardRequest, tried: ReadonlySet<string>): Placement | undefined {
+		/** Picks an upstream that was not tried yet; undefined if none may get the request now. `origin` is that of a stream that has begun. */
+		pick(request: ForwardRequest, tried: ReadonlySet<string>, origin?: StreamOrigin): Placement | undefined {
 			const {service, generation} = request;
-			const candidates = registry.listCandidates({service, generation, excluded: tried});
+			const candidates = registry.listCandidates({
+				service, generation, excluded: tried, origin,
+			});
 			if (candidates.length === 0) {
 				return undefined;
 			}
--- a/src/coordination/upstream-eligibility.ts
+++ b/src/coordination/upstream-eligibility.ts
@@ -1,7 +1,8 @@
 /**
  * Decides to which upstreams a gateway may send a request now: not to those of
  * an evacuated failure domain, and to cold ones and those that named a limit only
- * within this gateway's share.
+ * within this gateway's share. A stream that has begun goes only to those of the
+ * version that began it.
  *
  * Every request passes `admitSend` just before it is written, also one that was
  * placed seconds ago and waited for a connection.
@@ -9,7 +10,9 @@
  * @module
  */
 import type {GatewayService} from '../protocol/mod.js';
-import type {Evacuations, LiveUpstream, UpstreamDirectory} from '../state/mod.js';
+import {
+	isFitFor, type Evacuations, type LiveUpstream, type StreamOrigin, type UpstreamDirectory,
+} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 import type {ColdAdmission} from './cold-admission.js';
 import type {LimitAdmission} from './limit-admission.js';
@@ -91,22 +94,26 @@
 		return computeColdWaitMs(live, service) === 0 && limitAdmission.computeWaitMs(live.upstream.id) === 0;
 	}
 
-	function listInService(service: GatewayService): LiveUpstream[] {
-		return directory.listLive(service.id, clock.now()).filter(live => !isEvacuated(live));
+	function listLive(service: GatewayService, origin: StreamOrigin | undefined): LiveUpstream[] {
+		return directory.listLive(service.id, clock.now()).filter(({upstream}) => isFitFor(upstream, origin));
+	}
+
+	function listInService(service: GatewayService, origin: StreamOrigin | undefined): LiveUpstream[] {
+		return listLive(service, origin).filter(live => !isEvacuated(live));
 	}
 
 	return {
-		/** Lists the live upstreams of a service that may get a request of this gateway now. */
-		listEligible: (service: GatewayService): LiveUpstream[] => listInService(service).filter(live => isWithinLimits(live, service)),
+		/** Lists the live upstreams of a service that may get a request of this gateway now; `origin` is that of a stream that has begun. */
+		listEligible: (service: GatewayService, origin?: StreamOrigin): LiveUpstream[] => listInService(service, origin).filter(live => isWithinLimits(live, service)),
 
 		/**
 		 * Returns true if a request may be sent to an upstream now, and counts it
 		 * towards the upstream's limits. Must be called just before the request
 		 * is written.
 		 */
-		admitSend(id: string, service: GatewayService): boolean {
+		admitSend(id: string, service: GatewayService, origin?: StreamOrigin): boolean {
 			const live = directory.findLive(id, clock.now());
-			if (!live || isEvacuated(live) || !isWithinLimits(live, service)) {
+			if (!live || !isFitFor(live.upstream, origin) || isEvacuated(live) || !isWithinLimits(live, service)) {
 				return false;
 			}
 
@@ -120,12 +127,12 @@
 		},
 
 		/** Returns why no upstream of a service may get a request although some are live; undefined if none is live or any may. */
-		findBlockage(service: GatewayService): UpstreamBlockage | undefined {
-			if (directory.listLive(service.id, clock.now()).length === 0) {
+		findBlockage(service: GatewayService, origin?: StreamOrigin): UpstreamBlockage | undefined {
+			if (listLive(service, origin).length === 0) {
 				return undefined;
 			}
 
-			const inService = listInService(service);
+			const inService = listInService(service, origin);
 			if (inService.length === 0) {
 				return {detail: 'All failure domains of the service are evacuated', retryAfterMs: evacuatedRetryAfterMs};
 			}
--- a/src/coordination/upstream-registry.ts
+++ b/src/coordination/upstream-registry.ts
@@ -9,7 +9,7 @@
 	GatewayService, GenerationParameters, ReportedLoad, UpstreamRegistration,
 } from '../protocol/mod.js';
 import {
-	createPromptCache, type LiveUpstream, type PlacedPrompt, type UpstreamDirectory, type UpstreamUse,
+	createPromptCache, type LiveUpstream, type PlacedPrompt, type StreamOrigin, type UpstreamDirectory, type UpstreamUse,
 } from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 import type {PlacementCandidate} from './placement-policy.js';
@@ -37,6 +37,8 @@
 	readonly generation: GenerationParameters | undefined;
 	/** Ids of upstreams that were already tried. */
 	readonly excluded: ReadonlySet<string>;
+	/** Set for a stream that has begun. */
+	readonly origin?: StreamOrigin;
 };
 
 /** Records the course of one request at an upstream. */
@@ -149,9 +151,9 @@
 		 * gateway now, without those that recently did not respond unless no others
 		 * remain.
 		 */
-		listCandidates({service, generation, excluded}: ListCandidatesOptions): PlacementCandidate[] {
+		listCandidates({service, generation, excluded, origin}: ListCandidatesOptions): PlacementCandidate[] {
 			const now = clock.now();
-			const live = eligibility.listEligible(service).filter(({upstream}) => !excluded.has(upstream.id));
+			const live = eligibility.listEligible(service, origin).filter(({upstream}) => !excluded.has(upstream.id));
 			const responsive = live.filter(({upstream}) => ensureStats(upstream.id).avoidUntil <= now);
 			const selected = responsive.length > 0 ? responsive : live;
 			const median = findMedianMsPerToken(selected.map(({upstream}) => upstream.id));
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/upstream-sender.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {AnswerMetadata, GatewayWire} from '../protocol/mod.js';
+import type {StreamOrigin} from '../state/mod.js';
 import {
 	createTimeoutSignal, type CallFailure, type Clock, type UpstreamResponse, type UpstreamClient,
 } from '../transport/mod.js';
@@ -25,7 +26,7 @@
 	readonly wire: GatewayWire;
 	readonly client: UpstreamClient;
 	readonly registry: Pick<UpstreamRegistry, 'get' | 'trackRequest'>;
-	readonly eligibility: Pick<UpstreamEligibility, 'admitSend'>;
+	readonly eligibility: Pick<UpstreamEligibility, 'admitSend' | 'listEligible'>;
 	readonly limitRecorder: Pick<LimitRecorder, 'recordAnswer'>;
 	readonly traffic: Pick<TrafficCounter, 'record'>;
 	readonly quarantine: Pick<Quarantine, 'trackRun'>;
@@ -43,13 +44,23 @@
 export type ForwardProgress = {-readonly [Field in 'sends' | 'mayHaveRun' | 'upstream' | 'softwareVersion' | 'firstMs' | 'waitingTokens' | 'cachedTokens' | 'isOnGrace' | 'viewMs']: ForwardReport[Field]};
 
 /** State of a request while it is being forwarded. */
-export type ForwardingState = {readonly request: ForwardRequest; readonly relay: AnswerRelay; readonly progress: ForwardProgress};
+export type ForwardingState = {
+	readonly request: ForwardRequest;
+	readonly relay: AnswerRelay;
+	readonly progress: ForwardProgress;
+	/** Ids of the upstreams that were chosen so far. */
+	readonly tried: Set<string>;
+	/** Set once the stream has begun. */
+	origin: StreamOrigin | undefined;
+};
 
 /** Options for receiving an upstream's answer. */
 type ReceiveOptions = {
 	readonly upstream: string;
 	/** When the request was written, in milliseconds of the clock. */
 	readonly sentAt: number;
+	/** Software version of the upstream at that time. */
+	readonly softwareVersion: string | undefined;
 	readonly tracker: UpstreamRequestTracker;
 	readonly onProgress: (bytes: number) => void;
 };
@@ -85,7 +96,16 @@
 		wire, client, registry, eligibility, limitRecorder, traffic, quarantine, crashDetector, clock,
 	} = options;
 
-	async function receive({request, relay, progress}: ForwardingState, answer: UpstreamResponse, {upstream, sentAt, tracker, onProgress}: ReceiveOptions): Promise<SendOutcome> {
+	// An upstream that registered again with another version since the request was written may have run it with either.
+	function createOrigin({request}: ForwardingState, {upstream, softwareVersion}: Pick<ReceiveOptions, 'upstream' | 'softwareVersion'>): StreamOrigin {
+		const registration = registry.get(upstream);
+		const isUnchanged = registration === undefined || registration.softwareVersion === softwareVersion;
+		return {service: request.service.id, softwareVersion: isUnchanged ? softwareVersion : undefined};
+	}
+
+	async function receive(state: ForwardingState, answer: UpstreamResponse, options: ReceiveOptions): Promise<SendOutcome> {
+		const {request, relay, progress} = state;
+		const {upstream, sentAt, tracker, onProgress} = options;
 		const metadata = wire.readAnswer(answer.status, answer.headers);
 		if (metadata.load) {
 			tracker.recordLoad(metadata.load);
@@ -123,9 +143,17 @@
 				progress.firstMs ??= clock.now() - request.startedAt;
 				tracker.recordFirstEvent();
 			},
+			onStreamBegin() {
+				state.origin ??= createOrigin(state, options);
+			},
 		});
 	}
 
+	// Ending the call to an unresponsive upstream only helps if another one may continue the stream.
+	function canRetryElsewhere({request, relay, tried, origin}: ForwardingState): boolean {
+		return relay.canRetry() && (origin === undefined || eligibility.listEligible(request.service, origin).some(({upstream}) => !tried.has(upstream.id)));
+	}
+
 	return {
 		/** Sends a request to one upstream. */
 		async send(state: ForwardingState, {candidate: {id}, fetchFrom}: Placement): Promise<SendOutcome> {
@@ -137,10 +165,11 @@
 
 			const tracker = registry.trackRequest(id, request);
 			const trackedRun = quarantine.trackRun(request.digest, request.id);
-			const stallTimeout = createStallTimeout({objective: request.route.objective, canRetry: () => relay.canRetry(), clock});
+			const stallTimeout = createStallTimeout({objective: request.route.objective, canRetry: () => canRetryElsewhere(state), clock});
 			const remaining = request.deadline - clock.now();
 			let isWithheld = false;
 			let sentAt = clock.now();
+			let {softwareVersion} = upstream;
 			const timeLimit = createTimeoutSignal(remaining, [request.signal, stallTimeout.signal]);
 			try {
 				const called = await client.call({
@@ -154,8 +183,9 @@
 					signal: timeLimit.signal,
 					shouldUseNewConnection: !relay.canRetry(),
 					shouldStillSend() {
-						isWithheld = !hasTimeLeft(request.deadline, clock.now()) || !eligibility.admitSend(id, request.service);
+						isWithheld = !hasTimeLeft(request.deadline, clock.now()) || !eligibility.admitSend(id, request.service, state.origin);
 						sentAt = clock.now();
+						softwareVersion = registry.get(id)?.softwareVersion;
 						return !isWithheld;
 					},
 				});
@@ -166,7 +196,7 @@
 
 				const outcome = called.ok
 					? await receive(state, called.val, {
-						upstream: id, sentAt, tracker, onProgress,
+						upstream: id, sentAt, softwareVersion, tracker, onProgress,
 					})
 					: classifyCallFailure(called.val, state.progress);
 				if (called.ok || called.val.kind === 'broken') {
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -19,6 +19,7 @@
 export * from './route-table.js';
 export * from './run-registry.js';
 export * from './shares.js';
+export * from './stream-origin.js';
 export * from './token-account.js';
 export * from './upstream-directory.js';
 export * from './upstream-limits.js';
