Continue a stream that its caller takes up only at the version that began it

Callers whose stream broke, and who took it up at another gateway, got events of another software version than before. Cause: a gateway took such a request for a new one. It read neither the attempt that the caller names as the one that received the first event, nor could it know where that one began: only the gateway that had served it did. Change: the gateway that sends the first event of a stream on records its origin and tells two others, chosen by rendezvous hashing of the attempt's id, before the event leaves. The gateway to which the caller comes next looks into its records, then asks three gateways by the same ranking for 0.2 s at most. If none knows, the version follows only if the service has had one version for as long as a stream can have lasted, by a read of the store that begins after the caller has come. Otherwise, or if the route no longer leads to the service that began the stream, the request is refused at once as not run (stream-unresumable, 503), before tokens are reserved; so is a stream whose version has no engine left. Records are bounded in number and live for twice the longest timeout of a stream route. Records and gossip of earlier builds stay readable; a gateway of an earlier build counts as one that does not answer.

--- a/src/coordination/forward-types.ts
+++ b/src/coordination/forward-types.ts
@@ -6,6 +6,7 @@
 import type {
 	Failure, GenerationParameters, RawHeaders, Route, GatewayService,
 } from '../protocol/mod.js';
+import type {StreamOrigin} from '../state/mod.js';
 
 /** Writes the answer to the caller. */
 export type CallerAnswer = {
@@ -39,6 +40,8 @@
 	readonly lastEventId: string | undefined;
 	/** ID of the attempt that received the first event of the stream that the caller resumes. */
 	readonly resumes: string | undefined;
+	/** What began the stream that the caller resumes; undefined for a new request. */
+	readonly origin: StreamOrigin | undefined;
 	/** Start of the request, in milliseconds of the monotonic clock. */
 	readonly startedAt: number;
 	/** Time by which the final answer is due, in milliseconds of the monotonic clock. */
--- a/src/coordination/gossip-codec.ts
+++ b/src/coordination/gossip-codec.ts
@@ -8,6 +8,7 @@
 	Err, Ok, PeerEntrySchema, PeerNewsSchema, PeerStateSchema, createFailure, type Failure, type PeerEntry, type PeerNews, type Result,
 } from '../protocol/mod.js';
 import type {PeerEntryId, PeerView, PlacedPrompt} from '../state/mod.js';
+import type {StreamAnnouncement} from './stream-recorder.js';
 
 /** Options of {@linkcode encodeEntry}. */
 export type EncodeEntryOptions = {
@@ -100,6 +101,44 @@
 	}));
 }
 
+/**
+ * Encodes a message that announces a stream.
+ *
+ * @example
+ * ```ts
+ * encodeStream({stream: 'a-1', origin: {service: 'model', softwareVersion: 'v1'}, lifetimeMs: 20_000, source: 'entry-1'});
+ * ```
+ *
+ * @param announcement The stream
+ * @returns The encoded message
+ */
+export function encodeStream({stream, origin, lifetimeMs, source}: StreamAnnouncement): Uint8Array {
+	return toBinary(PeerNewsSchema, create(PeerNewsSchema, {
+		streams: [{
+			stream, origin: {...origin}, lifetimeMs, source,
+		}],
+	}));
+}
+
+/**
+ * Lists the streams that a message announces.
+ *
+ * @example
+ * ```ts
+ * listStreams(message).map(({stream}) => stream);
+ * ```
+ *
+ * @param message The decoded message
+ * @returns The announced streams, without those that name no origin
+ */
+export function listStreams({streams}: PeerNews): StreamAnnouncement[] {
+	return streams.flatMap(({stream, origin, lifetimeMs, source}) => origin
+		? [{
+			stream, origin: {service: origin.service, softwareVersion: origin.softwareVersion}, lifetimeMs, source,
+		}]
+		: []);
+}
+
 /**
  * Decodes one gossip message.
  *
--- a/src/coordination/gossip.test.ts
+++ b/src/coordination/gossip.test.ts
@@ -57,6 +57,7 @@
 			}
 		},
 		onView: () => undefined,
+		onStream: () => undefined,
 		onPrompt(prompt) {
 			state.prompts.push(prompt);
 		},
--- a/src/coordination/gossip.ts
+++ b/src/coordination/gossip.ts
@@ -15,10 +15,11 @@
 import type {PeerView, PeerViews, PlacedPrompt} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 import {
-	decodeEntry, decodeGossip, encodeEntry, encodeGossip,
+	decodeEntry, decodeGossip, encodeEntry, encodeGossip, encodeStream, listStreams,
 } from './gossip-codec.js';
 import {computeGossipRate, type GossipRate} from './gossip-rate.js';
 import type {GossipPeer, ReceiverPolicy} from './gossip-receivers.js';
+import type {StreamAnnouncement} from './stream-recorder.js';
 
 /** Options of {@linkcode createGossip}. */
 export type CreateGossipOptions = {
@@ -36,6 +37,8 @@
 	readonly onView: (view: PeerView) => void;
 	/** Called with each prompt placed by another gateway. */
 	readonly onPrompt: (prompt: PlacedPrompt) => void;
+	/** Called with each stream that another gateway announces. */
+	readonly onStream: (announcement: StreamAnnouncement) => void;
 };
 
 /** Gossip between gateways. */
@@ -175,6 +178,10 @@
 			for (const prompt of decoded.val.prompts) {
 				options.onPrompt(prompt);
 			}
+
+			for (const announcement of listStreams(decoded.val)) {
+				options.onStream(announcement);
+			}
 		},
 
 		/** Marks the state of this gateway as changed since its last entry, so that the next entry is sent sooner. */
@@ -188,6 +195,13 @@
 			hasChanged = true;
 		},
 
+		/** Sends an announcement of a stream at once, without waiting for the next entry. */
+		announceStream(announcement: StreamAnnouncement, receivers: readonly GossipPeer[]): void {
+			if (receivers.length > 0) {
+				options.send(encodeStream(announcement), receivers);
+			}
+		},
+
 		/** Returns the gateways recorded in the log that are unresponsive, or have not been heard from yet, but are not presumed failed. */
 		listUnresponsive(): string[] {
 			return options.listPeers().map(peer => peer.daemon).filter(peer => !views.has(peer) && computeMsSinceHeard(peer) < failureTimeoutMs);
--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -37,6 +37,8 @@
 	readonly onRecord: (record: StoredRecord) => void;
 	/** Lists the known keys; those that are missing after a gap are reported as dropped. */
 	readonly listKnownKeys?: () => string[];
+	/** Called before the newest record of each key is delivered; records before them may have been missed. */
+	readonly onNewestRead?: () => void;
 	/** Called when the log answers again, before its records are delivered. */
 	readonly onRecovery?: (outage: LogOutage) => void;
 };
@@ -139,6 +141,7 @@
 			return true;
 		}
 
+		options.onNewestRead?.();
 		const missingKeys = new Set(options.listKnownKeys?.());
 		for (const record of records) {
 			missingKeys.delete(record.key);
@@ -218,6 +221,9 @@
 		 */
 		computeStalenessMs: (): number | undefined => lastSuccessAt === undefined ? undefined : Math.round(clock.now() - lastSuccessAt),
 
+		/** Returns true if a read that was sent at `time` or later, in milliseconds of the clock, has been answered and delivered. */
+		hasReadSince: (time: number): boolean => lastSuccessAt !== undefined && lastSuccessAt >= time,
+
 		/** Reads new records without waiting for more; false if the log does not answer. Concurrent calls share one read. */
 		async catchUp(signal: AbortSignal): Promise<boolean> {
 			pendingCatchUp ??= (async () => {
--- a/src/coordination/placement-gossip.test.ts
+++ b/src/coordination/placement-gossip.test.ts
@@ -51,6 +51,7 @@
 			gateways.find(gateway => gateway.daemon !== daemon)!.gossip.handleMessage(message);
 		},
 		onView: () => undefined,
+		onStream: () => undefined,
 		onPrompt: registry.recordPeerPrompt,
 	});
 	return {
--- a/src/coordination/quarantine-soak.test.ts
+++ b/src/coordination/quarantine-soak.test.ts
@@ -89,6 +89,7 @@
 				}
 			},
 			onPrompt: () => undefined,
+			onStream: () => undefined,
 		});
 		const recorder = createQuarantineRecorder({
 			log: log.open(), crashRegistry, quarantine, daemon: name, listPeers: listPresumedUp, clock: time, events,
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -35,10 +35,12 @@
 export type RequestForwarder = ReturnType<typeof createRequestForwarder>;
 
 /** Why no upstream answered a request, and when its caller may retry if it has not run, in milliseconds. */
-type UnansweredReason = {readonly detail: string; readonly retryAfterMs: number};
+type UnansweredReason = {readonly detail: string; readonly retryAfterMs: number; readonly type?: 'overloaded' | 'stream-unresumable'};
 
 /** Retry-after time for callers when every upstream is overloaded or unavailable. */
 const overloadedRetryAfterMs = 500;
+/** Retry-after time for callers whose stream has no upstream of its version left; one that crashed takes some seconds to start again. */
+const versionGoneRetryAfterMs = 2000;
 
 /**
  * Creates a request forwarder.
@@ -67,7 +69,7 @@
 			sends: 0, mayHaveRun: false, upstream: undefined, softwareVersion: undefined, firstMs: undefined, waitingTokens: undefined, cachedTokens: undefined, isOnGrace: undefined, viewMs: undefined,
 		};
 		return {
-			request, relay: createRelay(request), progress, tried: new Set(), origin: undefined,
+			request, relay: createRelay(request), progress, tried: new Set(), origin: request.origin,
 		};
 	}
 
@@ -84,8 +86,11 @@
 		return outcome.kind === 'not-run' ? outcome.reached : 'chosen';
 	}
 
-	function describeNoneLeft(detail: string, origin: StreamOrigin | undefined): string {
-		return origin ? `${detail}; no other upstream of version "${origin.softwareVersion ?? 'unknown'}" can continue the stream now` : detail;
+	function describeLast(detail: string, origin: StreamOrigin | undefined): UnansweredReason {
+		return {
+			detail: origin ? `${detail}; only upstreams of version "${origin.softwareVersion ?? 'unknown'}" may continue the stream` : detail,
+			retryAfterMs: overloadedRetryAfterMs,
+		};
 	}
 
 	function describeOutcome(outcome: Exclude<SendOutcome, {readonly kind: 'complete'}>): string {
@@ -93,13 +98,17 @@
 	}
 
 	function describeUnsent({request: {service}, origin}: ForwardingState): UnansweredReason {
-		return eligibility.findBlockage(service, origin) ?? {
-			detail: origin ? `No live upstream of version "${origin.softwareVersion ?? 'unknown'}" is registered for the service` : 'No live upstream is registered for the service',
-			retryAfterMs: overloadedRetryAfterMs,
+		const blockage = eligibility.findBlockage(service, origin);
+		if (blockage !== undefined || origin === undefined) {
+			return blockage ?? {detail: 'No live upstream is registered for the service', retryAfterMs: overloadedRetryAfterMs};
+		}
+
+		return {
+			detail: `No live upstream of version "${origin.softwareVersion ?? 'unknown'}" is registered for the service`, retryAfterMs: versionGoneRetryAfterMs, type: 'stream-unresumable',
 		};
 	}
 
-	function createFinalFailure(request: ForwardRequest, progress: ForwardProgress, {detail, retryAfterMs}: UnansweredReason): Failure {
+	function createFinalFailure(request: ForwardRequest, progress: ForwardProgress, {detail, retryAfterMs, type = 'overloaded'}: UnansweredReason): Failure {
 		const isOutOfTime = !hasTimeLeft(request.deadline, clock.now());
 		if (progress.mayHaveRun) {
 			return isOutOfTime
@@ -107,7 +116,7 @@
 				: createFailure('outcome-unknown', `The upstream did not answer: ${detail}`, {ran: 'unknown'});
 		}
 
-		return createFailure('overloaded', `No upstream accepted the request: ${detail}`, {retryAfterMs});
+		return createFailure(type, `No upstream accepted the request: ${detail}`, {retryAfterMs});
 	}
 
 	function buildReport({relay, progress}: ForwardingState, result: ForwardResult, reason?: string): ForwardReport {
@@ -142,10 +151,6 @@
 			for (;;) {
 				const placement = requestPlacement.pick(request, tried, state.origin);
 				const isFirst = deliveries === 0;
-				if (placement === undefined && tried.size > 0) {
-					detail = describeNoneLeft(detail, state.origin);
-				}
-
 				if (placement === undefined || !hasTimeLeft(request.deadline, clock.now()) || progress.sends >= request.route.attempts || !(isFirst || retryBudget.tryWithdraw())) {
 					break;
 				}
@@ -186,7 +191,7 @@
 				return buildReport(state, 'passed-on', detail);
 			}
 
-			const reason = tried.size === 0 ? describeUnsent(state) : {detail, retryAfterMs: overloadedRetryAfterMs};
+			const reason = tried.size === 0 ? describeUnsent(state) : describeLast(detail, state.origin);
 			return finishUnanswered(state, reason);
 		},
 	};
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/upstream-sender.ts
@@ -16,6 +16,7 @@
 import {hasTimeLeft} from './remaining-time.js';
 import type {Placement} from './request-placement.js';
 import {createStallTimeout} from './stall-timeout.js';
+import type {StreamRecorder} from './stream-recorder.js';
 import type {TrafficCounter} from './traffic-counter.js';
 import type {UpstreamEligibility} from './upstream-eligibility.js';
 import type {UpstreamRegistry, UpstreamRequestTracker} from './upstream-registry.js';
@@ -31,6 +32,7 @@
 	readonly traffic: Pick<TrafficCounter, 'record'>;
 	readonly quarantine: Pick<Quarantine, 'trackRun'>;
 	readonly crashDetector: CrashDetector;
+	readonly streamRecorder: Pick<StreamRecorder, 'recordEvents'>;
 	readonly clock: Clock;
 };
 
@@ -93,7 +95,7 @@
  */
 export function createUpstreamSender(options: CreateUpstreamSenderOptions) {
 	const {
-		wire, client, registry, eligibility, limitRecorder, traffic, quarantine, crashDetector, clock,
+		wire, client, registry, eligibility, limitRecorder, traffic, quarantine, crashDetector, streamRecorder, clock,
 	} = options;
 
 	// An upstream that registered again with another version since the request was written may have run it with either.
@@ -103,6 +105,14 @@
 		return {service: request.service.id, softwareVersion: isUnchanged ? softwareVersion : undefined};
 	}
 
+	// A caller names the attempt that received the first event, however often it has resumed the stream since.
+	function recordStream({route, id, resumes}: ForwardRequest, origin: StreamOrigin): void {
+		const stream = resumes ?? id;
+		if (route.isResumable && stream !== undefined) {
+			streamRecorder.recordEvents(stream, origin);
+		}
+	}
+
 	async function receive(state: ForwardingState, answer: UpstreamResponse, options: ReceiveOptions): Promise<SendOutcome> {
 		const {request, relay, progress} = state;
 		const {upstream, sentAt, tracker, onProgress} = options;
@@ -145,6 +155,7 @@
 			},
 			onStreamBegin() {
 				state.origin ??= createOrigin(state, options);
+				recordStream(request, state.origin);
 			},
 		});
 	}
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -28,6 +28,7 @@
 import {createGatewayInterface} from './gateway-interface.js';
 import {createGatewayPeerInterface} from './gateway-peer-interface.js';
 import {createGatewayState, type GatewayAdapter} from './gateway-state.js';
+import {createGatewayStreams} from './gateway-streams.js';
 import {createGatewayTokens} from './gateway-tokens.js';
 import {createRelayInterface, openRelayedLog} from './relay-interface.js';
 import {startStatusServers} from './status-servers.js';
@@ -182,6 +183,7 @@
 		upstreamRegistry.prune();
 		upstreamLimits.prune(upstream => directory.get(upstream) !== undefined);
 		quarantine.prune();
+		streams.recorder.prune();
 		return {
 			daemon: self.daemon,
 			incarnation: self.incarnation,
@@ -250,6 +252,12 @@
 			}
 		},
 		onPrompt: upstreamRegistry.recordPeerPrompt,
+		onStream(announcement) {
+			streams.recorder.merge(announcement);
+		},
+	});
+	const streams = createGatewayStreams({
+		daemon: self.daemon, state, fleet, listPeers: gatewayFleet.listPeers, gossip, clock, events, signal,
 	});
 	const listPresumedUpPeers = () => gatewayFleet.listPeers().map(({daemon}) => daemon).filter(daemon => gossip.isPresumedUp(daemon));
 	const owners = createBudgetOwners({clock, daemon: self.daemon, listPeers: listPresumedUpPeers});
@@ -281,6 +289,7 @@
 		eligibility,
 		limitRecorder,
 		traffic,
+		streamRecorder: streams.recorder,
 		promptSourcePolicy: new CachedPromptSource(),
 		quarantine,
 		crashDetector: createCrashDetector({
@@ -297,7 +306,7 @@
 		},
 	});
 	const callerInterface = createGatewayInterface({
-		wire: adapter.wire, findRouteTable, syncViews: async unreadMs => state.syncViews(unreadMs, signal), budgetManager, forwarder, metrics, clock, events, stopWindow, admission, quarantine,
+		wire: adapter.wire, findRouteTable, syncViews: async unreadMs => state.syncViews(unreadMs, signal), budgetManager, forwarder, streamResolver: streams.resolver, metrics, clock, events, stopWindow, admission, quarantine,
 		computeStopRetryAfterMs: () => retryAfterEstimator.estimate(peerViews.list(), {ownRemainingMs: stopWindow.computeRemainingMs()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve);
@@ -322,7 +331,9 @@
 		fleetKey: settings.fleetKey,
 		routes(router) {
 			router.service(Relay, createRelayInterface(Object.values(adapter.logs), signal));
-			router.service(Gateway, createGatewayPeerInterface({handleCatchUp, lend: tokens.lending.lend, receiveRepayment: tokens.loanReturns.receive}));
+			router.service(Gateway, createGatewayPeerInterface({
+				handleCatchUp, lend: tokens.lending.lend, receiveRepayment: tokens.loanReturns.receive, findStream: streams.findStream,
+			}));
 		},
 		onUnauthenticated() {
 			events.write('peerRefused');
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -7,12 +7,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {
-	Admission, BudgetManager, CallerAnswer, ForwardReport, ForwardRequest, Metrics, Quarantine, RequestForwarder,
+	Admission, BudgetManager, CallerAnswer, ForwardReport, ForwardRequest, Metrics, Quarantine, RequestForwarder, StreamResolver,
 } from '../coordination/mod.js';
 import {
 	Err, Ok, createFailure, type GatewayCustomer, type EventLog, type Failure, type GatewayWire, type RequestMetadata, type Result, type Route, type GatewayService,
 } from '../protocol/mod.js';
-import type {RouteTable, TokenReservation} from '../state/mod.js';
+import type {RouteTable, StreamOrigin, TokenReservation} from '../state/mod.js';
 import {
 	readPendingInput, readBody, waitUnlessAborted, waitUntilSent, type Clock, type ReceivedRequest,
 } from '../transport/mod.js';
@@ -28,6 +28,7 @@
 	readonly syncViews: (unreadMs: number) => Promise<void>;
 	readonly budgetManager: BudgetManager;
 	readonly forwarder: RequestForwarder;
+	readonly streamResolver: StreamResolver;
 	readonly metrics: Metrics;
 	readonly clock: Clock;
 	readonly events: EventLog;
@@ -126,7 +127,7 @@
  */
 export function createGatewayInterface(options: CreateGatewayInterfaceOptions) {
 	const {
-		wire, findRouteTable, syncViews, budgetManager, forwarder, metrics, clock, events, stopWindow, admission, quarantine, computeStopRetryAfterMs,
+		wire, findRouteTable, syncViews, budgetManager, forwarder, streamResolver, metrics, clock, events, stopWindow, admission, quarantine, computeStopRetryAfterMs,
 	} = options;
 	const runningRequests = new Set<IncomingMessage>();
 	const requestCounts = new WeakMap<Socket, number>();
@@ -178,6 +179,12 @@
 			: Ok(undefined);
 	}
 
+	// A request without the ID of an event asks for a stream from its start, which any version may begin.
+	function resolveOrigin({metadata: {id, resumes, lastEventId}, route}: ResolvedRequest): Promise<Result<StreamOrigin, Failure>> | undefined {
+		const isTakenUp = route.kind === 'stream' && (resumes ?? lastEventId) !== undefined;
+		return isTakenUp ? streamResolver.resolve({request: id, stream: resumes, route}) : undefined;
+	}
+
 	function checkRemainingTime(deadline: number): Result<undefined, Failure> {
 		return stopWindow.hasTimeFor(deadline - clock.now())
 			? Ok(undefined)
@@ -309,6 +316,18 @@
 				return;
 			}
 
+			const pendingOrigin = resolveOrigin(resolved);
+			const origin = pendingOrigin && await waitUnlessAborted(pendingOrigin, abortController.signal);
+			if (pendingOrigin && !origin) {
+				refuseUnsent(context, metadata.id);
+				return;
+			}
+
+			if (origin?.err) {
+				refuse(context, metadata.id, origin.val);
+				return;
+			}
+
 			const bodyReadAt = clock.now();
 			const pendingReservation = reserveTokensInTime(resolved, {timeoutMs, deadline});
 			const reservation = await waitUnlessAborted(pendingReservation, abortController.signal);
@@ -340,7 +359,7 @@
 				id: metadata.id,
 				digest,
 				route,
-				service,
+				service: origin ? findRouteTable()?.findService(origin.val.service) ?? service : service,
 				customer: customer?.id,
 				priority: getPriority(resolved),
 				method: request.method ?? 'GET',
@@ -350,6 +369,7 @@
 				generation: metadata.generation,
 				lastEventId: metadata.lastEventId,
 				resumes: metadata.resumes,
+				origin: origin?.val,
 				startedAt,
 				deadline,
 				signal: abortController.signal,
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -5,7 +5,7 @@
  */
 import type {ServiceImpl} from '@connectrpc/connect';
 import type {
-	CatchUpAnswer, CatchUpQuery, Repayment, TokenLoanRequest,
+	CatchUpAnswer, CatchUpQuery, Repayment, StreamAnswer, TokenLoanRequest,
 } from '../coordination/mod.js';
 import type {Gateway} from '../protocol/mod.js';
 
@@ -14,6 +14,7 @@
 	readonly handleCatchUp: (request: CatchUpQuery) => CatchUpAnswer;
 	readonly lend: (request: TokenLoanRequest) => Promise<number>;
 	readonly receiveRepayment: (repayment: Repayment) => boolean;
+	readonly findStream: (stream: string) => StreamAnswer | undefined;
 };
 
 /**
@@ -21,7 +22,7 @@
  *
  * @example
  * ```ts
- * router.service(Gateway, createGatewayPeerInterface({handleCatchUp, lend, receiveRepayment}));
+ * router.service(Gateway, createGatewayPeerInterface({handleCatchUp, lend, receiveRepayment, findStream}));
  * ```
  *
  * @param options The functions that handle the calls
@@ -34,6 +35,10 @@
 			return {deployment, prompts: [...prompts], crashes: [...crashes]};
 		},
 		lend: async request => ({tokens: await options.lend(request)}),
+		findStream({stream}) {
+			const answer = options.findStream(stream);
+			return answer ? {origin: {...answer.origin}, ageMs: answer.ageMs} : {};
+		},
 		returnLoans: request => ({isAccepted: options.receiveRepayment(request)}),
 	};
 }
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -8,10 +8,10 @@
 	createKeyedFollower, createExpiryGrace, formatHolderKey, isQuarantineKey, type HolderIdentity, type KeyedFollower,
 } from '../coordination/mod.js';
 import type {
-	Deployment, EventLog, GatewayWire, KeyedLog, StoredRecord, UpstreamRegistration,
+	Deployment, EventLog, GatewayWire, KeyedLog, Route, StoredRecord, UpstreamRegistration,
 } from '../protocol/mod.js';
 import {
-	createEvacuations, createGrantRegistry, createRouteTable, createTokenAccount, createUpstreamDirectory, holderRecordSchema, type DomainState, type HolderRecord, type RouteTable,
+	createEvacuations, createGrantRegistry, createRouteTable, createTokenAccount, createUpstreamDirectory, createValueHistory, holderRecordSchema, type DomainState, type HeldValue, type HolderRecord, type RouteTable,
 } from '../state/mod.js';
 import {waitWithTimeout, type Clock} from '../transport/mod.js';
 
@@ -72,6 +72,8 @@
 /** Time that a request waits for outdated views to be read again; a slow store takes 0.3 s per read. */
 const syncTimeoutMs = 400;
 const syncRetryDelayMs = 20;
+/** A read that is already under way, and one that begins after it. */
+const maxReadsToSync = 2;
 /** Interval between reads of the grants; a claim triggers its own read. */
 const grantReadIntervalMs = 2000;
 /** Maximum number of customers in one log line, which keeps the line under 4 KB. */
@@ -85,6 +87,30 @@
 	return Object.fromEntries(changed.slice(0, maxLoggedCustomers).map(({id, bought}) => [id, bought!]));
 }
 
+/**
+ * Returns the key under which the services of a route are recorded: what its
+ * requests have in common, whatever the route is called.
+ *
+ * @example
+ * ```ts
+ * formatRouteKey(route); // 'beds.example/holds/'
+ * ```
+ *
+ * @param route The route
+ * @returns Host and path prefix
+ */
+export function formatRouteKey({host, prefix}: Pick<Route, 'host' | 'prefix'>): string {
+	return `${host.toLowerCase()}${prefix}`;
+}
+
+/** @internal Lists the services to which the requests of each route may go. */
+function listRouteTargets({routes}: Deployment): Map<string, HeldValue> {
+	return new Map(routes.flatMap(route => {
+		const key = formatRouteKey(route);
+		return route.targets.filter(({weight}) => weight > 0).map(({service}) => [`${key} ${service}`, {key, value: service}] as const);
+	}));
+}
+
 /**
  * Creates the state; `run` keeps it up to date until the signal is aborted.
  *
@@ -101,6 +127,8 @@
 	const {adapter, clock, events} = options;
 	const ownKey = formatHolderKey(options.self);
 	const directory = createUpstreamDirectory();
+	const versionHistory = createValueHistory();
+	const routeHistory = createValueHistory();
 	const evacuations = createEvacuations();
 	const grantRegistry = createGrantRegistry();
 	const account = createTokenAccount();
@@ -128,6 +156,7 @@
 		const bought = listChangedPurchases(deployment, routeTable);
 		routeTable = createRouteTable(deployment);
 		deploymentRecord = text;
+		routeHistory.replace(listRouteTargets(deployment), clock.now());
 		options.onDeployment(deployment);
 		events.write('deploymentAdopted', {version: deployment.version, source, bought: JSON.stringify(bought)});
 	}
@@ -136,6 +165,7 @@
 		const known = directory.get(key);
 		const now = clock.now();
 		directory.drop(key, expiryGrace.findGraceEnd(now));
+		versionHistory.drop(key, now);
 		events.write('upstreamGone', {
 			upstream: key, service: known?.service, wasDraining: known?.isDraining, offset, sinceReadMs: upstreamFollower.computeStalenessMs(), graceMs: directory.computeRemainingGraceMs(key, now),
 		});
@@ -151,6 +181,7 @@
 		const known = directory.get(key);
 		const wasOnGrace = directory.computeRemainingGraceMs(key, clock.now()) > 0;
 		directory.put(registration, clock.now());
+		versionHistory.put(key, {key: registration.service, value: registration.softwareVersion}, clock.now());
 		if (known?.isDraining !== registration.isDraining || wasOnGrace) {
 			events.write('upstreamListed', {
 				upstream: key, service: registration.service, softwareVersion: registration.softwareVersion, isDraining: registration.isDraining, offset, sinceReadMs: upstreamFollower.computeStalenessMs(),
@@ -213,11 +244,17 @@
 
 	const deploymentFollower = createKeyedFollower({
 		log: adapter.logs.deployment, clock, events, longPollMs: deploymentLongPollMs, readIntervalMs: 0, readTimeoutMs, onRecord: skipUnreadable(applyDeploymentRecord),
+		onNewestRead() {
+			routeHistory.restart(clock.now());
+		},
 		listKnownKeys: () => evacuations.listEvacuated().map(failureDomain => adapter.evacuationRecords.formatKey(failureDomain)),
 	});
 	const upstreamFollower: KeyedFollower = createKeyedFollower({
 		log: adapter.logs.upstreams, clock, events, longPollMs: 0, readIntervalMs: upstreamReadIntervalMs, readTimeoutMs, onRecord: skipUnreadable(applyUpstreamRecord),
 		listKnownKeys: directory.listIds, onRecovery: expiryGrace.recordOutage,
+		onNewestRead() {
+			versionHistory.restart(clock.now());
+		},
 	});
 	/** The followers whose views decide how a request is handled. */
 	const viewFollowers = [deploymentFollower, upstreamFollower];
@@ -232,6 +269,15 @@
 		}
 	}
 
+	// A read that is already under way may be older than what the caller must not miss.
+	async function readSince(follower: KeyedFollower, time: number, signal: AbortSignal): Promise<boolean> {
+		for (let reads = 0; reads < maxReadsToSync && !follower.hasReadSince(time); reads += 1) {
+			await follower.catchUp(signal);
+		}
+
+		return follower.hasReadSince(time);
+	}
+
 	function startSync(unreadMs: number, signal: AbortSignal): Promise<unknown> | undefined {
 		const outdated = viewFollowers.filter(follower => follower.isUp() && (follower.computeStalenessMs() ?? 0) >= unreadMs);
 		if (unreadMs < minSyncDelayMs || outdated.length === 0) {
@@ -244,7 +290,7 @@
 	}
 
 	return {
-		directory, evacuations, grantRegistry, account, grantFollower,
+		directory, evacuations, grantRegistry, account, grantFollower, versionHistory, routeHistory,
 		/** Returns the age of the upstreams' data, in whole milliseconds; undefined before the first read. */
 		computeViewAgeMs: () => upstreamFollower.computeStalenessMs(),
 		findRouteTable: () => routeTable,
@@ -279,6 +325,14 @@
 			}
 		},
 
+		/** Reads the deployment and the upstreams once more; false if the logs do not answer in time. */
+		async readViews(signal: AbortSignal): Promise<boolean> {
+			const startedAt = clock.now();
+			const reads = Promise.all(viewFollowers.map(async follower => readSince(follower, startedAt, signal)));
+			const outcomes = await waitWithTimeout(reads, {clock, timeoutMs: syncTimeoutMs});
+			return outcomes?.every(Boolean) ?? false;
+		},
+
 		/** Returns true if requests can be served. */
 		isReady: () => routeTable !== undefined && directory.hasLive(clock.now()),
 
--- /dev/null
+++ b/src/daemon/gateway-streams.ts
@@ -0,0 +1,99 @@
+/**
+ * Assembles how a gateway records which software version began a stream, and
+ * finds it when a caller takes the stream up.
+ *
+ * @module
+ */
+import {
+	createStreamRecorder, createStreamResolver, type Gossip, type GossipPeer, type StreamAnswer,
+} from '../coordination/mod.js';
+import {
+	Err, Ok, createFailure, type EventLog, type Failure, type Result,
+} from '../protocol/mod.js';
+import type {Clock, FleetClient} from '../transport/mod.js';
+import {formatRouteKey, type GatewayState} from './gateway-state.js';
+
+/** Options of {@linkcode createGatewayStreams}. */
+export type CreateGatewayStreamsOptions = {
+	/** This gateway's name. */
+	readonly daemon: string;
+	readonly state: Pick<GatewayState, 'findRouteTable' | 'versionHistory' | 'routeHistory' | 'readViews'>;
+	readonly fleet: FleetClient;
+	readonly listPeers: () => readonly GossipPeer[];
+	readonly gossip: Pick<Gossip, 'announceStream' | 'isPresumedUp'>;
+	readonly clock: Clock;
+	readonly events: EventLog;
+	readonly signal: AbortSignal;
+};
+
+/** The streams of a gateway. */
+export type GatewayStreams = ReturnType<typeof createGatewayStreams>;
+
+/** Timeouts of the first query to a peer and of the second, which is sent on a new connection. */
+const queryTimeoutsMs = [80, 120] as const;
+/** A stream lasts no longer than its route's timeout, and its caller comes back within as long again. */
+const lifetimeTimeouts = 2;
+
+/**
+ * Creates the parts.
+ *
+ * @example
+ * ```ts
+ * const {recorder, resolver} = createGatewayStreams(options);
+ * ```
+ *
+ * @param options The views of the deployment and the other gateways
+ * @returns The recorder, the resolver and the answer to queries of other gateways
+ */
+export function createGatewayStreams(options: CreateGatewayStreamsOptions) {
+	const {
+		daemon, state, fleet, gossip, clock, events, signal,
+	} = options;
+	const listPeers = () => options.listPeers().filter(peer => gossip.isPresumedUp(peer.daemon));
+
+	function computeLifetimeMs(): number {
+		const routes = state.findRouteTable()?.deployment.routes ?? [];
+		return lifetimeTimeouts * Math.max(0, ...routes.filter(({kind}) => kind === 'stream').map(({timeout}) => timeout));
+	}
+
+	const recorder = createStreamRecorder({
+		daemon, listPeers, computeLifetimeMs, clock, events, announce: gossip.announceStream,
+	});
+
+	async function queryOnce({address}: GossipPeer, stream: string, timeoutMs: number): Promise<StreamAnswer | undefined> {
+		const {origin, ageMs} = await fleet.connect(address).gateway.findStream({stream}, {timeoutMs});
+		return origin && {origin: {service: origin.service, softwareVersion: origin.softwareVersion}, ageMs};
+	}
+
+	async function queryPeer(peer: GossipPeer, stream: string): Promise<Result<StreamAnswer | undefined, Failure>> {
+		let detail = '';
+		for (const timeoutMs of queryTimeoutsMs) {
+			try {
+				return Ok(await queryOnce(peer, stream, timeoutMs));
+			} catch (error) {
+				detail = (error as Error).message;
+				// A connection can go silent for good while new ones work.
+				fleet.connect(peer.address).abandon();
+			}
+		}
+
+		return Err(createFailure('no-upstream', `Gateway "${peer.daemon}" does not say what it knows of stream "${stream}": ${detail}`));
+	}
+
+	const resolver = createStreamResolver({
+		recorder, listPeers, queryPeer, formatRouteKey, computeLifetimeMs, clock, events,
+		versionHistory: state.versionHistory,
+		routeHistory: state.routeHistory,
+		readViews: async () => state.readViews(signal),
+	});
+
+	return {
+		recorder, resolver,
+
+		/** Answers the query of another gateway; undefined if the stream is not known here. */
+		findStream(stream: string): StreamAnswer | undefined {
+			const record = recorder.get(stream);
+			return record && {origin: record.origin, ageMs: clock.now() - record.recordedAt};
+		},
+	};
+}
--- a/src/protocol/failures.ts
+++ b/src/protocol/failures.ts
@@ -67,6 +67,9 @@
 	overloaded: {
 		status: 503, title: 'Every upstream is busy', retryable: true, exitCode: 6,
 	},
+	'stream-unresumable': {
+		status: 503, title: 'No upstream can continue the stream', retryable: true, exitCode: 6,
+	},
 	'no-upstream': {
 		status: 503, title: 'No upstream for this can be reached', retryable: true, exitCode: 6,
 	},
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -20,6 +20,8 @@
 export * from './run-registry.js';
 export * from './shares.js';
 export * from './stream-origin.js';
+export * from './stream-records.js';
 export * from './token-account.js';
 export * from './upstream-directory.js';
 export * from './upstream-limits.js';
+export * from './value-history.js';
