Fetch cached prompts only from upstreams of the same software version

Cause: an engine was asked to copy the cached part of a prompt from any engine of its service, also from one of another software version. Change: a source has the version of the engine that runs the prompt, and an unknown version fits none. Result: the new test failed before and passes.

--- a/src/coordination/placement-policy.test.ts
+++ b/src/coordination/placement-policy.test.ts
@@ -7,7 +7,7 @@
 
 function buildCandidate(id: string, fields: Partial<PlacementCandidate> = {}): PlacementCandidate {
 	return {
-		id, slots: 64, inFlight: 0, waitingTokens: 0, cachedTokens: 0, slowness: 1, failureShare: 0, isSameDomain: true, isOnGrace: false, ...fields,
+		id, slots: 64, inFlight: 0, waitingTokens: 0, cachedTokens: 0, slowness: 1, failureShare: 0, isSameDomain: true, isOnGrace: false, softwareVersion: 'v1', ...fields,
 	};
 }
 
--- a/src/coordination/placement-policy.ts
+++ b/src/coordination/placement-policy.ts
@@ -24,6 +24,8 @@
 	readonly isSameDomain: boolean;
 	/** The upstream is no longer listed and accepts requests only during its grace period. */
 	readonly isOnGrace: boolean;
+	/** Version of the upstream's software; undefined if unknown. */
+	readonly softwareVersion: string | undefined;
 };
 
 /** Request data on which a policy may base its choice. */
--- a/src/coordination/prompt-source.test.ts
+++ b/src/coordination/prompt-source.test.ts
@@ -9,7 +9,7 @@
 
 function buildCandidate(id: string, fields: Partial<PlacementCandidate> = {}): PlacementCandidate {
 	return {
-		id, slots: 64, inFlight: 0, waitingTokens: 0, cachedTokens: 0, slowness: 1, failureShare: 0, isSameDomain: true, isOnGrace: false, ...fields,
+		id, slots: 64, inFlight: 0, waitingTokens: 0, cachedTokens: 0, slowness: 1, failureShare: 0, isSameDomain: true, isOnGrace: false, softwareVersion: 'v1', ...fields,
 	};
 }
 
@@ -42,3 +42,13 @@
 	const candidates = [buildCandidate('u1'), buildCandidate('u2', {cachedTokens: sharedTokens, isOnGrace: true})];
 	expect(new CachedPromptSource().pick(buildQuery('p'), {chosen: candidates[0]!, candidates})).toBeUndefined();
 });
+
+test('no part is fetched from an upstream of another or an unknown software version', () => {
+	// Guards against a stream that one version begins on memory that another one wrote.
+	const policy = new CachedPromptSource();
+	const cached = {cachedTokens: sharedTokens};
+	const candidates = [buildCandidate('u1'), buildCandidate('u2', {...cached, softwareVersion: 'v2'}), buildCandidate('u3', {...cached, softwareVersion: undefined})];
+	expect(policy.pick(buildQuery('p'), {chosen: candidates[0]!, candidates})).toBeUndefined();
+	expect(policy.pick(buildQuery('p'), {chosen: buildCandidate('u4', {softwareVersion: undefined}), candidates})).toBeUndefined();
+	expect(policy.pick(buildQuery('p'), {chosen: candidates[0]!, candidates: [...candidates, buildCandidate('u4', cached)]})?.id).toBe('u4');
+});
--- a/src/coordination/prompt-source.ts
+++ b/src/coordination/prompt-source.ts
@@ -36,8 +36,13 @@
 /** A copy takes 5 ms to set up, in which an upstream processes a few hundred tokens. */
 const minFetchedTokens = 500;
 
+/** @internal Memory that one software version wrote does not fit another one. */
+function isMemoryReadable(source: PlacementCandidate, chosen: PlacementCandidate): boolean {
+	return chosen.softwareVersion !== undefined && source.softwareVersion === chosen.softwareVersion;
+}
+
 /**
- * Fetches from the upstream that is known to have cached most of the prompt or,
+ * Fetches from the upstream of the same software version that is known to have cached most of the prompt or,
  * if none is known to have more than the chosen one, from the first one by
  * rendezvous hashing, to which other gateways send the same part.
  */
@@ -48,7 +53,7 @@
 			return undefined;
 		}
 
-		const sources = candidates.filter(({id, isOnGrace}) => id !== chosen.id && !isOnGrace);
+		const sources = candidates.filter(source => source.id !== chosen.id && !source.isOnGrace && isMemoryReadable(source, chosen));
 		const [best] = sources.filter(({cachedTokens}) => cachedTokens > chosen.cachedTokens).sort((left, right) => right.cachedTokens - left.cachedTokens);
 		if (best) {
 			return best;
--- a/src/coordination/upstream-registry.ts
+++ b/src/coordination/upstream-registry.ts
@@ -142,6 +142,7 @@
 			failureShare: stats.failureShare,
 			isSameDomain: upstream.failureDomain === failureDomain,
 			isOnGrace,
+			softwareVersion: upstream.softwareVersion,
 		};
 	}
 
