--- a/src/coordination/gossip.test.ts
+++ b/src/coordination/gossip.test.ts
@@ -5,7 +5,7 @@
 import type {EventLog} from '../protocol/mod.js';
 import {createPeerViews, type PeerView, type PlacedPrompt} from '../state/mod.js';
 import {
-	NearReceiverPolicy, UniformReceiverPolicy, createGossip, fanOut, type ReceiverPolicy, type ReceiverPolicyOptions,
+	NearReceiverPolicy, UniformReceiverPolicy, createGossip, decodeGossip, encodeGossip, fanOut, listStreams, type ReceiverPolicy, type ReceiverPolicyOptions, type StreamAnnouncement,
 } from './mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
@@ -26,7 +26,7 @@
 	const daemon = `e${index}`;
 	const views = createPeerViews();
 	const state = {
-		inFlight: 0, isPartitioned: false, datagrams: 0, bytes: 0, remoteBytes: 0, prompts: [] as PlacedPrompt[],
+		inFlight: 0, isPartitioned: false, datagrams: 0, bytes: 0, remoteBytes: 0, prompts: [] as PlacedPrompt[], streams: [] as StreamAnnouncement[],
 	};
 	const failureDomain = findDomain(index);
 	const sendTo = async (message: Uint8Array, address: string) => {
@@ -57,7 +57,9 @@
 			}
 		},
 		onView: () => undefined,
-		onStream: () => undefined,
+		onStream(announcement) {
+			state.streams.push(announcement);
+		},
 		onPrompt(prompt) {
 			state.prompts.push(prompt);
 		},
@@ -183,3 +185,20 @@
 	expect(members[0]!.views.list()).toHaveLength(1);
 	stopper.abort();
 });
+
+test('a stream is announced at once to the receivers given, and a message of an earlier version announces none', async () => {
+	const {members, time, stopper} = await runFleet(4, {durationMs: 1000});
+	const announcement = {
+		stream: 'a-1', origin: {service: 's', softwareVersion: 'v1'}, lifetimeMs: 100, source: 'e0',
+	};
+	const receivers = [{
+		daemon: 'e1', newsAddress: 'e1', address: 'e1', failureDomain: 'd1',
+	}];
+	members[0]!.gossip.announceStream(announcement, receivers);
+	members[0]!.gossip.announceStream({...announcement, stream: 'a-2', origin: {service: 's', softwareVersion: undefined}}, receivers);
+	await time.runUntil(1000 + networkDelayMs);
+	expect(members.map(({state}) => state.streams)).toEqual([[], [announcement, {...announcement, stream: 'a-2', origin: {service: 's', softwareVersion: undefined}}], [], []]);
+	const earlier = decodeGossip(encodeGossip([], []));
+	expect(earlier.ok && listStreams(earlier.val)).toEqual([]);
+	stopper.abort();
+});
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -323,6 +323,7 @@
 			quarantine,
 			upstreamLimits,
 			traffic,
+			streamRecorder: streams.recorder,
 			callerServerStatistics: callerServer.getStatistics(),
 			readinessResponses,
 		}),
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -5,7 +5,7 @@
  */
 import process from 'node:process';
 import type {
-	Admission, Metrics, Quarantine, TrafficCounter,
+	Admission, Metrics, Quarantine, StreamRecorder, TrafficCounter,
 } from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
 import type {TokenAccount, UpstreamLimits} from '../state/mod.js';
@@ -24,6 +24,7 @@
 	readonly quarantine: Pick<Quarantine, 'listAll' | 'listHeld'>;
 	readonly upstreamLimits: Pick<UpstreamLimits, 'count'>;
 	readonly traffic: Pick<TrafficCounter, 'list'>;
+	readonly streamRecorder: Pick<StreamRecorder, 'count' | 'countEvictions'>;
 	/** Connections and requests of this gateway's callers. */
 	readonly callerServerStatistics: CallerServerStatistics;
 	/** Number of answered readiness checks. */
@@ -36,7 +37,7 @@
  * @example
  * ```ts
  * response.end(formatGatewayMetrics({
- * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, upstreamLimits, traffic, callerServerStatistics, readinessResponses: 2,
+ * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, upstreamLimits, traffic, streamRecorder, callerServerStatistics, readinessResponses: 2,
  * }));
  * ```
  *
@@ -45,7 +46,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, upstreamLimits, traffic, callerServerStatistics, readinessResponses,
+		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, upstreamLimits, traffic, streamRecorder, callerServerStatistics, readinessResponses,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${runningRequests}`,
@@ -59,6 +60,8 @@
 		`fireflylane_requests_suspected ${quarantine.listAll().filter(({crashes}) => crashes > 0).length}`,
 		`fireflylane_requests_held ${quarantine.listHeld().length}`,
 		`fireflylane_upstreams_limited ${upstreamLimits.count()}`,
+		`fireflylane_streams_recorded ${streamRecorder.count()}`,
+		`fireflylane_stream_records_evicted_total ${streamRecorder.countEvictions()}`,
 		`fireflylane_readiness_answers_total ${readinessResponses}`,
 	];
 	for (const {kind, isCrossDomain, bytes} of traffic.list()) {
