Ask other gateways for streams on connections of their own

Cause: a gateway that does not say within 80 ms what it knows of a stream is asked again on a new connection, and the old one is abandoned. It was the one that carries loans of tokens, whose calls would have ended with it. Found by reading. Change: the queries have a pool of connections of their own.

--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -256,8 +256,9 @@
 			streams.recorder.merge(announcement);
 		},
 	});
+	const streamFleet = createFleetClient(settings.fleetKey);
 	const streams = createGatewayStreams({
-		daemon: self.daemon, state, fleet, listPeers: gatewayFleet.listPeers, gossip, clock, events, signal,
+		daemon: self.daemon, state, fleet: streamFleet, listPeers: gatewayFleet.listPeers, gossip, clock, events, signal,
 	});
 	const listPresumedUpPeers = () => gatewayFleet.listPeers().map(({daemon}) => daemon).filter(daemon => gossip.isPresumedUp(daemon));
 	const owners = createBudgetOwners({clock, daemon: self.daemon, listPeers: listPresumedUpPeers});
@@ -400,6 +401,7 @@
 			gossipSocket.close();
 			await peerServer.close();
 			fleet.close();
+			streamFleet.close();
 			await adapter.close();
 			events.write('daemonStopped');
 		},
--- a/src/daemon/gateway-streams.ts
+++ b/src/daemon/gateway-streams.ts
@@ -18,6 +18,7 @@
 	/** This gateway's name. */
 	readonly daemon: string;
 	readonly state: Pick<GatewayState, 'findRouteTable' | 'versionHistory' | 'routeHistory' | 'readViews'>;
+	/** Connections to other gateways that carry no other calls, since one that does not answer at once is abandoned. */
 	readonly fleet: FleetClient;
 	readonly listPeers: () => readonly GossipPeer[];
 	readonly gossip: Pick<Gossip, 'announceStream' | 'isPresumedUp'>;
