Know a service's single version from the start, and after a restart from others

Cause: a service counts as having one version only once its registrations have been watched for as long as a stream can have lasted, four times the longest timeout. A fleet that has just started, in which no stream can have begun before, waited for that too, and so did each gateway after a restart. Change: the setting isFirstStart makes the history complete from the start; after a gap in the records it begins anew. Only the timeouts of routes whose streams may be resumed count.

--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -37,8 +37,8 @@
 	readonly onRecord: (record: StoredRecord) => void;
 	/** Lists the known keys; those that are missing after a gap are reported as dropped. */
 	readonly listKnownKeys?: () => string[];
-	/** Called before the newest record of each key is delivered; records before them may have been missed. */
-	readonly onNewestRead?: () => void;
+	/** Called before records are delivered that follow a gap: earlier ones were missed. */
+	readonly onGap?: () => void;
 	/** Called when the log answers again, before its records are delivered. */
 	readonly onRecovery?: (outage: LogOutage) => void;
 };
@@ -141,7 +141,10 @@
 			return true;
 		}
 
-		options.onNewestRead?.();
+		if (nextOffset !== undefined) {
+			options.onGap?.();
+		}
+
 		const missingKeys = new Set(options.listKnownKeys?.());
 		for (const record of records) {
 			missingKeys.delete(record.key);
--- a/src/coordination/stream-resolver.test.ts
+++ b/src/coordination/stream-resolver.test.ts
@@ -15,7 +15,7 @@
 };
 
 type FixtureOptions = {
-	readonly answers?: Readonly<Record<string, Result<StreamAnswer | undefined, Failure>>>;
+	readonly answers?: Readonly<Record<string, Result<StreamAnswer, Failure>>>;
 	/** Called when the views are read; returns false if they cannot be. */
 	readonly onRead?: () => boolean;
 };
@@ -47,7 +47,7 @@
 		recorder, listPeers, versionHistory, routeHistory, formatRouteKey: ({host, prefix}) => host + prefix, computeLifetimeMs: () => lifetimeMs, clock, events,
 		async queryPeer({daemon}) {
 			queried.push(daemon);
-			return answers[daemon] ?? Ok(undefined);
+			return answers[daemon] ?? Ok({record: undefined, only: undefined});
 		},
 		async readViews() {
 			state.reads += 1;
@@ -92,7 +92,7 @@
 		g2: silence, g3: silence, g4: silence, g5: silence, g6: silence,
 	};
 	for (const daemon of ['g2', 'g3', 'g4', 'g5', 'g6']) {
-		const fixture = createFixture({answers: {...answers, [daemon]: Ok({origin, ageMs: 7})}});
+		const fixture = createFixture({answers: {...answers, [daemon]: Ok({record: {origin, ageMs: 7}, only: undefined})}});
 		const resolved = await fixture.resolve();
 		expect(resolved.ok).toBe(fixture.queried.includes(daemon));
 		if (resolved.ok) {
@@ -130,6 +130,23 @@
 	expect(fixture.state.reads).toBe(2);
 });
 
+test('a gateway that has just started relies on one that has seen a single version until after that start', async () => {
+	// Guards against refusing every stream for which there is no record after a restart.
+	const all = (only: StreamAnswer['only']) => Object.fromEntries(['g2', 'g3', 'g4', 'g5', 'g6'].map(daemon => [daemon, Ok({record: undefined, only})]));
+	const cases = [
+		[{origin, sinceAgeMs: 2000, viewAgeMs: 100}, true],
+		[{origin, sinceAgeMs: 1999, viewAgeMs: 100}, false],
+		[{origin, sinceAgeMs: 5000, viewAgeMs: 101}, false],
+		[{origin: {...origin, softwareVersion: 'v2'}, sinceAgeMs: 5000, viewAgeMs: 0}, false],
+		[undefined, false],
+	] as const;
+	for (const [only, isKnown] of cases) {
+		const fixture = createFixture({answers: all(only)});
+		observe(fixture, 9900);
+		expect(await fixture.canResolve()).toBe(isKnown);
+	}
+});
+
 test('a version that appears only in a new read of the registrations is not overlooked', async () => {
 	// Guards against a view that is older than the stream: another gateway may have begun it at a new version.
 	const fixture = createFixture({
--- a/src/coordination/stream-resolver.ts
+++ b/src/coordination/stream-resolver.ts
@@ -10,14 +10,29 @@
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type Result, type Route,
 } from '../protocol/mod.js';
-import type {StreamOrigin, ValueHistory} from '../state/mod.js';
+import {
+	findOnlyOrigin, type FindOnlyOriginOptions, type OnlyOrigin, type StreamOrigin,
+} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 import type {GossipPeer} from './gossip-receivers.js';
 import type {StreamRecorder} from './stream-recorder.js';
 import {queriedCount, selectWitnesses} from './stream-witnesses.js';
 
-/** What another gateway answers about a stream; `ageMs` is the age of its record in milliseconds. */
-export type StreamAnswer = {readonly origin: StreamOrigin; readonly ageMs: number};
+/** A query to another gateway. */
+export type StreamQuery = {
+	/** Undefined if the caller does not name it. */
+	readonly stream: string | undefined;
+	/** Key of the route whose only origin is wanted if there is no record; undefined if it is not wanted. */
+	readonly routeKey: string | undefined;
+};
+
+/** What another gateway answers. Ages are in milliseconds, because gateways share no clock. */
+export type StreamAnswer = {
+	/** Its record of the stream. */
+	readonly record: {readonly origin: StreamOrigin; readonly ageMs: number} | undefined;
+	/** The only origin of the route's streams, for how long it has been the only one, and how old the data is that shows it. */
+	readonly only: {readonly origin: StreamOrigin; readonly sinceAgeMs: number; readonly viewAgeMs: number} | undefined;
+};
 
 /** A stream that a caller takes up. */
 export type TakenUpStream = {
@@ -29,16 +44,12 @@
 };
 
 /** Options of {@linkcode createStreamResolver}. */
-export type CreateStreamResolverOptions = {
+export type CreateStreamResolverOptions = FindOnlyOriginOptions & {
 	readonly recorder: Pick<StreamRecorder, 'get'>;
 	/** Lists the other gateways that are presumed to be up. */
 	readonly listPeers: () => readonly GossipPeer[];
-	/** Queries another gateway; undefined if it does not know the stream, an error if it does not answer in time. */
-	readonly queryPeer: (peer: GossipPeer, stream: string) => Promise<Result<StreamAnswer | undefined, Failure>>;
-	/** The software versions of each service. */
-	readonly versionHistory: Pick<ValueHistory, 'findOnly'>;
-	/** The services of each route, by route key. */
-	readonly routeHistory: Pick<ValueHistory, 'findOnly'>;
+	/** Queries another gateway; fails if it does not answer in time. */
+	readonly queryPeer: (peer: GossipPeer, query: StreamQuery) => Promise<Result<StreamAnswer, Failure>>;
 	readonly formatRouteKey: (route: Route) => string;
 	/** Reads the deployment and the registrations of upstreams; false if they could not be read. */
 	readonly readViews: () => Promise<boolean>;
@@ -54,8 +65,11 @@
 /** An origin, the gateway or view that shows it, and the age of that account. */
 type Finding = {readonly origin: StreamOrigin; readonly source: string; readonly ageMs: number};
 
-/** What the witnesses answered: a finding, or the gateways that did not answer. */
-type WitnessAnswers = {readonly finding: Finding | undefined; readonly unanswered: readonly string[]};
+/** The only origin of a route's streams as another gateway saw it, from `since` until its last read. */
+type PeerHistory = OnlyOrigin & {readonly until: number; readonly source: string};
+
+/** What the witnesses answered: a record, or what they saw of the route; and the gateways that did not answer. */
+type WitnessAnswers = {readonly finding: Finding | undefined; readonly histories: readonly PeerHistory[]; readonly unanswered: readonly string[]};
 
 /** Retry delay where a gateway or the store did not answer and may do so soon. */
 const unansweredRetryAfterMs = 1000;
@@ -89,7 +103,7 @@
  */
 export function createStreamResolver(options: CreateStreamResolverOptions) {
 	const {
-		recorder, listPeers, queryPeer, versionHistory, routeHistory, formatRouteKey, readViews, computeLifetimeMs, clock, events,
+		recorder, listPeers, queryPeer, formatRouteKey, readViews, computeLifetimeMs, clock, events,
 	} = options;
 
 	function findRecorded(stream: string): Finding | undefined {
@@ -97,51 +111,70 @@
 		return record && {origin: record.origin, source: record.source, ageMs: clock.now() - record.recordedAt};
 	}
 
-	async function queryWitnesses(stream: string): Promise<WitnessAnswers> {
+	const findOwnOnly = (route: Route): OnlyOrigin | undefined => findOnlyOrigin(formatRouteKey(route), options);
+
+	async function queryWitnesses({request, stream, route}: TakenUpStream): Promise<WitnessAnswers> {
+		const histories: PeerHistory[] = [];
 		const unanswered: string[] = [];
+		// Their histories only help where this gateway has seen one origin, but not for long enough.
+		const routeKey = findOwnOnly(route) && !findInferred(route, []) ? formatRouteKey(route) : undefined;
 		const query = async (peer: GossipPeer): Promise<Finding | undefined> => {
-			const answer = await queryPeer(peer, stream);
+			const sentAt = clock.now();
+			const answer = await queryPeer(peer, {stream, routeKey});
 			if (answer.err) {
 				unanswered.push(peer.daemon);
 				return undefined;
 			}
 
-			return answer.val && {...answer.val, source: peer.daemon};
-		};
+			const {record, only} = answer.val;
+			if (only) {
+				// The answer was written after the query was sent and before now, so both times are estimated to the safe side.
+				histories.push({
+					origin: only.origin, since: clock.now() - only.sinceAgeMs, until: sentAt - only.viewAgeMs, source: peer.daemon,
+				});
+			}
 
-		const finding = await findFirst(selectWitnesses(stream, listPeers(), queriedCount).map(async peer => query(peer)));
-		return {finding, unanswered};
-	}
+			return record && {...record, source: peer.daemon};
+		};
 
-	// The only service of a route and the only version of that service, and since when both have been the only ones.
-	function findOnlyOrigin(route: Route): {readonly origin: StreamOrigin; readonly since: number} | undefined {
-		const service = routeHistory.findOnly(formatRouteKey(route));
-		const version = service && versionHistory.findOnly(service.value);
-		return service && version && {origin: {service: service.value, softwareVersion: version.value}, since: Math.max(service.since, version.since)};
+		const witnesses = selectWitnesses(stream ?? request ?? '', listPeers(), queriedCount);
+		const finding = await findFirst(witnesses.map(async peer => query(peer)));
+		return {finding, histories, unanswered};
 	}
 
 	// Gateways that have not heard of it may begin streams at an upstream for some time after its registration is gone.
 	const computeHistoryMs = () => computeLifetimeMs() * 2;
 
-	// Only a read that begins after the caller has come back shows every version that can have begun its stream.
-	async function inferOrigin(route: Route): Promise<Finding | 'unread' | undefined> {
-		const maxSince = clock.now() - computeHistoryMs();
-		const isOnly = () => (findOnlyOrigin(route)?.since ?? Number.POSITIVE_INFINITY) <= maxSince;
-		if (!isOnly()) {
-			return undefined;
+	// A gateway that has just started relies on one that saw the same origin until after that start.
+	function findEvidence({origin, since}: OnlyOrigin, histories: readonly PeerHistory[]): string | undefined {
+		const minSince = clock.now() - computeHistoryMs();
+		if (since <= minSince) {
+			return 'only version';
 		}
 
-		if (!await readViews()) {
-			return 'unread';
+		const isSame = (other: StreamOrigin) => other.service === origin.service && other.softwareVersion === origin.softwareVersion;
+		const history = histories.find(other => isSame(other.origin) && other.since <= minSince && other.until >= since);
+		return history && `only version, ${history.source}`;
+	}
+
+	function findInferred(route: Route, histories: readonly PeerHistory[]): Finding | undefined {
+		const only = findOwnOnly(route);
+		const source = only && findEvidence(only, histories);
+		return only && source !== undefined ? {origin: only.origin, source, ageMs: Math.min(clock.now() - only.since, computeHistoryMs())} : undefined;
+	}
+
+	// Only a read that begins after the caller has come back shows every version that can have begun its stream.
+	async function inferOrigin(route: Route, histories: readonly PeerHistory[]): Promise<Finding | 'unread' | undefined> {
+		if (!findInferred(route, histories)) {
+			return undefined;
 		}
 
-		const only = findOnlyOrigin(route);
-		return only && isOnly() ? {origin: only.origin, source: 'only version', ageMs: clock.now() - only.since} : undefined;
+		return await readViews() ? findInferred(route, histories) : 'unread';
 	}
 
 	// Later, the history of the service may show a single version; until then the answer stays the same.
 	function computeRetryAfterMs(route: Route): number {
-		const since = findOnlyOrigin(route)?.since ?? clock.now();
+		const since = findOwnOnly(route)?.since ?? clock.now();
 		return Math.max(unansweredRetryAfterMs, Math.ceil(since + computeHistoryMs() - clock.now()));
 	}
 
@@ -179,12 +212,13 @@
 				return accept(takenUp, recorded);
 			}
 
-			const {finding, unanswered} = stream === undefined ? {finding: undefined, unanswered: []} : await queryWitnesses(stream);
+			const shouldQuery = stream !== undefined || !findInferred(route, []);
+			const {finding, histories, unanswered} = shouldQuery ? await queryWitnesses(takenUp) : {finding: undefined, histories: [], unanswered: []};
 			if (finding) {
 				return accept(takenUp, finding);
 			}
 
-			const inferred = await inferOrigin(route);
+			const inferred = await inferOrigin(route, histories);
 			return inferred === undefined || inferred === 'unread'
 				? Err(createUnknownFailure(takenUp, {unanswered, isUnread: inferred === 'unread'}))
 				: accept(takenUp, inferred);
--- a/src/coordination/stream-versions.test.ts
+++ b/src/coordination/stream-versions.test.ts
@@ -6,9 +6,11 @@
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type Result, type Route,
 } from '../protocol/mod.js';
-import {createValueHistory, isFitFor, type StreamOrigin} from '../state/mod.js';
 import {
-	createStreamRecorder, createStreamResolver, type GossipPeer, type StreamAnswer,
+	createValueHistory, findOnlyOrigin, isFitFor, type StreamOrigin,
+} from '../state/mod.js';
+import {
+	createStreamRecorder, createStreamResolver, type GossipPeer, type StreamAnswer, type StreamQuery,
 } from './mod.js';
 
 // Gateways, a store and upstreams of several versions in virtual time: streams
@@ -36,6 +38,8 @@
 	readonly gateways: number;
 	readonly lossShare: number;
 	readonly maxDelayMs: number;
+	/** Share of callers that do not name the stream that they take up. */
+	readonly unnamedShare: number;
 	readonly releaseIntervalMs: number;
 	readonly kills: readonly Outage[];
 	/** Gateways that reach neither the store nor each other. */
@@ -50,13 +54,14 @@
 	gateways: fc.integer({min: 2, max: 5}),
 	lossShare: fc.constantFrom(0, 0.02, 0.3, 0.9),
 	maxDelayMs: fc.constantFrom(1, 50, 1000),
-	releaseIntervalMs: fc.constantFrom(2000, 5000, 9000),
+	unnamedShare: fc.constantFrom(0, 0.5),
+	releaseIntervalMs: fc.constantFrom(2000, 5000, 12_000),
 	kills: outagesArbitrary,
 	cuts: outagesArbitrary,
 	gaps: outagesArbitrary,
 });
 const calmPlay: Play = {
-	seed: 7, gateways: 4, lossShare: 0, maxDelayMs: 1, releaseIntervalMs: 5000, kills: [], cuts: [], gaps: [],
+	seed: 7, gateways: 4, lossShare: 0, maxDelayMs: 1, unnamedShare: 0, releaseIntervalMs: 5000, kills: [], cuts: [], gaps: [],
 };
 
 /** Registrations as the store has them: `version` is undefined in a removal. */
@@ -172,14 +177,30 @@
 			}
 		}
 
-		async function queryPeer(peer: GossipPeer, stream: string): Promise<Result<StreamAnswer | undefined, Failure>> {
-			let answer: Result<StreamAnswer | undefined, Failure> = silence;
-			await time.sleep(1);
+		async function answerQuery({stream, routeKey}: StreamQuery): Promise<StreamAnswer> {
+			const record = stream === undefined ? undefined : recorder.get(stream);
+			const sentAt = time.now();
+			const only = !record && routeKey !== undefined && await read() ? findOnlyOrigin(routeKey, {routeHistory, versionHistory}) : undefined;
+			return {
+				record: record && {origin: record.origin, ageMs: 0},
+				only: only && {origin: only.origin, sinceAgeMs: time.now() - only.since, viewAgeMs: time.now() - sentAt},
+			};
+		}
+
+		async function queryPeer(peer: GossipPeer, query: StreamQuery): Promise<Result<StreamAnswer, Failure>> {
+			const received: Gateway[] = [];
 			await deliver(names.indexOf(peer.daemon), receiving => {
-				const record = receiving.recorder.get(stream);
-				answer = Ok(record && {origin: record.origin, ageMs: 0});
+				received.push(receiving);
 			});
-			return answer === silence ? (await time.sleep(queryTimeoutMs), silence) : answer;
+			const [receiver] = received;
+			if (!receiver) {
+				await time.sleep(queryTimeoutMs);
+				return silence;
+			}
+
+			const answer = await receiver.answerQuery(query);
+			await time.sleep(1);
+			return isReachable(index) && isReachable(receiver.index) ? Ok(answer) : silence;
 		}
 
 		const resolver = createStreamResolver({
@@ -188,7 +209,7 @@
 		routeHistory.put('h/ s', {key: 'h/', value: 's'}, Number.NEGATIVE_INFINITY);
 
 		return {
-			index, recorder, resolver, read,
+			index, recorder, resolver, read, answerQuery,
 			pickUpstream(origin: StreamOrigin | undefined): {readonly upstream: string; readonly version: string} | undefined {
 				const fitting = [...upstreams].filter(([upstream, softwareVersion]) => isFitFor({service: 's', softwareVersion}, origin)
 					&& time.now() < (removedAt.get(upstream) ?? Number.POSITIVE_INFINITY) + lingerMs);
@@ -235,7 +256,7 @@
 		}
 
 		const isServed = countRegistered([...heldVersions.get(stream)!][0]!) >= 2;
-		const origin = await gateway.resolver.resolve({request: undefined, stream, route});
+		const origin = await gateway.resolver.resolve({request: undefined, stream: random() < play.unnamedShare ? undefined : stream, route});
 		const isContinued = origin.ok && serveEvents(gateway, stream, origin.val);
 		counts.takenUp += isServed ? 1 : 0;
 		counts.continued += isServed && isContinued ? 1 : 0;
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -113,7 +113,7 @@
 	const stopWindow = createStopWindow({noticeMs: stopNoticeMs, clock});
 
 	const state = createGatewayState({
-		adapter: {...adapter, logs}, self, upstreamHeartbeatMs: settings.upstreamHeartbeat, clock, events,
+		adapter: {...adapter, logs}, self, upstreamHeartbeatMs: settings.upstreamHeartbeat, isFirstStart: settings.isFirstStart, clock, events,
 		onDeployment(deployment) {
 			callerServer.setLimits(deployment.limits);
 		},
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -5,7 +5,7 @@
  */
 import type {ServiceImpl} from '@connectrpc/connect';
 import type {
-	CatchUpAnswer, CatchUpQuery, Repayment, StreamAnswer, TokenLoanRequest,
+	CatchUpAnswer, CatchUpQuery, Repayment, StreamAnswer, StreamQuery, TokenLoanRequest,
 } from '../coordination/mod.js';
 import type {Gateway} from '../protocol/mod.js';
 
@@ -14,7 +14,7 @@
 	readonly handleCatchUp: (request: CatchUpQuery) => CatchUpAnswer;
 	readonly lend: (request: TokenLoanRequest) => Promise<number>;
 	readonly receiveRepayment: (repayment: Repayment) => boolean;
-	readonly findStream: (stream: string) => StreamAnswer | undefined;
+	readonly findStream: (query: StreamQuery) => Promise<StreamAnswer>;
 };
 
 /**
@@ -35,9 +35,12 @@
 			return {deployment, prompts: [...prompts], crashes: [...crashes]};
 		},
 		lend: async request => ({tokens: await options.lend(request)}),
-		findStream({stream}) {
-			const answer = options.findStream(stream);
-			return answer ? {origin: {...answer.origin}, ageMs: answer.ageMs} : {};
+		async findStream({stream, route}) {
+			const {record, only} = await options.findStream({stream: stream === '' ? undefined : stream, routeKey: route === '' ? undefined : route});
+			return {
+				...record && {origin: {...record.origin}, ageMs: record.ageMs},
+				...only && {only: {...only, origin: {...only.origin}}},
+			};
 		},
 		returnLoans: request => ({isAccepted: options.receiveRepayment(request)}),
 	};
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -70,7 +70,7 @@
 		self: {
 			role: 'gateway', daemon: 'g', incarnation: 'i', address: 'a', failureDomain: 'd',
 		},
-		upstreamHeartbeatMs: heartbeatIntervalMs, clock: time, events,
+		upstreamHeartbeatMs: heartbeatIntervalMs, isFirstStart: false, clock: time, events,
 		onDeployment: () => undefined,
 		onOwnRecord: () => undefined,
 		onQuarantineRecord: () => undefined,
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -42,6 +42,8 @@
 	readonly self: HolderIdentity;
 	/** Interval at which an upstream renews its registration, in milliseconds. */
 	readonly upstreamHeartbeatMs: number;
+	/** True if the whole fleet starts for the first time, so that no stream has begun before. */
+	readonly isFirstStart: boolean;
 	readonly clock: Clock;
 	readonly events: EventLog;
 	/** Called with each deployment that comes into force. */
@@ -127,8 +129,8 @@
 	const {adapter, clock, events} = options;
 	const ownKey = formatHolderKey(options.self);
 	const directory = createUpstreamDirectory();
-	const versionHistory = createValueHistory();
-	const routeHistory = createValueHistory();
+	const versionHistory = createValueHistory({isComplete: options.isFirstStart});
+	const routeHistory = createValueHistory({isComplete: options.isFirstStart});
 	const evacuations = createEvacuations();
 	const grantRegistry = createGrantRegistry();
 	const account = createTokenAccount();
@@ -244,7 +246,7 @@
 
 	const deploymentFollower = createKeyedFollower({
 		log: adapter.logs.deployment, clock, events, longPollMs: deploymentLongPollMs, readIntervalMs: 0, readTimeoutMs, onRecord: skipUnreadable(applyDeploymentRecord),
-		onNewestRead() {
+		onGap() {
 			routeHistory.restart(clock.now());
 		},
 		listKnownKeys: () => evacuations.listEvacuated().map(failureDomain => adapter.evacuationRecords.formatKey(failureDomain)),
@@ -252,7 +254,7 @@
 	const upstreamFollower: KeyedFollower = createKeyedFollower({
 		log: adapter.logs.upstreams, clock, events, longPollMs: 0, readIntervalMs: upstreamReadIntervalMs, readTimeoutMs, onRecord: skipUnreadable(applyUpstreamRecord),
 		listKnownKeys: directory.listIds, onRecovery: expiryGrace.recordOutage,
-		onNewestRead() {
+		onGap() {
 			versionHistory.restart(clock.now());
 		},
 	});
@@ -293,6 +295,8 @@
 		directory, evacuations, grantRegistry, account, grantFollower, versionHistory, routeHistory,
 		/** Returns the age of the upstreams' data, in whole milliseconds; undefined before the first read. */
 		computeViewAgeMs: () => upstreamFollower.computeStalenessMs(),
+		/** Returns the age of the older one of the deployment's and the upstreams' data, in milliseconds; infinite before the first read. */
+		computeViewsAgeMs: () => Math.max(...viewFollowers.map(follower => follower.computeStalenessMs() ?? Number.POSITIVE_INFINITY)),
 		findRouteTable: () => routeTable,
 		/** Returns the record of the deployment in force, to send to peers. */
 		getDeploymentRecord: () => deploymentRecord,
--- a/src/daemon/gateway-streams.ts
+++ b/src/daemon/gateway-streams.ts
@@ -5,11 +5,12 @@
  * @module
  */
 import {
-	createStreamRecorder, createStreamResolver, type Gossip, type GossipPeer, type StreamAnswer,
+	createStreamRecorder, createStreamResolver, type Gossip, type GossipPeer, type StreamAnswer, type StreamQuery,
 } from '../coordination/mod.js';
 import {
-	Err, Ok, createFailure, type EventLog, type Failure, type Result,
+	Err, Ok, createFailure, type EventLog, type Failure, type FindStreamReply, type Result,
 } from '../protocol/mod.js';
+import {findOnlyOrigin} from '../state/mod.js';
 import type {Clock, FleetClient} from '../transport/mod.js';
 import {formatRouteKey, type GatewayState} from './gateway-state.js';
 
@@ -17,7 +18,7 @@
 export type CreateGatewayStreamsOptions = {
 	/** This gateway's name. */
 	readonly daemon: string;
-	readonly state: Pick<GatewayState, 'findRouteTable' | 'versionHistory' | 'routeHistory' | 'readViews'>;
+	readonly state: Pick<GatewayState, 'findRouteTable' | 'versionHistory' | 'routeHistory' | 'readViews' | 'computeViewsAgeMs'>;
 	/** Connections to other gateways that carry no other calls, since one that does not answer at once is abandoned. */
 	readonly fleet: FleetClient;
 	readonly listPeers: () => readonly GossipPeer[];
@@ -35,6 +36,16 @@
 /** A stream lasts no longer than its route's timeout, and its caller comes back within as long again. */
 const lifetimeTimeouts = 2;
 
+/** @internal */
+function readStreamAnswer({origin, ageMs, only}: FindStreamReply): StreamAnswer {
+	return {
+		record: origin && {origin: {service: origin.service, softwareVersion: origin.softwareVersion}, ageMs},
+		only: only?.origin && {
+			origin: {service: only.origin.service, softwareVersion: only.origin.softwareVersion}, sinceAgeMs: only.sinceAgeMs, viewAgeMs: only.viewAgeMs,
+		},
+	};
+}
+
 /**
  * Creates the parts.
  *
@@ -50,27 +61,23 @@
 	const {
 		daemon, state, fleet, gossip, clock, events, signal,
 	} = options;
+	const {routeHistory, versionHistory} = state;
 	const listPeers = () => options.listPeers().filter(peer => gossip.isPresumedUp(peer.daemon));
 
 	function computeLifetimeMs(): number {
 		const routes = state.findRouteTable()?.deployment.routes ?? [];
-		return lifetimeTimeouts * Math.max(0, ...routes.filter(({kind}) => kind === 'stream').map(({timeout}) => timeout));
+		return lifetimeTimeouts * Math.max(0, ...routes.filter(({isResumable}) => isResumable).map(({timeout}) => timeout));
 	}
 
 	const recorder = createStreamRecorder({
 		daemon, listPeers, computeLifetimeMs, clock, events, announce: gossip.announceStream,
 	});
 
-	async function queryOnce({address}: GossipPeer, stream: string, timeoutMs: number): Promise<StreamAnswer | undefined> {
-		const {origin, ageMs} = await fleet.connect(address).gateway.findStream({stream}, {timeoutMs});
-		return origin && {origin: {service: origin.service, softwareVersion: origin.softwareVersion}, ageMs};
-	}
-
-	async function queryPeer(peer: GossipPeer, stream: string): Promise<Result<StreamAnswer | undefined, Failure>> {
+	async function queryPeer(peer: GossipPeer, {stream = '', routeKey = ''}: StreamQuery): Promise<Result<StreamAnswer, Failure>> {
 		let detail = '';
 		for (const timeoutMs of queryTimeoutsMs) {
 			try {
-				return Ok(await queryOnce(peer, stream, timeoutMs));
+				return Ok(readStreamAnswer(await fleet.connect(peer.address).gateway.findStream({stream, route: routeKey}, {timeoutMs})));
 			} catch (error) {
 				detail = (error as Error).message;
 				// A connection can go silent for good while new ones work.
@@ -81,20 +88,27 @@
 		return Err(createFailure('no-upstream', `Gateway "${peer.daemon}" does not say what it knows of stream "${stream}": ${detail}`));
 	}
 
+	// The monotonic clock does not count a suspension of the host, so only a new read shows how old the views are.
+	async function describeOnly(routeKey: string): Promise<StreamAnswer['only']> {
+		const wasRead = await state.readViews(signal);
+		const only = findOnlyOrigin(routeKey, {routeHistory, versionHistory});
+		return wasRead && only ? {origin: only.origin, sinceAgeMs: clock.now() - only.since, viewAgeMs: state.computeViewsAgeMs()} : undefined;
+	}
+
 	const resolver = createStreamResolver({
-		recorder, listPeers, queryPeer, formatRouteKey, computeLifetimeMs, clock, events,
-		versionHistory: state.versionHistory,
-		routeHistory: state.routeHistory,
+		recorder, listPeers, queryPeer, routeHistory, versionHistory, formatRouteKey, computeLifetimeMs, clock, events,
 		readViews: async () => state.readViews(signal),
 	});
 
 	return {
 		recorder, resolver,
 
-		/** Answers the query of another gateway; undefined if the stream is not known here. */
-		findStream(stream: string): StreamAnswer | undefined {
-			const record = recorder.get(stream);
-			return record && {origin: record.origin, ageMs: clock.now() - record.recordedAt};
+		/** Answers the query of another gateway. */
+		async findStream({stream, routeKey}: StreamQuery): Promise<StreamAnswer> {
+			const record = stream === undefined ? undefined : recorder.get(stream);
+			return record
+				? {record: {origin: record.origin, ageMs: clock.now() - record.recordedAt}, only: undefined}
+				: {record: undefined, only: routeKey === undefined ? undefined : await describeOnly(routeKey)};
 		},
 	};
 }
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -35,6 +35,8 @@
 	store: z.string(),
 	/** Interval at which upstreams renew their registration in the store, in milliseconds. */
 	upstreamHeartbeat: z.number().positive(),
+	/** True if the whole fleet starts for the first time; a process that is restarted must not have it. */
+	isFirstStart: z.boolean().default(false),
 	/** Time after which a stopping process is killed, in milliseconds. */
 	stopWithin: z.number().positive(),
 	/** Maximum retries as a share of requests, fleet-wide. */
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -11,6 +11,7 @@
 export * from './grant-holder.js';
 export * from './grant-registry.js';
 export * from './ledger.js';
+export * from './only-origin.js';
 export * from './peer-views.js';
 export * from './placement.js';
 export * from './prompt-cache.js';
--- a/src/state/value-history.test.ts
+++ b/src/state/value-history.test.ts
@@ -53,3 +53,14 @@
 	history.put('u2', {key: 's', value: 'v1'}, 400);
 	expect(history.findOnly('s')).toEqual({value: 'v1', since: 401});
 });
+
+test('a complete history reaches back to before its first value, until a gap', () => {
+	const history = createValueHistory({isComplete: true});
+	history.put('u1', {key: 's', value: 'v1'}, 100);
+	expect(history.findOnly('s')).toEqual({value: 'v1', since: Number.NEGATIVE_INFINITY});
+	history.put('u2', {key: 's', value: 'v2'}, 200);
+	history.drop('u1', 300);
+	expect(history.findOnly('s')).toEqual({value: 'v2', since: 301});
+	history.restart(400);
+	expect(history.findOnly('s')).toEqual({value: 'v2', since: 400});
+});
--- a/src/state/value-history.ts
+++ b/src/state/value-history.ts
@@ -27,6 +27,12 @@
 	readonly lastHeldAt: Map<string | undefined, number>;
 };
 
+/** Options of {@linkcode createValueHistory}. */
+export type CreateValueHistoryOptions = {
+	/** True if nothing can have happened before the history was created; default false. */
+	readonly isComplete?: boolean;
+};
+
 /** Maximum number of former values of a key; the one longest ago is evicted first. */
 const maxFormerValues = 64;
 
@@ -40,9 +46,10 @@
  * history.findOnly('model'); // {value: 'v1', since: 1000}
  * ```
  *
+ * @param options Whether there was anything before
  * @returns The history
  */
-export function createValueHistory() {
+export function createValueHistory({isComplete = false}: CreateValueHistoryOptions = {}) {
 	const held = new Map<string, HeldValue>();
 	const histories = new Map<string, KeyHistory>();
 
@@ -78,7 +85,7 @@
 		}
 
 		if (!histories.has(value.key)) {
-			histories.set(value.key, {observedSince: now, lastHeldAt: new Map()});
+			histories.set(value.key, {observedSince: isComplete ? Number.NEGATIVE_INFINITY : now, lastHeldAt: new Map()});
 		}
 
 		held.set(holder, value);
