Refuse a stream whose version has no upstream before reserving tokens for it

Cause: that no upstream of the version is left was only seen when the request was placed, after a wait for tokens of up to 0.15 of its timeout, although the gateway knew it as soon as it knew the version. Found by reading. Change: the resolver refuses it. Result: the new test failed before and passes.

--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -15,6 +15,7 @@
 import {hasTimeLeft} from './remaining-time.js';
 import {createRequestPlacement, type CreateRequestPlacementOptions} from './request-placement.js';
 import type {RetryBudget} from './retry-budget.js';
+import {versionGoneRetryAfterMs} from './stream-resolver.js';
 import type {UpstreamEligibility} from './upstream-eligibility.js';
 import type {UpstreamRegistry} from './upstream-registry.js';
 import {
@@ -39,8 +40,6 @@
 
 /** Retry-after time for callers when every upstream is overloaded or unavailable. */
 const overloadedRetryAfterMs = 500;
-/** Retry-after time for callers whose stream has no upstream of its version left; one that crashed takes some seconds to start again. */
-const versionGoneRetryAfterMs = 2000;
 
 /**
  * Creates a request forwarder.
--- a/src/coordination/stream-resolver.test.ts
+++ b/src/coordination/stream-resolver.test.ts
@@ -21,7 +21,7 @@
 };
 
 function createFixture({answers = {}, onRead = () => true}: FixtureOptions = {}) {
-	const state = {now: 10_000, reads: 0};
+	const state = {now: 10_000, reads: 0, hasUpstream: true};
 	const clock = {now: () => state.now, sleep: async () => undefined};
 	const written: Array<{name: string; fields: Record<string, unknown>}> = [];
 	const events: EventLog = {
@@ -44,7 +44,7 @@
 	const versionHistory = createValueHistory();
 	const routeHistory = createValueHistory();
 	const resolver = createStreamResolver({
-		recorder, listPeers, versionHistory, routeHistory, formatRouteKey: ({host, prefix}) => host + prefix, computeLifetimeMs: () => lifetimeMs, clock, events,
+		recorder, listPeers, versionHistory, routeHistory, formatRouteKey: ({host, prefix}) => host + prefix, hasUpstream: () => state.hasUpstream, computeLifetimeMs: () => lifetimeMs, clock, events,
 		async queryPeer({daemon}) {
 			queried.push(daemon);
 			return answers[daemon] ?? Ok({record: undefined, only: undefined});
@@ -174,6 +174,14 @@
 	expect(await canResolve('a-1', {targets: [{service: 'other', weight: 9}, {service: 's', weight: 1}]})).toBe(true);
 });
 
+test('a stream whose version has no upstream left is refused before tokens are reserved for it', async () => {
+	const {recorder, resolve, state} = createFixture();
+	recorder.recordEvents('a-1', origin);
+	state.hasUpstream = false;
+	const resolved = await resolve();
+	expect(resolved.err && resolved.val).toMatchObject({type: 'stream-unresumable', ran: 'no', retryAfterMs: 2000});
+});
+
 test('a stream whose own gateway did not know the version is refused without asking', async () => {
 	const {recorder, canResolve, queried} = createFixture();
 	recorder.recordEvents('a-1', {service: 's', softwareVersion: undefined});
--- a/src/coordination/stream-resolver.ts
+++ b/src/coordination/stream-resolver.ts
@@ -51,6 +51,8 @@
 	/** Queries another gateway; fails if it does not answer in time. */
 	readonly queryPeer: (peer: GossipPeer, query: StreamQuery) => Promise<Result<StreamAnswer, Failure>>;
 	readonly formatRouteKey: (route: Route) => string;
+	/** Returns true if an upstream that may continue streams of an origin gets requests. */
+	readonly hasUpstream: (origin: StreamOrigin) => boolean;
 	/** Reads the deployment and the registrations of upstreams; false if they could not be read. */
 	readonly readViews: () => Promise<boolean>;
 	/** Returns the time for which a caller may take up a stream, in milliseconds. */
@@ -71,6 +73,8 @@
 /** What the witnesses answered: a record, or what they saw of the route; and the gateways that did not answer. */
 type WitnessAnswers = {readonly finding: Finding | undefined; readonly histories: readonly PeerHistory[]; readonly unanswered: readonly string[]};
 
+/** Retry delay for callers whose stream has no upstream of its version left; one that crashed takes some seconds to start again. */
+export const versionGoneRetryAfterMs = 2000;
 /** Retry delay where a gateway or the store did not answer and may do so soon. */
 const unansweredRetryAfterMs = 1000;
 
@@ -103,7 +107,7 @@
  */
 export function createStreamResolver(options: CreateStreamResolverOptions) {
 	const {
-		recorder, listPeers, queryPeer, formatRouteKey, readViews, computeLifetimeMs, clock, events,
+		recorder, listPeers, queryPeer, formatRouteKey, hasUpstream, readViews, computeLifetimeMs, clock, events,
 	} = options;
 
 	function findRecorded(stream: string): Finding | undefined {
@@ -198,13 +202,17 @@
 			return Err(createFailure('stream-unresumable', `The route no longer leads to service "${origin.service}", which began the stream`, {retryAfterMs: computeLifetimeMs()}));
 		}
 
-		return origin.softwareVersion === undefined
-			? Err(createFailure('stream-unresumable', 'The software version that began the stream was not known to the gateway that served it', {retryAfterMs: computeLifetimeMs()}))
-			: Ok(origin);
+		if (origin.softwareVersion === undefined) {
+			return Err(createFailure('stream-unresumable', 'The software version that began the stream was not known to the gateway that served it', {retryAfterMs: computeLifetimeMs()}));
+		}
+
+		return hasUpstream(origin)
+			? Ok(origin)
+			: Err(createFailure('stream-unresumable', `No live upstream of version "${origin.softwareVersion}" is registered for service "${origin.service}"`, {retryAfterMs: versionGoneRetryAfterMs}));
 	}
 
 	return {
-		/** Finds the origin of a stream; fails if it is unknown, or if the route no longer leads to its service. */
+		/** Finds the origin of a stream; fails if it is unknown, if the route no longer leads to its service, or if its version has no upstream. */
 		async resolve(takenUp: TakenUpStream): Promise<Result<StreamOrigin, Failure>> {
 			const {stream, route} = takenUp;
 			const recorded = stream === undefined ? undefined : findRecorded(stream);
--- a/src/daemon/gateway-streams.ts
+++ b/src/daemon/gateway-streams.ts
@@ -10,7 +10,7 @@
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type FindStreamReply, type Result,
 } from '../protocol/mod.js';
-import {findOnlyOrigin} from '../state/mod.js';
+import {findOnlyOrigin, isFitFor} from '../state/mod.js';
 import type {Clock, FleetClient} from '../transport/mod.js';
 import {formatRouteKey, type GatewayState} from './gateway-state.js';
 
@@ -18,7 +18,7 @@
 export type CreateGatewayStreamsOptions = {
 	/** This gateway's name. */
 	readonly daemon: string;
-	readonly state: Pick<GatewayState, 'findRouteTable' | 'versionHistory' | 'routeHistory' | 'readViews' | 'computeViewsAgeMs'>;
+	readonly state: Pick<GatewayState, 'directory' | 'findRouteTable' | 'versionHistory' | 'routeHistory' | 'readViews' | 'computeViewsAgeMs'>;
 	/** Connections to other gateways that carry no other calls, since one that does not answer at once is abandoned. */
 	readonly fleet: FleetClient;
 	readonly listPeers: () => readonly GossipPeer[];
@@ -97,6 +97,7 @@
 
 	const resolver = createStreamResolver({
 		recorder, listPeers, queryPeer, routeHistory, versionHistory, formatRouteKey, computeLifetimeMs, clock, events,
+		hasUpstream: origin => state.directory.listLive(origin.service, clock.now()).some(({upstream}) => isFitFor(upstream, origin)),
 		readViews: async () => state.readViews(signal),
 	});
 
