--- a/src/daemon/gateway-streams.ts
+++ b/src/daemon/gateway-streams.ts
@@ -32,7 +32,7 @@
 export type GatewayStreams = ReturnType<typeof createGatewayStreams>;
 
 /** Timeouts of the first query to a peer and of the second, which is sent on a new connection. */
-const queryTimeoutsMs = [80, 120] as const;
+const queryTimeoutsMs = [100, 300] as const;
 /** A stream lasts no longer than its route's timeout, and its caller comes back within as long again. */
 const lifetimeTimeouts = 2;
 
