--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -111,7 +111,7 @@
 	});
 	const retries = createRetryBudget({ratio: 0.2, burst: 10});
 
-	async function forward(route: Partial<Route>, deadline = 5000, takenUp: Partial<Pick<ForwardRequest, 'resumes' | 'origin' | 'lastEventId'>> = {}) {
+	async function forward(route: Partial<Route>, deadline = 5000, resumed: Partial<Pick<ForwardRequest, 'resumes' | 'origin' | 'lastEventId'>> = {}) {
 		const callerGone = new AbortController();
 		const request: ForwardRequest = {
 			id: 'r1',
@@ -144,7 +144,7 @@
 				},
 			},
 		};
-		return forwarder.forward({...request, ...takenUp});
+		return forwarder.forward({...request, ...resumed});
 	}
 
 	return {
@@ -350,7 +350,7 @@
 	expect(second!.shouldStillSend()).toBe(false);
 });
 
-test('a stream that its caller takes up goes only to upstreams of the version that began it, at most once', async () => {
+test('a stream that its caller resumes goes only to upstreams of the version that began it, at most once', async () => {
 	const versions = {u1: 'v1', u2: 'v2', u3: 'v3'};
 	const fixture = createFixture([secondHalf], {versions});
 	const report = await fixture.forward({isResumable: true}, 5000, {resumes: 'r0', origin: {service: 's', softwareVersion: 'v2'}, lastEventId: '1'});
@@ -359,7 +359,7 @@
 	expect(fixture.recorded).toEqual([{stream: 'r0', service: 's', softwareVersion: 'v2'}]);
 });
 
-test('a stream that its caller takes up is refused at once if no upstream of its version is left', async () => {
+test('a stream that its caller resumes is refused at once if no upstream of its version is left', async () => {
 	const fixture = createFixture([secondHalf]);
 	const report = await fixture.forward({isResumable: true}, 5000, {resumes: 'r0', origin: {service: 's', softwareVersion: 'v2'}, lastEventId: '1'});
 	expect(fixture.calls).toEqual([]);
--- a/src/coordination/stream-recorder.ts
+++ b/src/coordination/stream-recorder.ts
@@ -1,9 +1,9 @@
 /**
- * Records which software version began each stream, here and at the gateways to
- * which its caller may come next.
+ * Records which software version began each stream, at this gateway and at two
+ * others, the witnesses, so that the caller can resume it at any gateway.
  *
- * The witnesses are told when the first event arrives, before it is sent on, in
- * one datagram each. A lost one leaves the other witness and this gateway.
+ * Each witness gets one datagram when the first event arrives, before the event is
+ * forwarded. If one is lost, the other witness and this gateway have the record.
  *
  * @module
  */
@@ -13,12 +13,12 @@
 import type {GossipPeer} from './gossip-receivers.js';
 import {selectWitnesses, witnessCount} from './stream-witnesses.js';
 
-/** What a gateway tells others of a stream. */
+/** What a gateway announces of a stream. */
 export type StreamAnnouncement = {
 	/** ID of the attempt that received the first event. */
 	readonly stream: string;
 	readonly origin: StreamOrigin;
-	/** Time for which the caller may take the stream up, in milliseconds. */
+	/** Time for which the caller may resume the stream, in milliseconds. */
 	readonly lifetimeMs: number;
 	/** The gateway that has sent events of the stream. */
 	readonly source: string;
@@ -31,7 +31,7 @@
 	/** Lists the other gateways that are presumed to be up. */
 	readonly listPeers: () => readonly GossipPeer[];
 	readonly announce: (announcement: StreamAnnouncement, receivers: readonly GossipPeer[]) => void;
-	/** Returns the time for which a caller may take up a stream, in milliseconds. */
+	/** Returns the time for which a caller may resume a stream, in milliseconds. */
 	readonly computeLifetimeMs: () => number;
 	readonly clock: Clock;
 	readonly events: EventLog;
@@ -57,7 +57,7 @@
  * recorder.get('a-1')?.origin.softwareVersion; // 'v1.1'
  * ```
  *
- * @param options The other gateways and how they are told
+ * @param options The other gateways and how they are notified
  * @returns The recorder
  */
 export function createStreamRecorder(options: CreateStreamRecorderOptions) {
--- a/src/coordination/stream-resolver.test.ts
+++ b/src/coordination/stream-resolver.test.ts
@@ -98,7 +98,7 @@
 		if (resolved.ok) {
 			expect(resolved.val).toEqual(origin);
 			expect(fixture.written).toEqual([{
-				name: 'streamTakenUp', fields: {
+				name: 'streamOriginFound', fields: {
 					request: 'b-1', resumes: 'a-1', ...origin, source: daemon, ageMs: 7,
 				},
 			}]);
--- a/src/coordination/stream-resolver.ts
+++ b/src/coordination/stream-resolver.ts
@@ -1,6 +1,6 @@
 /**
- * Finds the software version that began a stream which its caller takes up: from
- * this gateway's records, from those of the gateways that are told of the stream,
+ * Finds the software version that began a stream which its caller resumes: from
+ * this gateway's records, from those of the stream's witnesses,
  * or because its service has had one version only for as long as the stream can
  * have lasted. If none of them shows it, the version is unknown and the stream is
  * refused; it is never guessed.
@@ -34,8 +34,8 @@
 	readonly only: {readonly origin: StreamOrigin; readonly sinceAgeMs: number; readonly viewAgeMs: number} | undefined;
 };
 
-/** A stream that a caller takes up. */
-export type TakenUpStream = {
+/** A stream that a caller resumes. */
+export type ResumedStream = {
 	/** ID of the caller's attempt, for log events. */
 	readonly request: string | undefined;
 	/** ID of the attempt that received the first event; undefined if the caller does not name it. */
@@ -55,7 +55,7 @@
 	readonly hasUpstream: (origin: StreamOrigin) => boolean;
 	/** Reads the deployment and the registrations of upstreams; false if they could not be read. */
 	readonly readViews: () => Promise<boolean>;
-	/** Returns the time for which a caller may take up a stream, in milliseconds. */
+	/** Returns the time for which a caller may resume a stream, in milliseconds. */
 	readonly computeLifetimeMs: () => number;
 	readonly clock: Clock;
 	readonly events: EventLog;
@@ -117,7 +117,7 @@
 
 	const findOwnOnly = (route: Route): OnlyOrigin | undefined => findOnlyOrigin(formatRouteKey(route), options);
 
-	async function queryWitnesses({request, stream, route}: TakenUpStream): Promise<WitnessAnswers> {
+	async function queryWitnesses({request, stream, route}: ResumedStream): Promise<WitnessAnswers> {
 		const histories: PeerHistory[] = [];
 		const unanswered: string[] = [];
 		// Their histories only help where this gateway has seen one origin, but not for long enough.
@@ -167,7 +167,7 @@
 		return only && source !== undefined ? {origin: only.origin, source, ageMs: Math.min(clock.now() - only.since, computeHistoryMs())} : undefined;
 	}
 
-	// Only a read that begins after the caller has come back shows every version that can have begun its stream.
+	// Only a read that begins after the caller's request has arrived shows every version that can have begun its stream.
 	async function inferOrigin(route: Route, histories: readonly PeerHistory[]): Promise<Finding | 'unread' | undefined> {
 		if (!findInferred(route, histories)) {
 			return undefined;
@@ -182,7 +182,7 @@
 		return Math.max(unansweredRetryAfterMs, Math.ceil(since + computeHistoryMs() - clock.now()));
 	}
 
-	function createUnknownFailure({stream, route}: TakenUpStream, {unanswered, isUnread}: {readonly unanswered: readonly string[]; readonly isUnread: boolean}): Failure {
+	function createUnknownFailure({stream, route}: ResumedStream, {unanswered, isUnread}: {readonly unanswered: readonly string[]; readonly isUnread: boolean}): Failure {
 		const reasons = [
 			stream === undefined ? 'the caller names no attempt that began it' : `no gateway that answered knows "${stream}"`,
 			...unanswered.length > 0 ? [`no answer from ${unanswered.join(', ')}`] : [],
@@ -194,8 +194,8 @@
 		});
 	}
 
-	function accept({request, stream, route}: TakenUpStream, {origin, source, ageMs}: Finding): Result<StreamOrigin, Failure> {
-		events.write('streamTakenUp', {
+	function accept({request, stream, route}: ResumedStream, {origin, source, ageMs}: Finding): Result<StreamOrigin, Failure> {
+		events.write('streamOriginFound', {
 			request, resumes: stream, service: origin.service, softwareVersion: origin.softwareVersion, source, ageMs: Math.round(ageMs),
 		});
 		if (!route.targets.some(({service, weight}) => service === origin.service && weight > 0)) {
@@ -213,23 +213,23 @@
 
 	return {
 		/** Finds the origin of a stream; fails if it is unknown, if the route no longer leads to its service, or if its version has no upstream. */
-		async resolve(takenUp: TakenUpStream): Promise<Result<StreamOrigin, Failure>> {
-			const {stream, route} = takenUp;
+		async resolve(resumed: ResumedStream): Promise<Result<StreamOrigin, Failure>> {
+			const {stream, route} = resumed;
 			const recorded = stream === undefined ? undefined : findRecorded(stream);
 			if (recorded) {
-				return accept(takenUp, recorded);
+				return accept(resumed, recorded);
 			}
 
 			const shouldQuery = stream !== undefined || !findInferred(route, []);
-			const {finding, histories, unanswered} = shouldQuery ? await queryWitnesses(takenUp) : {finding: undefined, histories: [], unanswered: []};
+			const {finding, histories, unanswered} = shouldQuery ? await queryWitnesses(resumed) : {finding: undefined, histories: [], unanswered: []};
 			if (finding) {
-				return accept(takenUp, finding);
+				return accept(resumed, finding);
 			}
 
 			const inferred = await inferOrigin(route, histories);
 			return inferred === undefined || inferred === 'unread'
-				? Err(createUnknownFailure(takenUp, {unanswered, isUnread: inferred === 'unread'}))
-				: accept(takenUp, inferred);
+				? Err(createUnknownFailure(resumed, {unanswered, isUnread: inferred === 'unread'}))
+				: accept(resumed, inferred);
 		},
 	};
 }
--- a/src/coordination/stream-versions.test.ts
+++ b/src/coordination/stream-versions.test.ts
@@ -14,7 +14,7 @@
 } from './mod.js';
 
 // Gateways, a store and upstreams of several versions in virtual time: streams
-// begin, break and are taken up while gateways are killed or cut off, datagrams
+// begin, break and are resumed while gateways are killed or cut off, datagrams
 // are lost or late, and upstreams are replaced.
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
@@ -38,7 +38,7 @@
 	readonly gateways: number;
 	readonly lossShare: number;
 	readonly maxDelayMs: number;
-	/** Share of callers that do not name the stream that they take up. */
+	/** Share of callers that do not name the stream that they resume. */
 	readonly unnamedShare: number;
 	readonly releaseIntervalMs: number;
 	readonly kills: readonly Outage[];
@@ -90,8 +90,8 @@
 	const random = createRandom(play.seed);
 	const stored = buildRegistrations(play.releaseIntervalMs);
 	const removedAt = new Map(stored.filter(({version}) => version === undefined).map(({upstream, at}) => [upstream, at]));
-	/** Streams taken up while two upstreams of their version are registered, and those of them that went on. */
-	const counts = {takenUp: 0, continued: 0};
+	/** Streams resumed while two upstreams of their version are registered, and those of them that went on. */
+	const counts = {resumed: 0, continued: 0};
 	const heldVersions = new Map<string, Set<string>>();
 	const silence = Err(createFailure('no-upstream', 'No answer'));
 	const names = Array.from({length: play.gateways}, (_, index) => `g${index}`);
@@ -249,7 +249,7 @@
 		return true;
 	}
 
-	async function takeUp(stream: string): Promise<boolean> {
+	async function resumeStream(stream: string): Promise<boolean> {
 		const gateway = gateways[Math.floor(random() * play.gateways)]!;
 		if (!isUp(gateway.index)) {
 			return true;
@@ -258,7 +258,7 @@
 		const isServed = countRegistered([...heldVersions.get(stream)!][0]!) >= 2;
 		const origin = await gateway.resolver.resolve({request: undefined, stream: random() < play.unnamedShare ? undefined : stream, route});
 		const isContinued = origin.ok && serveEvents(gateway, stream, origin.val);
-		counts.takenUp += isServed ? 1 : 0;
+		counts.resumed += isServed ? 1 : 0;
 		counts.continued += isServed && isContinued ? 1 : 0;
 		return isContinued;
 	}
@@ -272,7 +272,7 @@
 		let canGoOn = true;
 		for (let tries = 0; canGoOn && tries < 3; tries += 1) {
 			await time.sleep(random() * timeoutMs);
-			canGoOn = await takeUp(stream);
+			canGoOn = await resumeStream(stream);
 		}
 	}
 
@@ -301,18 +301,18 @@
 	}), {numRuns: runCount});
 });
 
-test('all streams that are taken up go on while two upstreams of their version serve', async () => {
+test('all streams that are resumed go on while two upstreams of their version serve', async () => {
 	// Guards against keeping versions apart by refusing what could go on.
 	const {mixed, counts} = await simulate(calmPlay);
 	expect(mixed).toEqual([]);
-	expect(counts.takenUp).toBeGreaterThan(300);
-	expect(counts.continued).toBe(counts.takenUp);
+	expect(counts.resumed).toBeGreaterThan(300);
+	expect(counts.continued).toBe(counts.resumed);
 });
 
 test('far more than half of them go on while one of four gateways after the other is killed', async () => {
 	const kills = [0, 1, 2, 3].map(gateway => ({gateway, from: 4000 + (gateway * 4000), ms: 800}));
 	const {mixed, counts} = await simulate({...calmPlay, kills, lossShare: 0.02});
 	expect(mixed).toEqual([]);
-	expect(counts.continued / counts.takenUp).toBeGreaterThan(0.75);
-	expect(counts.takenUp).toBeGreaterThan(300);
+	expect(counts.continued / counts.resumed).toBeGreaterThan(0.75);
+	expect(counts.resumed).toBeGreaterThan(300);
 });
--- a/src/coordination/stream-witnesses.ts
+++ b/src/coordination/stream-witnesses.ts
@@ -1,18 +1,19 @@
 /**
- * Which gateways are told of a stream, and which are asked for it.
+ * Which gateways record a stream besides the one that serves it, and which are
+ * queried for it.
  *
  * @module
  */
 import {rankByRendezvous} from './rendezvous.js';
 
-/** Gateways that are told of each stream, so that one of them may fail together with the gateway that tells them. */
+/** Gateways that record each stream, so that one of them may fail together with the gateway that serves it. */
 export const witnessCount = 2;
-/** Gateways that are asked: one more than are told, since two gateways may differ by one in their view of the fleet. */
+/** Gateways that are queried: one more than record a stream, since two gateways may differ by one in their view of the fleet. */
 export const queriedCount = 3;
 
 /**
  * Selects the gateways that keep the record of a stream, by rendezvous hashing of
- * its ID, so that the gateway to which its caller comes next finds them without
+ * its ID, so that the gateway at which its caller resumes it finds them without
  * communication.
  *
  * @example
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -181,8 +181,8 @@
 
 	// A request without the ID of an event asks for a stream from its start, which any version may begin.
 	function resolveOrigin({metadata: {id, resumes, lastEventId}, route}: ResolvedRequest): Promise<Result<StreamOrigin, Failure>> | undefined {
-		const isTakenUp = route.kind === 'stream' && (resumes ?? lastEventId) !== undefined;
-		return isTakenUp ? streamResolver.resolve({request: id, stream: resumes, route}) : undefined;
+		const isResumed = route.kind === 'stream' && (resumes ?? lastEventId) !== undefined;
+		return isResumed ? streamResolver.resolve({request: id, stream: resumes, route}) : undefined;
 	}
 
 	function checkRemainingTime(deadline: number): Result<undefined, Failure> {
--- a/src/daemon/gateway-streams.ts
+++ b/src/daemon/gateway-streams.ts
@@ -1,6 +1,6 @@
 /**
  * Assembles how a gateway records which software version began a stream, and
- * finds it when a caller takes the stream up.
+ * finds it when a caller resumes the stream.
  *
  * @module
  */
@@ -33,7 +33,7 @@
 
 /** Timeouts of the first query to a peer and of the second, which is sent on a new connection. */
 const queryTimeoutsMs = [100, 300] as const;
-/** A stream lasts no longer than its route's timeout, and its caller comes back within as long again. */
+/** A stream lasts no longer than its route's timeout, and its caller resumes it within as long again. */
 const lifetimeTimeouts = 2;
 
 /** @internal */
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -57,7 +57,7 @@
 	requestFailed: {number: 1409, text: 'request failed with an unexpected error'},
 	requestSuspected: {number: 1412, text: 'request suspected of crashing upstreams'},
 	loopStalled: {number: 1413, text: 'event loop stalled'},
-	streamTakenUp: {number: 1415, text: 'caller resumes a stream that began at another request'},
+	streamOriginFound: {number: 1415, text: 'origin of a stream that its caller resumes found'},
 	streamRecordEvicted: {number: 1416, text: 'record of a stream evicted before its caller can no longer resume it'},
 	trafficCounted: {number: 1414, text: 'bytes sent and received since the start'},
 	callerLost: {number: 1410, text: 'connection to a caller failed'},
