Log the parts of a prompt during which an upstream crashes

Cause: FL1412 names a request and its digest only, so the logs cannot show what the requests that crash upstreams have in common. Result: a unit test that failed before.

--- a/src/coordination/quarantine.test.ts
+++ b/src/coordination/quarantine.test.ts
@@ -143,6 +143,27 @@
 	expect(state.changes).toBe(4);
 });
 
+// Guards against a log that cannot show what the requests that crash upstreams have in common.
+test('the log names the request, the upstream and the parts of the prompt of a crash', () => {
+	const logged: unknown[] = [];
+	const quarantine = createQuarantine({
+		crashRegistry: createCrashRegistry(),
+		daemon: 'g1',
+		listPeers: () => [],
+		clock: {now: () => 0, sleep: async () => undefined},
+		events: {
+			write(_event, fields) {
+				logged.push(fields);
+			},
+			counts: new Map(),
+		},
+		onChange: () => undefined,
+		onCrash: () => undefined,
+	});
+	quarantine.trackRun(digest, {request: 'r1', parts: 'a1 b2'}).recordCrash('u1');
+	expect(logged).toMatchObject([{request: 'r1', parts: 'a1 b2', upstream: 'u1', cause: 'crash'}]);
+});
+
 test('a record is advertised for ten seconds after its last change', () => {
 	const {state, quarantine, crash} = createFixture();
 	crash(1);
--- a/src/coordination/quarantine.ts
+++ b/src/coordination/quarantine.ts
@@ -45,6 +45,14 @@
 	readonly recordAnswer: () => void;
 };
 
+/** A run, as described in log events. */
+export type RunDescription = {
+	/** ID of the request. */
+	readonly request?: string;
+	/** IDs of the parts of its prompt that other requests may contain. */
+	readonly parts?: string;
+};
+
 /** A held request, as shown to operators. */
 export type HeldRequest = CrashRecord & {
 	/** Milliseconds since the last crash or trial. */
@@ -103,7 +111,7 @@
 		return changedAt + (computeHoldMs(crashes) * (1 + rank)) - clock.now();
 	}
 
-	function reportChange(record: CrashRecord | undefined, cause: string, fields: {readonly request?: string; readonly upstream?: string} = {}): void {
+	function reportChange(record: CrashRecord | undefined, cause: string, fields: RunDescription & {readonly upstream?: string} = {}): void {
 		if (record) {
 			const {digest, crashes} = record;
 			events.write('requestSuspected', {
@@ -141,19 +149,19 @@
 		/** Returns true if a request is likely to crash upstreams. A single crash is not enough, because it also hits requests that did not cause it. */
 		isSuspected: (digest: string): boolean => crashRegistry.count(digest) >= crashesToSuspect,
 
-		/** Starts tracking a run; the request ID is only used in log events. */
-		trackRun(digest: string, request?: string): QuarantineRun {
+		/** Starts tracking a run; the description is only used in log events. */
+		trackRun(digest: string, description: RunDescription = {}): QuarantineRun {
 			const recordAtStart = crashRegistry.get(digest);
 			return {
 				recordCrash(upstream) {
 					if (crashRegistry.recordCrash(digest, {before: recordAtStart, now: clock.now()})) {
-						reportChange(crashRegistry.get(digest), 'crash', {request, upstream});
+						reportChange(crashRegistry.get(digest), 'crash', {...description, upstream});
 						options.onCrash(digest);
 					}
 				},
 				recordAnswer() {
 					if (crashRegistry.recordAnswer(digest, clock.now())) {
-						reportChange(crashRegistry.get(digest), 'answered', {request});
+						reportChange(crashRegistry.get(digest), 'answered', {request: description.request});
 					}
 				},
 			};
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/upstream-sender.ts
@@ -12,6 +12,7 @@
 import type {CrashDetector} from './crash-detector.js';
 import type {ForwardReport, ForwardRequest} from './forward-types.js';
 import type {LimitRecorder} from './limit-recorder.js';
+import {formatSharedParts} from './placement-policy.js';
 import type {Quarantine} from './quarantine.js';
 import {hasTimeLeft} from './remaining-time.js';
 import type {Placement} from './request-placement.js';
@@ -175,7 +176,7 @@
 			}
 
 			const tracker = registry.trackRequest(id, request);
-			const trackedRun = quarantine.trackRun(request.digest, request.id);
+			const trackedRun = quarantine.trackRun(request.digest, {request: request.id, parts: formatSharedParts(request.generation)});
 			const stallTimeout = createStallTimeout({objective: request.route.objective, canRetry: () => canRetryElsewhere(state), clock});
 			const remaining = request.deadline - clock.now();
 			let isWithheld = false;
