--- a/src/cli/quarantine-command.ts
+++ b/src/cli/quarantine-command.ts
@@ -1,6 +1,6 @@
 /**
- * `fireflylane quarantine`: lists and releases requests that gateways hold back
- * because upstreams crashed while running them.
+ * `fireflylane quarantine`: lists and releases requests and parts of prompts that
+ * gateways hold back because upstreams crashed while running them.
  *
  * @module
  */
@@ -15,24 +15,24 @@
 /** `fireflylane quarantine` */
 export const quarantineCommand = subcommands({
 	name: 'quarantine',
-	description: 'List and release requests that a gateway holds in quarantine; --url is the metrics address of the gateway',
+	description: 'List and release requests and parts of prompts that a gateway holds in quarantine; --url is the metrics address of the gateway',
 	cmds: {
 		list: command({
 			name: 'list',
-			description: 'List held requests, with milliseconds since the last crash or trial and until the next trial',
+			description: 'List held requests and parts, with milliseconds since the last crash or trial and until the next trial',
 			args: targetOptions,
 			async handler(args) {
-				const result = await sendOperatorRequest<{held: TableRow[]}>(buildTarget(args), '/v1/quarantine');
-				printResult(result, {json: args.json, format: ({held}) => formatTable(held)});
+				const result = await sendOperatorRequest<{held: TableRow[]; heldParts: TableRow[]}>(buildTarget(args), '/v1/quarantine');
+				printResult(result, {json: args.json, format: ({held, heldParts}) => `Requests:\n${formatTable(held)}\nParts of prompts:\n${formatTable(heldParts)}`});
 			},
 		}),
 		release: command({
 			name: 'release',
-			description: 'Release a request at all gateways',
+			description: 'Release a request or part at all gateways',
 			args: {...targetOptions, digest: positional({type: string, displayName: 'DIGEST'})},
 			async handler(args) {
 				const result = await sendOperatorRequest<{released: string}>(buildTarget(args), `/v1/quarantine/${encodeURIComponent(args.digest)}`, {});
-				printResult(result, {json: args.json, format: ({released}) => `Request ${released} is no longer held back`});
+				printResult(result, {json: args.json, format: ({released}) => `${released} is no longer held back`});
 			},
 		}),
 	},
--- a/src/cli/request-timeline.ts
+++ b/src/cli/request-timeline.ts
@@ -37,6 +37,7 @@
 	['FL1302', 'peer'],
 	['FL1306', 'peer'],
 	['FL1412', 'digest'],
+	['FL1417', 'digest'],
 	['FL1506', undefined],
 	['FL1701', 'upstream'],
 	['FL1702', 'upstream'],
--- a/src/coordination/forward-types.ts
+++ b/src/coordination/forward-types.ts
@@ -7,6 +7,7 @@
 	Failure, GenerationParameters, RawHeaders, Route, GatewayService,
 } from '../protocol/mod.js';
 import type {StreamOrigin} from '../state/mod.js';
+import type {PartKey} from './part-keys.js';
 
 /** Writes the answer to the caller. */
 export type CallerAnswer = {
@@ -37,6 +38,8 @@
 	readonly rawHeaders: RawHeaders;
 	readonly body: Uint8Array | undefined;
 	readonly generation: GenerationParameters | undefined;
+	/** The parts of the prompt that other requests may contain too. */
+	readonly parts: readonly PartKey[];
 	readonly lastEventId: string | undefined;
 	/** ID of the attempt that received the first event of the stream that the caller resumes. */
 	readonly resumes: string | undefined;
--- a/src/coordination/gossip-codec.ts
+++ b/src/coordination/gossip-codec.ts
@@ -5,9 +5,11 @@
  */
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 import {
-	Err, Ok, PeerEntrySchema, PeerNewsSchema, PeerStateSchema, createFailure, type Failure, type PeerEntry, type PeerNews, type Result,
+	Err, Ok, PeerEntrySchema, PeerNewsSchema, PeerStateSchema, createFailure, type Failure, type PartRecord, type PeerEntry, type PeerNews, type Result,
 } from '../protocol/mod.js';
-import type {PeerEntryId, PeerView, PlacedPrompt} from '../state/mod.js';
+import type {
+	PartAnnouncement, PeerEntryId, PeerView, PlacedPrompt,
+} from '../state/mod.js';
 import type {StreamAnnouncement} from './stream-recorder.js';
 
 /** Options of {@linkcode encodeEntry}. */
@@ -17,6 +19,40 @@
 	readonly shouldIncludeFreeTokens: boolean;
 };
 
+/**
+ * Encodes the crash record of a part.
+ *
+ * @example
+ * ```ts
+ * encodePart({digest: 'd', round: 0, trials: 0, crashes: [{upstream: 7, ageMs: 200}]}).agesMs; // [200]
+ * ```
+ *
+ * @param part The record
+ * @returns The fields of the message
+ */
+export function encodePart({digest, round, trials, crashes}: PartAnnouncement) {
+	return {
+		digest, round, trials, upstreams: crashes.map(({upstream}) => upstream), agesMs: crashes.map(({ageMs}) => ageMs),
+	};
+}
+
+/**
+ * Decodes the crash record of a part.
+ *
+ * @example
+ * ```ts
+ * decodePart(message).crashes; // [{upstream: 7, ageMs: 200}]
+ * ```
+ *
+ * @param message The message
+ * @returns The record
+ */
+export function decodePart({digest, round, trials, upstreams, agesMs}: Pick<PartRecord, 'digest' | 'round' | 'trials' | 'upstreams' | 'agesMs'>): PartAnnouncement {
+	return {
+		digest, round, trials, crashes: upstreams.map((upstream, index) => ({upstream, ageMs: agesMs[index] ?? 0})),
+	};
+}
+
 /**
  * Encodes the state that a gateway advertises.
  *
@@ -31,13 +67,14 @@
  */
 export function encodeEntry(view: PeerView, {sequence, shouldIncludeFreeTokens}: EncodeEntryOptions): PeerEntry {
 	const {
-		daemon, incarnation, address, uses, version, isLeaving, free, crashes, domains, limits,
+		daemon, incarnation, address, uses, version, isLeaving, free, crashes, parts, domains, limits,
 	} = view;
 	const state = toBinary(PeerStateSchema, create(PeerStateSchema, {
 		address, version, isLeaving, tellsFree: shouldIncludeFreeTokens,
 		uses: uses.map(use => ({...use})),
 		free: shouldIncludeFreeTokens ? free.map(item => ({...item})) : [],
 		crashes: crashes.map(item => ({...item})),
+		parts: parts.map(part => encodePart(part)),
 		domains: domains.map(item => ({...item})),
 		limits: limits.map(item => ({...item})),
 	}));
@@ -50,13 +87,14 @@
 function readEntry(entry: PeerEntryId & {readonly state: Uint8Array}, previousView: PeerView | undefined): PeerView {
 	const {daemon, incarnation} = entry;
 	const {
-		address, uses, version, isLeaving, tellsFree, free, crashes, domains, limits,
+		address, uses, version, isLeaving, tellsFree, free, crashes, parts, domains, limits,
 	} = fromBinary(PeerStateSchema, entry.state);
 	return {
 		daemon, incarnation, address, version, isLeaving,
 		uses: uses.map(({upstream, inFlight, waitingTokens}) => ({upstream, inFlight, waitingTokens})),
 		free: tellsFree ? free.map(({customer, tokens}) => ({customer, tokens})) : previousView?.free ?? [],
 		crashes: crashes.map(({digest, round, crashes: count}) => ({digest, round, crashes: count})),
+		parts: parts.map(part => decodePart(part)),
 		domains: domains.map(({failureDomain, offset, isEvacuated}) => ({failureDomain, offset, isEvacuated})),
 		limits: limits.map(({upstream, requestsPerSecond, ageMs}) => ({upstream, requestsPerSecond, ageMs})),
 	};
--- a/src/coordination/gossip.ts
+++ b/src/coordination/gossip.ts
@@ -80,6 +80,7 @@
 	let sequence = 0;
 	let ownEntryBuiltAt = Number.NEGATIVE_INFINITY;
 	let hasChanged = false;
+	let isUrgent = false;
 	let rate: GossipRate = computeGossipRate(1);
 
 	function computeMsSinceHeard(peer: string): number {
@@ -126,13 +127,14 @@
 	}
 
 	function isOwnEntryDue(): boolean {
-		return clock.now() - ownEntryBuiltAt >= (hasChanged ? rate.entryIntervalMs : rate.idleEntryIntervalMs);
+		return isUrgent || clock.now() - ownEntryBuiltAt >= (hasChanged ? rate.entryIntervalMs : rate.idleEntryIntervalMs);
 	}
 
 	function buildOwnEntry(): PeerEntry {
 		sequence += 1;
 		ownEntryBuiltAt = clock.now();
 		hasChanged = false;
+		isUrgent = false;
 		return encodeEntry(options.getOwnView(), {sequence, shouldIncludeFreeTokens: sequence % freeTokensEntryInterval === 1});
 	}
 
@@ -189,6 +191,12 @@
 			hasChanged = true;
 		},
 
+		/** Has the next datagram include the state of this gateway, whatever the size of the fleet. */
+		markUrgent(): void {
+			hasChanged = true;
+			isUrgent = true;
+		},
+
 		/** Queues a prompt that this gateway has placed, to be sent with its next entry. */
 		announcePrompt(prompt: PlacedPrompt): void {
 			pendingPrompts.push(prompt);
--- a/src/coordination/peer-catch-up.test.ts
+++ b/src/coordination/peer-catch-up.test.ts
@@ -8,7 +8,7 @@
 
 function buildView(daemon: string, version: number): PeerView {
 	return {
-		daemon, incarnation: 'i', address: `${daemon}:1`, free: [], uses: [], version, isLeaving: false, crashes: [], domains: [], limits: [],
+		daemon, incarnation: 'i', address: `${daemon}:1`, free: [], uses: [], version, isLeaving: false, crashes: [], parts: [], domains: [], limits: [],
 	};
 }
 
@@ -31,7 +31,7 @@
 			}
 
 			return {
-				deployment: query.knownVersion < 7 ? new TextEncoder().encode('7') : new Uint8Array(), prompts: [], crashes: [], domains: [],
+				deployment: query.knownVersion < 7 ? new TextEncoder().encode('7') : new Uint8Array(), prompts: [], crashes: [], parts: [], domains: [],
 			};
 		},
 		onDeployment(record) {
@@ -39,6 +39,7 @@
 		},
 		onPrompt: () => undefined,
 		onCrashRecord: () => undefined,
+		onPartRecord: () => undefined,
 		abandonConnection() {
 			state.abandoned += 1;
 		},
--- a/src/coordination/peer-catch-up.ts
+++ b/src/coordination/peer-catch-up.ts
@@ -1,12 +1,14 @@
 /**
  * Fetches state that a gateway lacks from one of its peers: a newer deployment
  * and, after a start, the prompts in the caches of upstreams and the records of
- * requests that crash upstreams.
+ * requests and parts of prompts that crash upstreams.
  *
  * @module
  */
 import type {EventLog} from '../protocol/mod.js';
-import type {CrashRecord, PeerView, PlacedPrompt} from '../state/mod.js';
+import type {
+	CrashRecord, PartAnnouncement, PeerView, PlacedPrompt,
+} from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 
 /** Query to a peer. */
@@ -18,6 +20,7 @@
 	readonly deployment: Uint8Array;
 	readonly prompts: readonly PlacedPrompt[];
 	readonly crashes: readonly CrashRecord[];
+	readonly parts: readonly PartAnnouncement[];
 };
 
 /** Options of {@linkcode createPeerCatchUp}. */
@@ -32,6 +35,7 @@
 	readonly onDeployment: (record: string, peer: string) => void;
 	readonly onPrompt: (prompt: PlacedPrompt) => void;
 	readonly onCrashRecord: (record: CrashRecord) => void;
+	readonly onPartRecord: (record: PartAnnouncement) => void;
 	/** Abandons the connection to a peer that does not respond. */
 	readonly abandonConnection: (address: string) => void;
 };
@@ -71,6 +75,10 @@
 				options.onCrashRecord(record);
 			}
 
+			for (const record of answer.parts) {
+				options.onPartRecord(record);
+			}
+
 			if (answer.deployment.length > 0) {
 				options.onDeployment(new TextDecoder().decode(answer.deployment), daemon);
 			}
--- a/src/coordination/quarantine-recorder.test.ts
+++ b/src/coordination/quarantine-recorder.test.ts
@@ -3,7 +3,9 @@
 import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
 import type {EventLog} from '../protocol/mod.js';
 import {createCrashRegistry} from '../state/mod.js';
-import {createQuarantine, createQuarantineRecorder, rankByRendezvous} from './mod.js';
+import {
+	LoggedRequests, createQuarantine, createQuarantineRecorder, rankByRendezvous,
+} from './mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 
@@ -16,11 +18,12 @@
 		crashRegistry, daemon, listPeers: () => peers, clock: time, events,
 		onChange: () => undefined,
 		onCrash(digest) {
-			recorder.recordCrash(digest);
+			recorder.recordCrash(loggedRequests, digest);
 		},
 	});
+	const loggedRequests = new LoggedRequests(crashRegistry, quarantine);
 	const recorder = createQuarantineRecorder({
-		log: log.open(), crashRegistry, quarantine, daemon, listPeers: () => peers, clock: time, events,
+		log: log.open(), kinds: [loggedRequests], daemon, listPeers: () => peers, clock: time, events,
 	});
 	void recorder.run(stopper.signal);
 
--- a/src/coordination/quarantine-soak.test.ts
+++ b/src/coordination/quarantine-soak.test.ts
@@ -7,7 +7,7 @@
 import type {EventLog} from '../protocol/mod.js';
 import {createCrashRegistry, createPeerViews} from '../state/mod.js';
 import {
-	NearReceiverPolicy, createKeyedFollower, createGossip, createQuarantine, createQuarantineRecorder, fanOut,
+	LoggedRequests, NearReceiverPolicy, createKeyedFollower, createGossip, createQuarantine, createQuarantineRecorder, fanOut,
 } from './mod.js';
 
 // Simulates a fleet in virtual time with the modules that record crashes and distribute them. A request that crashes
@@ -66,7 +66,7 @@
 				gossip.markChanged();
 			},
 			onCrash(digest) {
-				recorder.recordCrash(digest);
+				recorder.recordCrash(loggedRequests, digest);
 			},
 		});
 		const gossip = createGossip({
@@ -76,7 +76,7 @@
 				daemon, newsAddress: daemon, address: daemon, failureDomain: findDomain(daemon),
 			})),
 			getOwnView: () => ({
-				daemon: name, incarnation: String(incarnation).padStart(6, '0'), address: name, version: 1, isLeaving: false, free: [], uses: [], crashes: quarantine.listRecent(), domains: [], limits: [],
+				daemon: name, incarnation: String(incarnation).padStart(6, '0'), address: name, version: 1, isLeaving: false, free: [], uses: [], crashes: quarantine.listRecent(), parts: [], domains: [], limits: [],
 			}),
 			send(message, receivers) {
 				for (const {daemon} of receivers) {
@@ -91,8 +91,9 @@
 			onPrompt: () => undefined,
 			onStream: () => undefined,
 		});
+		const loggedRequests = new LoggedRequests(crashRegistry, quarantine);
 		const recorder = createQuarantineRecorder({
-			log: log.open(), crashRegistry, quarantine, daemon: name, listPeers: listPresumedUp, clock: time, events,
+			log: log.open(), kinds: [loggedRequests], daemon: name, listPeers: listPresumedUp, clock: time, events,
 		});
 		const follower = createKeyedFollower({
 			log: log.open(), clock: time, events, longPollMs: 0, readIntervalMs: logReadIntervalMs,
--- a/src/coordination/quarantine.test.ts
+++ b/src/coordination/quarantine.test.ts
@@ -161,7 +161,9 @@
 		onCrash: () => undefined,
 	});
 	quarantine.trackRun(digest, {request: 'r1', parts: 'a1 b2'}).recordCrash('u1');
-	expect(logged).toMatchObject([{request: 'r1', parts: 'a1 b2', upstream: 'u1', cause: 'crash'}]);
+	expect(logged).toMatchObject([{
+		request: 'r1', parts: 'a1 b2', upstream: 'u1', cause: 'crash',
+	}]);
 });
 
 test('a record is advertised for ten seconds after its last change', () => {
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -4,10 +4,12 @@
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type GatewayWire, type Route, type UpstreamRegistration,
 } from '../protocol/mod.js';
-import {createCrashRegistry, createUpstreamDirectory, type StreamOrigin} from '../state/mod.js';
+import {
+	createCrashRegistry, createPartCrashRegistry, createUpstreamDirectory, type StreamOrigin,
+} from '../state/mod.js';
 import {createSystemClock, type CallFailure, type UpstreamCall} from '../transport/mod.js';
 import {
-	CachedPromptSource, createQuarantine, createRequestForwarder, createRetryBudget, createTrafficCounter, createUpstreamRegistry, type ForwardRequest,
+	CachedPromptSource, createPartQuarantine, createQuarantine, createRequestForwarder, createRetryBudget, createTrafficCounter, createUpstreamRegistry, type ForwardRequest,
 } from './mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
@@ -52,6 +54,9 @@
 	const quarantine = createQuarantine({
 		crashRegistry: createCrashRegistry(), daemon: 'g', listPeers: () => [], clock, events, onChange: () => undefined, onCrash: () => undefined,
 	});
+	const partQuarantine = createPartQuarantine({
+		registry: createPartCrashRegistry(), clock, events, onChange: () => undefined, onCrash: () => undefined, claimTrial: async () => false,
+	});
 	const calls: UpstreamCall[] = [];
 	const recorded: Array<StreamOrigin & {readonly stream: string}> = [];
 	const received = {
@@ -92,6 +97,7 @@
 		promptSourcePolicy: new CachedPromptSource(),
 		findRetryBudget: () => retries,
 		quarantine,
+		partQuarantine,
 		crashDetector: {hasCrashed: async ({id}) => crashed.has(id)},
 		client: {
 			async call(call) {
@@ -111,13 +117,14 @@
 	});
 	const retries = createRetryBudget({ratio: 0.2, burst: 10});
 
-	async function forward(route: Partial<Route>, deadline = 5000, resumed: Partial<Pick<ForwardRequest, 'resumes' | 'origin' | 'lastEventId'>> = {}) {
+	async function forward(route: Partial<Route>, deadline = 5000, fields: Partial<Pick<ForwardRequest, 'resumes' | 'origin' | 'lastEventId' | 'parts'>> = {}) {
 		const callerGone = new AbortController();
 		const request: ForwardRequest = {
 			id: 'r1',
 			resumes: undefined,
 			origin: undefined,
 			digest: 'd1',
+			parts: [],
 			route: {
 				id: 'r', host: 'h', prefix: '/', kind: 'stream', timeout: deadline, objective: 300, priority: 0, isOpen: true, attempts: 2, isResumable: false, targets: [{service: 's', weight: 1}], ...route,
 			},
@@ -144,11 +151,11 @@
 				},
 			},
 		};
-		return forwarder.forward({...request, ...resumed});
+		return forwarder.forward({...request, ...fields});
 	}
 
 	return {
-		forward, calls, recorded, received, retries, directory, crashed, quarantine,
+		forward, calls, recorded, received, retries, directory, crashed, quarantine, partQuarantine,
 	};
 }
 
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -10,6 +10,7 @@
 import type {StreamOrigin} from '../state/mod.js';
 import {StreamAnswerRelay, BufferedAnswerRelay, type AnswerRelay} from './answer-relay.js';
 import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
+import type {PartQuarantine} from './part-quarantine.js';
 import type {PlacementCandidate} from './placement-policy.js';
 import type {Quarantine} from './quarantine.js';
 import {hasTimeLeft} from './remaining-time.js';
@@ -29,6 +30,7 @@
 	/** Returns the retry budget of a service. */
 	readonly findRetryBudget: (service: string) => RetryBudget;
 	readonly quarantine: Pick<Quarantine, 'trackRun' | 'isSuspected' | 'mayRetry'>;
+	readonly partQuarantine: Pick<PartQuarantine, 'trackRun' | 'isSuspected' | 'mayRetry' | 'admit' | 'admitSend'>;
 	readonly events: EventLog;
 };
 
@@ -36,7 +38,7 @@
 export type RequestForwarder = ReturnType<typeof createRequestForwarder>;
 
 /** Why no upstream answered a request, and when its caller may retry if it has not run, in milliseconds. */
-type UnansweredReason = {readonly detail: string; readonly retryAfterMs: number; readonly type?: 'overloaded' | 'stream-unresumable'};
+type UnansweredReason = {readonly detail: string; readonly retryAfterMs: number; readonly type?: 'overloaded' | 'stream-unresumable' | 'prompt-quarantined'};
 
 /** Retry-after time for callers when every upstream is overloaded or unavailable. */
 const overloadedRetryAfterMs = 500;
@@ -54,7 +56,7 @@
  */
 export function createRequestForwarder(options: CreateRequestForwarderOptions) {
 	const {
-		wire, registry, eligibility, findRetryBudget, quarantine, clock, events,
+		wire, registry, eligibility, findRetryBudget, quarantine, partQuarantine, clock, events,
 	} = options;
 	const requestPlacement = createRequestPlacement(options);
 	const sender = createUpstreamSender(options);
@@ -107,6 +109,16 @@
 		};
 	}
 
+	// A part may have been held back since the request was admitted.
+	function describeHeld({parts}: ForwardRequest): UnansweredReason | undefined {
+		const admitted = partQuarantine.admit(parts);
+		return admitted.err ? {detail: admitted.val.detail, retryAfterMs: admitted.val.retryAfterMs ?? overloadedRetryAfterMs, type: 'prompt-quarantined'} : undefined;
+	}
+
+	function mayRetryElsewhere({digest, parts}: ForwardRequest, relay: AnswerRelay): boolean {
+		return relay.canRetry() && quarantine.mayRetry(digest) && partQuarantine.mayRetry(parts, {hasBegun: relay.eventCount > 0});
+	}
+
 	function createFinalFailure(request: ForwardRequest, progress: ForwardProgress, {detail, retryAfterMs, type = 'overloaded'}: UnansweredReason): Failure {
 		const isOutOfTime = !hasTimeLeft(request.deadline, clock.now());
 		if (progress.mayHaveRun) {
@@ -146,8 +158,14 @@
 			let deliveries = 0;
 			let deliverFailure: (() => void) | undefined;
 			let detail = '';
+			let held: UnansweredReason | undefined;
 			retryBudget.deposit();
 			for (;;) {
+				held = describeHeld(request);
+				if (held) {
+					break;
+				}
+
 				const placement = requestPlacement.pick(request, tried, state.origin);
 				const isFirst = deliveries === 0;
 				if (placement === undefined || !hasTimeLeft(request.deadline, clock.now()) || progress.sends >= request.route.attempts || !(isFirst || retryBudget.tryWithdraw())) {
@@ -180,7 +198,7 @@
 				events.write('requestRetried', {
 					request: request.id, upstream: id, softwareVersion: progress.softwareVersion, outcome: outcome.kind, events: relay.eventCount, detail,
 				});
-				if (outcome.kind !== 'not-run' && !(relay.canRetry() && quarantine.mayRetry(request.digest))) {
+				if (outcome.kind !== 'not-run' && !mayRetryElsewhere(request, relay)) {
 					break;
 				}
 			}
@@ -190,7 +208,7 @@
 				return buildReport(state, 'passed-on', detail);
 			}
 
-			const reason = tried.size === 0 ? describeUnsent(state) : describeLast(detail, state.origin);
+			const reason = held ?? (tried.size === 0 ? describeUnsent(state) : describeLast(detail, state.origin));
 			return finishUnanswered(state, reason);
 		},
 	};
--- a/src/coordination/request-placement.ts
+++ b/src/coordination/request-placement.ts
@@ -10,6 +10,7 @@
 	LeastRunningPolicy, PromptPlacementPolicy, ServicePlacementPolicy, type PlacementCandidate, type PlacementPolicy, type PlacementQuery,
 } from './placement-policy.js';
 import type {PromptSourceOptions, PromptSourcePolicy} from './prompt-source.js';
+import type {PartQuarantine} from './part-quarantine.js';
 import type {Quarantine} from './quarantine.js';
 import type {UpstreamRegistry} from './upstream-registry.js';
 
@@ -17,6 +18,7 @@
 export type CreateRequestPlacementOptions = {
 	readonly registry: Pick<UpstreamRegistry, 'get' | 'listCandidates'>;
 	readonly quarantine: Pick<Quarantine, 'isSuspected'>;
+	readonly partQuarantine: Pick<PartQuarantine, 'isSuspected'>;
 	/** Chooses from where an upstream fetches the cached part of a prompt. */
 	readonly promptSourcePolicy: PromptSourcePolicy;
 };
@@ -32,20 +34,22 @@
  *
  * @example
  * ```ts
- * const placement = createRequestPlacement({registry, quarantine, promptSourcePolicy: new CachedPromptSource()});
+ * const placement = createRequestPlacement({registry, quarantine, partQuarantine, promptSourcePolicy: new CachedPromptSource()});
  * placement.pick(request, new Set())?.candidate.id;
  * ```
  *
  * @param options The upstreams, suspected requests and the choice of prompt sources
  * @returns The choice
  */
-export function createRequestPlacement({registry, quarantine, promptSourcePolicy}: CreateRequestPlacementOptions) {
+export function createRequestPlacement({
+	registry, quarantine, partQuarantine, promptSourcePolicy,
+}: CreateRequestPlacementOptions) {
 	const suspectPolicy: PlacementPolicy = new LeastRunningPolicy();
 	const promptPolicy: PlacementPolicy = new PromptPlacementPolicy();
 	const servicePolicy: PlacementPolicy = new ServicePlacementPolicy();
 
-	function findPolicy({digest, generation}: ForwardRequest): PlacementPolicy {
-		if (quarantine.isSuspected(digest)) {
+	function findPolicy({digest, parts, generation}: ForwardRequest): PlacementPolicy {
+		if (quarantine.isSuspected(digest) || partQuarantine.isSuspected(parts)) {
 			return suspectPolicy;
 		}
 
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/upstream-sender.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type {AnswerMetadata, GatewayWire} from '../protocol/mod.js';
+import type {AnswerMetadata, GatewayWire, Result} from '../protocol/mod.js';
 import type {StreamOrigin} from '../state/mod.js';
 import {
 	createTimeoutSignal, type CallFailure, type Clock, type UpstreamResponse, type UpstreamClient,
@@ -12,6 +12,8 @@
 import type {CrashDetector} from './crash-detector.js';
 import type {ForwardReport, ForwardRequest} from './forward-types.js';
 import type {LimitRecorder} from './limit-recorder.js';
+import {computeStartKey} from './part-keys.js';
+import type {PartQuarantine, PartRun} from './part-quarantine.js';
 import {formatSharedParts} from './placement-policy.js';
 import type {Quarantine} from './quarantine.js';
 import {hasTimeLeft} from './remaining-time.js';
@@ -32,6 +34,7 @@
 	readonly limitRecorder: Pick<LimitRecorder, 'recordAnswer'>;
 	readonly traffic: Pick<TrafficCounter, 'record'>;
 	readonly quarantine: Pick<Quarantine, 'trackRun'>;
+	readonly partQuarantine: Pick<PartQuarantine, 'trackRun' | 'admitSend'>;
 	readonly crashDetector: CrashDetector;
 	readonly streamRecorder: Pick<StreamRecorder, 'recordEvents'>;
 	readonly clock: Clock;
@@ -83,6 +86,15 @@
 	return metadata.requestId !== undefined && metadata.requestId !== request.id;
 }
 
+const firstRedirectStatus = 300;
+
+/** @internal An answer with another status than success does not show that the upstream read the prompt. */
+function recordPartsAnswered(run: PartRun, called: Result<UpstreamResponse, CallFailure>): void {
+	if (called.ok && called.val.status < firstRedirectStatus) {
+		run.recordAnswer();
+	}
+}
+
 /**
  * Creates a sender.
  *
@@ -96,7 +108,7 @@
  */
 export function createUpstreamSender(options: CreateUpstreamSenderOptions) {
 	const {
-		wire, client, registry, eligibility, limitRecorder, traffic, quarantine, crashDetector, streamRecorder, clock,
+		wire, client, registry, eligibility, limitRecorder, traffic, quarantine, partQuarantine, crashDetector, streamRecorder, clock,
 	} = options;
 
 	// An upstream that registered again with another version since the request was written may have run it with either.
@@ -176,6 +188,7 @@
 			}
 
 			const tracker = registry.trackRequest(id, request);
+			const partRun = partQuarantine.trackRun(request.parts);
 			const trackedRun = quarantine.trackRun(request.digest, {request: request.id, parts: formatSharedParts(request.generation)});
 			const stallTimeout = createStallTimeout({objective: request.route.objective, canRetry: () => canRetryElsewhere(state), clock});
 			const remaining = request.deadline - clock.now();
@@ -195,7 +208,7 @@
 					signal: timeLimit.signal,
 					shouldUseNewConnection: !relay.canRetry(),
 					shouldStillSend() {
-						isWithheld = !hasTimeLeft(request.deadline, clock.now()) || !eligibility.admitSend(id, request.service, state.origin);
+						isWithheld = !hasTimeLeft(request.deadline, clock.now()) || !eligibility.admitSend(id, request.service, state.origin) || !partQuarantine.admitSend(request.parts);
 						sentAt = clock.now();
 						softwareVersion = registry.get(id)?.softwareVersion;
 						return !isWithheld;
@@ -225,13 +238,15 @@
 					tracker.recordUnresponsive();
 				} else if (outcome.kind === 'failed') {
 					tracker.recordFailure();
-				} else if (outcome.kind === 'complete') {
-					trackedRun.recordAnswer();
 				}
 
-				// The quarantine must know of the crash before the request is sent to another upstream.
+				// The quarantines must know of the crash before the request is sent to another upstream.
 				if (outcome.kind === 'broken' && outcome.wasConnectionLost && !timeLimit.signal.aborted && await crashDetector.hasCrashed(upstream)) {
 					trackedRun.recordCrash(id);
+					partRun.recordCrash({id, start: computeStartKey(upstream)}, request.id);
+				} else if (outcome.kind === 'complete') {
+					trackedRun.recordAnswer();
+					recordPartsAnswered(partRun, called);
 				}
 
 				return outcome;
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -9,16 +9,14 @@
 import {
 	CachedPromptSource, NearReceiverPolicy, OwnedShare, SubstitutedShare,
 	createAdmission, createBudgetOwners, createColdAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createPeerCatchUp,
-	createQuarantine, createQuarantineRecorder, createRelayedLog, createRequestForwarder, createRetryAfterEstimator,
-	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, fanOut, monitorEventLoop,
+	createRelayedLog, createRequestForwarder, createRetryAfterEstimator,
+	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, decodePart, fanOut, monitorEventLoop,
 	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type ProcessStats,
 } from '../coordination/mod.js';
 import {
 	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
 } from '../protocol/mod.js';
-import {
-	createCrashRegistry, createPeerViews, createUpstreamLimits, type PeerView,
-} from '../state/mod.js';
+import {createPeerViews, createUpstreamLimits, type PeerView} from '../state/mod.js';
 import {
 	createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, probeAddress, startCallerServer, startFleetServer,
 } from '../transport/mod.js';
@@ -27,6 +25,7 @@
 import {createGatewayFleet} from './gateway-fleet.js';
 import {createGatewayInterface} from './gateway-interface.js';
 import {createGatewayPeerInterface} from './gateway-peer-interface.js';
+import {createGatewayQuarantines} from './gateway-quarantines.js';
 import {createGatewayState, type GatewayAdapter} from './gateway-state.js';
 import {createGatewayStreams} from './gateway-streams.js';
 import {createGatewayTokens} from './gateway-tokens.js';
@@ -121,7 +120,7 @@
 			budgetManager.applyOwnRecord(record);
 		},
 		onQuarantineRecord(record) {
-			quarantineRecorder.applyRecord(record);
+			quarantines.applyRecord(record);
 		},
 	});
 	const {
@@ -182,7 +181,7 @@
 	function buildView(): PeerView {
 		upstreamRegistry.prune();
 		upstreamLimits.prune(upstream => directory.get(upstream) !== undefined);
-		quarantine.prune();
+		quarantines.prune();
 		streams.recorder.prune();
 		return {
 			daemon: self.daemon,
@@ -192,7 +191,8 @@
 			uses: upstreamRegistry.listUses(),
 			version: getDeploymentVersion(),
 			isLeaving: stopWindow.hasBegun(),
-			crashes: quarantine.listRecent(),
+			crashes: quarantines.requests.listRecent(),
+			parts: quarantines.parts.listRecent(),
 			domains: evacuations.listAnnounced(clock.now()),
 			limits: upstreamLimits.listAnnouncements(clock.now()),
 		};
@@ -202,7 +202,8 @@
 		return {
 			deployment: knownVersion < getDeploymentVersion() ? new TextEncoder().encode(state.getDeploymentRecord()) : new Uint8Array(),
 			prompts: wantsPrompts ? upstreamRegistry.listCachedPrompts() : [],
-			crashes: wantsPrompts ? quarantine.listAll() : [],
+			crashes: wantsPrompts ? quarantines.requests.listAll() : [],
+			parts: wantsPrompts ? quarantines.parts.listAll() : [],
 		};
 	}
 
@@ -216,11 +217,17 @@
 	const retryAfterEstimator = createRetryAfterEstimator({clock, findMaxStopMs: computeStopDurationMs});
 	const catchUp = createPeerCatchUp({
 		clock, events, findVersion: getDeploymentVersion,
-		queryPeer: async (address, query) => fleet.connect(address).gateway.catchUp(query, {timeoutMs: peerTimeoutMs}),
+		async queryPeer(address, query) {
+			const {parts, ...answer} = await fleet.connect(address).gateway.catchUp(query, {timeoutMs: peerTimeoutMs});
+			return {...answer, parts: parts.map(part => decodePart(part))};
+		},
 		onDeployment: state.adoptFromPeer,
 		onPrompt: upstreamRegistry.recordPeerPrompt,
 		onCrashRecord(record) {
-			quarantine.merge(record, 'peer');
+			quarantines.requests.merge(record, 'peer');
+		},
+		onPartRecord(record) {
+			quarantines.parts.merge(record, 'peer');
 		},
 		abandonConnection(address) {
 			fleet.connect(address).abandon();
@@ -239,10 +246,7 @@
 		onView(view) {
 			retryAfterEstimator.recordView(view);
 			catchUp.handleView(view);
-			for (const record of view.crashes) {
-				quarantine.merge(record, 'peer');
-			}
-
+			quarantines.mergeView(view);
 			for (const domain of view.domains) {
 				state.adoptDomainFromPeer(domain, view.daemon);
 			}
@@ -262,18 +266,8 @@
 	});
 	const listPresumedUpPeers = () => gatewayFleet.listPeers().map(({daemon}) => daemon).filter(daemon => gossip.isPresumedUp(daemon));
 	const owners = createBudgetOwners({clock, daemon: self.daemon, listPeers: listPresumedUpPeers});
-	const crashRegistry = createCrashRegistry();
-	const quarantine = createQuarantine({
-		crashRegistry, daemon: self.daemon, listPeers: listPresumedUpPeers, clock, events,
-		onChange() {
-			gossip.markChanged();
-		},
-		onCrash(digest) {
-			quarantineRecorder.recordCrash(digest);
-		},
-	});
-	const quarantineRecorder = createQuarantineRecorder({
-		log: logs.grants, crashRegistry, quarantine, daemon: self.daemon, listPeers: listPresumedUpPeers, clock, events,
+	const quarantines = createGatewayQuarantines({
+		daemon: self.daemon, log: logs.grants, follower: state.grantFollower, listPeers: listPresumedUpPeers, gossip, clock, events, signal,
 	});
 	const tokens = createGatewayTokens({
 		self, state, log: logs.grants, fleet, owners, gossip, peerViews, peerTimeoutMs, clock, events, signal,
@@ -292,7 +286,8 @@
 		traffic,
 		streamRecorder: streams.recorder,
 		promptSourcePolicy: new CachedPromptSource(),
-		quarantine,
+		quarantine: quarantines.requests,
+		partQuarantine: quarantines.parts,
 		crashDetector: createCrashDetector({
 			isExpectedUp: eligibility.isExpectedUp,
 			probe: async address => probeAddress(address, {timeoutMs: probeTimeoutMs}),
@@ -307,12 +302,12 @@
 		},
 	});
 	const callerInterface = createGatewayInterface({
-		wire: adapter.wire, findRouteTable, syncViews: async unreadMs => state.syncViews(unreadMs, signal), budgetManager, forwarder, streamResolver: streams.resolver, metrics, clock, events, stopWindow, admission, quarantine,
+		wire: adapter.wire, findRouteTable, syncViews: async unreadMs => state.syncViews(unreadMs, signal), budgetManager, forwarder, streamResolver: streams.resolver, metrics, clock, events, stopWindow, admission, quarantine: quarantines.requests, partQuarantine: quarantines.parts,
 		computeStopRetryAfterMs: () => retryAfterEstimator.estimate(peerViews.list(), {ownRemainingMs: stopWindow.computeRemainingMs()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve);
 	const statusServers = await startStatusServers(settings, {
-		readinessPath: adapter.wire.readinessPath, quarantine, events,
+		readinessPath: adapter.wire.readinessPath, quarantine: quarantines.requests, partQuarantine: quarantines.parts, events,
 		isReady: () => state.isReady() && !stopWindow.hasBegun(),
 		formatMetrics: readinessResponses => formatGatewayMetrics({
 			metrics,
@@ -321,7 +316,8 @@
 			deploymentVersion: getDeploymentVersion(),
 			account,
 			admission,
-			quarantine,
+			quarantine: quarantines.requests,
+			partQuarantine: quarantines.parts,
 			upstreamLimits,
 			traffic,
 			streamRecorder: streams.recorder,
@@ -363,7 +359,7 @@
 	tokens.run();
 	void gossip.run(signal);
 	void reportTraffic();
-	void quarantineRecorder.run(signal);
+	quarantines.run();
 	void monitorEventLoop({
 		clock, onWindow: admission.recordLag, readStats: readProcessStats,
 		onStall(stall) {
--- a/src/daemon/gateway-interface.test.ts
+++ b/src/daemon/gateway-interface.test.ts
@@ -61,7 +61,7 @@
 	} as unknown as BudgetManager;
 	const admission = {admit: () => Ok(() => undefined)} as unknown as Admission;
 	const callerInterface = createGatewayInterface({
-		wire, findRouteTable: () => createRouteTable(deployment), syncViews: async () => undefined, budgetManager, admission, quarantine: {admit: () => Ok(undefined)}, forwarder: undefined as unknown as RequestForwarder, streamResolver: undefined as unknown as StreamResolver,
+		wire, findRouteTable: () => createRouteTable(deployment), syncViews: async () => undefined, budgetManager, admission, quarantine: {admit: () => Ok(undefined)}, partQuarantine: {admit: () => Ok(undefined), tryTrial: async () => false}, forwarder: undefined as unknown as RequestForwarder, streamResolver: undefined as unknown as StreamResolver,
 		metrics: createMetrics(), clock, events, stopWindow: createStopWindow({noticeMs: 1, clock}), computeStopRetryAfterMs: () => 100,
 	});
 	const server = await startCallerServer({host: '127.0.0.1', port: 0}, callerInterface.serve);
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -6,8 +6,8 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {
-	Admission, BudgetManager, CallerAnswer, ForwardReport, ForwardRequest, Metrics, Quarantine, RequestForwarder, StreamResolver,
+import {
+	listPartKeys, type Admission, type BudgetManager, type CallerAnswer, type ForwardReport, type ForwardRequest, type Metrics, type PartKey, type PartQuarantine, type Quarantine, type RequestForwarder, type StreamResolver,
 } from '../coordination/mod.js';
 import {
 	Err, Ok, createFailure, type GatewayCustomer, type EventLog, type Failure, type GatewayWire, type RequestMetadata, type Result, type Route, type GatewayService,
@@ -35,6 +35,7 @@
 	readonly stopWindow: StopWindow;
 	readonly admission: Admission;
 	readonly quarantine: Pick<Quarantine, 'admit'>;
+	readonly partQuarantine: Pick<PartQuarantine, 'admit' | 'tryTrial'>;
 	/** Returns the time after which a caller refused by a stopping gateway may retry, in milliseconds. */
 	readonly computeStopRetryAfterMs: () => number;
 };
@@ -53,6 +54,8 @@
 	readonly route: Route;
 	readonly service: GatewayService;
 	readonly customer: GatewayCustomer | undefined;
+	/** The parts of the prompt that other requests may contain too. */
+	readonly parts: readonly PartKey[];
 };
 
 /** Time that a request has left when it is admitted, and its deadline on the monotonic clock, in milliseconds. */
@@ -127,7 +130,7 @@
  */
 export function createGatewayInterface(options: CreateGatewayInterfaceOptions) {
 	const {
-		wire, findRouteTable, syncViews, budgetManager, forwarder, streamResolver, metrics, clock, events, stopWindow, admission, quarantine, computeStopRetryAfterMs,
+		wire, findRouteTable, syncViews, budgetManager, forwarder, streamResolver, metrics, clock, events, stopWindow, admission, quarantine, partQuarantine, computeStopRetryAfterMs,
 	} = options;
 	const runningRequests = new Set<IncomingMessage>();
 	const requestCounts = new WeakMap<Socket, number>();
@@ -167,7 +170,7 @@
 		const service = table.findService(id);
 		return service
 			? Ok({
-				metadata: metadata.val, route, service, customer: customer.val,
+				metadata: metadata.val, route, service, customer: customer.val, parts: listPartKeys(id, metadata.val.generation),
 			})
 			: Err(createFailure('no-upstream', `Service "${id}" is not configured`, {retryAfterMs: notReadyRetryAfterMs}));
 	}
@@ -262,6 +265,12 @@
 		}
 	}
 
+	// Admits a request with a held part only as the next trial of that part.
+	async function checkParts({parts}: ResolvedRequest): Promise<Result<undefined, Failure>> {
+		const admitted = partQuarantine.admit(parts);
+		return admitted.err && await partQuarantine.tryTrial(parts) ? Ok(undefined) : admitted;
+	}
+
 	function getPriority({route, customer}: ResolvedRequest): number {
 		return customer?.priority ?? route.priority;
 	}
@@ -271,6 +280,12 @@
 	}
 
 	async function serveWithAdmission(request: IncomingMessage, resolved: ResolvedRequest, context: RequestContext): Promise<void> {
+		const partCheck = await checkParts(resolved);
+		if (partCheck.err) {
+			refuse(context, resolved.metadata.id, partCheck.val);
+			return;
+		}
+
 		const permit = admission.admit({priority: getPriority(resolved), timeoutMs: computeTimeoutMs(resolved), elapsedMs: clock.now() - context.arrivedAt});
 		if (permit.err) {
 			refuse(context, resolved.metadata.id, permit.val);
@@ -285,7 +300,9 @@
 	}
 
 	async function serveAdmitted(request: IncomingMessage, resolved: ResolvedRequest, context: RequestContext): Promise<void> {
-		const {metadata, route, service, customer} = resolved;
+		const {
+			metadata, route, service, customer, parts,
+		} = resolved;
 		const {answer, abortController, arrival, unreadMs, arrivedAt} = context;
 		const startedAt = clock.now();
 		const deadline = arrivedAt + computeTimeoutMs(resolved);
@@ -355,11 +372,13 @@
 				return;
 			}
 
+			const finalService = origin ? findRouteTable()?.findService(origin.val.service) ?? service : service;
 			const forwardRequest: ForwardRequest = {
 				id: metadata.id,
 				digest,
 				route,
-				service: origin ? findRouteTable()?.findService(origin.val.service) ?? service : service,
+				service: finalService,
+				parts: finalService === service ? parts : listPartKeys(finalService.id, metadata.generation),
 				customer: customer?.id,
 				priority: getPriority(resolved),
 				method: request.method ?? 'GET',
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -5,7 +5,7 @@
  */
 import process from 'node:process';
 import type {
-	Admission, Metrics, Quarantine, StreamRecorder, TrafficCounter,
+	Admission, Metrics, PartQuarantine, Quarantine, StreamRecorder, TrafficCounter,
 } from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
 import type {TokenAccount, UpstreamLimits} from '../state/mod.js';
@@ -22,6 +22,7 @@
 	readonly account: TokenAccount;
 	readonly admission: Pick<Admission, 'getLimit' | 'getLagMs'>;
 	readonly quarantine: Pick<Quarantine, 'listAll' | 'listHeld'>;
+	readonly partQuarantine: Pick<PartQuarantine, 'countBlamed' | 'listHeld'>;
 	readonly upstreamLimits: Pick<UpstreamLimits, 'count'>;
 	readonly traffic: Pick<TrafficCounter, 'list'>;
 	readonly streamRecorder: Pick<StreamRecorder, 'count' | 'countEvictions'>;
@@ -37,7 +38,7 @@
  * @example
  * ```ts
  * response.end(formatGatewayMetrics({
- * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, upstreamLimits, traffic, streamRecorder, callerServerStatistics, readinessResponses: 2,
+ * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, partQuarantine, upstreamLimits, traffic, streamRecorder, callerServerStatistics, readinessResponses: 2,
  * }));
  * ```
  *
@@ -46,7 +47,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, upstreamLimits, traffic, streamRecorder, callerServerStatistics, readinessResponses,
+		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, partQuarantine, upstreamLimits, traffic, streamRecorder, callerServerStatistics, readinessResponses,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${runningRequests}`,
@@ -59,6 +60,8 @@
 		`fireflylane_requests_begun_total ${callerServerStatistics.requests}`,
 		`fireflylane_requests_suspected ${quarantine.listAll().filter(({crashes}) => crashes > 0).length}`,
 		`fireflylane_requests_held ${quarantine.listHeld().length}`,
+		`fireflylane_parts_suspected ${partQuarantine.countBlamed()}`,
+		`fireflylane_parts_held ${partQuarantine.listHeld().length}`,
 		`fireflylane_upstreams_limited ${upstreamLimits.count()}`,
 		`fireflylane_streams_recorded ${streamRecorder.count()}`,
 		`fireflylane_stream_records_evicted_total ${streamRecorder.countEvictions()}`,
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type {ServiceImpl} from '@connectrpc/connect';
-import type {
-	CatchUpAnswer, CatchUpQuery, Repayment, StreamAnswer, StreamQuery, TokenLoanRequest,
+import {
+	encodePart, type CatchUpAnswer, type CatchUpQuery, type Repayment, type StreamAnswer, type StreamQuery, type TokenLoanRequest,
 } from '../coordination/mod.js';
 import type {Gateway} from '../protocol/mod.js';
 
@@ -31,8 +31,12 @@
 export function createGatewayPeerInterface(options: CreateGatewayPeerInterfaceOptions): ServiceImpl<typeof Gateway> {
 	return {
 		catchUp(request) {
-			const {deployment, prompts, crashes} = options.handleCatchUp(request);
-			return {deployment, prompts: [...prompts], crashes: [...crashes]};
+			const {
+				deployment, prompts, crashes, parts,
+			} = options.handleCatchUp(request);
+			return {
+				deployment, prompts: [...prompts], crashes: [...crashes], parts: parts.map(part => encodePart(part)),
+			};
 		},
 		lend: async request => ({tokens: await options.lend(request)}),
 		async findStream({stream, route}) {
--- a/src/daemon/quarantine-interface.test.ts
+++ b/src/daemon/quarantine-interface.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from 'vitest';
-import {createQuarantine} from '../coordination/mod.js';
+import {createPartQuarantine, createQuarantine} from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
-import {createCrashRegistry} from '../state/mod.js';
+import {createCrashRegistry, createPartCrashRegistry} from '../state/mod.js';
 import {createSystemClock, startHttpServer} from '../transport/mod.js';
 import {addQuarantineRoutes} from './quarantine-interface.js';
 
@@ -15,10 +15,22 @@
 		quarantine.trackRun('d1').recordCrash('u');
 	}
 
+	const clock = createSystemClock();
+	const partQuarantine = createPartQuarantine({
+		registry: createPartCrashRegistry(), clock, events, onChange: () => undefined, onCrash: () => undefined, claimTrial: async () => false,
+	});
+	for (const upstream of [1, 2, 3]) {
+		partQuarantine.merge({
+			digest: 'p1', round: 0, trials: 0, crashes: [{upstream, ageMs: upstream * 1000}],
+		}, 'peer');
+	}
+
 	const server = await startHttpServer({host: '127.0.0.1', port: 0}, service => {
-		addQuarantineRoutes(service, {operatorKey, quarantine, events});
+		addQuarantineRoutes(service, {
+			operatorKey, quarantine, partQuarantine, events,
+		});
 	});
-	return {server, quarantine};
+	return {server, quarantine, partQuarantine};
 }
 
 test('an operator can list quarantined requests and release each of them once', async () => {
@@ -33,6 +45,16 @@
 	server.closeAllConnections();
 });
 
+test('an operator can list and release parts of prompts that are held back', async () => {
+	const {server, partQuarantine} = await startGateway('');
+	const listed = await fetch(`${server.url}/v1/quarantine`);
+	expect(await listed.json()).toMatchObject({heldParts: [{digest: 'p1', crashes: 3, trials: 0}]});
+	const released = await fetch(`${server.url}/v1/quarantine/p1`, {method: 'POST'});
+	expect(released.status).toBe(200);
+	expect(partQuarantine.listHeld()).toEqual([]);
+	server.closeAllConnections();
+});
+
 test('without the operator key nothing can be listed or released', async () => {
 	const {server, quarantine} = await startGateway('secret');
 	const listed = await fetch(`${server.url}/v1/quarantine`);
--- a/src/daemon/quarantine-interface.ts
+++ b/src/daemon/quarantine-interface.ts
@@ -1,11 +1,11 @@
 /**
- * Serves operators' calls about quarantined requests.
+ * Serves operators' calls about quarantined requests and parts of prompts.
  *
  * @module
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type restana from 'restana';
-import type {Quarantine} from '../coordination/mod.js';
+import type {PartQuarantine, Quarantine} from '../coordination/mod.js';
 import {createFailure, isSameSecret, type EventLog} from '../protocol/mod.js';
 import {sendFailure, sendJson} from '../transport/mod.js';
 
@@ -14,6 +14,7 @@
 	/** Key that operators must send; if empty, no key is required. */
 	readonly operatorKey: string;
 	readonly quarantine: Pick<Quarantine, 'listHeld' | 'release'>;
+	readonly partQuarantine: Pick<PartQuarantine, 'listHeld' | 'release'>;
 	readonly events: EventLog;
 };
 
@@ -22,20 +23,23 @@
 
 /**
  * Adds the quarantine routes: `GET /v1/quarantine` lists the quarantined
- * requests, and `POST /v1/quarantine/DIGEST` releases one at all gateways.
+ * requests and parts of prompts, and `POST /v1/quarantine/DIGEST` releases one
+ * at all gateways.
  *
  * @example
  * ```ts
  * await startHttpServer(address, service => {
- * 	addQuarantineRoutes(service, {operatorKey, quarantine, events});
+ * 	addQuarantineRoutes(service, {operatorKey, quarantine, partQuarantine, events});
  * });
  * ```
  *
  * @param service The server to which the routes are added
- * @param options The operator key and the quarantine
+ * @param options The operator key and the quarantines
  */
 export function addQuarantineRoutes(service: restana.Service<restana.Protocol.HTTP>, options: AddQuarantineRoutesOptions): void {
-	const {operatorKey, quarantine, events} = options;
+	const {
+		operatorKey, quarantine, partQuarantine, events,
+	} = options;
 
 	function checkOperatorKey(request: IncomingMessage, response: ServerResponse): boolean {
 		const authorization = request.headers.authorization ?? '';
@@ -50,7 +54,7 @@
 
 	service.get(quarantinePath, (request, response) => {
 		if (checkOperatorKey(request, response)) {
-			sendJson(response, {held: quarantine.listHeld()});
+			sendJson(response, {held: quarantine.listHeld(), heldParts: partQuarantine.listHeld()});
 		}
 	});
 	service.post(`${quarantinePath}/:digest`, (request, response) => {
@@ -59,10 +63,10 @@
 		}
 
 		const {digest} = request.params as {digest: string};
-		if (quarantine.release(digest)) {
+		if (quarantine.release(digest) || partQuarantine.release(digest)) {
 			sendJson(response, {released: digest});
 		} else {
-			sendFailure(response, createFailure('unknown-object', `No crashes are recorded for a request with digest "${digest}"`));
+			sendFailure(response, createFailure('unknown-object', `No crashes are recorded for a request or part with digest "${digest}"`));
 		}
 	});
 }
--- a/src/daemon/status-servers.ts
+++ b/src/daemon/status-servers.ts
@@ -14,6 +14,7 @@
 	readonly isReady: () => boolean;
 	readonly formatMetrics: (readinessResponses: number) => string;
 	readonly quarantine: AddQuarantineRoutesOptions['quarantine'];
+	readonly partQuarantine: AddQuarantineRoutesOptions['partQuarantine'];
 	readonly events: EventLog;
 };
 
@@ -35,7 +36,7 @@
  * @throws {Error} If a server cannot listen on its address
  */
 export async function startStatusServers({listen, operatorKey}: GatewaySettings, options: StartStatusServersOptions) {
-	const {quarantine, events} = options;
+	const {quarantine, partQuarantine, events} = options;
 	let readinessResponses = 0;
 	const readiness = await startHttpServer(listen.readiness, service => {
 		service.get(options.readinessPath, (_request, response) => {
@@ -45,7 +46,9 @@
 		});
 	});
 	const metrics = await startHttpServer(listen.metrics, service => {
-		addQuarantineRoutes(service, {operatorKey, quarantine, events});
+		addQuarantineRoutes(service, {
+			operatorKey, quarantine, partQuarantine, events,
+		});
 		service.get('/metrics', (_request, response) => {
 			response.setHeader('content-type', 'text/plain; version=0.0.4');
 			response.end(options.formatMetrics(readinessResponses));
--- a/src/protocol/deployment.ts
+++ b/src/protocol/deployment.ts
@@ -116,6 +116,8 @@
 	warmUp: z.number().nonnegative(),
 	/** Version of the upstream's software; undefined if it does not say. */
 	softwareVersion: z.string().min(1).optional(),
+	/** When it started, in milliseconds of Unix time by its own clock; undefined if it does not say. */
+	startedAt: z.number().int().optional(),
 });
 
 export type RouteKind = z.infer<typeof routeKindSchema>;
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -56,6 +56,7 @@
 	requestEnded: {number: 1408, text: 'request ended'},
 	requestFailed: {number: 1409, text: 'request failed with an unexpected error'},
 	requestSuspected: {number: 1412, text: 'request suspected of crashing upstreams'},
+	partSuspected: {number: 1417, text: 'part of a prompt suspected of crashing upstreams'},
 	loopStalled: {number: 1413, text: 'event loop stalled'},
 	streamOriginFound: {number: 1415, text: 'origin of a stream that its caller resumes found'},
 	streamRecordEvicted: {number: 1416, text: 'record of a stream evicted before its caller can no longer resume it'},
--- a/src/protocol/failures.ts
+++ b/src/protocol/failures.ts
@@ -91,6 +91,9 @@
 	quarantined: {
 		status: 502, title: 'Upstreams crash when they run this request', retryable: false, exitCode: 7,
 	},
+	'prompt-quarantined': {
+		status: 503, title: 'Upstreams crash when they answer prompts with one of its parts', retryable: true, exitCode: 7,
+	},
 	'answer-gone': {
 		status: 410, title: 'The request ran and its answer is no longer kept', retryable: false, exitCode: 7,
 	},
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -12,6 +12,7 @@
 export * from './grant-registry.js';
 export * from './ledger.js';
 export * from './only-origin.js';
+export * from './part-crash-registry.js';
 export * from './peer-views.js';
 export * from './placement.js';
 export * from './prompt-cache.js';
--- a/src/state/peer-views.ts
+++ b/src/state/peer-views.ts
@@ -9,6 +9,7 @@
  */
 import type {CrashRecord} from './crash-registry.js';
 import type {DomainState} from './evacuations.js';
+import type {PartAnnouncement} from './part-crash-registry.js';
 import type {LimitAnnouncement} from './upstream-limits.js';
 
 /** Requests that one gateway has at one upstream. */
@@ -35,6 +36,8 @@
 	readonly isLeaving: boolean;
 	/** Recently changed records of requests during which upstreams crashed. */
 	readonly crashes: readonly CrashRecord[];
+	/** Recently changed records of parts of prompts during whose answers upstreams crashed. */
+	readonly parts: readonly PartAnnouncement[];
 	/** Failure domains that are evacuated or that returned recently. */
 	readonly domains: readonly DomainState[];
 	/** Limits that it has seen upstreams name, or no longer name. */
