Count a crash that ends an answer without a length

Cause: an answer without a length ends with its connection. If the engine crashes at that moment the answer looks complete, and a complete answer clears the request and its parts of all crashes: a part at fault would never be held back. Change: after such an answer the engine's address is probed as after a lost connection; if its process has ended, the run counts as a crash. A fixture that meant an answer with a known length now has one; its expectations are the same.

--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -448,13 +448,46 @@
 });
 
 test('an answer after a crash clears the suspicion of the request', async () => {
-	const fixture = createFixture([{fails: 'broken'}, {status: 200, chunks: ['ok']}]);
+	const fixture = createFixture([{fails: 'broken'}, {status: 200, headers: {...bufferedHeaders, 'content-length': '2'}, chunks: ['ok']}]);
 	fixture.crashed.add('u1').add('u2').add('u3');
 	await fixture.forward({kind: 'idempotent'});
 	expect(fixture.quarantine.listAll()).toMatchObject([{digest: 'd1', crashes: 0}]);
 	expect(fixture.received.body).toBe('ok');
 });
 
+// Guards against taking the end of a crashed upstream's connection for the end of an answer that shows its parts to be sound.
+test('an answer that ended with the connection of a crashed upstream counts as a crash', async () => {
+	const parts = [{id: 'bad', digest: 'p1'}];
+	for (const headers of [streamHeaders, {...streamHeaders, 'content-length': '20'}]) {
+		const fixture = createFixture([{status: 200, headers, chunks: ['id: 1\ndata: x\n\n']}]);
+		fixture.crashed.add('u1').add('u2').add('u3');
+		await fixture.forward({kind: 'stream'}, 5000, {parts});
+		const isDelimitedByClose = headers === streamHeaders;
+		expect(fixture.quarantine.listAll()).toMatchObject(isDelimitedByClose ? [{digest: 'd1', crashes: 1}] : []);
+		expect(fixture.partQuarantine.listAll()).toMatchObject(isDelimitedByClose ? [{digest: 'p1', crashes: [{}]}] : []);
+	}
+});
+
+// Guards against a request that waits for a connection while one of its parts is held back.
+test('a request with a held part is neither sent nor written, and is refused as not run', async () => {
+	const parts = [{id: 'bad', digest: 'p1'}];
+	const fixture = createFixture([{fails: 'unsent'}]);
+	const hold = () => {
+		fixture.partQuarantine.merge({
+			digest: 'p1', round: 0, trials: 0, crashes: [1, 2, 3].map(upstream => ({upstream, ageMs: upstream * 1000})),
+		}, 'peer');
+	};
+
+	const pending = fixture.forward({kind: 'idempotent'}, 5000, {parts});
+	hold();
+	expect(fixture.calls[0]!.shouldStillSend()).toBe(false);
+	await pending;
+	expect(fixture.calls).toHaveLength(1);
+	expect(fixture.received.refused).toMatchObject({type: 'prompt-quarantined', ran: 'no'});
+	await fixture.forward({kind: 'idempotent'}, 5000, {parts});
+	expect(fixture.calls).toHaveLength(1);
+});
+
 // Guards against suspecting requests that ended because of their deadline or an unresponsive upstream.
 test('a request that is aborted by the gateway is not suspected', async () => {
 	const response = {
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/upstream-sender.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
-import type {AnswerMetadata, GatewayWire, Result} from '../protocol/mod.js';
+import type {
+	AnswerMetadata, GatewayWire, Result, UpstreamRegistration,
+} from '../protocol/mod.js';
 import type {StreamOrigin} from '../state/mod.js';
 import {
 	createTimeoutSignal, type CallFailure, type Clock, type UpstreamResponse, type UpstreamClient,
@@ -86,8 +88,21 @@
 	return metadata.requestId !== undefined && metadata.requestId !== request.id;
 }
 
+/** What is known of a call after it has ended. */
+type CallSummary = {
+	readonly upstream: UpstreamRegistration;
+	readonly called: Result<UpstreamResponse, CallFailure>;
+	/** The call was aborted by the gateway or its caller. */
+	readonly wasAborted: boolean;
+};
+
 const firstRedirectStatus = 300;
 
+/** @internal The end of an answer without a length is the end of its connection. */
+function isDelimitedByClose({headers}: UpstreamResponse): boolean {
+	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
 /** @internal An answer with another status than success does not show that the upstream read the prompt. */
 function recordPartsAnswered(run: PartRun, called: Result<UpstreamResponse, CallFailure>): void {
 	if (called.ok && called.val.status < firstRedirectStatus) {
@@ -178,6 +193,14 @@
 		return relay.canRetry() && (origin === undefined || eligibility.listEligible(request.service, origin).some(({upstream}) => !tried.has(upstream.id)));
 	}
 
+	// The process of the upstream may have ended with the connection that delimits the answer, even if the answer seems complete.
+	async function hasCrashedDuring(outcome: SendOutcome, {upstream, called, wasAborted}: CallSummary): Promise<boolean> {
+		const mayHaveCrashed = outcome.kind === 'complete'
+			? called.ok && isDelimitedByClose(called.val)
+			: outcome.kind === 'broken' && outcome.wasConnectionLost && !wasAborted;
+		return mayHaveCrashed && crashDetector.hasCrashed(upstream);
+	}
+
 	return {
 		/** Sends a request to one upstream. */
 		async send(state: ForwardingState, {candidate: {id}, fetchFrom}: Placement): Promise<SendOutcome> {
@@ -241,7 +264,7 @@
 				}
 
 				// The quarantines must know of the crash before the request is sent to another upstream.
-				if (outcome.kind === 'broken' && outcome.wasConnectionLost && !timeLimit.signal.aborted && await crashDetector.hasCrashed(upstream)) {
+				if (await hasCrashedDuring(outcome, {upstream, called, wasAborted: timeLimit.signal.aborted})) {
 					trackedRun.recordCrash(id);
 					partRun.recordCrash({id, start: computeStartKey(upstream)}, request.id);
 				} else if (outcome.kind === 'complete') {
