Do not hold back parts that sound prompts share with the one at fault

Three ways led there: crashes that come before the first answers do not tell the part at fault from its companions; a gateway that has restarted does not know which parts upstreams read every second; and a gateway that never heard of the crashes cannot tell the others that the part was answered.

Change: parts that explain the same crashes are held back only together, so that any other prompt shows which of them it is. A new gateway asks for the parts read a moment ago. Held parts stay in gossip. Where nothing else is admitted any more the first trial comes after 3 s; a prompt with another part that has crashed upstreams is no trial.

--- a/src/coordination/part-quarantine.ts
+++ b/src/coordination/part-quarantine.ts
@@ -3,12 +3,13 @@
  *
  * Requests that share such a part need not be alike in anything else, so a
  * quarantine for whole requests does not recognise them. Gateways share the
- * crashes that they saw by part, and all decide alike which part is to blame
- * (`part-blame.ts`). Requests with a part that is held back are refused without
- * being sent, until a trial is answered or an operator releases the part.
+ * crashes that they saw by part, and all decide alike which parts are to blame
+ * (`part-blame.ts`). Requests with parts that are held back are refused without
+ * being sent, until a trial is answered or an operator releases the parts.
  *
  * A complete answer shows that a part is sound. Single events do not, because an
- * upstream may crash after the first ones.
+ * upstream may crash after the first ones; an answer that goes on for a while only
+ * makes its parts less likely to be the cause.
  *
  * @module
  */
@@ -19,7 +20,9 @@
 	announcePart, type PartAnnouncement, type PartCrashRegistry, type TrackedPartRecord,
 } from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
-import {decideBlame, type BlameLevel} from './part-blame.js';
+import {
+	decideBlame, type BlamedGroup, type BlameLevel, type LastRead,
+} from './part-blame.js';
 import type {PartKey} from './part-keys.js';
 
 /** Options of {@linkcode createPartQuarantine}. */
@@ -44,6 +47,8 @@
 	readonly recordCrash: (upstream: {readonly id: string; readonly start: number}, request: string | undefined) => void;
 	/** Records that the run returned a complete answer. */
 	readonly recordAnswer: () => void;
+	/** Records that data of the answer has arrived. */
+	readonly recordProgress: () => void;
 };
 
 /** A part that is held back, as shown to operators. */
@@ -53,6 +58,8 @@
 	readonly part: string | undefined;
 	readonly crashes: number;
 	readonly trials: number;
+	/** Number of other parts without which it is not held back, because one of them may be to blame instead. */
+	readonly together: number;
 	/** Milliseconds since the last crash or trial. */
 	readonly heldMs: number;
 	/** Milliseconds until the next trial. */
@@ -72,6 +79,20 @@
 const maxGossipRecords = 12;
 /** Maximum number of parts whose IDs are kept for operators. */
 const maxNames = 1000;
+/** Number of parts that upstreams are known to have read, from which on a part that none is known to have read is unusual. */
+const minReadParts = 20;
+/** Consecutive refusals of prompts after which the parts held back may well be those that most requests have. */
+const refusalsToDoubt = 20;
+/** Delay of the first trial in this case: all requests that could show the parts to be sound are refused. */
+const doubtedTrialDelayMs = 3000;
+/** A part that was read within this time is part of many requests. */
+const recentReadMs = 10_000;
+/** Time for which an answer must go on before its parts count as read; an upstream crashes as it begins the answer. */
+const minProgressMs = 500;
+/** Interval at which an answer that goes on renews this. */
+const progressIntervalMs = 1000;
+/** Maximum number of parts that were read recently of which a gateway that has just started is told. */
+const maxToldReads = 500;
 
 /** @internal */
 function findTrialDelayMs(trials: number): number {
@@ -96,36 +117,66 @@
 	const {
 		registry, clock, events, onChange,
 	} = options;
-	let blame = new Map<string, BlameLevel>();
+	let groups: readonly BlamedGroup[] = [];
+	/** Level of each part in a group. */
+	let levels = new Map<string, BlameLevel>();
 	/** IDs of parts with crashes, by digest. */
 	const names = new Map<string, string>();
 	/** Trials that this gateway has claimed and not begun. */
 	const permits = new Set<string>();
 	const pendingClaims = new Set<string>();
+	/** Prompts that were refused since the last one that was admitted. */
+	let refusalsInRow = 0;
+	let wasInformed = false;
 	/** When each record was last included in gossip, so that more records than fit take turns. */
 	const announcedAt = new Map<string, number>();
 
-	const isHeld = ({digest}: Pick<PartKey, 'digest'>): boolean => blame.get(digest) === 'held';
-	const listHeldOf = (parts: readonly PartKey[]): PartKey[] => blame.size === 0 ? [] : parts.filter(part => isHeld(part));
+	const isHeld = ({digest}: Pick<PartKey, 'digest'>): boolean => levels.get(digest) === 'held';
+
+	// Lists the parts of the groups that a prompt contains completely.
+	function listBlamedOf(parts: readonly PartKey[], level?: BlameLevel): PartKey[] {
+		if (groups.length === 0) {
+			return [];
+		}
+
+		const digests = new Set(parts.map(({digest}) => digest));
+		const contained = groups.filter(group => (level === undefined || group.level === level) && group.digests.every(digest => digests.has(digest)));
+		const blamed = new Set(contained.flatMap(group => group.digests));
+		return parts.filter(({digest}) => blamed.has(digest));
+	}
+
+	const listHeldOf = (parts: readonly PartKey[]): PartKey[] => listBlamedOf(parts, 'held');
+
+	function findLastRead(digest: string): LastRead {
+		const readAt = registry.getReadAt(digest);
+		if (readAt === undefined) {
+			return registry.countRead() >= minReadParts ? 'never' : 'unknown';
+		}
+
+		return clock.now() - readAt < recentReadMs ? 'recently' : 'earlier';
+	}
 
 	function computeTrialMs(digest: string, heldCount = 1): number {
 		const record = registry.get(digest);
-		const delayMs = findTrialDelayMs(record?.trials ?? 0) * (heldCount > 1 ? severalPartsDelayFactor : 1);
+		const trials = record?.trials ?? 0;
+		const isDoubted = trials === 0 && refusalsInRow >= refusalsToDoubt;
+		const delayMs = isDoubted ? doubtedTrialDelayMs : findTrialDelayMs(trials) * (heldCount > 1 ? severalPartsDelayFactor : 1);
 		return Math.max(0, (record?.changedAt ?? clock.now()) + delayMs - clock.now());
 	}
 
 	function reportLevel(digest: string, fields: {readonly cause: string; readonly request?: string; readonly upstream?: string}): void {
 		events.write('partSuspected', {
-			digest, part: names.get(digest), crashes: registry.get(digest)?.crashes.length ?? 0, trials: registry.get(digest)?.trials ?? 0, level: blame.get(digest) ?? 'none', ...fields,
+			digest, part: names.get(digest), crashes: registry.get(digest)?.crashes.length ?? 0, trials: registry.get(digest)?.trials ?? 0, level: levels.get(digest) ?? 'none', ...fields,
 		});
 	}
 
 	// Each record may change which other parts are to blame.
 	function updateBlame(fields: {readonly cause: string; readonly request?: string; readonly upstream?: string}): void {
-		const previous = blame;
-		blame = decideBlame(registry.list(), {wasAnswered: registry.wasAnswered});
-		for (const digest of new Set([...previous.keys(), ...blame.keys()])) {
-			if (previous.get(digest) !== blame.get(digest)) {
+		const previous = levels;
+		groups = decideBlame(registry.list(), {findLastRead});
+		levels = new Map(groups.flatMap(({level, digests}) => digests.map(digest => [digest, level])));
+		for (const digest of new Set([...previous.keys(), ...levels.keys()])) {
+			if (previous.get(digest) !== levels.get(digest)) {
 				reportLevel(digest, fields);
 			}
 		}
@@ -133,6 +184,18 @@
 		onChange();
 	}
 
+	// What was unknown while too few answers had been seen is known from now on.
+	function noteReads(): void {
+		if (wasInformed || registry.countRead() < minReadParts) {
+			return;
+		}
+
+		wasInformed = true;
+		if (!registry.isEmpty()) {
+			updateBlame({cause: 'read'});
+		}
+	}
+
 	function rememberName({digest, id}: PartKey): void {
 		names.set(digest, id);
 		if (names.size > maxNames) {
@@ -147,8 +210,24 @@
 		});
 	}
 
-	// A part that has crashed an upstream and has never been answered may well be the cause.
-	const isDoubtful = ({digest}: PartKey): boolean => blame.has(digest) || (!registry.wasAnswered(digest) && (registry.get(digest)?.crashes.length ?? 0) > 0);
+	// A part that has crashed an upstream and was never read may well be the cause, unless this gateway has just started.
+	const isDoubtful = ({digest}: PartKey): boolean => findLastRead(digest) === 'never' && (registry.get(digest)?.crashes.length ?? 0) > 0;
+
+	function recordCrash(parts: readonly PartKey[], {upstream, start, request}: {readonly upstream: string; readonly start: number; readonly request: string | undefined}): void {
+		const changed = parts.filter(({digest}) => registry.recordCrash(digest, {upstream: start, now: clock.now()}));
+		if (changed.length === 0) {
+			return;
+		}
+
+		for (const part of changed) {
+			rememberName(part);
+		}
+
+		updateBlame({cause: 'crash', request, upstream});
+		for (const {digest} of changed.filter(part => levels.has(part.digest))) {
+			options.onCrash(digest);
+		}
+	}
 
 	function merge(record: PartAnnouncement, source: string): void {
 		if (registry.merge(record, clock.now())) {
@@ -158,7 +237,7 @@
 
 	// Records that other gateways may not have yet come first; of those, parts that may be the cause.
 	function compareForGossip(left: TrackedPartRecord, right: TrackedPartRecord): number {
-		const rank = ({digest}: TrackedPartRecord) => (blame.has(digest) ? 2 : 0) + (registry.wasAnswered(digest) ? 0 : 1);
+		const rank = ({digest}: TrackedPartRecord) => (levels.has(digest) ? 2 : 0) + (registry.getReadAt(digest) === undefined ? 1 : 0);
 		return rank(right) - rank(left) || (announcedAt.get(left.digest) ?? 0) - (announcedAt.get(right.digest) ?? 0);
 	}
 
@@ -166,12 +245,22 @@
 		/** Admits or refuses a request. One with a held part is admitted only if this gateway may begin a trial of each. */
 		admit(parts: readonly PartKey[]): Result<undefined, Failure> {
 			const held = listHeldOf(parts);
-			return held.every(({digest}) => permits.has(digest)) ? Ok(undefined) : Err(createRefusal(held));
+			const isAdmitted = held.every(({digest}) => permits.has(digest));
+			if (parts.length > 0) {
+				refusalsInRow = isAdmitted ? 0 : refusalsInRow + 1;
+			}
+
+			return isAdmitted ? Ok(undefined) : Err(createRefusal(held));
 		},
 
 		/** Claims the trials that a refused request may begin; resolves with true if it is to be admitted. */
 		async tryTrial(parts: readonly PartKey[]): Promise<boolean> {
 			const held = listHeldOf(parts).filter(({digest}) => !permits.has(digest));
+			// A crash would not show which part is to blame.
+			if (parts.some(part => !isHeld(part) && (registry.get(part.digest)?.crashes.length ?? 0) > 0)) {
+				return false;
+			}
+
 			const isDue = held.every(({digest}) => !pendingClaims.has(digest) && computeTrialMs(digest, held.length) === 0);
 			if (!isDue) {
 				return false;
@@ -208,53 +297,63 @@
 		},
 
 		/** Returns true if a request whose run was interrupted may be retried at another upstream. */
-		mayRetry: (parts: readonly PartKey[], {hasBegun}: {readonly hasBegun: boolean}): boolean => registry.isEmpty() || !parts.some(part => blame.has(part.digest) || (!hasBegun && isDoubtful(part))),
+		mayRetry: (parts: readonly PartKey[], {hasBegun}: {readonly hasBegun: boolean}): boolean => registry.isEmpty() || (listBlamedOf(parts).length === 0 && (hasBegun || !parts.some(part => isDoubtful(part)))),
 
 		/** Returns true if a request should run where few others do. */
-		isSuspected: (parts: readonly PartKey[]): boolean => !registry.isEmpty() && parts.some(part => isDoubtful(part)),
+		isSuspected: (parts: readonly PartKey[]): boolean => !registry.isEmpty() && (listBlamedOf(parts).length > 0 || parts.some(part => isDoubtful(part))),
 
 		/** Starts tracking a run. */
-		trackRun: (parts: readonly PartKey[]): PartRun => ({
-			recordCrash({id: upstream, start}, request) {
-				const changed = parts.filter(({digest}) => registry.recordCrash(digest, {upstream: start, now: clock.now()}));
-				if (changed.length === 0) {
-					return;
-				}
+		trackRun(parts: readonly PartKey[]): PartRun {
+			let firstProgressAt: number | undefined;
+			let nextReadAt = Number.NEGATIVE_INFINITY;
+			return {
+				recordCrash({id: upstream, start}, request) {
+					recordCrash(parts, {upstream, start, request});
+				},
+				recordAnswer() {
+					const changed = parts.filter(({digest}) => registry.recordAnswer(digest, clock.now()));
+					noteReads();
+					if (changed.length > 0) {
+						updateBlame({cause: 'answered'});
+					}
+				},
+				recordProgress() {
+					const now = clock.now();
+					firstProgressAt ??= now;
+					if (now - firstProgressAt < minProgressMs || now < nextReadAt) {
+						return;
+					}
 
-				for (const part of changed) {
-					rememberName(part);
-				}
+					nextReadAt = now + progressIntervalMs;
+					for (const {digest} of parts) {
+						registry.recordRead(digest, now);
+					}
 
-				updateBlame({cause: 'crash', request, upstream});
-				for (const {digest} of changed.filter(part => blame.has(part.digest))) {
-					options.onCrash(digest);
-				}
-			},
-			recordAnswer() {
-				const changed = parts.filter(({digest}) => registry.recordAnswer(digest, clock.now()));
-				if (changed.length > 0) {
-					updateBlame({cause: 'answered'});
-				}
-			},
-		}),
+					noteReads();
+				},
+			};
+		},
 
 		/** Merges a record received from another gateway or read from the log. */
 		merge,
 
 		/** Returns true if a part is to blame for crashes. */
-		isBlamed: (digest: string): boolean => blame.has(digest),
+		isBlamed: (digest: string): boolean => levels.has(digest),
 
 		/** Returns true if the next trial of a held part may begin. */
 		isTrialDue: (digest: string): boolean => isHeld({digest}) && computeTrialMs(digest) === 0,
 
-		/** Returns recently changed records, to be included in the next gossip entry. */
+		/**
+		 * Returns recently changed records and those that are held back, to be included in the next gossip entry.
+		 * A gateway that does not know why others hold a part back cannot tell them that it was answered.
+		 */
 		listRecent(): PartAnnouncement[] {
 			if (registry.isEmpty()) {
 				return [];
 			}
 
 			const now = clock.now();
-			const recent = registry.list().filter(({changedAt}) => now - changedAt < gossipPeriodMs).sort(compareForGossip).slice(0, maxGossipRecords);
+			const recent = registry.list().filter(record => now - record.changedAt < gossipPeriodMs || isHeld(record)).sort(compareForGossip).slice(0, maxGossipRecords);
 			for (const {digest} of recent) {
 				announcedAt.set(digest, now);
 			}
@@ -265,15 +364,27 @@
 		/** Returns all records, to be sent to a gateway that has just started. */
 		listAll: (): PartAnnouncement[] => registry.list().map(record => announcePart(record, clock.now())),
 
+		/** Lists parts that upstreams have read a moment ago, to be sent to a gateway that has just started. */
+		listRead: (): string[] => registry.listReadSince(clock.now() - recentReadMs, maxToldReads),
+
+		/** Records parts that another gateway lists. */
+		mergeRead(digests: readonly string[]): void {
+			for (const digest of digests) {
+				registry.recordRead(digest, clock.now());
+			}
+
+			noteReads();
+		},
+
 		listHeld(): HeldPart[] {
 			const now = clock.now();
 			return registry.list().filter(record => isHeld(record)).map(({digest, crashes, trials, changedAt}) => ({
-				digest, part: names.get(digest), crashes: crashes.length, trials, heldMs: Math.round(now - changedAt), trialMs: Math.round(computeTrialMs(digest)),
+				digest, part: names.get(digest), crashes: crashes.length, trials, together: groups.find(group => group.digests.includes(digest))!.digests.length - 1, heldMs: Math.round(now - changedAt), trialMs: Math.round(computeTrialMs(digest)),
 			}));
 		},
 
 		/** Returns the number of parts that are to blame, held or not. */
-		countBlamed: (): number => blame.size,
+		countBlamed: (): number => levels.size,
 
 		/** Releases a part on behalf of an operator; returns false if no crashes are recorded for it. */
 		release(digest: string): boolean {
--- a/src/coordination/peer-catch-up.ts
+++ b/src/coordination/peer-catch-up.ts
@@ -21,6 +21,8 @@
 	readonly prompts: readonly PlacedPrompt[];
 	readonly crashes: readonly CrashRecord[];
 	readonly parts: readonly PartAnnouncement[];
+	/** Digests of parts of prompts that upstreams have read without a crash a moment ago. */
+	readonly readParts: readonly string[];
 };
 
 /** Options of {@linkcode createPeerCatchUp}. */
@@ -36,6 +38,7 @@
 	readonly onPrompt: (prompt: PlacedPrompt) => void;
 	readonly onCrashRecord: (record: CrashRecord) => void;
 	readonly onPartRecord: (record: PartAnnouncement) => void;
+	readonly onReadParts: (digests: readonly string[]) => void;
 	/** Abandons the connection to a peer that does not respond. */
 	readonly abandonConnection: (address: string) => void;
 };
@@ -75,6 +78,8 @@
 				options.onCrashRecord(record);
 			}
 
+			// Before the records, so that parts that are part of most requests are not blamed for the crashes of others.
+			options.onReadParts(answer.readParts);
 			for (const record of answer.parts) {
 				options.onPartRecord(record);
 			}
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/upstream-sender.ts
@@ -239,6 +239,7 @@
 				});
 				const onProgress = (bytes: number) => {
 					stallTimeout.recordProgress();
+					partRun.recordProgress();
 					traffic.record('answer', {bytes, failureDomain: upstream.failureDomain});
 				};
 
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -204,6 +204,7 @@
 			prompts: wantsPrompts ? upstreamRegistry.listCachedPrompts() : [],
 			crashes: wantsPrompts ? quarantines.requests.listAll() : [],
 			parts: wantsPrompts ? quarantines.parts.listAll() : [],
+			readParts: wantsPrompts ? quarantines.parts.listRead() : [],
 		};
 	}
 
@@ -229,6 +230,9 @@
 		onPartRecord(record) {
 			quarantines.parts.merge(record, 'peer');
 		},
+		onReadParts(digests) {
+			quarantines.parts.mergeRead(digests);
+		},
 		abandonConnection(address) {
 			fleet.connect(address).abandon();
 		},
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -32,10 +32,10 @@
 	return {
 		catchUp(request) {
 			const {
-				deployment, prompts, crashes, parts,
+				deployment, prompts, crashes, parts, readParts,
 			} = options.handleCatchUp(request);
 			return {
-				deployment, prompts: [...prompts], crashes: [...crashes], parts: parts.map(part => encodePart(part)),
+				deployment, prompts: [...prompts], crashes: [...crashes], parts: parts.map(part => encodePart(part)), readParts: [...readParts],
 			};
 		},
 		lend: async request => ({tokens: await options.lend(request)}),
--- a/src/state/part-crash-registry.ts
+++ b/src/state/part-crash-registry.ts
@@ -44,8 +44,8 @@
 export type CreatePartCrashRegistryOptions = {
 	/** Maximum number of records; default 2000. */
 	readonly maxRecords?: number;
-	/** Maximum number of parts that are known to have been answered; default 5000. */
-	readonly maxAnswered?: number;
+	/** Maximum number of parts that are known to have been read without a crash; default 5000. */
+	readonly maxRead?: number;
 };
 
 /** Registry of the parts of prompts during whose answers upstreams crashed. */
@@ -54,7 +54,7 @@
 /** That many records occupy about 1 MB. */
 const defaultMaxRecords = 2000;
 /** That many digests occupy about 500 KB. */
-const defaultMaxAnswered = 5000;
+const defaultMaxRead = 5000;
 /** Maximum number of crashes in a record; a part is held back after fewer. */
 const maxCrashes = 16;
 /** How long a record with crashes is kept after its last change. */
@@ -87,10 +87,10 @@
  * @param options Limits on memory
  * @returns The registry
  */
-export function createPartCrashRegistry({maxRecords = defaultMaxRecords, maxAnswered = defaultMaxAnswered}: CreatePartCrashRegistryOptions = {}) {
+export function createPartCrashRegistry({maxRecords = defaultMaxRecords, maxRead = defaultMaxRead}: CreatePartCrashRegistryOptions = {}) {
 	const records = new Map<string, TrackedPartRecord>();
-	/** Parts that were answered at this gateway, the least recently answered first. */
-	const answered = new Set<string>();
+	/** When parts were last read without a crash, the least recent first. */
+	const readAt = new Map<string, number>();
 
 	// Callers choose the parts of their prompts and could fill the memory. Evicts the records with the fewest crashes, oldest first.
 	function evictOverLimit(): void {
@@ -103,11 +103,12 @@
 		}
 	}
 
-	function rememberAnswered(digest: string): void {
-		answered.delete(digest);
-		answered.add(digest);
-		if (answered.size > maxAnswered) {
-			answered.delete(answered.values().next().value!);
+	function recordRead(digest: string, now: number): void {
+		// Deleted before it is set again, so that the map is in order of time.
+		readAt.delete(digest);
+		readAt.set(digest, now);
+		if (readAt.size > maxRead) {
+			readAt.delete(readAt.keys().next().value!);
 		}
 	}
 
@@ -142,8 +143,15 @@
 	return {
 		get: (digest: string): TrackedPartRecord | undefined => records.get(digest),
 		isEmpty: (): boolean => records.size === 0,
-		/** Returns true if this gateway has seen a complete answer to a prompt with the part. */
-		wasAnswered: (digest: string): boolean => answered.has(digest),
+		/** Returns when an upstream last read the part without a crash, in milliseconds of the clock; undefined if none is known to have. */
+		getReadAt: (digest: string): number | undefined => readAt.get(digest),
+		/** Returns the number of parts that upstreams are known to have read without a crash. */
+		countRead: (): number => readAt.size,
+		/** Lists the parts that upstreams have read without a crash since a time, the latest first. */
+		listReadSince: (time: number, maxCount: number): string[] => [...readAt].filter(([, at]) => at >= time).reverse().slice(0, maxCount).map(([digest]) => digest),
+
+		/** Records that an upstream has read the part without a crash so far. This does not empty its record, because the upstream may crash later in the answer. */
+		recordRead,
 
 		/** Records the crash of an upstream that ran a request with the part; returns true if the record has changed. */
 		recordCrash(digest: string, {upstream, now}: {readonly upstream: number; readonly now: number}): boolean {
@@ -155,7 +163,7 @@
 
 		/** Records a complete answer; returns true if the record has changed. */
 		recordAnswer(digest: string, now: number): boolean {
-			rememberAnswered(digest);
+			recordRead(digest, now);
 			const known = records.get(digest);
 			return known !== undefined && known.crashes.length > 0 && mergeRecord({
 				digest, round: known.round + 1, trials: 0, crashes: [],
