Repeat in gossip only what other gateways cannot know of a part

Cause: each gateway that learned of a part's crashes announced them for ten seconds and asked for an immediate entry of its own. In a large fleet one crash would have led to an entry of every gateway at once, each forwarded by others, and delayed all other gossip. Change: only what a gateway saw itself is urgent; of the others' records it repeats those of blamed parts. The traffic was not measured.

--- a/src/coordination/part-quarantine.ts
+++ b/src/coordination/part-quarantine.ts
@@ -30,8 +30,8 @@
 	readonly registry: PartCrashRegistry;
 	readonly clock: Clock;
 	readonly events: EventLog;
-	/** Called when there is a change to advertise to other gateways. */
-	readonly onChange: () => void;
+	/** Called when there is a change to advertise to other gateways; `isUrgent` if only this gateway knows of it. */
+	readonly onChange: (change: {readonly isUrgent: boolean}) => void;
 	/** Called with the digest of a part that is to blame for a crash that this gateway saw. */
 	readonly onCrash: (digest: string) => void;
 	/**
@@ -79,6 +79,8 @@
 const maxGossipRecords = 12;
 /** Maximum number of parts whose IDs are kept for operators. */
 const maxNames = 1000;
+/** Causes of changes that no other gateway can know of yet. */
+const observedCauses: ReadonlySet<string> = new Set(['crash', 'answered', 'released']);
 /** Number of parts that upstreams are known to have read, from which on a part that none is known to have read is unusual. */
 const minReadParts = 20;
 /** Consecutive refusals of prompts after which the parts held back may well be those that most requests have. */
@@ -128,6 +130,8 @@
 	/** Prompts that were refused since the last one that was admitted. */
 	let refusalsInRow = 0;
 	let wasInformed = false;
+	/** When this gateway last saw a crash or an answer that changed a record. */
+	const observedAt = new Map<string, number>();
 	/** When each record was last included in gossip, so that more records than fit take turns. */
 	const announcedAt = new Map<string, number>();
 
@@ -181,7 +185,7 @@
 			}
 		}
 
-		onChange();
+		onChange({isUrgent: observedCauses.has(fields.cause)});
 	}
 
 	// What was unknown while too few answers had been seen is known from now on.
@@ -213,6 +217,12 @@
 	// A part that has crashed an upstream and was never read may well be the cause, unless this gateway has just started.
 	const isDoubtful = ({digest}: PartKey): boolean => findLastRead(digest) === 'never' && (registry.get(digest)?.crashes.length ?? 0) > 0;
 
+	function recordObserved(parts: ReadonlyArray<Pick<PartKey, 'digest'>>): void {
+		for (const {digest} of parts) {
+			observedAt.set(digest, clock.now());
+		}
+	}
+
 	function recordCrash(parts: readonly PartKey[], {upstream, start, request}: {readonly upstream: string; readonly start: number; readonly request: string | undefined}): void {
 		const changed = parts.filter(({digest}) => registry.recordCrash(digest, {upstream: start, now: clock.now()}));
 		if (changed.length === 0) {
@@ -223,6 +233,8 @@
 			rememberName(part);
 		}
 
+		recordObserved(changed);
+
 		updateBlame({cause: 'crash', request, upstream});
 		for (const {digest} of changed.filter(part => levels.has(part.digest))) {
 			options.onCrash(digest);
@@ -235,7 +247,13 @@
 		}
 	}
 
-	// Records that other gateways may not have yet come first; of those, parts that may be the cause.
+	// What another gateway saw reaches the others from there, so that only records of blamed parts are repeated.
+	function isAnnounced({digest, changedAt}: TrackedPartRecord): boolean {
+		const sinceMs = clock.now() - Math.max(observedAt.get(digest) ?? Number.NEGATIVE_INFINITY, levels.has(digest) ? changedAt : Number.NEGATIVE_INFINITY);
+		return sinceMs < gossipPeriodMs || isHeld({digest});
+	}
+
+	// Blamed parts come first, then those that may be the cause, then those not announced for the longest time.
 	function compareForGossip(left: TrackedPartRecord, right: TrackedPartRecord): number {
 		const rank = ({digest}: TrackedPartRecord) => (levels.has(digest) ? 2 : 0) + (registry.getReadAt(digest) === undefined ? 1 : 0);
 		return rank(right) - rank(left) || (announcedAt.get(left.digest) ?? 0) - (announcedAt.get(right.digest) ?? 0);
@@ -314,6 +332,7 @@
 					const changed = parts.filter(({digest}) => registry.recordAnswer(digest, clock.now()));
 					noteReads();
 					if (changed.length > 0) {
+						recordObserved(changed);
 						updateBlame({cause: 'answered'});
 					}
 				},
@@ -344,7 +363,7 @@
 		isTrialDue: (digest: string): boolean => isHeld({digest}) && computeTrialMs(digest) === 0,
 
 		/**
-		 * Returns recently changed records and those that are held back, to be included in the next gossip entry.
+		 * Returns the records to be included in the next gossip entry.
 		 * A gateway that does not know why others hold a part back cannot tell them that it was answered.
 		 */
 		listRecent(): PartAnnouncement[] {
@@ -353,7 +372,7 @@
 			}
 
 			const now = clock.now();
-			const recent = registry.list().filter(record => now - record.changedAt < gossipPeriodMs || isHeld(record)).sort(compareForGossip).slice(0, maxGossipRecords);
+			const recent = registry.list().filter(record => isAnnounced(record)).sort(compareForGossip).slice(0, maxGossipRecords);
 			for (const {digest} of recent) {
 				announcedAt.set(digest, now);
 			}
@@ -390,6 +409,7 @@
 		release(digest: string): boolean {
 			const wasReleased = registry.recordAnswer(digest, clock.now());
 			if (wasReleased) {
+				recordObserved([{digest}]);
 				updateBlame({cause: 'released'});
 			}
 
@@ -398,9 +418,11 @@
 
 		prune(): void {
 			registry.prune(clock.now());
-			for (const digest of announcedAt.keys()) {
-				if (registry.get(digest) === undefined) {
-					announcedAt.delete(digest);
+			for (const times of [announcedAt, observedAt]) {
+				for (const digest of times.keys()) {
+					if (registry.get(digest) === undefined) {
+						times.delete(digest);
+					}
 				}
 			}
 		},
--- a/src/daemon/gateway-quarantines.ts
+++ b/src/daemon/gateway-quarantines.ts
@@ -57,8 +57,12 @@
 	const parts = createPartQuarantine({
 		registry: partRegistry, clock, events,
 		// All gateways must know of a part that crashes upstreams within seconds, also in a fleet whose entries are rare.
-		onChange() {
-			gossip.markUrgent();
+		onChange({isUrgent}) {
+			if (isUrgent) {
+				gossip.markUrgent();
+			} else {
+				gossip.markChanged();
+			}
 		},
 		onCrash(digest) {
 			recorder.recordCrash(loggedParts, digest);
