Close new connections unread at a gateway without room while others have some

Callers saw requests refused by the gateway that gets most new connections, while three others had time left.

Cause: an overloaded gateway accepts all connections, reads their requests and refuses what exceeds its limit. Each refusal is an attempt that was read, and the caller waits before the next one. Change: while a gateway's limit is reached and another says in gossip that it has room, it closes new connections without reading from them, so that callers go elsewhere at once. Connections whose first request has not been read take up room, as many are accepted in one turn of the event loop. If no gateway has room it reads and refuses, with a true Retry-After. The decision is connection-admission.ts. Ruled out: readiness alone. The next gateway in rotation would get the same connections.

--- a/src/coordination/admission.test.ts
+++ b/src/coordination/admission.test.ts
@@ -53,6 +53,21 @@
 	stopper.abort();
 });
 
+test('room is what requests of the lowest priority have left', async () => {
+	const {time, state, admission, stopper} = createFixture();
+	expect(admission.countRoom()).toBe(Number.POSITIVE_INFINITY);
+	const leaves = admitMany(admission, 40);
+	state.lag = 300;
+	await time.runUntil(5000);
+	expect(admission.countRoom()).toBeLessThan(0);
+	for (const leave of leaves) {
+		leave();
+	}
+
+	expect(Math.round(admission.countRoom())).toBe(Math.round(admission.getLimit() * 0.8));
+	stopper.abort();
+});
+
 test('the limit is raised and removed when the lag has ended', async () => {
 	const {time, state, admission, stopper} = createFixture();
 	const leaves = admitMany(admission, 40);
--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -123,6 +123,8 @@
 			});
 		},
 
+		/** Returns how many more requests of any priority are admitted now; infinite while there is no limit. */
+		countRoom: (): number => Math.max(minLimit, limit * priorityShares.at(-1)!) - running,
 		/** Returns the maximum number of concurrent requests; infinite while there is no limit. */
 		getLimit: () => limit,
 		/** Returns the maximum event loop lag of the last window, in whole milliseconds. */
--- a/src/coordination/budget-manager.test.ts
+++ b/src/coordination/budget-manager.test.ts
@@ -74,7 +74,7 @@
 			},
 		});
 		const listViews = () => gateways.filter(other => other.daemon !== daemon).map((other): PeerView => ({
-			daemon: other.daemon, incarnation: other.incarnation, address: other.daemon, free: [{customer, tokens: Math.max(0, other.account.countFreeTokens(customer))}], uses: [], version: 1, isLeaving: false, crashes: [], parts: [], domains: [], limits: [],
+			daemon: other.daemon, incarnation: other.incarnation, address: other.daemon, free: [{customer, tokens: Math.max(0, other.account.countFreeTokens(customer))}], uses: [], version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [],
 		}));
 		const listOwners = () => mode === 'each' ? [] : ['e0', 'e1', 'e2'];
 		const lending = createTokenLending({
--- a/src/coordination/gossip-codec.ts
+++ b/src/coordination/gossip-codec.ts
@@ -67,10 +67,10 @@
  */
 export function encodeEntry(view: PeerView, {sequence, shouldIncludeFreeTokens}: EncodeEntryOptions): PeerEntry {
 	const {
-		daemon, incarnation, address, uses, version, isLeaving, free, crashes, parts, domains, limits,
+		daemon, incarnation, address, uses, version, isLeaving, hasRoom, free, crashes, parts, domains, limits,
 	} = view;
 	const state = toBinary(PeerStateSchema, create(PeerStateSchema, {
-		address, version, isLeaving, tellsFree: shouldIncludeFreeTokens,
+		address, version, isLeaving, hasRoom, tellsFree: shouldIncludeFreeTokens,
 		uses: uses.map(use => ({...use})),
 		free: shouldIncludeFreeTokens ? free.map(item => ({...item})) : [],
 		crashes: crashes.map(item => ({...item})),
@@ -87,10 +87,10 @@
 function readEntry(entry: PeerEntryId & {readonly state: Uint8Array}, previousView: PeerView | undefined): PeerView {
 	const {daemon, incarnation} = entry;
 	const {
-		address, uses, version, isLeaving, tellsFree, free, crashes, parts, domains, limits,
+		address, uses, version, isLeaving, hasRoom, tellsFree, free, crashes, parts, domains, limits,
 	} = fromBinary(PeerStateSchema, entry.state);
 	return {
-		daemon, incarnation, address, version, isLeaving,
+		daemon, incarnation, address, version, isLeaving, hasRoom,
 		uses: uses.map(({upstream, inFlight, waitingTokens}) => ({upstream, inFlight, waitingTokens})),
 		free: tellsFree ? free.map(({customer, tokens}) => ({customer, tokens})) : previousView?.free ?? [],
 		crashes: crashes.map(({digest, round, crashes: count}) => ({digest, round, crashes: count})),
--- a/src/coordination/gossip.test.ts
+++ b/src/coordination/gossip.test.ts
@@ -47,7 +47,7 @@
 			daemon: member.daemon, newsAddress: member.daemon, address: member.daemon, failureDomain: member.failureDomain,
 		})),
 		getOwnView: (): PeerView => ({
-			daemon, incarnation: 'i', address: `${daemon}:1`, version: 1, isLeaving: false, crashes: [], parts: [], domains: [], limits: [],
+			daemon, incarnation: 'i', address: `${daemon}:1`, version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [],
 			free: [{customer: 'c', tokens: 1000}],
 			uses: Array.from({length: 8}, (_, upstream) => ({upstream: `upstream-${upstream}`, inFlight: state.inFlight, waitingTokens: 4000})),
 		}),
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -10,6 +10,7 @@
 export * from './budget-owners.js';
 export * from './budget-manager.js';
 export * from './cold-admission.js';
+export * from './connection-admission.js';
 export * from './crash-detector.js';
 export * from './enrolment.js';
 export * from './event-splitter.js';
--- a/src/coordination/peer-catch-up.test.ts
+++ b/src/coordination/peer-catch-up.test.ts
@@ -8,7 +8,7 @@
 
 function buildView(daemon: string, version: number): PeerView {
 	return {
-		daemon, incarnation: 'i', address: `${daemon}:1`, free: [], uses: [], version, isLeaving: false, crashes: [], parts: [], domains: [], limits: [],
+		daemon, incarnation: 'i', address: `${daemon}:1`, free: [], uses: [], version, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [],
 	};
 }
 
--- a/src/coordination/placement-gossip.test.ts
+++ b/src/coordination/placement-gossip.test.ts
@@ -44,7 +44,7 @@
 			daemon: gateway.daemon, newsAddress: gateway.daemon, address: gateway.daemon, failureDomain: 'd',
 		})),
 		getOwnView: () => ({
-			daemon, incarnation: 'i', address: daemon, free: [], uses: registry.listUses(), version: 1, isLeaving: false, crashes: [], parts: [], domains: [], limits: [],
+			daemon, incarnation: 'i', address: daemon, free: [], uses: registry.listUses(), version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [],
 		}),
 		send(message) {
 			counts.datagrams += 1;
@@ -110,7 +110,7 @@
 		abandonConnection: () => undefined,
 	});
 	catchUp.handleView({
-		daemon: 'sender', incarnation: 'i', address: 'sender', free: [], uses: [], version: 1, isLeaving: false, crashes: [], parts: [], domains: [], limits: [],
+		daemon: 'sender', incarnation: 'i', address: 'sender', free: [], uses: [], version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [],
 	});
 	await time.runUntil(200);
 	expect(sender.registry.listCachedPrompts()).toEqual([{upstream: 'u1', memory: 100_000, parts: generation.parts}]);
--- a/src/coordination/retry-after-estimator.test.ts
+++ b/src/coordination/retry-after-estimator.test.ts
@@ -10,7 +10,7 @@
 
 function buildView(daemon: string, {isLeaving, incarnation = 'i-1'}: {readonly isLeaving: boolean; readonly incarnation?: string}): PeerView {
 	return {
-		daemon, incarnation, address: daemon, free: [], uses: [], version: 1, isLeaving, crashes: [], parts: [], domains: [], limits: [],
+		daemon, incarnation, address: daemon, free: [], uses: [], version: 1, isLeaving, hasRoom: true, crashes: [], parts: [], domains: [], limits: [],
 	};
 }
 
--- a/src/coordination/token-lending.test.ts
+++ b/src/coordination/token-lending.test.ts
@@ -9,7 +9,7 @@
 
 function createLending({unresponsive = [], unheard = []}: LendingOptions) {
 	const view: PeerView = {
-		daemon: 'e2', incarnation: 'i', address: 'e2', free: [], uses: [], version: 1, isLeaving: false, crashes: [], parts: [], domains: [], limits: [],
+		daemon: 'e2', incarnation: 'i', address: 'e2', free: [], uses: [], version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [],
 	};
 	return createTokenLending({
 		daemon: 'e1', account: createTokenAccount(), events, listViews: () => [view], listUnresponsive: () => unresponsive,
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -8,7 +8,7 @@
 import process from 'node:process';
 import {
 	CachedPromptSource, NearReceiverPolicy, OwnedShare, SubstitutedShare,
-	createAdmission, createBudgetOwners, createColdAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createPeerCatchUp,
+	createAdmission, createBudgetOwners, createColdAdmission, createConnectionAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createPeerCatchUp,
 	createRelayedLog, createRequestForwarder, createRetryAfterEstimator,
 	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, decodePart, fanOut, monitorEventLoop,
 	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type ProcessStats,
@@ -191,6 +191,7 @@
 			uses: upstreamRegistry.listUses(),
 			version: getDeploymentVersion(),
 			isLeaving: stopWindow.hasBegun(),
+			hasRoom: admission.countRoom() > 0,
 			crashes: quarantines.requests.listRecent(),
 			parts: quarantines.parts.listRecent(),
 			domains: evacuations.listAnnounced(clock.now()),
@@ -310,6 +311,11 @@
 		computeStopRetryAfterMs: () => retryAfterEstimator.estimate(peerViews.list(), {ownRemainingMs: stopWindow.computeRemainingMs()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve);
+	const connectionAdmission = createConnectionAdmission({
+		countRoom: admission.countRoom,
+		hasPeerWithRoom: () => peerViews.list().some(({hasRoom, isLeaving}) => hasRoom && !isLeaving),
+	});
+	callerServer.setAcceptPolicy(connectionAdmission.shouldAccept);
 	const statusServers = await startStatusServers(settings, {
 		readinessPath: adapter.wire.readinessPath, quarantine: quarantines.requests, partQuarantine: quarantines.parts, events,
 		isReady: () => state.isReady() && !stopWindow.hasBegun(),
--- a/src/state/peer-views.test.ts
+++ b/src/state/peer-views.test.ts
@@ -4,7 +4,7 @@
 
 function buildView(daemon: string, incarnation: string, uses: PeerView['uses']): PeerView {
 	return {
-		daemon, incarnation, address: `${daemon}:1`, free: [], uses, version: 1, isLeaving: false, crashes: [], parts: [], domains: [], limits: [],
+		daemon, incarnation, address: `${daemon}:1`, free: [], uses, version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [],
 	};
 }
 
--- a/src/state/peer-views.ts
+++ b/src/state/peer-views.ts
@@ -34,6 +34,8 @@
 	/** Version of the deployment in force; 0 before the first. */
 	readonly version: number;
 	readonly isLeaving: boolean;
+	/** True if it accepts all connections and requests. */
+	readonly hasRoom: boolean;
 	/** Recently changed records of requests during which upstreams crashed. */
 	readonly crashes: readonly CrashRecord[];
 	/** Recently changed records of parts of prompts during whose answers upstreams crashed. */
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -32,6 +32,11 @@
 	 * are still accepted, so that callers receive a response instead of a refused connection.
 	 */
 	readonly drain: () => number;
+	/**
+	 * Sets the decision whether the next connection is accepted, given the number of those whose first request has not been
+	 * read; a connection that is not accepted is closed unread.
+	 */
+	readonly setAcceptPolicy: (shouldAccept: (awaiting: number) => boolean) => void;
 	/** Closes all connections immediately and stops listening. */
 	readonly closeAllConnections: () => void;
 	readonly getStatistics: () => CallerServerStatistics;
@@ -43,6 +48,8 @@
 	readonly open: number;
 	/** Connections accepted since the start. */
 	readonly connections: number;
+	/** Connections closed unread since the start. */
+	readonly dropped: number;
 	/** Requests received since the start. */
 	readonly requests: number;
 };
@@ -105,6 +112,13 @@
 	let shouldCloseAfterResponse = false;
 	let isDraining = false;
 	let requestCount = 0;
+	let droppedCount = 0;
+	let shouldAccept: (awaiting: number) => boolean = () => true;
+	server.on('drop', () => {
+		droppedCount += 1;
+	});
+	// Read for each new connection: Node.js closes one that exceeds the maximum without reading from it.
+	Object.defineProperty(server, 'maxConnections', {get: () => shouldAccept(tracker.countAwaiting()) ? undefined : 1});
 	restana({
 		server,
 		prioRequestsProcessing: false,
@@ -142,11 +156,16 @@
 			tracker.closeIdle();
 			return tracker.countOpen();
 		},
+		setAcceptPolicy(policy) {
+			shouldAccept = policy;
+		},
 		closeAllConnections() {
 			clearInterval(ticks);
 			server.close();
 			server.closeAllConnections();
 		},
-		getStatistics: () => ({open: tracker.countOpen(), connections: tracker.countAccepted(), requests: requestCount}),
+		getStatistics: () => ({
+			open: tracker.countOpen(), connections: tracker.countAccepted(), dropped: droppedCount, requests: requestCount,
+		}),
 	};
 }
--- a/src/transport/connection-tracker.ts
+++ b/src/transport/connection-tracker.ts
@@ -13,6 +13,9 @@
 	latestResponse: ServerResponse | undefined;
 };
 
+/** Time within which the first request of a new connection is expected. */
+const maxAwaitingMs = 500;
+
 /** Tracks the open connections of a server. */
 export type ConnectionTracker = ReturnType<typeof createConnectionTracker>;
 
@@ -37,14 +40,29 @@
 export function createConnectionTracker(server: Server) {
 	const connections = new Map<Socket, ConnectionState>();
 	let acceptedCount = 0;
+	/** Connections without a request, with the times at which they were accepted; the oldest comes first. */
+	const awaiting = new Map<Socket, number>();
 	server.on('connection', (socket: Socket) => {
 		acceptedCount += 1;
+		awaiting.set(socket, performance.now());
 		connections.set(socket, {bytesRead: 0, latestResponse: undefined});
 		socket.once('close', () => {
 			connections.delete(socket);
+			awaiting.delete(socket);
 		});
 	});
 
+	// A caller that opens a connection before it needs it does not send a request soon.
+	function forgetUnused(): void {
+		for (const [socket, acceptedAt] of awaiting) {
+			if (performance.now() - acceptedAt < maxAwaitingMs) {
+				return;
+			}
+
+			awaiting.delete(socket);
+		}
+	}
+
 	function closeIfIdle(socket: Socket): void {
 		const state = connections.get(socket);
 		if (state && !state.latestResponse && socket.bytesRead === state.bytesRead) {
@@ -57,12 +75,19 @@
 		/** Returns the number of connections accepted since the start. */
 		countAccepted: (): number => acceptedCount,
 
+		/** Returns the number of connections accepted a moment ago that have had no request. */
+		countAwaiting(): number {
+			forgetUnused();
+			return awaiting.size;
+		},
+
 		/**
 		 * Marks the connection of a request as busy until the response has been
 		 * sent. Returns the previous response on the connection if it has not been
 		 * sent yet, which happens if the caller pipelines its requests.
 		 */
 		trackRequest({socket}: IncomingMessage, response: ServerResponse): ServerResponse | undefined {
+			awaiting.delete(socket);
 			const state = connections.get(socket);
 			if (!state) {
 				return undefined;
--- a/tools/harness/crash-fleet.ts
+++ b/tools/harness/crash-fleet.ts
@@ -72,7 +72,7 @@
 				daemon, newsAddress: daemon, address: daemon, failureDomain: findDomain(daemon),
 			})),
 			getOwnView: () => ({
-				daemon: name, incarnation: String(incarnation).padStart(6, '0'), address: name, version: 1, isLeaving: false, free: [], uses: [], crashes: quarantines.requests.listRecent(), parts: quarantines.parts.listRecent(), domains: [], limits: [],
+				daemon: name, incarnation: String(incarnation).padStart(6, '0'), address: name, version: 1, isLeaving: false, hasRoom: true, free: [], uses: [], crashes: quarantines.requests.listRecent(), parts: quarantines.parts.listRecent(), domains: [], limits: [],
 			}),
 			send(message, receivers) {
 				for (const {daemon} of receivers) {
