Split the trials of parts from their quarantine

Change: part-trials.ts; claims of parts that are no longer held are dropped. The IDs of parts in log lines are formatted where parts are identified.

--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -42,6 +42,7 @@
 export * from './part-blame.js';
 export * from './part-keys.js';
 export * from './part-quarantine.js';
+export * from './part-trials.js';
 export * from './peer-catch-up.js';
 export * from './gossip.js';
 export * from './placement-policy.js';
--- a/src/coordination/part-keys.ts
+++ b/src/coordination/part-keys.ts
@@ -16,6 +16,8 @@
 
 /** Length of a digest in base64url characters; 22 of them hold 128 bits. */
 const digestLength = 22;
+/** Maximum number of parts in one log line. */
+const maxLoggedParts = 8;
 
 /**
  * Lists the parts of a prompt that other requests may contain too: all but the
@@ -37,6 +39,21 @@
 	}));
 }
 
+/**
+ * Formats the IDs of parts for log events.
+ *
+ * @example
+ * ```ts
+ * formatPartIds([{id: 'a', digest: '9c41d07b'}, {id: 'b', digest: '1f3a77c2'}]); // 'a b'
+ * ```
+ *
+ * @param parts The parts
+ * @returns The IDs of the first ones; undefined if there are none
+ */
+export function formatPartIds(parts: readonly PartKey[]): string | undefined {
+	return parts.length > 0 ? parts.slice(0, maxLoggedParts).map(({id}) => id).join(' ') : undefined;
+}
+
 /**
  * Computes a number that identifies one start of an upstream, the same at all
  * gateways.
--- a/src/coordination/part-quarantine.ts
+++ b/src/coordination/part-quarantine.ts
@@ -24,6 +24,7 @@
 	decideBlame, type BlamedGroup, type BlameLevel, type LastRead,
 } from './part-blame.js';
 import type {PartKey} from './part-keys.js';
+import {createPartTrials} from './part-trials.js';
 
 /** Options of {@linkcode createPartQuarantine}. */
 export type CreatePartQuarantineOptions = {
@@ -69,10 +70,6 @@
 /** Quarantine for parts of prompts. */
 export type PartQuarantine = ReturnType<typeof createPartQuarantine>;
 
-/** Delays of the first trials after the last crash or trial. The last one keeps trials to two on the first day and one on later days. */
-const trialDelaysMs = [30_000, 600_000, 86_400_000] as const;
-/** A request with several held parts shows less if its trial fails, so it waits longer than one with a single held part. */
-const severalPartsDelayFactor = 2;
 /** How long a changed record is included in gossip. */
 const gossipPeriodMs = 10_000;
 /** Maximum number of records in one gossip entry. */
@@ -83,10 +80,6 @@
 const observedCauses: ReadonlySet<string> = new Set(['crash', 'answered', 'released']);
 /** Number of parts that upstreams are known to have read, from which on a part that none is known to have read is unusual. */
 const minReadParts = 20;
-/** Consecutive refusals of prompts after which the parts held back may well be those that most requests have. */
-const refusalsToDoubt = 20;
-/** Delay of the first trial in this case: all requests that could show the parts to be sound are refused. */
-const doubtedTrialDelayMs = 3000;
 /** A part that was read within this time is part of many requests. */
 const recentReadMs = 10_000;
 /** Time for which an answer must go on before its parts count as read; an upstream crashes as it begins the answer. */
@@ -97,8 +90,8 @@
 const maxToldReads = 500;
 
 /** @internal */
-function findTrialDelayMs(trials: number): number {
-	return trialDelaysMs[Math.min(trials, trialDelaysMs.length - 1)]!;
+function listDigests(parts: readonly PartKey[]): string[] {
+	return parts.map(({digest}) => digest);
 }
 
 /**
@@ -119,16 +112,17 @@
 	const {
 		registry, clock, events, onChange,
 	} = options;
+	const trials = createPartTrials({
+		registry, clock, claim: options.claimTrial,
+		onClaimed(digest) {
+			reportLevel(digest, {cause: 'trial'});
+		},
+	});
 	let groups: readonly BlamedGroup[] = [];
 	/** Level of each part in a group. */
 	let levels = new Map<string, BlameLevel>();
 	/** IDs of parts with crashes, by digest. */
 	const names = new Map<string, string>();
-	/** Trials that this gateway has claimed and not begun. */
-	const permits = new Set<string>();
-	const pendingClaims = new Set<string>();
-	/** Prompts that were refused since the last one that was admitted. */
-	let refusalsInRow = 0;
 	let wasInformed = false;
 	/** When this gateway last saw a crash or an answer that changed a record. */
 	const observedAt = new Map<string, number>();
@@ -160,14 +154,6 @@
 		return clock.now() - readAt < recentReadMs ? 'recently' : 'earlier';
 	}
 
-	function computeTrialMs(digest: string, heldCount = 1): number {
-		const record = registry.get(digest);
-		const trials = record?.trials ?? 0;
-		const isDoubted = trials === 0 && refusalsInRow >= refusalsToDoubt;
-		const delayMs = isDoubted ? doubtedTrialDelayMs : findTrialDelayMs(trials) * (heldCount > 1 ? severalPartsDelayFactor : 1);
-		return Math.max(0, (record?.changedAt ?? clock.now()) + delayMs - clock.now());
-	}
-
 	function reportLevel(digest: string, fields: {readonly cause: string; readonly request?: string; readonly upstream?: string}): void {
 		events.write('partSuspected', {
 			digest, part: names.get(digest), crashes: registry.get(digest)?.crashes.length ?? 0, trials: registry.get(digest)?.trials ?? 0, level: levels.get(digest) ?? 'none', ...fields,
@@ -185,6 +171,7 @@
 			}
 		}
 
+		trials.dropExcept(digest => isHeld({digest}));
 		onChange({isUrgent: observedCauses.has(fields.cause)});
 	}
 
@@ -210,7 +197,7 @@
 	function createRefusal(held: readonly PartKey[]): Failure {
 		const {digest, id} = held[0]!;
 		return createFailure('prompt-quarantined', `Request was not run: upstreams crashed ${registry.get(digest)?.crashes.length ?? 0} times while answering prompts with part "${id}"`, {
-			retryAfterMs: Math.max(...held.map(part => computeTrialMs(part.digest, held.length))),
+			retryAfterMs: Math.max(...held.map(part => trials.computeWaitMs(part.digest, held.length))),
 		});
 	}
 
@@ -234,7 +221,6 @@
 		}
 
 		recordObserved(changed);
-
 		updateBlame({cause: 'crash', request, upstream});
 		for (const {digest} of changed.filter(part => levels.has(part.digest))) {
 			options.onCrash(digest);
@@ -263,9 +249,9 @@
 		/** Admits or refuses a request. One with a held part is admitted only if this gateway may begin a trial of each. */
 		admit(parts: readonly PartKey[]): Result<undefined, Failure> {
 			const held = listHeldOf(parts);
-			const isAdmitted = held.every(({digest}) => permits.has(digest));
+			const isAdmitted = trials.mayBegin(listDigests(held));
 			if (parts.length > 0) {
-				refusalsInRow = isAdmitted ? 0 : refusalsInRow + 1;
+				trials.recordAdmission(isAdmitted);
 			}
 
 			return isAdmitted ? Ok(undefined) : Err(createRefusal(held));
@@ -273,42 +259,17 @@
 
 		/** Claims the trials that a refused request may begin; resolves with true if it is to be admitted. */
 		async tryTrial(parts: readonly PartKey[]): Promise<boolean> {
-			const held = listHeldOf(parts).filter(({digest}) => !permits.has(digest));
 			// A crash would not show which part is to blame.
-			if (parts.some(part => !isHeld(part) && (registry.get(part.digest)?.crashes.length ?? 0) > 0)) {
-				return false;
-			}
-
-			const isDue = held.every(({digest}) => !pendingClaims.has(digest) && computeTrialMs(digest, held.length) === 0);
-			if (!isDue) {
-				return false;
-			}
-
-			for (const {digest} of held) {
-				pendingClaims.add(digest);
-				try {
-					if (!await options.claimTrial(digest)) {
-						return false;
-					}
-				} finally {
-					pendingClaims.delete(digest);
-				}
-
-				permits.add(digest);
-				reportLevel(digest, {cause: 'trial'});
-			}
-
-			return true;
+			const hasOtherSuspect = parts.some(part => !isHeld(part) && (registry.get(part.digest)?.crashes.length ?? 0) > 0);
+			return !hasOtherSuspect && trials.claimAll(listDigests(listHeldOf(parts)));
 		},
 
 		/** Returns true if a request may be written to an upstream now, and begins the trials of its held parts. */
 		admitSend(parts: readonly PartKey[]): boolean {
-			const held = listHeldOf(parts);
-			const isAdmitted = held.every(({digest}) => permits.has(digest));
+			const held = listDigests(listHeldOf(parts));
+			const isAdmitted = trials.mayBegin(held);
 			if (isAdmitted) {
-				for (const {digest} of held) {
-					permits.delete(digest);
-				}
+				trials.begin(held);
 			}
 
 			return isAdmitted;
@@ -360,7 +321,7 @@
 		isBlamed: (digest: string): boolean => levels.has(digest),
 
 		/** Returns true if the next trial of a held part may begin. */
-		isTrialDue: (digest: string): boolean => isHeld({digest}) && computeTrialMs(digest) === 0,
+		isTrialDue: (digest: string): boolean => isHeld({digest}) && trials.computeWaitMs(digest) === 0,
 
 		/**
 		 * Returns the records to be included in the next gossip entry.
@@ -397,8 +358,8 @@
 
 		listHeld(): HeldPart[] {
 			const now = clock.now();
-			return registry.list().filter(record => isHeld(record)).map(({digest, crashes, trials, changedAt}) => ({
-				digest, part: names.get(digest), crashes: crashes.length, trials, together: groups.find(group => group.digests.includes(digest))!.digests.length - 1, heldMs: Math.round(now - changedAt), trialMs: Math.round(computeTrialMs(digest)),
+			return registry.list().filter(record => isHeld(record)).map(({digest, crashes, trials: trialCount, changedAt}) => ({
+				digest, part: names.get(digest), crashes: crashes.length, trials: trialCount, together: groups.find(group => group.digests.includes(digest))!.digests.length - 1, heldMs: Math.round(now - changedAt), trialMs: Math.round(trials.computeWaitMs(digest)),
 			}));
 		},
 
--- a/src/coordination/placement-policy.ts
+++ b/src/coordination/placement-policy.ts
@@ -68,15 +68,6 @@
 	return parts.length > 1 ? parts.slice(0, -1) : parts;
 }
 
-/** Maximum number of parts in one log line. */
-const maxLoggedParts = 8;
-
-/** Formats the IDs of the shared parts of a prompt for log events; undefined if there are none. */
-export function formatSharedParts(generation: GenerationParameters | undefined): string | undefined {
-	const parts = generation?.parts.slice(0, -1).slice(0, maxLoggedParts) ?? [];
-	return parts.length > 0 ? parts.map(({id}) => id).join(' ') : undefined;
-}
-
 /** Returns the key by which a prompt is ranked: its last shared part. */
 export function getRendezvousKey({generation, id}: PlacementQuery): string {
 	const parts = generation?.parts ?? [];
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/upstream-sender.ts
@@ -14,9 +14,8 @@
 import type {CrashDetector} from './crash-detector.js';
 import type {ForwardReport, ForwardRequest} from './forward-types.js';
 import type {LimitRecorder} from './limit-recorder.js';
-import {computeStartKey} from './part-keys.js';
+import {computeStartKey, formatPartIds} from './part-keys.js';
 import type {PartQuarantine, PartRun} from './part-quarantine.js';
-import {formatSharedParts} from './placement-policy.js';
 import type {Quarantine} from './quarantine.js';
 import {hasTimeLeft} from './remaining-time.js';
 import type {Placement} from './request-placement.js';
@@ -212,7 +211,7 @@
 
 			const tracker = registry.trackRequest(id, request);
 			const partRun = partQuarantine.trackRun(request.parts);
-			const trackedRun = quarantine.trackRun(request.digest, {request: request.id, parts: formatSharedParts(request.generation)});
+			const trackedRun = quarantine.trackRun(request.digest, {request: request.id, parts: formatPartIds(request.parts)});
 			const stallTimeout = createStallTimeout({objective: request.route.objective, canRetry: () => canRetryElsewhere(state), clock});
 			const remaining = request.deadline - clock.now();
 			let isWithheld = false;
