--- a/src/coordination/part-quarantine.ts
+++ b/src/coordination/part-quarantine.ts
@@ -196,7 +196,7 @@
 
 	function createRefusal(held: readonly PartKey[]): Failure {
 		const {digest, id} = held[0]!;
-		return createFailure('prompt-quarantined', `Request was not run: upstreams crashed ${registry.get(digest)?.crashes.length ?? 0} times while answering prompts with part "${id}"`, {
+		return createFailure('prompt-quarantined', `Upstreams crashed ${registry.get(digest)?.crashes.length ?? 0} times while answering prompts with part "${id}"`, {
 			retryAfterMs: Math.max(...held.map(part => trials.computeWaitMs(part.digest, held.length))),
 		});
 	}
