Accept a connection each half second at a gateway without room

Cause: found by reading. A gateway closed all new connections while its room was taken. Where running requests are long, a gateway that says it is ready would have taken none for seconds, which the rule on ready gateways forbids. Change: whatever the room, one connection each half second is accepted.

--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -313,7 +313,11 @@
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve);
 	const connectionAdmission = createConnectionAdmission({
 		countRoom: admission.countRoom,
-		hasPeerWithRoom: () => peerViews.list().some(({hasRoom, isLeaving}) => hasRoom && !isLeaving),
+		clock,
+		countPeers() {
+			const staying = peerViews.list().filter(({isLeaving}) => !isLeaving);
+			return {total: staying.length, withRoom: staying.filter(({hasRoom}) => hasRoom).length};
+		},
 	});
 	callerServer.setAcceptPolicy(connectionAdmission.shouldAccept);
 	const statusServers = await startStatusServers(settings, {
