Limit the time that a request waits for the claim of a trial

Cause: found by reading. A request that could begin a trial waited for the log before its time limit was set: a read and up to five appends, each of which may take a second when the log does not answer. It would have been held past its timeout. Change: the wait ends after 0.3 s and the request is refused. The claim goes on, and the next request with the part may begin the trial. Result: a unit test that timed out before passes.

--- a/src/coordination/part-quarantine.test.ts
+++ b/src/coordination/part-quarantine.test.ts
@@ -15,11 +15,15 @@
 /** Creates the quarantine of a gateway that has seen answers to other parts, unless it has just started. */
 function createFixture({canClaim = true, hasJustStarted = false} = {}) {
 	const state = {
-		now: 0, changes: 0, claims: [] as string[], written: [] as string[], logged: [] as Array<Record<string, unknown> | undefined>,
+		now: 0, isLogHanging: false, changes: 0, claims: [] as string[], written: [] as string[], logged: [] as Array<Record<string, unknown> | undefined>,
 	};
 	const quarantine = createPartQuarantine({
 		registry: createPartCrashRegistry(),
-		clock: {now: () => state.now, sleep: async () => undefined},
+		clock: {
+			now: () => state.now,
+			// Timeouts expire only while the log does not answer.
+			sleep: async () => state.isLogHanging ? undefined : new Promise(() => undefined), // eslint-disable-line no-promise-executor-return
+		},
 		events: {
 			write(_event, fields) {
 				state.logged.push(fields);
@@ -34,7 +38,7 @@
 		},
 		async claimTrial(digest) {
 			state.claims.push(digest);
-			return canClaim;
+			return state.isLogHanging ? new Promise(() => undefined) : canClaim; // eslint-disable-line no-promise-executor-return
 		},
 	});
 	let start = 0;
@@ -197,6 +201,30 @@
 	expect(quarantine.admitSend(badParts)).toBe(false);
 });
 
+// Guards against holding a request past its time limit because the log does not answer the claim.
+test('a claim that the log does not answer refuses the request', async () => {
+	const {state, quarantine, crash} = createFixture();
+	crash(listParts('bad', 'own'), 3);
+	state.now += firstTrialMs;
+	state.isLogHanging = true;
+	expect(await quarantine.tryTrial(listParts('bad', 'own'))).toBe(false);
+	expect(await quarantine.tryTrial(listParts('bad', 'own'))).toBe(false);
+	expect(state.claims).toHaveLength(1);
+});
+
+// Guards against a trial that is begun without a claim of its own, with one that was left from an earlier hold.
+test('a claimed trial that was not begun ends with the hold', async () => {
+	const {state, quarantine, crash, answer} = createFixture();
+	const parts = listParts('bad', 'own');
+	crash(parts, 3);
+	state.now += firstTrialMs;
+	expect(await quarantine.tryTrial(parts)).toBe(true);
+	answer(parts);
+	crash(parts, 9);
+	expect(quarantine.admit(parts).ok).toBe(false);
+	expect(quarantine.admitSend(parts)).toBe(false);
+});
+
 test('trials are at least thirty seconds, ten minutes and a day apart', () => {
 	const {state, quarantine, crash, answer} = createFixture();
 	answer(soundParts);
--- a/src/coordination/part-trials.ts
+++ b/src/coordination/part-trials.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type {PartCrashRegistry} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+import {waitWithTimeout, type Clock} from '../transport/mod.js';
 
 /** Options of {@linkcode createPartTrials}. */
 export type CreatePartTrialsOptions = {
@@ -31,6 +31,8 @@
 const refusalsToDoubt = 20;
 /** Delay of the first trial in this case: all requests that could show the parts to be sound are refused. */
 const doubtedTrialDelayMs = 3000;
+/** Time that a request waits for the log to answer a claim. */
+const claimTimeoutMs = 300;
 
 /** @internal */
 function findTrialDelayMs(trials: number): number {
@@ -77,6 +79,20 @@
 		}
 	}
 
+	// Goes on if the request no longer waits for it: the next request may begin the trial.
+	async function claimEach(digests: readonly string[]): Promise<boolean> {
+		for (const digest of digests) {
+			if (!await claimOne(digest)) {
+				return false;
+			}
+
+			permits.add(digest);
+			onClaimed(digest);
+		}
+
+		return true;
+	}
+
 	return {
 		computeWaitMs,
 
@@ -95,16 +111,7 @@
 				return false;
 			}
 
-			for (const digest of unclaimed) {
-				if (!await claimOne(digest)) {
-					return false;
-				}
-
-				permits.add(digest);
-				onClaimed(digest);
-			}
-
-			return true;
+			return await waitWithTimeout(claimEach(unclaimed), {clock, timeoutMs: claimTimeoutMs}) ?? false;
 		},
 
 		/** Begins the trials of parts, which uses up their claims. */
