Reword comments on parts that crash upstreams

Cause: some comments used words that a newcomer has to guess at. Change: those comments, three names of tests and one constant; no behaviour. Result: unit tests of parts pass.

--- a/src/coordination/part-blame.test.ts
+++ b/src/coordination/part-blame.test.ts
@@ -23,7 +23,7 @@
 	expect(decide([buildRecord('bad', [1, 2, 3])])).toEqual({bad: 'held'});
 });
 
-// Guards against holding back sound parts that stood beside the cause of the crashes.
+// Guards against holding back sound parts that were present at the same crashes as their cause.
 test('crashes that another part explains count against no other', () => {
 	expect(decide([buildRecord('common', [2, 3, 4]), buildRecord('bad', [1, 2, 3, 4]), buildRecord('rare', [1, 3, 4])])).toEqual({bad: 'held'});
 });
@@ -35,7 +35,7 @@
 	expect(decideBlame(records, {findLastRead: () => 'never'})).toEqual([{level: 'held', digests: ['common', 'bad']}]);
 });
 
-// Guards against blaming the common part because not all gateways have heard that the cause was present at a crash.
+// Guards against blaming the common part because the record of the cause has not reached all gateways.
 test('a part that was answered before is not blamed for one crash more than another explains', () => {
 	expect(decide([buildRecord('common', [1, 2, 3]), buildRecord('bad', [2, 3])], {common: 'earlier'})).toEqual({bad: 'suspected'});
 });
--- a/src/coordination/part-blame.ts
+++ b/src/coordination/part-blame.ts
@@ -7,7 +7,7 @@
  * blamed one after the other, the one that explains the most crashes first, and a
  * crash that is explained counts against no other part (a greedy set cover).
  *
- * Parts that explain the same crashes cannot be told apart. Only prompts that
+ * Parts that explain the same crashes cannot be distinguished. Only prompts that
  * contain all of them are held back: any other prompt shows by its answer or crash
  * which of them is to blame.
  *
--- a/src/coordination/part-quarantine.test.ts
+++ b/src/coordination/part-quarantine.test.ts
@@ -107,7 +107,7 @@
 });
 
 // Guards against crashes at one upstream that starts again under its ID and would count once.
-test('two starts of an upstream under one ID are told apart', () => {
+test('two starts of an upstream under one ID are distinguished', () => {
 	expect(computeStartKey({id: 'u1', startedAt: 1})).not.toBe(computeStartKey({id: 'u1', startedAt: 2}));
 	expect(computeStartKey({id: 'u1'})).toBe(computeStartKey({id: 'u1', startedAt: undefined}));
 });
@@ -274,7 +274,7 @@
 	]);
 });
 
-// Guards against a part that other gateways do not hear of because many sound ones stood beside it.
+// Guards against a part whose record does not reach other gateways because many sound parts have records too.
 test('at most twelve records are advertised at a time, those that may be the cause first, and the others in turn', () => {
 	const {quarantine, crash, answer} = createFixture();
 	const beside = listParts(...Array.from({length: 40}, (_, index) => `p${index}`), 'own');
@@ -307,7 +307,7 @@
 });
 
 // Guards against refusing nearly all requests because the first crashes come before the first answers.
-test('parts that crashes do not tell apart are held back only together', () => {
+test('parts that crashes do not distinguish are held back only together', () => {
 	const {quarantine, crash, answer} = createFixture();
 	crash(badParts, 3);
 	expect(quarantine.admit(badParts).ok).toBe(false);
--- a/src/coordination/part-quarantine.ts
+++ b/src/coordination/part-quarantine.ts
@@ -78,7 +78,7 @@
 const maxNames = 1000;
 /** Causes of changes that no other gateway can know of yet. */
 const observedCauses: ReadonlySet<string> = new Set(['crash', 'answered', 'released']);
-/** Number of parts that upstreams are known to have read, from which on a part that none is known to have read is unusual. */
+/** Number of parts that a gateway must have seen upstreams read before it can judge one that it has not. */
 const minReadParts = 20;
 /** A part that was read within this time is part of many requests. */
 const recentReadMs = 10_000;
@@ -86,8 +86,8 @@
 const minProgressMs = 500;
 /** Interval at which an answer that goes on renews this. */
 const progressIntervalMs = 1000;
-/** Maximum number of parts that were read recently of which a gateway that has just started is told. */
-const maxToldReads = 500;
+/** Maximum number of recently read parts that are sent to a gateway that has just started. */
+const maxSentReads = 500;
 
 /** @internal */
 function listDigests(parts: readonly PartKey[]): string[] {
@@ -175,7 +175,7 @@
 		onChange({isUrgent: observedCauses.has(fields.cause)});
 	}
 
-	// What was unknown while too few answers had been seen is known from now on.
+	// Judges the records again once this gateway has seen enough answers.
 	function noteReads(): void {
 		if (wasInformed || registry.countRead() < minReadParts) {
 			return;
@@ -325,7 +325,7 @@
 
 		/**
 		 * Returns the records to be included in the next gossip entry.
-		 * A gateway that does not know why others hold a part back cannot tell them that it was answered.
+		 * A gateway announces an answer only if it has the record of the part's crashes.
 		 */
 		listRecent(): PartAnnouncement[] {
 			if (registry.isEmpty()) {
@@ -345,7 +345,7 @@
 		listAll: (): PartAnnouncement[] => registry.list().map(record => announcePart(record, clock.now())),
 
 		/** Lists parts that upstreams have read a moment ago, to be sent to a gateway that has just started. */
-		listRead: (): string[] => registry.listReadSince(clock.now() - recentReadMs, maxToldReads),
+		listRead: (): string[] => registry.listReadSince(clock.now() - recentReadMs, maxSentReads),
 
 		/** Records parts that another gateway lists. */
 		mergeRead(digests: readonly string[]): void {
