Keep the earlier time of two accounts of a crash

Two gateways first read the part's crashes from the log, seconds after they were written, and took the age at writing for the age at reading. Separate crashes fell together with later ones, counted once, and the part was not held back there although eight crashes were known. Change: of two accounts of a crash the earlier time is kept, if they differ by 50 ms or more, as a delay can only make a crash look later. A full record no longer reports a change for a crash that does not fit.

--- a/src/state/part-crash-registry.test.ts
+++ b/src/state/part-crash-registry.test.ts
@@ -45,6 +45,21 @@
 	expect(registry.get('a')?.crashes).toEqual([{upstream: 1, at: 0}, {upstream: 2, at: 9}]);
 });
 
+// Guards against counting separate crashes as simultaneous ones, because a record of the log is read long after it was written.
+test('of two accounts of a crash the earlier time is kept', () => {
+	const registry = createPartCrashRegistry();
+	const account = (ageMs: number) => ({
+		digest: 'a', round: 0, trials: 0, crashes: [{upstream: 1, ageMs}],
+	});
+	registry.recordCrash('a', {upstream: 2, now: 900});
+	registry.merge(account(100), 1000);
+	expect(registry.merge(account(600), 1100)).toBe(true);
+	expect(registry.get('a')?.crashes).toEqual([{upstream: 1, at: 500}, {upstream: 2, at: 900}]);
+	expect(registry.merge(account(310), 1200)).toBe(false);
+	expect(registry.merge(account(740), 1200)).toBe(false);
+	expect(registry.get('a')?.crashes[0]).toEqual({upstream: 1, at: 500});
+});
+
 test('an answer empties the record and takes precedence over older ones', () => {
 	const registry = createPartCrashRegistry();
 	registry.recordCrash('a', {upstream: 1, now: 0});
@@ -81,6 +96,7 @@
 	}
 
 	expect(registry.get('a')?.crashes).toHaveLength(16);
+	expect(registry.recordCrash('a', {upstream: 20, now: 20})).toBe(false);
 });
 
 test('prune() deletes records unchanged for a day, and those of answered parts after a minute', () => {
--- a/src/state/part-crash-registry.ts
+++ b/src/state/part-crash-registry.ts
@@ -57,6 +57,8 @@
 const defaultMaxRead = 5000;
 /** Maximum number of crashes in a record; a part is held back after fewer. */
 const maxCrashes = 16;
+/** Two accounts of a crash that differ by less have the same time. */
+const minTimeDifferenceMs = 50;
 /** How long a record with crashes is kept after its last change. */
 const crashRetentionMs = 86_400_000;
 /** How long the record of an answered part is kept: older gossip about its crashes may still arrive. */
@@ -67,11 +69,24 @@
 	return right.crashes.length - left.crashes.length || right.changedAt - left.changedAt;
 }
 
-/** @internal */
+/**
+ * @internal Combines the crashes of two records; returns `known` itself if nothing
+ * changes. An account that took longer to arrive makes a crash look later than it
+ * was, so the earlier time is kept.
+ */
 function mergeCrashes(known: readonly UpstreamCrash[], added: readonly UpstreamCrash[]): readonly UpstreamCrash[] {
-	const knownUpstreams = new Set(known.map(({upstream}) => upstream));
-	const unknown = added.filter(({upstream}) => !knownUpstreams.has(upstream));
-	return unknown.length === 0 ? known : [...known, ...unknown].sort((left, right) => left.at - right.at).slice(0, maxCrashes);
+	const times = new Map(known.map(({upstream, at}) => [upstream, at]));
+	let hasChanged = false;
+	for (const {upstream, at} of added) {
+		const knownAt = times.get(upstream);
+		const isNew = knownAt === undefined && times.size < maxCrashes;
+		if (isNew || (knownAt !== undefined && at < knownAt - minTimeDifferenceMs)) {
+			times.set(upstream, at);
+			hasChanged = true;
+		}
+	}
+
+	return hasChanged ? [...times].map(([upstream, at]) => ({upstream, at})).sort((left, right) => left.at - right.at) : known;
 }
 
 /**
@@ -130,7 +145,7 @@
 
 		const crashes = mergeCrashes(known.crashes, record.crashes);
 		const trials = Math.max(known.trials, record.trials);
-		const hasChanged = crashes.length > known.crashes.length || trials > known.trials;
+		const hasChanged = crashes !== known.crashes || trials > known.trials;
 		if (hasChanged) {
 			records.set(record.digest, {
 				...known, crashes, trials, changedAt: now,
