--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -39,6 +39,7 @@
 export * from './gossip-rate.js';
 export * from './gossip-receivers.js';
 export * from './order-sender.js';
+export * from './part-announcements.js';
 export * from './part-blame.js';
 export * from './part-keys.js';
 export * from './part-quarantine.js';
--- a/src/coordination/part-quarantine.ts
+++ b/src/coordination/part-quarantine.ts
@@ -20,6 +20,7 @@
 	announcePart, type PartAnnouncement, type PartCrashRegistry, type TrackedPartRecord,
 } from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
+import {createPartAnnouncements} from './part-announcements.js';
 import {
 	decideBlame, type BlamedGroup, type BlameLevel, type LastRead,
 } from './part-blame.js';
@@ -70,10 +71,6 @@
 /** Quarantine for parts of prompts. */
 export type PartQuarantine = ReturnType<typeof createPartQuarantine>;
 
-/** How long a changed record is included in gossip. */
-const gossipPeriodMs = 10_000;
-/** Maximum number of records in one gossip entry. */
-const maxGossipRecords = 12;
 /** Maximum number of parts whose IDs are kept for operators. */
 const maxNames = 1000;
 /** Causes of changes that no other gateway can know of yet. */
@@ -112,6 +109,7 @@
 	const {
 		registry, clock, events, onChange,
 	} = options;
+	const announcements = createPartAnnouncements({registry, findLevel: digest => levels.get(digest), clock});
 	const trials = createPartTrials({
 		registry, clock, claim: options.claimTrial,
 		onClaimed(digest) {
@@ -124,11 +122,6 @@
 	/** IDs of parts with crashes, by digest. */
 	const names = new Map<string, string>();
 	let wasInformed = false;
-	/** When this gateway last saw a crash or an answer that changed a record. */
-	const observedAt = new Map<string, number>();
-	/** When each record was last included in gossip, so that more records than fit take turns. */
-	const announcedAt = new Map<string, number>();
-
 	const isHeld = ({digest}: Pick<PartKey, 'digest'>): boolean => levels.get(digest) === 'held';
 
 	// Lists the parts of the groups that a prompt contains completely.
@@ -204,12 +197,6 @@
 	// A part that has crashed an upstream and was never read may well be the cause, unless this gateway has just started.
 	const isDoubtful = ({digest}: PartKey): boolean => findLastRead(digest) === 'never' && (registry.get(digest)?.crashes.length ?? 0) > 0;
 
-	function recordObserved(parts: ReadonlyArray<Pick<PartKey, 'digest'>>): void {
-		for (const {digest} of parts) {
-			observedAt.set(digest, clock.now());
-		}
-	}
-
 	function recordCrash(parts: readonly PartKey[], {upstream, start, request}: {readonly upstream: string; readonly start: number; readonly request: string | undefined}): void {
 		const changed = parts.filter(({digest}) => registry.recordCrash(digest, {upstream: start, now: clock.now()}));
 		if (changed.length === 0) {
@@ -218,9 +205,9 @@
 
 		for (const part of changed) {
 			rememberName(part);
+			announcements.recordObserved(part.digest);
 		}
 
-		recordObserved(changed);
 		updateBlame({cause: 'crash', request, upstream});
 		for (const {digest} of changed.filter(part => levels.has(part.digest))) {
 			options.onCrash(digest);
@@ -233,18 +220,6 @@
 		}
 	}
 
-	// What another gateway saw reaches the others from there, so that only records of blamed parts are repeated.
-	function isAnnounced({digest, changedAt}: TrackedPartRecord): boolean {
-		const sinceMs = clock.now() - Math.max(observedAt.get(digest) ?? Number.NEGATIVE_INFINITY, levels.has(digest) ? changedAt : Number.NEGATIVE_INFINITY);
-		return sinceMs < gossipPeriodMs || isHeld({digest});
-	}
-
-	// Blamed parts come first, then those that may be the cause, then those not announced for the longest time.
-	function compareForGossip(left: TrackedPartRecord, right: TrackedPartRecord): number {
-		const rank = ({digest}: TrackedPartRecord) => (levels.has(digest) ? 2 : 0) + (registry.getReadAt(digest) === undefined ? 1 : 0);
-		return rank(right) - rank(left) || (announcedAt.get(left.digest) ?? 0) - (announcedAt.get(right.digest) ?? 0);
-	}
-
 	return {
 		/** Admits or refuses a request. One with a held part is admitted only if this gateway may begin a trial of each. */
 		admit(parts: readonly PartKey[]): Result<undefined, Failure> {
@@ -292,8 +267,11 @@
 				recordAnswer() {
 					const changed = parts.filter(({digest}) => registry.recordAnswer(digest, clock.now()));
 					noteReads();
+					for (const {digest} of changed) {
+						announcements.recordObserved(digest);
+					}
+
 					if (changed.length > 0) {
-						recordObserved(changed);
 						updateBlame({cause: 'answered'});
 					}
 				},
@@ -323,23 +301,8 @@
 		/** Returns true if the next trial of a held part may begin. */
 		isTrialDue: (digest: string): boolean => isHeld({digest}) && trials.computeWaitMs(digest) === 0,
 
-		/**
-		 * Returns the records to be included in the next gossip entry.
-		 * A gateway announces an answer only if it has the record of the part's crashes.
-		 */
-		listRecent(): PartAnnouncement[] {
-			if (registry.isEmpty()) {
-				return [];
-			}
-
-			const now = clock.now();
-			const recent = registry.list().filter(record => isAnnounced(record)).sort(compareForGossip).slice(0, maxGossipRecords);
-			for (const {digest} of recent) {
-				announcedAt.set(digest, now);
-			}
-
-			return recent.map(record => announcePart(record, now));
-		},
+		/** Returns the records to be included in the next gossip entry. */
+		listRecent: announcements.listNext,
 
 		/** Returns all records, to be sent to a gateway that has just started. */
 		listAll: (): PartAnnouncement[] => registry.list().map(record => announcePart(record, clock.now())),
@@ -370,7 +333,7 @@
 		release(digest: string): boolean {
 			const wasReleased = registry.recordAnswer(digest, clock.now());
 			if (wasReleased) {
-				recordObserved([{digest}]);
+				announcements.recordObserved(digest);
 				updateBlame({cause: 'released'});
 			}
 
@@ -379,13 +342,7 @@
 
 		prune(): void {
 			registry.prune(clock.now());
-			for (const times of [announcedAt, observedAt]) {
-				for (const digest of times.keys()) {
-					if (registry.get(digest) === undefined) {
-						times.delete(digest);
-					}
-				}
-			}
+			announcements.prune();
 		},
 	};
 }
