Do not take the release of a part for an answer

Cause: found by reading. An operator's release was recorded as an answer, and a part that was answered a moment ago is held back only after eight crashes, later after five. A part that is released too early would have ended that many engines; docs/OPERATIONS.md says three. Change: a release empties the record and says nothing of whether the part was read. Result: a unit test that failed before passes.

--- a/src/coordination/part-quarantine.test.ts
+++ b/src/coordination/part-quarantine.test.ts
@@ -326,3 +326,12 @@
 	expect(quarantine.release(digest)).toBe(false);
 	expect(quarantine.listHeld()).toEqual([]);
 });
+
+// Guards against taking an operator's word for an answer, after which a part needs eight crashes to be held back.
+test('a released part is held back again after three crashes', () => {
+	const {quarantine, crash} = createFixture();
+	crash(listParts('bad', 'own'), 3);
+	quarantine.release(listParts('bad', 'own')[0]!.digest);
+	crash(listParts('bad', 'own'), 3);
+	expect(quarantine.admit(badParts).ok).toBe(false);
+});
--- a/src/coordination/part-quarantine.ts
+++ b/src/coordination/part-quarantine.ts
@@ -331,7 +331,7 @@
 
 		/** Releases a part on behalf of an operator; returns false if no crashes are recorded for it. */
 		release(digest: string): boolean {
-			const wasReleased = registry.recordAnswer(digest, clock.now());
+			const wasReleased = registry.clear(digest, clock.now());
 			if (wasReleased) {
 				announcements.recordObserved(digest);
 				updateBlame({cause: 'released'});
--- a/src/state/part-crash-registry.ts
+++ b/src/state/part-crash-registry.ts
@@ -155,6 +155,13 @@
 		return hasChanged;
 	}
 
+	function clear(digest: string, now: number): boolean {
+		const known = records.get(digest);
+		return known !== undefined && known.crashes.length > 0 && mergeRecord({
+			digest, round: known.round + 1, trials: 0, crashes: [],
+		}, now);
+	}
+
 	return {
 		get: (digest: string): TrackedPartRecord | undefined => records.get(digest),
 		isEmpty: (): boolean => records.size === 0,
@@ -179,12 +186,12 @@
 		/** Records a complete answer; returns true if the record has changed. */
 		recordAnswer(digest: string, now: number): boolean {
 			recordRead(digest, now);
-			const known = records.get(digest);
-			return known !== undefined && known.crashes.length > 0 && mergeRecord({
-				digest, round: known.round + 1, trials: 0, crashes: [],
-			}, now);
+			return clear(digest, now);
 		},
 
+		/** Empties a record without an answer; returns true if the record has changed. */
+		clear,
+
 		/** Records that a trial of a part has begun; returns true if the record has changed. */
 		recordTrial(digest: string, now: number): boolean {
 			const known = records.get(digest);
