--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -7,10 +7,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {
-	listPartKeys, type Admission, type BudgetManager, type CallerAnswer, type ForwardReport, type ForwardRequest, type Metrics, type PartKey, type PartQuarantine, type Quarantine, type RequestForwarder, type StreamResolver,
+	listPartKeys, type Admission, type BudgetManager, type CallerAnswer, type ForwardReport, type ForwardRequest, type Metrics, type PartQuarantine, type Quarantine, type RequestForwarder, type StreamResolver,
 } from '../coordination/mod.js';
 import {
-	Err, Ok, createFailure, type GatewayCustomer, type EventLog, type Failure, type GatewayWire, type RequestMetadata, type Result, type Route, type GatewayService,
+	Err, Ok, createFailure, type EventLog, type Failure, type GatewayWire, type Result,
 } from '../protocol/mod.js';
 import type {RouteTable, StreamOrigin, TokenReservation} from '../state/mod.js';
 import {
@@ -18,6 +18,7 @@
 } from '../transport/mod.js';
 import {createCallerAnswer} from './caller-answer.js';
 import {computeRequestDigest} from './request-digest.js';
+import {notReadyRetryAfterMs, resolveRequest, type ResolvedRequest} from './request-resolver.js';
 import type {StopWindow} from './stop-window.js';
 
 /** Options of {@linkcode createGatewayInterface}. */
@@ -48,16 +49,6 @@
 	readonly onConnection: number;
 };
 
-/** A request whose route, service and customer are known. */
-type ResolvedRequest = {
-	readonly metadata: RequestMetadata;
-	readonly route: Route;
-	readonly service: GatewayService;
-	readonly customer: GatewayCustomer | undefined;
-	/** The parts of the prompt that other requests may contain too. */
-	readonly parts: readonly PartKey[];
-};
-
 /** Time that a request has left when it is admitted, and its deadline on the monotonic clock, in milliseconds. */
 type RequestTimeout = {readonly timeoutMs: number; readonly deadline: number};
 
@@ -77,8 +68,6 @@
 /** The interface for callers of a gateway. */
 export type GatewayInterface = ReturnType<typeof createGatewayInterface>;
 
-/** Retry delay for a caller of a gateway that has just started. */
-const notReadyRetryAfterMs = 1000;
 /** Share of a request's timeout that it may wait for a claim; a slow store takes 0.5 s per claim. */
 const claimTimeoutShare = 0.15;
 /** Maximum number of request IDs in one log line; a gateway starts 26 requests per second when 390 daemons share 10,000. */
@@ -87,25 +76,6 @@
 const gatewayClosing = 'This gateway is shutting down';
 const requestTimedOut = 'The request timed out';
 
-/** @internal Picks a service by weight. The choice is derived from the request ID, so a repeated lookup returns the same service. */
-function pickService(route: Route, id: string): string {
-	const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
-	let hash = 0;
-	for (const character of id) {
-		hash = ((hash * 31) + character.codePointAt(0)!) % 1_000_003;
-	}
-
-	let remainingWeight = (hash / 1_000_003) * total;
-	for (const target of route.targets) {
-		remainingWeight -= target.weight;
-		if (remainingWeight < 0) {
-			return target.service;
-		}
-	}
-
-	return route.targets.at(-1)!.service;
-}
-
 /** @internal Counts the tokens that a request used: its prompt once if it may have run, and the delivered output. */
 function computeUsedTokens(request: ForwardRequest, report: ForwardReport): number {
 	const {generation, service} = request;
@@ -136,45 +106,6 @@
 	const requestCounts = new WeakMap<Socket, number>();
 	let isClosing = false;
 
-	function identifyCustomer(table: RouteTable, route: Route, key: string | undefined): Result<GatewayCustomer | undefined, Failure> {
-		const customer = key === undefined ? undefined : table.findCustomerByKey(key);
-		const isAllowed = customer !== undefined || !table.shouldRequireKeys || route.isOpen;
-		return isAllowed
-			? Ok(customer)
-			: Err(createFailure('unknown-key', 'The request contains no valid customer key'));
-	}
-
-	function resolveRequest(request: IncomingMessage): Result<ResolvedRequest, Failure> {
-		const table = findRouteTable();
-		if (!table) {
-			return Err(createFailure('not-ready', 'This gateway has no configuration yet', {retryAfterMs: notReadyRetryAfterMs}));
-		}
-
-		const metadata = wire.readRequest(request.headers);
-		if (metadata.err) {
-			return metadata;
-		}
-
-		const path = (request.url ?? '/').split('?', 1)[0]!;
-		const route = table.findRoute(request.headers.host ?? '', path);
-		if (!route) {
-			return Err(createFailure('unknown-route', `No route matches host "${request.headers.host ?? ''}" and path "${path}"`));
-		}
-
-		const customer = identifyCustomer(table, route, metadata.val.key);
-		if (customer.err) {
-			return customer;
-		}
-
-		const id = pickService(route, metadata.val.id ?? '');
-		const service = table.findService(id);
-		return service
-			? Ok({
-				metadata: metadata.val, route, service, customer: customer.val, parts: listPartKeys(id, metadata.val.generation),
-			})
-			: Err(createFailure('no-upstream', `Service "${id}" is not configured`, {retryAfterMs: notReadyRetryAfterMs}));
-	}
-
 	async function reserveTokens({metadata, customer}: ResolvedRequest, timeoutMs: number): Promise<Result<TokenReservation | undefined, Failure>> {
 		const {generation} = metadata;
 		return generation && customer?.bought !== undefined
@@ -440,7 +371,7 @@
 			runningRequests.add(request);
 			try {
 				await syncViews(unreadMs);
-				const resolved = resolveRequest(request);
+				const resolved = resolveRequest(request, {wire, table: findRouteTable()});
 				if (resolved.err) {
 					refuse(context, wire.readRequestId(request.headers), resolved.val);
 				} else {
