Log how long claims and loans of tokens take

What the logs could not tell apart: a request that waited for its own claim, for the claim of a lender, or for the answers of lenders that had nothing. FL1201 names the duration and the number of appends of a claim, FL1206 the time a lender waited before it lent, FL1207 the duration of the call.

--- a/src/coordination/grant-writer.ts
+++ b/src/coordination/grant-writer.ts
@@ -79,6 +79,8 @@
 	const key = formatHolderKey(self);
 	let sequence = 0;
 	let claimDurationMs = 0;
+	/** Appends of the last claim, including those that another writer preceded. */
+	let claimAttempts = 0;
 	let roundStartedAt: number | undefined;
 	let isEnding = false;
 	let hasRestoredRates = false;
@@ -202,6 +204,7 @@
 
 	async function writeGrants(): Promise<void> {
 		for (let attempt = 0; attempt < maxAppendAttempts && !signal.aborted; attempt += 1) {
+			claimAttempts = attempt + 1;
 			if (await tryWriteRecord() === 'done') {
 				return;
 			}
@@ -230,7 +233,9 @@
 			}
 
 			sequence = Math.max(sequence, record.sequence);
-			events.write('grantClaimed', {sequence: record.sequence, version: record.version, granted: JSON.stringify(record.granted)});
+			events.write('grantClaimed', {
+				sequence: record.sequence, version: record.version, granted: JSON.stringify(record.granted), ms: Math.round(claimDurationMs), attempts: claimAttempts,
+			});
 		},
 
 		/** Runs a round now: claims the demand of the next seconds and releases idle tokens. */
--- a/src/coordination/token-lending.ts
+++ b/src/coordination/token-lending.ts
@@ -103,27 +103,32 @@
 		}
 	}
 
-	function recordLoan(peer: Lender, customer: string, lent: number): void {
+	function recordLoan(peer: Lender, customer: string, {lent, requestedAt}: {readonly lent: number; readonly requestedAt: number}): void {
 		if (lent > 0) {
 			account.addBorrowed(customer, lent);
-			events.write('loanTaken', {customer, from: peer.daemon, amount: lent});
+			events.write('loanTaken', {
+				customer, from: peer.daemon, amount: lent, ms: Math.round(clock.now() - requestedAt),
+			});
 		}
 	}
 
 	// Repeats the request under the same loan ID, because the lender may have subtracted the tokens before its answer was
 	// lost. The caller's request does not wait for this.
 	async function retryLoanRequest(peer: Lender, request: TokenLoanRequest): Promise<void> {
+		const requestedAt = clock.now();
 		try {
-			recordLoan(peer, request.customer, await options.requestLoan(peer.address, request));
+			const lent = await options.requestLoan(peer.address, request);
+			recordLoan(peer, request.customer, {lent, requestedAt});
 		} catch (error) {
 			events.write('loanUnanswered', {peer: peer.daemon, customer: request.customer, detail: (error as Error).message});
 		}
 	}
 
 	async function sendLoanRequest(peer: Lender, request: TokenLoanRequest): Promise<number | undefined> {
+		const requestedAt = clock.now();
 		try {
 			const lent = await options.requestLoan(peer.address, request);
-			recordLoan(peer, request.customer, lent);
+			recordLoan(peer, request.customer, {lent, requestedAt});
 			return lent;
 		} catch (error) {
 			events.write('loanUnanswered', {peer: peer.daemon, customer: request.customer, detail: (error as Error).message});
@@ -203,7 +208,9 @@
 		return Math.max(0, account.countFreeTokens(customer) - options.countWanted(customer));
 	}
 
-	function makeLoan({customer, needed, wanted, from, mayClaim}: TokenLoanRequest): number {
+	function makeLoan({
+		customer, needed, wanted, from, mayClaim,
+	}: TokenLoanRequest, requestedAt: number): number {
 		const spare = countSpare(customer);
 		// A large request that is refused anyway must not take the remainder of a budget from its owner, because smaller
 		// requests at other gateways would not find it.
@@ -213,7 +220,9 @@
 
 		const lent = account.lend(customer, Math.min(spare, Math.max(needed, Math.min(wanted, Math.floor(spare * surplusShare)))));
 		if (lent > 0) {
-			events.write('loanGiven', {customer, to: from, amount: lent});
+			events.write('loanGiven', {
+				customer, to: from, amount: lent, ms: Math.round(clock.now() - requestedAt),
+			});
 			if (mayClaim) {
 				options.onLent(customer, lent);
 			}
@@ -223,11 +232,12 @@
 	}
 
 	async function claimAndLend(request: TokenLoanRequest): Promise<number> {
+		const requestedAt = clock.now();
 		if (request.mayClaim && countSpare(request.customer) < request.needed) {
 			await options.claim(request.customer, request.needed);
 		}
 
-		return makeLoan(request);
+		return makeLoan(request, requestedAt);
 	}
 
 	return {
