Cover slow claims of tokens with larger grants and fewer claims

Cause: claims are appended on the condition that no other gateway came first. The owner of a budget held at most 0.08 of what remains of it free, about a second of demand, and claimed again when half of that was gone. The owner let borrowers wait for it for 200 of the 300 ms after which they take it for unresponsive; they then asked the next owner, six gateways with remainders, and claimed for themselves: more claims, more collisions. The class: optimistic concurrency that each failure makes more frequent.

Ruled out: a limit on requests that follows single stops of the process (the event loop was busy while there was one), and connections that are closed unread.

Change: a grant covers several claims of the duration that recent ones had, up to the five seconds that it covers while much of the budget is left; a fast claim after slow ones does not shrink it at once. Lenders answer after 100 ms, and say whether they claim; then borrowers ask them again instead of claiming, and do not call for remainders that do not suffice.

--- a/src/coordination/budget-manager.test.ts
+++ b/src/coordination/budget-manager.test.ts
@@ -84,6 +84,7 @@
 			countWanted: id => manager.countWanted(id),
 			clock,
 			isOwner: () => mode === 'each' || index === 0,
+			canClaim: () => true,
 			claim: async (id, amount) => manager.claimForPeer(id, amount),
 			onLent(id, amount) {
 				manager.recordLent(id, amount);
@@ -458,7 +459,7 @@
 				account.addBorrowed(id, needed);
 			}
 
-			return {tokens: tokensElsewhere ? needed : 0, isComplete: true};
+			return {tokens: tokensElsewhere ? needed : 0, isComplete: true, isOwnerClaiming: false};
 		},
 		clock: {
 			now: () => now,
@@ -569,3 +570,62 @@
 	const small = await simulation.gateways[2]!.manager.acquire(customer, 2500, {timeoutMs: 300});
 	expect(small.ok).toBe(true);
 });
+
+/** Creates a budget manager that borrows from an owner without tokens, in a fleet of more gateways than claim for themselves. */
+async function createBorrowingManager(isOwnerClaiming: boolean) {
+	const log = createFakeKeyedLog();
+	let appends = 0;
+	log.onAppend = () => {
+		appends += 1;
+	};
+
+	const clock = {
+		now: () => 0,
+		async sleep() {
+			await new Promise(resolve => {
+				setTimeout(resolve, 5);
+			});
+		},
+	};
+	const {signal} = new AbortController();
+	const grants = createGrantRegistry();
+	const follower = createKeyedFollower({
+		log: log.open(), clock, events, longPollMs: 0, readIntervalMs: 1,
+		onRecord({key, value}) {
+			const record = holderRecordSchema.parse(JSON.parse(value ?? 'null'));
+			grants.put(key, record);
+			manager.applyOwnRecord(record);
+		},
+	});
+	const manager = createBudgetManager({
+		self: {
+			role: 'gateway', daemon: 'e1', incarnation: 'i1', address: 'e1', failureDomain: 'd',
+		},
+		log: log.open(), follower, grants, clock, events, signal,
+		account: createTokenAccount(),
+		findRouteTable: () => buildTable(1, 1000),
+		loanPolicy: new ReturnedLoanPolicy(),
+		grantTargetPolicy: new DemandTargetPolicy(),
+		owners: {
+			isOwner: () => false, isSmallFleet: () => false, countGateways: () => 31, countClaimers: () => 1,
+		},
+		borrow: async () => ({tokens: 0, isComplete: true, isOwnerClaiming}),
+	});
+	await follower.catchUp(signal);
+	return {manager, countAppends: () => appends};
+}
+
+test('a gateway does not claim tokens that the owner of the budget claims', async () => {
+	// Guards against claims of many gateways that collide with those of the owner and delay the tokens of all.
+	const {manager, countAppends} = await createBorrowingManager(true);
+	const reservation = await manager.acquire(customer, 400, {timeoutMs: 300});
+	expect(reservation.err && reservation.val.type).toBe('budget-busy');
+	expect(countAppends()).toBe(0);
+});
+
+test('a gateway claims for itself if no owner of the budget reaches the log', async () => {
+	const {manager, countAppends} = await createBorrowingManager(false);
+	const reservation = await manager.acquire(customer, 400, {timeoutMs: 300});
+	expect(reservation.ok).toBe(true);
+	expect(countAppends()).toBe(1);
+});
--- a/src/coordination/budget-manager.ts
+++ b/src/coordination/budget-manager.ts
@@ -45,8 +45,14 @@
 const slowClaimMs = 60;
 /** A request is refused as exhausted only if the log was read within this time: two rounds. */
 const maxSyncAgeMs = 2 * roundIntervalMs;
-/** Timeout of a claim on behalf of another gateway; shorter than the time for which that gateway waits for the answer. */
-const claimForPeerTimeoutMs = 200;
+/** Timeout of a claim on behalf of another gateway. That gateway waits 300 ms for the answer, of which two messages between busy processes take most. */
+const claimForPeerTimeoutMs = 100;
+/** Searches for tokens that a request makes in any case. */
+const minBorrowRounds = 2;
+/** Searches for tokens that a request makes while the owner of the budget claims more. */
+const maxBorrowRounds = 4;
+/** Pause before another search, in which a claim of the owner may succeed. */
+const ownerClaimDelayMs = 150;
 /** In a small fleet a gateway borrows this multiple of the tokens it lacks, so that its next requests need not borrow again. */
 const borrowFactor = 3;
 /** Retry delay for a caller whose customer's tokens are reserved by running requests. */
@@ -135,7 +141,25 @@
 	async function borrowMissing(customer: string): Promise<BorrowOutcome> {
 		const needed = demand.countWanted(customer) - account.countFreeTokens(customer);
 		const wanted = owners.isSmallFleet() ? needed * borrowFactor : options.loanPolicy.computeWanted(buildLoanView(customer, needed));
-		return options.borrow(customer, {needed, wanted});
+		return options.borrow(customer, {needed, wanted, unclaimed: follower.isUp() ? countRemaining(customer) : 0});
+	}
+
+	// Borrows from other gateways, one of which claims for this one. Borrows twice, because a search that was already
+	// running may not have counted this request, and again once a claim of the owner may have succeeded.
+	async function borrowFromOwner(customer: string, amount: number, timeoutMs: number): Promise<BorrowOutcome & {readonly reservation: TokenReservation | undefined}> {
+		const deadline = clock.now() + timeoutMs;
+		for (let round = 1; ; round += 1) {
+			const outcome = await borrowMissing(customer);
+			const reservation = reserve(customer, amount);
+			const maxRounds = outcome.isOwnerClaiming && countRemaining(customer) >= amount ? maxBorrowRounds : minBorrowRounds;
+			if (reservation !== undefined || round >= maxRounds) {
+				return {...outcome, reservation};
+			}
+
+			if (round >= minBorrowRounds) {
+				await clock.sleep(Math.min(ownerClaimDelayMs, Math.max(0, deadline - clock.now())));
+			}
+		}
 	}
 
 	async function syncGrants(timeoutMs: number): Promise<void> {
@@ -144,22 +168,17 @@
 		}
 	}
 
-	// Borrows from other gateways, one of which claims for this one. Borrows twice, because a search that was already
-	// running may not have counted this request. If that is insufficient although the log shows unclaimed tokens, the owner
-	// may be cut off from the store, and this gateway claims for itself.
+	// Claims only if the log shows unclaimed tokens and no owner reaches it. Otherwise the claim would collide with those of
+	// the owner and delay the tokens of all.
 	async function acquireFromOwner(customer: string, amount: number, {timeoutMs, request}: AcquireTokensOptions): Promise<Result<TokenReservation, Failure>> {
-		let isComplete = false;
-		for (let round = 0; round < 2; round += 1) {
-			const outcome = await borrowMissing(customer);
-			isComplete = outcome.isComplete;
-			const borrowed = reserve(customer, amount);
-			if (borrowed) {
-				return Ok(borrowed);
-			}
+		const {reservation, isComplete, isOwnerClaiming} = await borrowFromOwner(customer, amount, timeoutMs);
+		if (reservation) {
+			return Ok(reservation);
 		}
 
 		await syncGrants(timeoutMs);
-		const claimed = follower.isUp() && countRemaining(customer) >= amount ? await claimAndReserve(customer, amount, timeoutMs) : undefined;
+		const mayClaim = !isOwnerClaiming && follower.isUp() && countRemaining(customer) >= amount;
+		const claimed = mayClaim ? await claimAndReserve(customer, amount, timeoutMs) : undefined;
 		return claimed ? Ok(claimed) : Err(refuse(customer, amount, {isComplete, request}));
 	}
 
--- a/src/coordination/grant-size.test.ts
+++ b/src/coordination/grant-size.test.ts
@@ -34,6 +34,15 @@
 	expect(computeGrant({...view, claimDurationMs: 800})).toBeGreaterThan(computeGrant(view));
 });
 
+test('a grant covers several claims while they are slow, however little of the budget is left', () => {
+	// Guards against a grant that runs out while it is renewed, so that every request waits for a claim of its own.
+	const slow = {
+		...view, claimers: 1, available: 100_000, claimDurationMs: 400,
+	};
+	expect(computeGrant(slow) / slow.rate).toBeGreaterThanOrEqual(6 * 400);
+	expect(computeGrant({...slow, claimDurationMs: 2000}) / slow.rate).toBeLessThanOrEqual(5000);
+});
+
 test('tokens that waiting requests need are granted even if they exceed the target', () => {
 	expect(computeGrant({
 		...view, wanted: 30_000, available: 30_000, rate: 0.1,
--- a/src/coordination/grant-size.ts
+++ b/src/coordination/grant-size.ts
@@ -19,7 +19,7 @@
 	readonly wanted: number;
 	/** Tokens recently spent per millisecond. */
 	readonly rate: number;
-	/** Duration of the last claim, in milliseconds. */
+	/** Time that a claim takes, in milliseconds. */
 	readonly claimDurationMs: number;
 	/** Tokens bought minus those granted to other gateways. */
 	readonly available: number;
@@ -59,6 +59,16 @@
 /** The same for each of several claimers. The failure of one costs every customer its part, so it is smaller. */
 const unseenDemandShareEach = 0.02;
 
+/**
+ * @internal Duration of demand that a grant covers however much is stranded. A
+ * grant that lasts for less than a few claims runs out while it is renewed, and
+ * the more often gateways claim, the more of their claims collide. A claim begins
+ * only when the grant has fallen to a share of its target.
+ */
+function computeCoveredMs({claimDurationMs}: GrantView): number {
+	return Math.min(horizonMs, Math.max(minHorizonMs, claimDurationMs * coveredClaims / renewBelowShare));
+}
+
 /** Decides how many free tokens a grant should have. */
 export abstract class GrantTargetPolicy {
 	/** Returns the number of tokens to hold free, at most `remaining`. */
@@ -68,7 +78,7 @@
 /** Holds the demand of the next seconds free, as observed. */
 export class DemandTargetPolicy extends GrantTargetPolicy {
 	computeTarget(view: GrantView, remaining: number): number {
-		const maxStranded = Math.max(remaining * maxStrandedShare / view.claimers, view.rate * minHorizonMs);
+		const maxStranded = Math.max(remaining * maxStrandedShare / view.claimers, view.rate * computeCoveredMs(view));
 		return Math.min(view.rate * (horizonMs + (view.claimDurationMs * coveredClaims)), maxStranded, remaining);
 	}
 }
--- a/src/coordination/grant-writer.ts
+++ b/src/coordination/grant-writer.ts
@@ -41,6 +41,8 @@
 /** Writes the grants record of one gateway. */
 export type GrantWriter = ReturnType<typeof createGrantWriter>;
 
+/** Share of the previous claim duration that remains after a faster claim: one claim without a collision does not show that others take as little. */
+const durationDecay = 0.85;
 /** Attempts to append a record against concurrent writers before it is left to the next round. */
 const maxAppendAttempts = 6;
 const millisecondsPerSecond = 1000;
@@ -78,6 +80,7 @@
 	} = options;
 	const key = formatHolderKey(self);
 	let sequence = 0;
+	/** Duration of the last claim, or of slower ones before it, decayed. */
 	let claimDurationMs = 0;
 	/** Appends of the last claim, including those that another writer preceded. */
 	let claimAttempts = 0;
@@ -185,7 +188,7 @@
 		const outcome = await log.append({key, value}, {expectedEnd: nextOffset});
 		switch (outcome.kind) {
 			case 'appended': {
-				claimDurationMs = clock.now() - (roundStartedAt ?? clock.now());
+				claimDurationMs = Math.max(clock.now() - (roundStartedAt ?? clock.now()), claimDurationMs * durationDecay);
 				follower.applyOwnRecord({key, value, offset: outcome.offset});
 				return 'done';
 			}
@@ -241,7 +244,7 @@
 		/** Runs a round now: claims the demand of the next seconds and releases idle tokens. */
 		renew: renewGrants,
 
-		/** Returns the milliseconds that the last claim took, or that the running one has taken if that is more. */
+		/** Returns the milliseconds that recent claims took, or that the running one has taken if that is more. */
 		getClaimDurationMs: (): number => Math.max(claimDurationMs, roundStartedAt === undefined ? 0 : clock.now() - roundStartedAt),
 
 		/** Releases all unused tokens, when the gateway stops. */
--- a/src/coordination/token-lending.ts
+++ b/src/coordination/token-lending.ts
@@ -23,6 +23,13 @@
 	readonly mayClaim: boolean;
 };
 
+/** The answer to a request for a loan. */
+export type TokenLoan = {
+	readonly tokens: number;
+	/** True if the lender claims on behalf of others and can reach the log, so that the borrower need not claim. */
+	readonly isClaiming: boolean;
+};
+
 /** A gateway that may lend. */
 type Lender = Pick<PeerView, 'daemon' | 'address'>;
 
@@ -42,13 +49,15 @@
 	readonly listOwners: (customer: string) => readonly string[];
 	/** Returns true if this gateway claims the customer's budget. */
 	readonly isOwner: (customer: string) => boolean;
+	/** Returns true if this gateway can reach the log. */
+	readonly canClaim: () => boolean;
 	/** Claims tokens on behalf of another gateway. */
 	readonly claim: (customer: string, amount: number) => Promise<void>;
 	/** Called with the amount lent to a gateway on whose behalf this one claims. */
 	readonly onLent: (customer: string, amount: number) => void;
 	readonly clock: Clock;
-	/** Requests a loan from one gateway and returns the tokens lent; throws if it does not answer. */
-	readonly requestLoan: (address: string, request: TokenLoanRequest) => Promise<number>;
+	/** Requests a loan from one gateway; throws if it does not answer. */
+	readonly requestLoan: (address: string, request: TokenLoanRequest) => Promise<TokenLoan>;
 };
 
 /** Lends tokens to other gateways and borrows from them. */
@@ -59,10 +68,15 @@
 	readonly tokens: number;
 	/** True if every gateway that is not presumed failed has answered. */
 	readonly isComplete: boolean;
+	/** True if an owner that can reach the log has answered. */
+	readonly isOwnerClaiming: boolean;
 };
 
 /** Amounts to borrow, in tokens. */
-export type BorrowAmounts = Pick<TokenLoanRequest, 'needed' | 'wanted'>;
+export type BorrowAmounts = Pick<TokenLoanRequest, 'needed' | 'wanted'> & {
+	/** Tokens of the budget that owners can claim. */
+	readonly unclaimed: number;
+};
 
 /** Time for which a gateway that did not answer is queried after the others. */
 const unresponsivePeriodMs = 2000;
@@ -88,7 +102,7 @@
  */
 export function createTokenLending(options: CreateTokenLendingOptions) {
 	const {account, events, clock} = options;
-	const answers = new Map<string, Promise<number>>();
+	const answers = new Map<string, Promise<TokenLoan>>();
 	/** Time of the last unanswered request to each gateway. */
 	const unansweredAt = new Map<string, number>();
 	const searches = new Map<string, Promise<BorrowOutcome>>();
@@ -117,19 +131,19 @@
 	async function retryLoanRequest(peer: Lender, request: TokenLoanRequest): Promise<void> {
 		const requestedAt = clock.now();
 		try {
-			const lent = await options.requestLoan(peer.address, request);
-			recordLoan(peer, request.customer, {lent, requestedAt});
+			const {tokens} = await options.requestLoan(peer.address, request);
+			recordLoan(peer, request.customer, {lent: tokens, requestedAt});
 		} catch (error) {
 			events.write('loanUnanswered', {peer: peer.daemon, customer: request.customer, detail: (error as Error).message});
 		}
 	}
 
-	async function sendLoanRequest(peer: Lender, request: TokenLoanRequest): Promise<number | undefined> {
+	async function sendLoanRequest(peer: Lender, request: TokenLoanRequest): Promise<TokenLoan | undefined> {
 		const requestedAt = clock.now();
 		try {
-			const lent = await options.requestLoan(peer.address, request);
-			recordLoan(peer, request.customer, {lent, requestedAt});
-			return lent;
+			const loan = await options.requestLoan(peer.address, request);
+			recordLoan(peer, request.customer, {lent: loan.tokens, requestedAt});
+			return loan;
 		} catch (error) {
 			events.write('loanUnanswered', {peer: peer.daemon, customer: request.customer, detail: (error as Error).message});
 			unansweredAt.set(peer.daemon, clock.now());
@@ -158,20 +172,28 @@
 		return {owners: lendingOwners, others};
 	}
 
-	async function search(customer: string, {needed, wanted}: BorrowAmounts): Promise<BorrowOutcome> {
+	// While an owner can claim what is missing, the remainders at other gateways are worth a call only if they suffice.
+	function hasEnough(customer: string, others: readonly PeerView[], missing: number): boolean {
+		const advertised = others.map(({free}) => free.find(item => item.customer === customer)?.tokens ?? 0);
+		return advertised.reduce((sum, tokens) => sum + tokens, 0) >= missing;
+	}
+
+	async function search(customer: string, {needed, wanted, unclaimed}: BorrowAmounts): Promise<BorrowOutcome> {
 		const wantedRatio = wanted / Math.max(1, needed);
 		const mayClaim = !options.isOwner(customer);
 		let missing = needed;
 		const unresponsive = new Set(options.listUnresponsive());
 		let isComplete = true;
+		let isOwnerClaiming = false;
 		const requestMissing = async (peer: Lender, lenderMayClaim: boolean) => {
-			const lent = await sendLoanRequest(peer, {
+			const loan = await sendLoanRequest(peer, {
 				loan: createId('l'), customer, needed: missing, wanted: Math.ceil(missing * wantedRatio), from: options.daemon, mayClaim: lenderMayClaim,
 			});
-			isComplete &&= lent !== undefined;
-			missing -= lent ?? 0;
+			isComplete &&= loan !== undefined;
+			isOwnerClaiming ||= loan?.isClaiming === true;
+			missing -= loan?.tokens ?? 0;
 			unresponsive.delete(peer.daemon);
-			return lent !== undefined;
+			return loan !== undefined;
 		};
 
 		const {owners, others} = rankLenders(customer);
@@ -182,7 +204,8 @@
 			}
 		}
 
-		for (const peer of others) {
+		const isClaimable = isOwnerClaiming && unclaimed >= missing;
+		for (const peer of isClaimable && !hasEnough(customer, others, missing) ? [] : others) {
 			if (missing > 0 && peer !== answeringOwner) {
 				await requestMissing(peer, false);
 			}
@@ -201,7 +224,7 @@
 			await requestMissing(answeringOwner, mayClaim);
 		}
 
-		return {tokens: needed - missing, isComplete: isComplete && unresponsive.size === 0};
+		return {tokens: needed - missing, isComplete: isComplete && unresponsive.size === 0, isOwnerClaiming};
 	}
 
 	function countSpare(customer: string): number {
@@ -231,18 +254,18 @@
 		return lent;
 	}
 
-	async function claimAndLend(request: TokenLoanRequest): Promise<number> {
+	async function claimAndLend(request: TokenLoanRequest): Promise<TokenLoan> {
 		const requestedAt = clock.now();
 		if (request.mayClaim && countSpare(request.customer) < request.needed) {
 			await options.claim(request.customer, request.needed);
 		}
 
-		return makeLoan(request, requestedAt);
+		return {tokens: makeLoan(request, requestedAt), isClaiming: request.mayClaim && options.canClaim()};
 	}
 
 	return {
 		/** Lends the tokens that a peer needs, and more if many are spare. Waiting requests of this gateway take precedence. */
-		async lend(request: TokenLoanRequest): Promise<number> {
+		async lend(request: TokenLoanRequest): Promise<TokenLoan> {
 			const known = answers.get(request.loan);
 			if (known) {
 				return known;
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -5,14 +5,14 @@
  */
 import type {ServiceImpl} from '@connectrpc/connect';
 import {
-	encodePart, type CatchUpAnswer, type CatchUpQuery, type Repayment, type StreamAnswer, type StreamQuery, type TokenLoanRequest,
+	encodePart, type CatchUpAnswer, type CatchUpQuery, type Repayment, type StreamAnswer, type StreamQuery, type TokenLoan, type TokenLoanRequest,
 } from '../coordination/mod.js';
 import type {Gateway} from '../protocol/mod.js';
 
 /** Options of {@linkcode createGatewayPeerInterface}. */
 export type CreateGatewayPeerInterfaceOptions = {
 	readonly handleCatchUp: (request: CatchUpQuery) => CatchUpAnswer;
-	readonly lend: (request: TokenLoanRequest) => Promise<number>;
+	readonly lend: (request: TokenLoanRequest) => Promise<TokenLoan>;
 	readonly receiveRepayment: (repayment: Repayment) => boolean;
 	readonly findStream: (query: StreamQuery) => Promise<StreamAnswer>;
 };
@@ -38,7 +38,7 @@
 				deployment, prompts: [...prompts], crashes: [...crashes], parts: parts.map(part => encodePart(part)), readParts: [...readParts],
 			};
 		},
-		lend: async request => ({tokens: await options.lend(request)}),
+		lend: async request => options.lend(request),
 		async findStream({stream, route}) {
 			const {record, only} = await options.findStream({stream: stream === '' ? undefined : stream, routeKey: route === '' ? undefined : route});
 			return {
--- a/src/daemon/gateway-tokens.ts
+++ b/src/daemon/gateway-tokens.ts
@@ -56,6 +56,7 @@
 		daemon: self.daemon, account, events, clock,
 		listOwners: owners.listOwners,
 		isOwner: owners.isOwner,
+		canClaim: grantFollower.isUp,
 		claim: async (customer, amount) => budgetManager.claimForPeer(customer, amount),
 		onLent(customer, amount) {
 			budgetManager.recordLent(customer, amount);
@@ -65,8 +66,8 @@
 		listUnheard: gossip.listUnheard,
 		countWanted: customer => budgetManager.countWanted(customer),
 		async requestLoan(address, request) {
-			const {tokens} = await fleet.connect(address).gateway.lend(request, {timeoutMs: peerTimeoutMs});
-			return tokens;
+			const {tokens, isClaiming} = await fleet.connect(address).gateway.lend(request, {timeoutMs: peerTimeoutMs});
+			return {tokens, isClaiming};
 		},
 	});
 	const budgetManager = createBudgetManager({
--- a/tools/harness/token-fleet.ts
+++ b/tools/harness/token-fleet.ts
@@ -135,6 +135,7 @@
 			listUnresponsive: () => [],
 			listUnheard: () => [],
 			countWanted: customer => manager.countWanted(customer),
+			canClaim: follower.isUp,
 			claim: async (customer, amount) => manager.claimForPeer(customer, amount),
 			onLent(customer, amount) {
 				manager.recordLent(customer, amount);
@@ -142,16 +143,16 @@
 			async requestLoan(address, request) {
 				const answer = (async () => {
 					await delay(peerDelayMs);
-					const lent = await gateways.find(other => other.daemon === address)!.lending.lend(request);
+					const loan = await gateways.find(other => other.daemon === address)!.lending.lend(request);
 					await delay(peerDelayMs);
-					return lent;
+					return loan;
 				})();
-				const lent = await waitWithTimeout(answer, {clock: time, timeoutMs: peerTimeoutMs});
-				if (lent === undefined) {
+				const loan = await waitWithTimeout(answer, {clock: time, timeoutMs: peerTimeoutMs});
+				if (loan === undefined) {
 					throw new Error('The gateway did not answer in time');
 				}
 
-				return lent;
+				return loan;
 			},
 		});
 		const manager = createBudgetManager({
