Send no requests to upstreams that said in an answer that they leave

What callers saw: requests were sent to an engine that was about to exit, up to 4 s after the gateway had passed on an answer that said so (2 s are allowed).

Cause: no gateway read what an engine says of itself in its answers; only its registration counted. While the store is unavailable the registration says ready to the end. The class: a signal of an upstream that the adapter drops with the other headers, as with limits before.

Ruled out: that the signal is kept for first sends only, or lost again; there was no code for either.

Change: the adapter reads the header, a recorder notes it for the start of the upstream to which the request was written, and the check of eligibility, which placement and the last step before the write share, leaves that upstream out. Its end is no longer taken for a crash, which could hold back the request that ran there.

--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -38,6 +38,7 @@
 export * from './gossip-codec.js';
 export * from './gossip-rate.js';
 export * from './gossip-receivers.js';
+export * from './notice-recorder.js';
 export * from './order-sender.js';
 export * from './part-announcements.js';
 export * from './part-blame.js';
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -88,6 +88,7 @@
 			eligibility, directory, clock, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
 		}),
 		limitRecorder: {recordAnswer: () => undefined},
+		noticeRecorder: {recordAnswer: () => undefined},
 		streamRecorder: {
 			recordEvents(stream, origin) {
 				recorded.push({stream, ...origin});
--- a/src/coordination/upstream-eligibility.test.ts
+++ b/src/coordination/upstream-eligibility.test.ts
@@ -1,7 +1,9 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import type {GatewayService, UpstreamRegistration} from '../protocol/mod.js';
-import {createEvacuations, createUpstreamDirectory, createUpstreamLimits} from '../state/mod.js';
+import {
+	createEvacuations, createUpstreamDepartures, createUpstreamDirectory, createUpstreamLimits,
+} from '../state/mod.js';
 import {createColdAdmission} from './cold-admission.js';
 import {createLimitAdmission} from './limit-admission.js';
 import {OwnedShare, SubstitutedShare} from './share-policy.js';
@@ -19,6 +21,7 @@
 function createGateway(daemon: string, {clock, gateways}: {readonly clock: {readonly now: () => number}; readonly gateways: readonly string[]}) {
 	const directory = createUpstreamDirectory();
 	const evacuations = createEvacuations();
+	const departures = createUpstreamDepartures();
 	const state = {isInformed: true};
 	const fullClock = {...clock, sleep: async () => undefined};
 	const limits = createUpstreamLimits();
@@ -26,14 +29,14 @@
 		clock: fullClock, processStartedAt: 0, daemon, listGateways: () => gateways,
 	};
 	const eligibility = createUpstreamEligibility({
-		directory, evacuations, clock: fullClock, isInformed: () => state.isInformed,
+		directory, evacuations, departures, clock: fullClock, isInformed: () => state.isInformed,
 		coldAdmission: createColdAdmission({
 			...sender, policy: new OwnedShare(), overage: 1.5, slack: 5,
 		}),
 		limitAdmission: createLimitAdmission({...sender, policy: new SubstitutedShare(), limits}),
 	});
 	return {
-		directory, evacuations, limits, state, eligibility,
+		directory, evacuations, departures, limits, state, eligibility,
 	};
 }
 
@@ -59,6 +62,34 @@
 	expect(eligibility.findBlockage(service)).toEqual({detail: 'All failure domains of the service are evacuated', retryAfterMs: 1000});
 });
 
+test('a request that was placed before its upstream said that it leaves is not written after it', () => {
+	// Guards against requests that wait seconds for a connection and reach an engine that is about to exit.
+	const {directory, departures, eligibility} = createSingle();
+	directory.put(buildRegistration('u1', 'a'), 0);
+	directory.put(buildRegistration('u2', 'a'), 0);
+	expect(eligibility.listEligible(service).length).toBe(2);
+	departures.record({id: 'u1', startedAt: undefined});
+	expect(eligibility.admitSend('u1', service)).toBe(false);
+	expect(eligibility.listEligible(service).map(({upstream}) => upstream.id)).toEqual(['u2']);
+	expect(eligibility.findBlockage(service)).toBeUndefined();
+	// Its connections end with its process, which must not be taken for a crash.
+	expect(eligibility.isExpectedUp('u1')).toBe(false);
+	departures.record({id: 'u2', startedAt: undefined});
+	expect(eligibility.findBlockage(service)).toEqual({detail: 'All upstreams of the service are leaving', retryAfterMs: 1000});
+});
+
+test('a registration that is removed and put again does not bring back an upstream that leaves', () => {
+	// Guards against an engine whose entry lapses while the store is unavailable.
+	const {directory, departures, eligibility} = createSingle();
+	directory.put({...buildRegistration('u1', 'a'), startedAt: 1000}, 0);
+	departures.record({id: 'u1', startedAt: 1000});
+	directory.drop('u1');
+	directory.put({...buildRegistration('u1', 'a'), startedAt: 1000}, 0);
+	expect(eligibility.admitSend('u1', service)).toBe(false);
+	directory.put({...buildRegistration('u1', 'a'), startedAt: 2000}, 0);
+	expect(eligibility.admitSend('u1', service)).toBe(true);
+});
+
 test('upstreams of a failure domain that returns count as cold for as long as a start takes', () => {
 	const {directory, evacuations, eligibility, setNow} = createSingle();
 	directory.put(buildRegistration('u1', 'a'), 0);
--- a/src/coordination/upstream-eligibility.ts
+++ b/src/coordination/upstream-eligibility.ts
@@ -1,7 +1,7 @@
 /**
  * Decides to which upstreams a gateway may send a request now: not to those of
- * an evacuated failure domain, and to cold ones and those that named a limit only
- * within this gateway's share. A stream that has begun goes only to those of the
+ * an evacuated failure domain nor to those that said that they leave, and to cold
+ * ones and those that named a limit only within this gateway's share. A stream that has begun goes only to those of the
  * version that began it.
  *
  * Every request passes `admitSend` just before it is written, also one that was
@@ -11,7 +11,7 @@
  */
 import type {GatewayService} from '../protocol/mod.js';
 import {
-	isFitFor, type Evacuations, type LiveUpstream, type StreamOrigin, type UpstreamDirectory,
+	isFitFor, type Evacuations, type LiveUpstream, type StreamOrigin, type UpstreamDepartures, type UpstreamDirectory,
 } from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 import type {ColdAdmission} from './cold-admission.js';
@@ -21,6 +21,8 @@
 export type CreateUpstreamEligibilityOptions = {
 	readonly directory: UpstreamDirectory;
 	readonly evacuations: Pick<Evacuations, 'isEvacuated' | 'findReturnedAt'>;
+	/** The upstreams that said that they leave. */
+	readonly departures: Pick<UpstreamDepartures, 'isLeaving'>;
 	/** Limits requests to cold upstreams. */
 	readonly coldAdmission: ColdAdmission;
 	/** Limits requests to upstreams that named a limit. */
@@ -45,6 +47,8 @@
 
 /** Retry delay for a caller whose service has all its failure domains evacuated; nobody knows when one returns. */
 const evacuatedRetryAfterMs = 1000;
+/** Retry delay for a caller whose service has only upstreams that leave; nobody knows when others start. */
+const leavingRetryAfterMs = 1000;
 /** Lower limit of the retry delay while all upstreams are limited; another gateway may have capacity at once. */
 const minLimitedRetryAfterMs = 100;
 
@@ -63,7 +67,7 @@
  */
 export function createUpstreamEligibility(options: CreateUpstreamEligibilityOptions) {
 	const {
-		directory, evacuations, coldAdmission, limitAdmission, isInformed, clock,
+		directory, evacuations, departures, coldAdmission, limitAdmission, isInformed, clock,
 	} = options;
 
 	function isEvacuated({upstream}: LiveUpstream): boolean {
@@ -98,8 +102,12 @@
 		return directory.listLive(service.id, clock.now()).filter(({upstream}) => isFitFor(upstream, origin));
 	}
 
+	function listStaying(service: GatewayService, origin: StreamOrigin | undefined): LiveUpstream[] {
+		return listLive(service, origin).filter(({upstream}) => !departures.isLeaving(upstream));
+	}
+
 	function listInService(service: GatewayService, origin: StreamOrigin | undefined): LiveUpstream[] {
-		return listLive(service, origin).filter(live => !isEvacuated(live));
+		return listStaying(service, origin).filter(live => !isEvacuated(live));
 	}
 
 	return {
@@ -113,7 +121,7 @@
 		 */
 		admitSend(id: string, service: GatewayService, origin?: StreamOrigin): boolean {
 			const live = directory.findLive(id, clock.now());
-			if (!live || !isFitFor(live.upstream, origin) || isEvacuated(live) || !isWithinLimits(live, service)) {
+			if (!live || !isFitFor(live.upstream, origin) || departures.isLeaving(live.upstream) || isEvacuated(live) || !isWithinLimits(live, service)) {
 				return false;
 			}
 
@@ -132,6 +140,10 @@
 				return undefined;
 			}
 
+			if (listStaying(service, origin).length === 0) {
+				return {detail: 'All upstreams of the service are leaving', retryAfterMs: leavingRetryAfterMs};
+			}
+
 			const inService = listInService(service, origin);
 			if (inService.length === 0) {
 				return {detail: 'All failure domains of the service are evacuated', retryAfterMs: evacuatedRetryAfterMs};
@@ -145,11 +157,11 @@
 
 		/**
 		 * Returns true if an upstream is live and listed, neither in its grace period
-		 * nor evacuated, so that its process is not expected to end.
+		 * nor evacuated nor leaving, so that its process is not expected to end.
 		 */
 		isExpectedUp(id: string): boolean {
 			const live = directory.findLive(id, clock.now());
-			return live !== undefined && !live.isOnGrace && !isEvacuated(live);
+			return live !== undefined && !live.isOnGrace && !departures.isLeaving(live.upstream) && !isEvacuated(live);
 		},
 	};
 }
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/upstream-sender.ts
@@ -14,6 +14,7 @@
 import type {CrashDetector} from './crash-detector.js';
 import type {ForwardReport, ForwardRequest} from './forward-types.js';
 import type {LimitRecorder} from './limit-recorder.js';
+import type {NoticeRecorder} from './notice-recorder.js';
 import {computeStartKey, formatPartIds} from './part-keys.js';
 import type {PartQuarantine, PartRun} from './part-quarantine.js';
 import type {Quarantine} from './quarantine.js';
@@ -33,6 +34,7 @@
 	readonly registry: Pick<UpstreamRegistry, 'get' | 'trackRequest'>;
 	readonly eligibility: Pick<UpstreamEligibility, 'admitSend' | 'listEligible'>;
 	readonly limitRecorder: Pick<LimitRecorder, 'recordAnswer'>;
+	readonly noticeRecorder: Pick<NoticeRecorder, 'recordAnswer'>;
 	readonly traffic: Pick<TrafficCounter, 'record'>;
 	readonly quarantine: Pick<Quarantine, 'trackRun'>;
 	readonly partQuarantine: Pick<PartQuarantine, 'trackRun' | 'admitSend'>;
@@ -66,8 +68,8 @@
 	readonly upstream: string;
 	/** When the request was written, in milliseconds of the clock. */
 	readonly sentAt: number;
-	/** Software version of the upstream at that time. */
-	readonly softwareVersion: string | undefined;
+	/** Registration of the upstream at that time. */
+	readonly registered: Pick<UpstreamRegistration, 'softwareVersion' | 'startedAt'>;
 	readonly tracker: UpstreamRequestTracker;
 	readonly onProgress: (bytes: number) => void;
 };
@@ -122,11 +124,11 @@
  */
 export function createUpstreamSender(options: CreateUpstreamSenderOptions) {
 	const {
-		wire, client, registry, eligibility, limitRecorder, traffic, quarantine, partQuarantine, crashDetector, streamRecorder, clock,
+		wire, client, registry, eligibility, limitRecorder, noticeRecorder, traffic, quarantine, partQuarantine, crashDetector, streamRecorder, clock,
 	} = options;
 
 	// An upstream that registered again with another version since the request was written may have run it with either.
-	function createOrigin({request}: ForwardingState, {upstream, softwareVersion}: Pick<ReceiveOptions, 'upstream' | 'softwareVersion'>): StreamOrigin {
+	function createOrigin({request}: ForwardingState, {upstream, registered: {softwareVersion}}: Pick<ReceiveOptions, 'upstream' | 'registered'>): StreamOrigin {
 		const registration = registry.get(upstream);
 		const isUnchanged = registration === undefined || registration.softwareVersion === softwareVersion;
 		return {service: request.service.id, softwareVersion: isUnchanged ? softwareVersion : undefined};
@@ -142,8 +144,15 @@
 
 	async function receive(state: ForwardingState, answer: UpstreamResponse, options: ReceiveOptions): Promise<SendOutcome> {
 		const {request, relay, progress} = state;
-		const {upstream, sentAt, tracker, onProgress} = options;
+		const {
+			upstream, sentAt, registered, tracker, onProgress,
+		} = options;
 		const metadata = wire.readAnswer(answer.status, answer.headers);
+		// An answer that is not used, because it is late or belongs to another request, comes from the upstream all the same.
+		if (!metadata.isWrongUpstream) {
+			noticeRecorder.recordAnswer({id: upstream, startedAt: registered.startedAt}, metadata);
+		}
+
 		if (metadata.load) {
 			tracker.recordLoad(metadata.load);
 		}
@@ -216,7 +225,7 @@
 			const remaining = request.deadline - clock.now();
 			let isWithheld = false;
 			let sentAt = clock.now();
-			let {softwareVersion} = upstream;
+			let registered: ReceiveOptions['registered'] = upstream;
 			const timeLimit = createTimeoutSignal(remaining, [request.signal, stallTimeout.signal]);
 			try {
 				const called = await client.call({
@@ -232,7 +241,7 @@
 					shouldStillSend() {
 						isWithheld = !hasTimeLeft(request.deadline, clock.now()) || !eligibility.admitSend(id, request.service, state.origin) || !partQuarantine.admitSend(request.parts);
 						sentAt = clock.now();
-						softwareVersion = registry.get(id)?.softwareVersion;
+						registered = registry.get(id) ?? upstream;
 						return !isWithheld;
 					},
 				});
@@ -244,7 +253,7 @@
 
 				const outcome = called.ok
 					? await receive(state, called.val, {
-						upstream: id, sentAt, softwareVersion, tracker, onProgress,
+						upstream: id, sentAt, registered, tracker, onProgress,
 					})
 					: classifyCallFailure(called.val, state.progress);
 				if (called.ok || called.val.kind === 'broken') {
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -8,7 +8,7 @@
 import process from 'node:process';
 import {
 	CachedPromptSource, NearReceiverPolicy, OwnedShare, SubstitutedShare,
-	createAdmission, createBudgetOwners, createColdAdmission, createConnectionAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createPeerCatchUp,
+	createAdmission, createBudgetOwners, createColdAdmission, createConnectionAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createNoticeRecorder, createPeerCatchUp,
 	createRelayedLog, createRequestForwarder, createRetryAfterEstimator,
 	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, decodePart, fanOut, monitorEventLoop,
 	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type ProcessStats,
@@ -16,7 +16,9 @@
 import {
 	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
 } from '../protocol/mod.js';
-import {createPeerViews, createUpstreamLimits, type PeerView} from '../state/mod.js';
+import {
+	createPeerViews, createUpstreamDepartures, createUpstreamLimits, type PeerView,
+} from '../state/mod.js';
 import {
 	createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, probeAddress, startCallerServer, startFleetServer,
 } from '../transport/mod.js';
@@ -145,8 +147,9 @@
 			gossip.markChanged();
 		},
 	});
+	const departures = createUpstreamDepartures();
 	const eligibility = createUpstreamEligibility({
-		directory, evacuations, coldAdmission, limitAdmission, clock,
+		directory, evacuations, departures, coldAdmission, limitAdmission, clock,
 		isInformed: () => state.isDeploymentRecent() || peerViews.list().length > 0,
 	});
 	const upstreamRegistry = createUpstreamRegistry({
@@ -288,6 +291,7 @@
 		registry: upstreamRegistry,
 		eligibility,
 		limitRecorder,
+		noticeRecorder: createNoticeRecorder({departures, events}),
 		traffic,
 		streamRecorder: streams.recorder,
 		promptSourcePolicy: new CachedPromptSource(),
@@ -333,6 +337,7 @@
 			quarantine: quarantines.requests,
 			partQuarantine: quarantines.parts,
 			upstreamLimits,
+			departures,
 			traffic,
 			streamRecorder: streams.recorder,
 			callerServerStatistics: callerServer.getStatistics(),
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -8,7 +8,7 @@
 	Admission, Metrics, PartQuarantine, Quarantine, StreamRecorder, TrafficCounter,
 } from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
-import type {TokenAccount, UpstreamLimits} from '../state/mod.js';
+import type {TokenAccount, UpstreamDepartures, UpstreamLimits} from '../state/mod.js';
 import type {CallerServerStatistics} from '../transport/mod.js';
 
 /** Options of {@linkcode formatGatewayMetrics}. */
@@ -24,6 +24,7 @@
 	readonly quarantine: Pick<Quarantine, 'listAll' | 'listHeld'>;
 	readonly partQuarantine: Pick<PartQuarantine, 'countBlamed' | 'listHeld'>;
 	readonly upstreamLimits: Pick<UpstreamLimits, 'count'>;
+	readonly departures: Pick<UpstreamDepartures, 'count'>;
 	readonly traffic: Pick<TrafficCounter, 'list'>;
 	readonly streamRecorder: Pick<StreamRecorder, 'count' | 'countEvictions'>;
 	/** Connections and requests of this gateway's callers. */
@@ -38,7 +39,7 @@
  * @example
  * ```ts
  * response.end(formatGatewayMetrics({
- * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, partQuarantine, upstreamLimits, traffic, streamRecorder, callerServerStatistics, readinessResponses: 2,
+ * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, partQuarantine, upstreamLimits, departures, traffic, streamRecorder, callerServerStatistics, readinessResponses: 2,
  * }));
  * ```
  *
@@ -47,7 +48,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, partQuarantine, upstreamLimits, traffic, streamRecorder, callerServerStatistics, readinessResponses,
+		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, partQuarantine, upstreamLimits, departures, traffic, streamRecorder, callerServerStatistics, readinessResponses,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${runningRequests}`,
@@ -64,6 +65,7 @@
 		`fireflylane_parts_suspected ${partQuarantine.countBlamed()}`,
 		`fireflylane_parts_held ${partQuarantine.listHeld().length}`,
 		`fireflylane_upstreams_limited ${upstreamLimits.count()}`,
+		`fireflylane_upstreams_left ${departures.count()}`,
 		`fireflylane_streams_recorded ${streamRecorder.count()}`,
 		`fireflylane_stream_records_evicted_total ${streamRecorder.countEvictions()}`,
 		`fireflylane_readiness_answers_total ${readinessResponses}`,
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -75,6 +75,8 @@
 	upstreamLimited: {number: 1705, text: 'upstream named a limit of requests per second'},
 	upstreamLimitEnded: {number: 1706, text: 'upstream no longer names a limit'},
 	upstreamLimitUnreadable: {number: 1707, text: 'unreadable limit named by an upstream'},
+	upstreamLeaving: {number: 1708, text: 'upstream said in an answer that it leaves'},
+	upstreamNoticeUnreadable: {number: 1709, text: 'unreadable notice in an answer of an upstream'},
 	linesDropped: {number: 1801, text: 'log lines dropped'},
 	peerRefused: {number: 1601, text: 'peer without the fleet key refused'},
 	operatorRefused: {number: 1602, text: 'operator without a key refused'},
--- a/src/protocol/gateway-wire.ts
+++ b/src/protocol/gateway-wire.ts
@@ -67,6 +67,8 @@
 	readonly load?: ReportedLoad;
 	/** Requests per second that the upstream takes from all gateways together; undefined if it names no limit. */
 	readonly limit?: number | 'malformed';
+	/** True if the upstream says that it leaves; undefined if it says nothing. */
+	readonly isLeaving?: boolean | 'malformed';
 };
 
 /** Header names and values, alternating. */
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -24,6 +24,7 @@
 export * from './stream-origin.js';
 export * from './stream-records.js';
 export * from './token-account.js';
+export * from './upstream-departures.js';
 export * from './upstream-directory.js';
 export * from './upstream-limits.js';
 export * from './value-history.js';
