Send no requests to an upstream during the rest that it asked for

What callers saw: 503 while other engines of the service had room. An engine that refused requests and asked a gateway for 3 s of rest got up to 10 more of it in that time (2 are allowed), each refused.

Cause: no gateway read the Retry-After of an engine; placement went on choosing the engine, most of all for prompts that it had cached. The class is that of limits and of leaving: a signal of an upstream that the adapter drops.

Change: the adapter reads the time, as seconds or a date; the recorder notes it for the start of the upstream; the check of eligibility leaves the upstream out until the rest has ended, and lets requests begin again one at a time. While all upstreams of a service rest, callers are refused at once and told when the first one takes requests again, spread over half a second.

--- a/src/coordination/notice-recorder.test.ts
+++ b/src/coordination/notice-recorder.test.ts
@@ -1,12 +1,15 @@
 import {expect, test} from 'vitest';
-import {createUpstreamDepartures} from '../state/mod.js';
+import {createUpstreamDepartures, createUpstreamRests} from '../state/mod.js';
 import {createNoticeRecorder, type UpstreamNotice} from './notice-recorder.js';
 
 function createFixture() {
 	const written: string[] = [];
 	const departures = createUpstreamDepartures();
+	const rests = createUpstreamRests();
 	const recorder = createNoticeRecorder({
 		departures,
+		rests,
+		clock: {now: () => 0, sleep: async () => undefined},
 		events: {
 			counts: new Map(),
 			write(name) {
@@ -15,7 +18,7 @@
 		},
 	});
 	return {
-		departures, written,
+		departures, rests, written,
 		record(notice: UpstreamNotice, id = 'u1') {
 			recorder.recordAnswer({id, startedAt: 1000}, notice);
 		},
@@ -43,3 +46,12 @@
 	expect(departures.count()).toBe(0);
 	expect(written).toEqual(['upstreamNoticeUnreadable', 'upstreamNoticeUnreadable']);
 });
+
+test('a rest is logged when it begins', () => {
+	const {rests, written, record} = createFixture();
+	record({restMs: 3000});
+	record({restMs: 2000});
+	expect(rests.computeWaitMs({id: 'u1', startedAt: 1000}, 0)).toBe(3000);
+	record({restMs: 'malformed'}, 'u2');
+	expect(written).toEqual(['upstreamResting', 'upstreamNoticeUnreadable']);
+});
--- a/src/coordination/notice-recorder.ts
+++ b/src/coordination/notice-recorder.ts
@@ -4,16 +4,19 @@
  * @module
  */
 import type {AnswerMetadata, EventLog} from '../protocol/mod.js';
-import type {UpstreamDepartures, UpstreamStart} from '../state/mod.js';
+import type {UpstreamDepartures, UpstreamRests, UpstreamStart} from '../state/mod.js';
+import type {Clock} from '../transport/mod.js';
 
 /** Options of {@linkcode createNoticeRecorder}. */
 export type CreateNoticeRecorderOptions = {
 	readonly departures: Pick<UpstreamDepartures, 'record'>;
+	readonly rests: Pick<UpstreamRests, 'record'>;
+	readonly clock: Clock;
 	readonly events: EventLog;
 };
 
 /** What an answer says of its upstream. */
-export type UpstreamNotice = Pick<AnswerMetadata, 'isLeaving'>;
+export type UpstreamNotice = Pick<AnswerMetadata, 'isLeaving' | 'restMs'>;
 
 /** Records what upstreams say of themselves. */
 export type NoticeRecorder = ReturnType<typeof createNoticeRecorder>;
@@ -29,10 +32,12 @@
  * recorder.recordAnswer({id: 'i-7', startedAt: 1000}, metadata);
  * ```
  *
- * @param options The upstreams that leave, and the event log
+ * @param options The upstreams that leave and those that rest
  * @returns The recorder
  */
-export function createNoticeRecorder({departures, events}: CreateNoticeRecorderOptions) {
+export function createNoticeRecorder({
+	departures, rests, clock, events,
+}: CreateNoticeRecorderOptions) {
 	const unreadable = new Set<string>();
 
 	function recordUnreadable(upstream: string, field: string): void {
@@ -43,14 +48,27 @@
 		}
 	}
 
+	function recordLeaving(start: UpstreamStart, isLeaving: UpstreamNotice['isLeaving']): void {
+		if (isLeaving === 'malformed') {
+			recordUnreadable(start.id, 'isLeaving');
+		} else if (isLeaving && departures.record(start)) {
+			events.write('upstreamLeaving', {upstream: start.id, startedAt: start.startedAt});
+		}
+	}
+
+	function recordRest(start: UpstreamStart, restMs: UpstreamNotice['restMs']): void {
+		if (restMs === 'malformed') {
+			recordUnreadable(start.id, 'restMs');
+		} else if (restMs !== undefined && rests.record(start, {durationMs: restMs, now: clock.now()})) {
+			events.write('upstreamResting', {upstream: start.id, restMs: Math.round(restMs)});
+		}
+	}
+
 	return {
 		/** Records an answer of an upstream; `start` is the one to which the request was written. */
-		recordAnswer(start: UpstreamStart, {isLeaving}: UpstreamNotice): void {
-			if (isLeaving === 'malformed') {
-				recordUnreadable(start.id, 'isLeaving');
-			} else if (isLeaving && departures.record(start)) {
-				events.write('upstreamLeaving', {upstream: start.id, startedAt: start.startedAt});
-			}
+		recordAnswer(start: UpstreamStart, {isLeaving, restMs}: UpstreamNotice): void {
+			recordLeaving(start, isLeaving);
+			recordRest(start, restMs);
 		},
 	};
 }
--- a/src/coordination/upstream-eligibility.test.ts
+++ b/src/coordination/upstream-eligibility.test.ts
@@ -2,7 +2,7 @@
 import {expect, test} from 'vitest';
 import type {GatewayService, UpstreamRegistration} from '../protocol/mod.js';
 import {
-	createEvacuations, createUpstreamDepartures, createUpstreamDirectory, createUpstreamLimits,
+	createEvacuations, createUpstreamDepartures, createUpstreamDirectory, createUpstreamLimits, createUpstreamRests,
 } from '../state/mod.js';
 import {createColdAdmission} from './cold-admission.js';
 import {createLimitAdmission} from './limit-admission.js';
@@ -22,6 +22,7 @@
 	const directory = createUpstreamDirectory();
 	const evacuations = createEvacuations();
 	const departures = createUpstreamDepartures();
+	const rests = createUpstreamRests();
 	const state = {isInformed: true};
 	const fullClock = {...clock, sleep: async () => undefined};
 	const limits = createUpstreamLimits();
@@ -29,14 +30,14 @@
 		clock: fullClock, processStartedAt: 0, daemon, listGateways: () => gateways,
 	};
 	const eligibility = createUpstreamEligibility({
-		directory, evacuations, departures, clock: fullClock, isInformed: () => state.isInformed,
+		directory, evacuations, departures, rests, random: () => 0, clock: fullClock, isInformed: () => state.isInformed,
 		coldAdmission: createColdAdmission({
 			...sender, policy: new OwnedShare(), overage: 1.5, slack: 5,
 		}),
 		limitAdmission: createLimitAdmission({...sender, policy: new SubstitutedShare(), limits}),
 	});
 	return {
-		directory, evacuations, departures, limits, state, eligibility,
+		directory, evacuations, departures, rests, limits, state, eligibility,
 	};
 }
 
@@ -78,6 +79,22 @@
 	expect(eligibility.findBlockage(service)).toEqual({detail: 'All upstreams of the service are leaving', retryAfterMs: 1000});
 });
 
+test('a request that was placed before its upstream asked for a rest is not written after it', () => {
+	// Guards against requests that wait for a connection to an engine that refuses them all.
+	const {directory, rests, eligibility, setNow} = createSingle();
+	directory.put(buildRegistration('u1', 'a'), 0);
+	setNow(20_000);
+	rests.record({id: 'u1', startedAt: undefined}, {durationMs: 3000, now: 20_000});
+	expect(eligibility.admitSend('u1', service)).toBe(false);
+	expect(eligibility.listEligible(service)).toEqual([]);
+	expect(eligibility.findBlockage(service)?.retryAfterMs).toBe(3000);
+	expect(eligibility.isExpectedUp('u1')).toBe(true);
+	setNow(23_000);
+	expect([eligibility.admitSend('u1', service), eligibility.admitSend('u1', service)]).toEqual([true, false]);
+	setNow(24_000);
+	expect([eligibility.admitSend('u1', service), eligibility.admitSend('u1', service)]).toEqual([true, true]);
+});
+
 test('a registration that is removed and put again does not bring back an upstream that leaves', () => {
 	// Guards against an engine whose entry lapses while the store is unavailable.
 	const {directory, departures, eligibility} = createSingle();
--- a/src/coordination/upstream-eligibility.ts
+++ b/src/coordination/upstream-eligibility.ts
@@ -1,7 +1,7 @@
 /**
  * Decides to which upstreams a gateway may send a request now: not to those of
- * an evacuated failure domain nor to those that said that they leave, and to cold
- * ones and those that named a limit only within this gateway's share. A stream that has begun goes only to those of the
+ * an evacuated failure domain nor to those that said that they leave or rest, and
+ * to cold ones and those that named a limit only within this gateway's share. A stream that has begun goes only to those of the
  * version that began it.
  *
  * Every request passes `admitSend` just before it is written, also one that was
@@ -11,7 +11,7 @@
  */
 import type {GatewayService} from '../protocol/mod.js';
 import {
-	isFitFor, type Evacuations, type LiveUpstream, type StreamOrigin, type UpstreamDepartures, type UpstreamDirectory,
+	isFitFor, type Evacuations, type LiveUpstream, type StreamOrigin, type UpstreamDepartures, type UpstreamDirectory, type UpstreamRests,
 } from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 import type {ColdAdmission} from './cold-admission.js';
@@ -23,6 +23,10 @@
 	readonly evacuations: Pick<Evacuations, 'isEvacuated' | 'findReturnedAt'>;
 	/** The upstreams that said that they leave. */
 	readonly departures: Pick<UpstreamDepartures, 'isLeaving'>;
+	/** The upstreams that asked this gateway for a rest. */
+	readonly rests: Pick<UpstreamRests, 'computeWaitMs' | 'recordSend'>;
+	/** Returns a random number between 0 and 1. */
+	readonly random: () => number;
 	/** Limits requests to cold upstreams. */
 	readonly coldAdmission: ColdAdmission;
 	/** Limits requests to upstreams that named a limit. */
@@ -49,6 +53,8 @@
 const evacuatedRetryAfterMs = 1000;
 /** Retry delay for a caller whose service has only upstreams that leave; nobody knows when others start. */
 const leavingRetryAfterMs = 1000;
+/** Time over which callers are spread that may retry when an upstream has rested. */
+const restSpreadMs = 500;
 /** Lower limit of the retry delay while all upstreams are limited; another gateway may have capacity at once. */
 const minLimitedRetryAfterMs = 100;
 
@@ -67,7 +73,7 @@
  */
 export function createUpstreamEligibility(options: CreateUpstreamEligibilityOptions) {
 	const {
-		directory, evacuations, departures, coldAdmission, limitAdmission, isInformed, clock,
+		directory, evacuations, departures, rests, coldAdmission, limitAdmission, isInformed, clock, random,
 	} = options;
 
 	function isEvacuated({upstream}: LiveUpstream): boolean {
@@ -95,7 +101,13 @@
 	}
 
 	function isWithinLimits(live: LiveUpstream, service: GatewayService): boolean {
-		return computeColdWaitMs(live, service) === 0 && limitAdmission.computeWaitMs(live.upstream.id) === 0;
+		return rests.computeWaitMs(live.upstream, clock.now()) === 0 && computeColdWaitMs(live, service) === 0 && limitAdmission.computeWaitMs(live.upstream.id) === 0;
+	}
+
+	// Callers that are refused in one moment do not all return in the moment in which the rest ends.
+	function computeRestRetryAfterMs({upstream}: LiveUpstream): number {
+		const waitMs = rests.computeWaitMs(upstream, clock.now());
+		return waitMs > 0 ? waitMs + (random() * restSpreadMs) : 0;
 	}
 
 	function listLive(service: GatewayService, origin: StreamOrigin | undefined): LiveUpstream[] {
@@ -130,6 +142,7 @@
 			}
 
 			limitAdmission.recordSend(id);
+			rests.recordSend(live.upstream, clock.now());
 
 			return true;
 		},
@@ -149,9 +162,9 @@
 				return {detail: 'All failure domains of the service are evacuated', retryAfterMs: evacuatedRetryAfterMs};
 			}
 
-			const waitMs = Math.min(...inService.map(live => Math.max(computeColdWaitMs(live, service), limitAdmission.computeRetryAfterMs(live.upstream.id))));
+			const waitMs = Math.min(...inService.map(live => Math.max(computeRestRetryAfterMs(live), computeColdWaitMs(live, service), limitAdmission.computeRetryAfterMs(live.upstream.id))));
 			return waitMs > 0
-				? {detail: 'All upstreams of the service are cold or at their limit', retryAfterMs: Math.max(minLimitedRetryAfterMs, Math.ceil(waitMs))}
+				? {detail: 'All upstreams of the service are cold, at rest or at their limit', retryAfterMs: Math.max(minLimitedRetryAfterMs, Math.ceil(waitMs))}
 				: undefined;
 		},
 
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -17,7 +17,7 @@
 	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
 } from '../protocol/mod.js';
 import {
-	createPeerViews, createUpstreamDepartures, createUpstreamLimits, type PeerView,
+	createPeerViews, createUpstreamDepartures, createUpstreamLimits, createUpstreamRests, type PeerView,
 } from '../state/mod.js';
 import {
 	createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, probeAddress, startCallerServer, startFleetServer,
@@ -148,8 +148,9 @@
 		},
 	});
 	const departures = createUpstreamDepartures();
+	const rests = createUpstreamRests();
 	const eligibility = createUpstreamEligibility({
-		directory, evacuations, departures, coldAdmission, limitAdmission, clock,
+		directory, evacuations, departures, rests, coldAdmission, limitAdmission, clock, random: Math.random,
 		isInformed: () => state.isDeploymentRecent() || peerViews.list().length > 0,
 	});
 	const upstreamRegistry = createUpstreamRegistry({
@@ -184,6 +185,7 @@
 	function buildView(): PeerView {
 		upstreamRegistry.prune();
 		upstreamLimits.prune(upstream => directory.get(upstream) !== undefined);
+		rests.prune(clock.now());
 		quarantines.prune();
 		streams.recorder.prune();
 		return {
@@ -291,7 +293,9 @@
 		registry: upstreamRegistry,
 		eligibility,
 		limitRecorder,
-		noticeRecorder: createNoticeRecorder({departures, events}),
+		noticeRecorder: createNoticeRecorder({
+			departures, rests, clock, events,
+		}),
 		traffic,
 		streamRecorder: streams.recorder,
 		promptSourcePolicy: new CachedPromptSource(),
@@ -338,6 +342,7 @@
 			partQuarantine: quarantines.parts,
 			upstreamLimits,
 			departures,
+			countResting: () => rests.count(clock.now()),
 			traffic,
 			streamRecorder: streams.recorder,
 			callerServerStatistics: callerServer.getStatistics(),
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -25,6 +25,8 @@
 	readonly partQuarantine: Pick<PartQuarantine, 'countBlamed' | 'listHeld'>;
 	readonly upstreamLimits: Pick<UpstreamLimits, 'count'>;
 	readonly departures: Pick<UpstreamDepartures, 'count'>;
+	/** Returns the number of upstreams that rest. */
+	readonly countResting: () => number;
 	readonly traffic: Pick<TrafficCounter, 'list'>;
 	readonly streamRecorder: Pick<StreamRecorder, 'count' | 'countEvictions'>;
 	/** Connections and requests of this gateway's callers. */
@@ -39,7 +41,7 @@
  * @example
  * ```ts
  * response.end(formatGatewayMetrics({
- * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, partQuarantine, upstreamLimits, departures, traffic, streamRecorder, callerServerStatistics, readinessResponses: 2,
+ * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, streamRecorder, callerServerStatistics, readinessResponses: 2,
  * }));
  * ```
  *
@@ -48,7 +50,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, partQuarantine, upstreamLimits, departures, traffic, streamRecorder, callerServerStatistics, readinessResponses,
+		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, streamRecorder, callerServerStatistics, readinessResponses,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${runningRequests}`,
@@ -66,6 +68,7 @@
 		`fireflylane_parts_held ${partQuarantine.listHeld().length}`,
 		`fireflylane_upstreams_limited ${upstreamLimits.count()}`,
 		`fireflylane_upstreams_left ${departures.count()}`,
+		`fireflylane_upstreams_resting ${countResting()}`,
 		`fireflylane_streams_recorded ${streamRecorder.count()}`,
 		`fireflylane_stream_records_evicted_total ${streamRecorder.countEvictions()}`,
 		`fireflylane_readiness_answers_total ${readinessResponses}`,
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -77,6 +77,7 @@
 	upstreamLimitUnreadable: {number: 1707, text: 'unreadable limit named by an upstream'},
 	upstreamLeaving: {number: 1708, text: 'upstream said in an answer that it leaves'},
 	upstreamNoticeUnreadable: {number: 1709, text: 'unreadable notice in an answer of an upstream'},
+	upstreamResting: {number: 1710, text: 'upstream takes no requests for a time that it named'},
 	linesDropped: {number: 1801, text: 'log lines dropped'},
 	peerRefused: {number: 1601, text: 'peer without the fleet key refused'},
 	operatorRefused: {number: 1602, text: 'operator without a key refused'},
--- a/src/protocol/gateway-wire.ts
+++ b/src/protocol/gateway-wire.ts
@@ -69,6 +69,8 @@
 	readonly limit?: number | 'malformed';
 	/** True if the upstream says that it leaves; undefined if it says nothing. */
 	readonly isLeaving?: boolean | 'malformed';
+	/** Time for which the upstream takes no requests of this gateway, in milliseconds; undefined if it names none or has not refused the request. */
+	readonly restMs?: number | 'malformed';
 };
 
 /** Header names and values, alternating. */
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -27,4 +27,5 @@
 export * from './upstream-departures.js';
 export * from './upstream-directory.js';
 export * from './upstream-limits.js';
+export * from './upstream-rests.js';
 export * from './value-history.js';
--- a/tools/harness/unlimited-upstreams.ts
+++ b/tools/harness/unlimited-upstreams.ts
@@ -8,7 +8,7 @@
 	UnlimitedShare, createColdAdmission, createLimitAdmission, createUpstreamEligibility, type UpstreamEligibility,
 } from '../../src/coordination/mod.js';
 import {
-	createEvacuations, createUpstreamDepartures, createUpstreamLimits, type Evacuations, type UpstreamDirectory,
+	createEvacuations, createUpstreamDepartures, createUpstreamLimits, createUpstreamRests, type Evacuations, type UpstreamDirectory,
 } from '../../src/state/mod.js';
 import type {Clock} from '../../src/transport/mod.js';
 
@@ -39,6 +39,6 @@
 	const coldAdmission = createColdAdmission({...sender, overage: 1, slack: 0});
 	const limitAdmission = createLimitAdmission({...sender, limits: createUpstreamLimits()});
 	return createUpstreamEligibility({
-		directory, evacuations, departures: createUpstreamDepartures(), coldAdmission, limitAdmission, isInformed: () => true, clock,
+		directory, evacuations, departures: createUpstreamDepartures(), rests: createUpstreamRests(), random: () => 0, coldAdmission, limitAdmission, isInformed: () => true, clock,
 	});
 }
