--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -58,6 +58,8 @@
 		registry: createPartCrashRegistry(), clock, events, onChange: () => undefined, onCrash: () => undefined, claimTrial: async () => false,
 	});
 	const calls: UpstreamCall[] = [];
+	/** Upstreams whose answers were read for what they say of themselves. */
+	const noticed: string[] = [];
 	const recorded: Array<StreamOrigin & {readonly stream: string}> = [];
 	const received = {
 		status: 0, body: '', isCut: false, hasEnded: false, refused: undefined as Failure | undefined,
@@ -88,7 +90,11 @@
 			eligibility, directory, clock, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
 		}),
 		limitRecorder: {recordAnswer: () => undefined},
-		noticeRecorder: {recordAnswer: () => undefined},
+		noticeRecorder: {
+			recordAnswer({id}) {
+				noticed.push(id);
+			},
+		},
 		streamRecorder: {
 			recordEvents(stream, origin) {
 				recorded.push({stream, ...origin});
@@ -156,7 +162,7 @@
 	}
 
 	return {
-		forward, calls, recorded, received, retries, directory, crashed, quarantine, partQuarantine,
+		forward, calls, noticed, recorded, received, retries, directory, crashed, quarantine, partQuarantine,
 	};
 }
 
@@ -185,6 +191,29 @@
 	expect(report.mayHaveRun).toBe(false);
 });
 
+test.each([
+	['a whole answer', {status: 200, chunks: ['ok']}, 1],
+	['a server error', {status: 500, chunks: ['error']}, 1],
+	['a refusal', {status: 503, headers: {'not-run': '1'}, chunks: []}, 1],
+	['an answer to another request', {status: 200, headers: {...bufferedHeaders, id: 'r0'}, chunks: ['theirs']}, 1],
+	['an answer of another upstream at the address', {status: 421, headers: {'not-run': '1'}, chunks: []}, 0],
+])('what the upstream says of itself in %s is recorded', async (_, response, count) => {
+	// Guards against a notice that is read from some answers only.
+	const fixture = createFixture([response]);
+	await fixture.forward({kind: 'once', attempts: 1});
+	expect(fixture.noticed.length).toBe(count);
+});
+
+test('what the upstream says of itself in a stream is recorded before the stream ends', async () => {
+	const fixture = createFixture([{
+		status: 200, headers: streamHeaders, chunks: ['id: 1\ndata: a\n\n'], hangs: true,
+	}]);
+	const pending = fixture.forward({isResumable: false}, 400);
+	await expect.poll(() => fixture.received.body).toContain('data: a');
+	expect(fixture.noticed.length).toBe(1);
+	await pending;
+});
+
 test('an answer to another request is not relayed', async () => {
 	// Guards against a caller who receives another caller's answer: the upstream
 	// sent an extra answer, which was read in place of the next one.
--- a/tools/harness/unlimited-upstreams.ts
+++ b/tools/harness/unlimited-upstreams.ts
@@ -8,7 +8,7 @@
 	UnlimitedShare, createColdAdmission, createLimitAdmission, createUpstreamEligibility, type UpstreamEligibility,
 } from '../../src/coordination/mod.js';
 import {
-	createEvacuations, createUpstreamDepartures, createUpstreamLimits, createUpstreamRests, type Evacuations, type UpstreamDirectory,
+	createEvacuations, createUpstreamDepartures, createUpstreamLimits, createUpstreamRests, type Evacuations, type UpstreamDepartures, type UpstreamDirectory, type UpstreamRests,
 } from '../../src/state/mod.js';
 import type {Clock} from '../../src/transport/mod.js';
 
@@ -18,6 +18,10 @@
 	readonly clock: Clock;
 	/** Default: no failure domain is evacuated. */
 	readonly evacuations?: Evacuations;
+	/** Default: no upstream leaves. */
+	readonly departures?: UpstreamDepartures;
+	/** Default: no upstream rests. */
+	readonly rests?: UpstreamRests;
 };
 
 /**
@@ -32,13 +36,15 @@
  * @param options The directory of upstreams and the clock
  * @returns The eligibility
  */
-export function createUnlimitedEligibility({directory, clock, evacuations = createEvacuations()}: CreateUnlimitedEligibilityOptions): UpstreamEligibility {
+export function createUnlimitedEligibility({
+	directory, clock, evacuations = createEvacuations(), departures = createUpstreamDepartures(), rests = createUpstreamRests(),
+}: CreateUnlimitedEligibilityOptions): UpstreamEligibility {
 	const sender = {
 		clock, processStartedAt: 0, daemon: 'g', policy: new UnlimitedShare(), listGateways: () => ['g'],
 	};
 	const coldAdmission = createColdAdmission({...sender, overage: 1, slack: 0});
 	const limitAdmission = createLimitAdmission({...sender, limits: createUpstreamLimits()});
 	return createUpstreamEligibility({
-		directory, evacuations, departures: createUpstreamDepartures(), rests: createUpstreamRests(), random: () => 0, coldAdmission, limitAdmission, isInformed: () => true, clock,
+		directory, evacuations, departures, rests, random: () => 0, coldAdmission, limitAdmission, isInformed: () => true, clock,
 	});
 }
