Name the end of a rest to a caller whose request began it

What callers saw: a request that was refused by the last upstream that did not rest was told to come back after 0.5 s, although nothing takes requests for seconds.

Cause: the time was that of an overloaded upstream whenever a request had been sent at all. It is now asked of the check of eligibility, as for requests that were not sent. A unit test named 500 ms before and the 3 s of the rest now.

--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/request-forwarder.test.ts
@@ -5,7 +5,7 @@
 	Err, Ok, createFailure, type EventLog, type Failure, type GatewayWire, type Route, type UpstreamRegistration,
 } from '../protocol/mod.js';
 import {
-	createCrashRegistry, createPartCrashRegistry, createUpstreamDirectory, type StreamOrigin,
+	createCrashRegistry, createPartCrashRegistry, createUpstreamDirectory, createUpstreamRests, type StreamOrigin,
 } from '../state/mod.js';
 import {createSystemClock, type CallFailure, type UpstreamCall} from '../transport/mod.js';
 import {
@@ -38,9 +38,11 @@
 type FixtureOptions = {
 	/** Software version of each upstream; undefined if it registers none. */
 	readonly versions?: Readonly<Record<string, string | undefined>>;
+	/** Whether every answer says that all upstreams rest for 3 s. */
+	readonly areAllAtRest?: boolean;
 };
 
-function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}}: FixtureOptions = {}) {
+function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}, areAllAtRest = false}: FixtureOptions = {}) {
 	const clock = createSystemClock();
 	const directory = createUpstreamDirectory();
 	for (const id of ['u1', 'u2', 'u3']) {
@@ -82,7 +84,8 @@
 		}
 	}
 
-	const eligibility = createUnlimitedEligibility({directory, clock});
+	const rests = createUpstreamRests();
+	const eligibility = createUnlimitedEligibility({directory, clock, rests});
 	const forwarder = createRequestForwarder({
 		eligibility,
 		wire, clock, events,
@@ -93,6 +96,9 @@
 		noticeRecorder: {
 			recordAnswer({id}) {
 				noticed.push(id);
+				for (const upstream of areAllAtRest ? directory.listIds() : []) {
+					rests.record({id: upstream, startedAt: undefined}, {durationMs: 3000, now: clock.now()});
+				}
 			},
 		},
 		streamRecorder: {
@@ -204,6 +210,14 @@
 	expect(fixture.noticed.length).toBe(count);
 });
 
+test('a caller whose request made the last upstream rest may retry when the rest ends', async () => {
+	// Guards against callers who return before any upstream takes requests.
+	const fixture = createFixture([{status: 503, headers: {'not-run': '1'}, chunks: []}], {areAllAtRest: true});
+	await fixture.forward({kind: 'idempotent'});
+	expect(fixture.calls.length).toBe(1);
+	expect(fixture.received.refused?.retryAfterMs).toBeGreaterThan(2500);
+});
+
 test('what the upstream says of itself in a stream is recorded before the stream ends', async () => {
 	const fixture = createFixture([{
 		status: 200, headers: streamHeaders, chunks: ['id: 1\ndata: a\n\n'], hangs: true,
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/request-forwarder.ts
@@ -87,10 +87,11 @@
 		return outcome.kind === 'not-run' ? outcome.reached : 'chosen';
 	}
 
-	function describeLast(detail: string, origin: StreamOrigin | undefined): UnansweredReason {
+	// The last answer may have said when requests are taken again.
+	function describeLast(detail: string, {request: {service}, origin}: ForwardingState): UnansweredReason {
 		return {
 			detail: origin ? `${detail}; only upstreams of version "${origin.softwareVersion ?? 'unknown'}" may continue the stream` : detail,
-			retryAfterMs: overloadedRetryAfterMs,
+			retryAfterMs: eligibility.findBlockage(service, origin)?.retryAfterMs ?? overloadedRetryAfterMs,
 		};
 	}
 
@@ -208,7 +209,7 @@
 				return buildReport(state, 'passed-on', detail);
 			}
 
-			const reason = held ?? (tried.size === 0 ? describeUnsent(state) : describeLast(detail, state.origin));
+			const reason = held ?? (tried.size === 0 ? describeUnsent(state) : describeLast(detail, state));
 			return finishUnanswered(state, reason);
 		},
 	};
