Ask for no new connections while overloaded and most others have room

What callers saw: connections closed unread at their last try, and answers that came late, at a few gateways of a fleet whose others had most of their processor time to spare; the kinds of request with the shortest objective lost most.

Cause: the load balancer picks a gateway by a hash of the caller, so a few get a multiple of the others' connections. Such a gateway was ready all the same; it closed connections unread so that their callers go elsewhere, and a caller who connects again is handed to it again. The class: an overload signal that does not reach the component that distributes the load.

Change: a gateway is not ready while it limits its running requests and most other gateways say that they have room; the decision is a function of its own, shared with the closing of connections. While most are overloaded nothing changes.

--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -125,6 +125,8 @@
 
 		/** Returns how many more requests of any priority are admitted now; infinite while there is no limit. */
 		countRoom: (): number => Math.max(minLimit, limit * priorityShares.at(-1)!) - running,
+		/** Returns true while there is a limit. */
+		isOverloaded: () => Number.isFinite(limit),
 		/** Returns the maximum number of concurrent requests; infinite while there is no limit. */
 		getLimit: () => limit,
 		/** Returns the maximum event loop lag of the last window, in whole milliseconds. */
--- a/src/coordination/connection-admission.ts
+++ b/src/coordination/connection-admission.ts
@@ -11,13 +11,14 @@
  * @module
  */
 import type {Clock} from '../transport/mod.js';
+import {hasRoomElsewhere, type PeerRoom} from './peer-room.js';
 
 /** Options of {@linkcode createConnectionAdmission}. */
 export type CreateConnectionAdmissionOptions = {
 	/** Returns how many more requests this gateway can run; infinite while it is not overloaded. */
 	readonly countRoom: () => number;
 	/** Counts the other gateways that are not leaving, and those of them that have room. */
-	readonly countPeers: () => {readonly total: number; readonly withRoom: number};
+	readonly countPeers: () => PeerRoom;
 	readonly clock: Clock;
 };
 
@@ -42,16 +43,10 @@
 export function createConnectionAdmission({countRoom, countPeers, clock}: CreateConnectionAdmissionOptions) {
 	let lastAcceptedAt = Number.NEGATIVE_INFINITY;
 
-	// A caller that is sent away goes to any other gateway, so that one with room among many would not help.
-	function hasRoomElsewhere(): boolean {
-		const {total, withRoom} = countPeers();
-		return withRoom > total / 2;
-	}
-
 	return {
 		/** Returns true if the next connection is to be accepted; `awaiting` is the number of accepted connections whose first request has not been read. */
 		shouldAccept(awaiting: number): boolean {
-			const isAccepted = countRoom() > awaiting || !hasRoomElsewhere() || clock.now() - lastAcceptedAt >= minAcceptIntervalMs;
+			const isAccepted = countRoom() > awaiting || !hasRoomElsewhere(countPeers()) || clock.now() - lastAcceptedAt >= minAcceptIntervalMs;
 			if (isAccepted) {
 				lastAcceptedAt = clock.now();
 			}
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -47,6 +47,7 @@
 export * from './part-trials.js';
 export * from './peer-catch-up.js';
 export * from './gossip.js';
+export * from './peer-room.js';
 export * from './placement-policy.js';
 export * from './prompt-source.js';
 export * from './quarantine-recorder.js';
--- /dev/null
+++ b/src/coordination/peer-room.ts
@@ -0,0 +1,49 @@
+/**
+ * Decides what an overloaded gateway asks of its load balancer.
+ *
+ * The load balancer distributes connections by a hash of the caller, so a few
+ * gateways of a fleet get a multiple of the others' share, and a caller who
+ * connects again reaches the same gateway. A gateway that is overloaded while
+ * most others have room is not ready, so that new connections go to them. If
+ * most are overloaded, sending callers elsewhere does not help, and all stay
+ * ready.
+ *
+ * @module
+ */
+
+/** Other gateways that are not leaving. */
+export type PeerRoom = {
+	readonly total: number;
+	/** Number of those that have room for further requests. */
+	readonly withRoom: number;
+};
+
+/**
+ * Returns whether most other gateways have room.
+ *
+ * @example
+ * ```ts
+ * hasRoomElsewhere({total: 3, withRoom: 2}); // true
+ * ```
+ *
+ * @param peers The other gateways
+ * @returns True if a caller that is sent away probably reaches one with room
+ */
+export function hasRoomElsewhere({total, withRoom}: PeerRoom): boolean {
+	return withRoom > total / 2;
+}
+
+/**
+ * Returns whether a gateway asks for new connections.
+ *
+ * @example
+ * ```ts
+ * isReadyForConnections({isOverloaded: true, peers: {total: 30, withRoom: 27}}); // false
+ * ```
+ *
+ * @param load Whether the gateway limits its requests, and the other gateways
+ * @returns True if the load balancer may hand it new connections
+ */
+export function isReadyForConnections({isOverloaded, peers}: {readonly isOverloaded: boolean; readonly peers: PeerRoom}): boolean {
+	return !isOverloaded || !hasRoomElsewhere(peers);
+}
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -10,8 +10,8 @@
 	CachedPromptSource, NearReceiverPolicy, OwnedShare, SubstitutedShare,
 	createAdmission, createBudgetOwners, createColdAdmission, createConnectionAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createNoticeRecorder, createPeerCatchUp,
 	createRelayedLog, createRequestForwarder, createRetryAfterEstimator,
-	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, decodePart, fanOut, monitorEventLoop,
-	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type ProcessStats,
+	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, decodePart, fanOut, isReadyForConnections, monitorEventLoop,
+	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type PeerRoom, type ProcessStats,
 } from '../coordination/mod.js';
 import {
 	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
@@ -319,18 +319,16 @@
 		computeStopRetryAfterMs: () => retryAfterEstimator.estimate(peerViews.list(), {ownRemainingMs: stopWindow.computeRemainingMs()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve);
-	const connectionAdmission = createConnectionAdmission({
-		countRoom: admission.countRoom,
-		clock,
-		countPeers() {
-			const staying = peerViews.list().filter(({isLeaving}) => !isLeaving);
-			return {total: staying.length, withRoom: staying.filter(({hasRoom}) => hasRoom).length};
-		},
-	});
+	function countPeerRoom(): PeerRoom {
+		const staying = peerViews.list().filter(({isLeaving}) => !isLeaving);
+		return {total: staying.length, withRoom: staying.filter(({hasRoom}) => hasRoom).length};
+	}
+
+	const connectionAdmission = createConnectionAdmission({countRoom: admission.countRoom, clock, countPeers: countPeerRoom});
 	callerServer.setAcceptPolicy(connectionAdmission.shouldAccept);
 	const statusServers = await startStatusServers(settings, {
 		readinessPath: adapter.wire.readinessPath, quarantine: quarantines.requests, partQuarantine: quarantines.parts, events,
-		isReady: () => state.isReady() && !stopWindow.hasBegun(),
+		isReady: () => state.isReady() && !stopWindow.hasBegun() && isReadyForConnections({isOverloaded: admission.isOverloaded(), peers: countPeerRoom()}),
 		formatMetrics: readinessResponses => formatGatewayMetrics({
 			metrics,
 			events,
