--- a/src/coordination/budget-manager.ts
+++ b/src/coordination/budget-manager.ts
@@ -45,7 +45,7 @@
 const slowClaimMs = 60;
 /** A request is refused as exhausted only if the log was read within this time: two rounds. */
 const maxSyncAgeMs = 2 * roundIntervalMs;
-/** Timeout of a claim on behalf of another gateway. That gateway waits 300 ms for the answer, of which two messages between busy processes take most. */
+/** Timeout of a claim on behalf of another gateway. That gateway waits 300 ms for the answer, most of which the messages may take while both are busy. */
 const claimForPeerTimeoutMs = 100;
 /** Searches for tokens that a request makes in any case. */
 const minBorrowRounds = 2;
--- a/src/coordination/upstream-eligibility.ts
+++ b/src/coordination/upstream-eligibility.ts
@@ -1,8 +1,8 @@
 /**
  * Decides to which upstreams a gateway may send a request now: not to those of
  * an evacuated failure domain nor to those that said that they leave or rest, and
- * to cold ones and those that named a limit only within this gateway's share. A stream that has begun goes only to those of the
- * version that began it.
+ * to cold ones and those that named a limit only within this gateway's share. A
+ * stream that has begun goes only to those of the version that began it.
  *
  * Every request passes `admitSend` just before it is written, also one that was
  * placed seconds ago and waited for a connection.
