--- a/src/coordination/budget-manager.test.ts
+++ b/src/coordination/budget-manager.test.ts
@@ -304,6 +304,19 @@
 	}), {numRuns: 150, seed: 7});
 });
 
+test('no tokens are spent twice after the log was restored from a backup', async () => {
+	// Guards against claims that do not count what was granted in the lost history.
+	const simulation = await createSimulation(2000);
+	const backup = simulation.log.records.length;
+	const before = await simulation.gateways[0]!.manager.acquire(customer, 1500, {timeoutMs: 300});
+	expect(before.ok).toBe(true);
+	simulation.log.restore(backup);
+	await simulation.gateways[1]!.manager.acquire(customer, 1500, {timeoutMs: 300});
+	simulation.restart(2);
+	await simulation.gateways[2]!.manager.acquire(customer, 1500, {timeoutMs: 300});
+	expect(simulation.sumUsed() + simulation.sumFree()).toBeLessThanOrEqual(2000);
+});
+
 test('a gateway that stops returns what it has borrowed, and another can use it', async () => {
 	// Guards against tokens that are lost in a rolling restart, because a grant of 0 cannot release them.
 	const simulation = await createSimulation(1000, 'first');
--- a/src/coordination/keyed-follower.test.ts
+++ b/src/coordination/keyed-follower.test.ts
@@ -1,4 +1,5 @@
 import {expect, test} from 'vitest';
+import {createFakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
 import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
 import {
 	Err, Ok, createFailure, type EventLog, type KeyedLog,
@@ -8,6 +9,8 @@
 const events: EventLog = {write: () => undefined, counts: new Map()};
 const longPollMs = 1500;
 const readTimeoutMs = 600;
+/** Duration of a call to the log. */
+const callMs = 4;
 
 type SilentLogOptions = {
 	readonly silentFrom: number;
@@ -77,3 +80,106 @@
 	expect(follower.isUp()).toBe(false);
 	stop();
 });
+
+/** Follows a log of five records that is about to be restored from a backup. */
+async function followRestoredLog() {
+	const time = createVirtualTime();
+	const abortController = new AbortController();
+	const {signal} = abortController;
+	const fake = createFakeKeyedLog();
+	fake.epoch = 1;
+	let reads = 0;
+	const direct = fake.open();
+	const log: KeyedLog = {
+		...direct,
+		async readNewest() {
+			reads += 1;
+			await time.sleep(callMs);
+			return direct.readNewest();
+		},
+		// Waits for a new record as the store does, but refuses at once an offset that it does not have.
+		async read(from, options) {
+			reads += 1;
+			await time.sleep(callMs);
+			const deadline = time.now() + options.waitMs;
+			while (from === fake.records.length && time.now() < deadline) {
+				await time.sleep(10);
+			}
+
+			return direct.read(from, options);
+		},
+	};
+	const put = (key: string, value?: string) => {
+		fake.records.push({key, value, offset: fake.records.length});
+	};
+
+	const values = new Map<string, string | undefined>();
+	const follower = createKeyedFollower({
+		log, events, clock: time, longPollMs, readTimeoutMs, readIntervalMs: 0,
+		listKnownKeys: () => [...values.keys()],
+		onRecord({key, value}) {
+			values.set(key, value);
+		},
+	});
+	for (const key of ['a', 'b', 'c', 'd', 'e']) {
+		put(key, 'old');
+	}
+
+	void follower.run(signal);
+	await time.runUntil(1000);
+	return {
+		time, fake, follower, values, put,
+		countReads: () => reads,
+		stop() {
+			abortController.abort();
+		},
+	};
+}
+
+test('records of a restored log are delivered, also at offsets that were delivered before', async () => {
+	// Guards against a follower that waits for offsets of a lost history.
+	const {time, fake, values, put, stop} = await followRestoredLog();
+	fake.restore(2);
+	await time.runUntil(2000);
+	put('a', 'new');
+	await time.runUntil(4500);
+	expect(values.get('a')).toBe('new');
+	stop();
+});
+
+test('a key that a restored log lacks is dropped only if it is not written again', async () => {
+	// Guards against dropping what its writers are about to write again.
+	const {time, fake, values, put, stop} = await followRestoredLog();
+	fake.restore(2);
+	await time.runUntil(1500);
+	put('d', 'again');
+	expect(values.get('e')).toBe('old');
+	await time.runUntil(6000);
+	expect(values.get('d')).toBe('again');
+	expect(values.get('e')).toBeUndefined();
+	stop();
+});
+
+/** Returns how often a follower calls a log that has lost records, in the five seconds after that. */
+async function countReadsAhead(epoch: number | undefined): Promise<number> {
+	const {time, fake, countReads, stop} = await followRestoredLog();
+	const before = countReads();
+	fake.restore(2);
+	fake.epoch = epoch;
+	await time.runUntil(6000);
+	stop();
+	return countReads() - before;
+}
+
+/** Five reads a second; a follower that waits for records makes fewer. */
+const maxReadsAhead = 25;
+
+// Guards against a loop of reads that each end at once without a record.
+test('a follower pauses between reads of a log that was restored', async () => {
+	expect(await countReadsAhead(2)).toBeLessThanOrEqual(maxReadsAhead);
+});
+
+// The same for a log that does not say that it was restored.
+test('a follower pauses between reads of a log that lacks the next offset', async () => {
+	expect(await countReadsAhead(undefined)).toBeLessThanOrEqual(maxReadsAhead);
+});
--- a/src/protocol/keyed-log.ts
+++ b/src/protocol/keyed-log.ts
@@ -12,14 +12,24 @@
 /** A record with its offset in the log. */
 export type StoredRecord = KeyedRecord & {readonly offset: number};
 
+/**
+ * The history that an answer belongs to. The epoch increases when the log is
+ * restored from a backup: later records are lost, and their offsets are assigned
+ * again. An offset therefore has a meaning only within its epoch. Undefined if
+ * the answer does not state it.
+ */
+export type LogEpoch = number | undefined;
+
 /** Records from an offset on, and the end offset of the log. */
-export type KeyedPage = {readonly records: readonly StoredRecord[]; readonly end: number};
+export type KeyedPage = {readonly records: readonly StoredRecord[]; readonly end: number; readonly epoch?: LogEpoch};
 
 /** The newest record of each key up to `end`. Records after `end` may be included. */
-export type NewestRecords = {readonly records: readonly StoredRecord[]; readonly end: number};
+export type NewestRecords = {readonly records: readonly StoredRecord[]; readonly end: number; readonly epoch?: LogEpoch};
 
-/** Why a read failed. `away`: the log is unavailable; `gone`: the log no longer retains the requested offset. */
-export type KeyedReadFailure = {readonly kind: 'away'; readonly failure: Failure} | {readonly kind: 'gone'};
+/** Why a read failed. `away`: the log is unavailable; `gone`: the log does not have the requested offset. */
+export type KeyedReadFailure =
+	| {readonly kind: 'away'; readonly failure: Failure}
+	| {readonly kind: 'gone'; readonly epoch?: LogEpoch};
 
 /**
  * Outcome of an append:
@@ -31,8 +41,8 @@
  *   seconds later if the log then ends at the expected offset.
  */
 export type AppendOutcome =
-	| {readonly kind: 'appended'; readonly offset: number}
-	| {readonly kind: 'behind'; readonly end: number}
+	| {readonly kind: 'appended'; readonly offset: number; readonly epoch?: LogEpoch}
+	| {readonly kind: 'behind'; readonly end: number; readonly epoch?: LogEpoch}
 	| {readonly kind: 'refused'; readonly failure: Failure}
 	| {readonly kind: 'unknown'; readonly failure: Failure};
 
--- a/tools/harness/fake-keyed-log.ts
+++ b/tools/harness/fake-keyed-log.ts
@@ -1,6 +1,6 @@
 /**
  * In-memory keyed log for tests. It supports conditional appends and simulates
- * lost answers, delayed appends and outages.
+ * lost answers, delayed appends, outages and restores from a backup.
  *
  * @module
  */
@@ -26,8 +26,12 @@
 	isUnavailable: boolean;
 	/** First retained offset; reads from an earlier one fail with `gone`. */
 	firstOffset: number;
+	/** Number of times that the log was restored; undefined if its answers do not state it. */
+	epoch: number | undefined;
 	/** Called when an append arrives, before it takes effect. */
 	onAppend: () => void;
+	/** Restores the log from a backup of its first `length` records, which begins the next epoch. */
+	readonly restore: (length: number) => void;
 	/** Creates a client of this log. */
 	readonly open: () => KeyedLog;
 };
@@ -50,11 +54,11 @@
 
 	function appendIfExpected(record: KeyedRecord, expectedEnd: number | undefined): AppendOutcome {
 		if (expectedEnd !== undefined && expectedEnd !== records.length) {
-			return {kind: 'behind', end: records.length};
+			return {kind: 'behind', end: records.length, epoch: fake.epoch};
 		}
 
 		records.push({...record, offset: records.length});
-		return {kind: 'appended', offset: records.length - 1};
+		return {kind: 'appended', offset: records.length - 1, epoch: fake.epoch};
 	}
 
 	function simulateAppend(record: KeyedRecord, expectedEnd: number | undefined): AppendOutcome {
@@ -86,7 +90,12 @@
 		appendBehaviors: [],
 		isUnavailable: false,
 		firstOffset: 0,
+		epoch: undefined,
 		onAppend: () => undefined,
+		restore(length) {
+			records.splice(length);
+			fake.epoch = (fake.epoch ?? 0) + 1;
+		},
 		applyDelayedAppends() {
 			for (const {record, expectedEnd} of delayedAppends.splice(0)) {
 				appendIfExpected(record, expectedEnd);
@@ -94,13 +103,15 @@
 		},
 		open: () => ({
 			name: 'fake',
-			readNewest: async () => fake.isUnavailable ? Err(unavailable) : Ok({records: listNewest(), end: records.length}),
+			readNewest: async () => fake.isUnavailable ? Err(unavailable) : Ok({records: listNewest(), end: records.length, epoch: fake.epoch}),
 			async read(from) {
 				if (fake.isUnavailable) {
 					return Err({kind: 'away', failure: unavailable});
 				}
 
-				return from < fake.firstOffset ? Err({kind: 'gone'}) : Ok({records: records.slice(from), end: records.length});
+				return from < fake.firstOffset || from > records.length
+					? Err({kind: 'gone', epoch: fake.epoch})
+					: Ok({records: records.slice(from), end: records.length, epoch: fake.epoch});
 			},
 			async append(record, {expectedEnd}) {
 				fake.onAppend();
