Follow a store that was restored from a copy

Callers saw revoked keys accepted for seconds, engines that leave got requests, requests that need tokens were refused, and gateways had no processor time left for new connections. The cause is that a follower took an offset as a position in one endless history. A store that returns from a copy assigns offsets again; the follower asked for one that the log did not have, read the newest records, took their lower end for an old answer and reported a success, so that the next read followed at once. Nothing written below the old offset was delivered.

A follower holds offset and epoch together. On a newer epoch it reads the newest records again; on an older one, or one that is not stated while another is known, it ignores the answer. A read that was sent in an earlier epoch is not taken for one of the new, because its offset may have skipped records. Keys that are missing after a restore are dropped only after the two seconds in which they are written again; registrations of upstreams from the copy do not replace newer ones or bring back those that left; evacuations are ordered by epoch and offset, also in gossip. A read that gains nothing is followed by a pause whatever the log answered. FL1112 tells of a restore.

--- a/src/coordination/budget-manager.test.ts
+++ b/src/coordination/budget-manager.test.ts
@@ -457,7 +457,7 @@
 		},
 		log: createFakeKeyedLog().open(),
 		follower: {
-			getNextOffset: () => 0, isUp: () => true, computeStalenessMs: () => sinceAnswer, hasReadSince: () => false, catchUp: async () => never, applyOwnRecord: () => undefined, run: async () => never,
+			getNextOffset: () => 0, getEpoch: () => undefined, isUp: () => true, computeStalenessMs: () => sinceAnswer, hasReadSince: () => false, catchUp: async () => never, applyOwnRecord: () => undefined, observeEpoch: () => undefined, run: async () => never,
 		},
 		grants: createGrantRegistry(),
 		account,
--- a/src/coordination/gossip-codec.ts
+++ b/src/coordination/gossip-codec.ts
@@ -95,7 +95,9 @@
 		free: tellsFree ? free.map(({customer, tokens}) => ({customer, tokens})) : previousView?.free ?? [],
 		crashes: crashes.map(({digest, round, crashes: count}) => ({digest, round, crashes: count})),
 		parts: parts.map(part => decodePart(part)),
-		domains: domains.map(({failureDomain, offset, isEvacuated}) => ({failureDomain, offset, isEvacuated})),
+		domains: domains.map(({failureDomain, offset, isEvacuated, epoch}) => ({
+			failureDomain, offset, isEvacuated, ...epoch !== undefined && {epoch},
+		})),
 		limits: limits.map(({upstream, requestsPerSecond, ageMs}) => ({upstream, requestsPerSecond, ageMs})),
 	};
 }
--- a/src/coordination/keyed-follower.test.ts
+++ b/src/coordination/keyed-follower.test.ts
@@ -183,3 +183,73 @@
 test('a follower pauses between reads of a log that lacks the next offset', async () => {
 	expect(await countReadsAhead(undefined)).toBeLessThanOrEqual(maxReadsAhead);
 });
+
+test('answers of an earlier epoch, or that do not state one, are ignored', async () => {
+	// Guards against a relay that answers late, or of a version that does not pass on the epoch.
+	const fake = createFakeKeyedLog();
+	fake.epoch = 2;
+	fake.records.push({key: 'a', value: 'new', offset: 0});
+	const values: string[] = [];
+	const follower = createKeyedFollower({
+		log: fake.open(), events, clock: createVirtualTime(), longPollMs: 0, readIntervalMs: 0,
+		onRecord({value}) {
+			values.push(value!);
+		},
+	});
+	const {signal} = new AbortController();
+	expect(await follower.catchUp(signal)).toBe(true);
+	fake.records.push({key: 'a', value: 'old', offset: 1});
+	for (const epoch of [1, undefined]) {
+		fake.epoch = epoch;
+		expect(await follower.catchUp(signal)).toBe(false);
+	}
+
+	expect(values).toEqual(['new']);
+	expect(follower.getEpoch()).toBe(2);
+});
+
+test('a read that was sent before a restore does not skip records of the new epoch', async () => {
+	const fake = createFakeKeyedLog();
+	fake.epoch = 1;
+	const direct = fake.open();
+	let release: () => void = () => undefined;
+	let isHeld = false;
+	const keys: string[] = [];
+	const follower = createKeyedFollower({
+		log: {
+			...direct,
+			async read(from, options) {
+				if (isHeld) {
+					await new Promise<void>(resolve => {
+						release = resolve;
+					});
+				}
+
+				return direct.read(from, options);
+			},
+		},
+		events, clock: createVirtualTime(), longPollMs: 0, readIntervalMs: 0,
+		onRecord({key}) {
+			keys.push(key);
+		},
+	});
+	const {signal} = new AbortController();
+	const put = (key: string) => {
+		fake.records.push({key, value: '1', offset: fake.records.length});
+	};
+
+	put('a');
+	put('b');
+	await follower.catchUp(signal);
+	isHeld = true;
+	const pending = follower.catchUp(signal);
+	fake.restore(1);
+	follower.observeEpoch(2);
+	put('c');
+	put('d');
+	release();
+	await pending;
+	await follower.catchUp(signal);
+	expect(keys).toContain('c');
+	expect(keys).toContain('d');
+});
--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -1,10 +1,15 @@
 /**
  * Follows a keyed log and delivers its records in order of offset.
  *
+ * A log may be restored from a backup, which begins a new epoch: later records
+ * are lost, and their offsets are assigned again. A follower then reads the
+ * newest records again. What their writers had written later is missing until
+ * they write it again, so that a key that is missing then has not been dropped.
+ *
  * @module
  */
 import {
-	createFailure, type EventLog, type Failure, type KeyedLog, type StoredRecord,
+	createFailure, type EventLog, type Failure, type KeyedLog, type LogEpoch, type StoredRecord,
 } from '../protocol/mod.js';
 import {waitWithTimeout, type Clock} from '../transport/mod.js';
 
@@ -18,6 +23,12 @@
 	readonly recoveredAt: number;
 };
 
+/** How a record was read. */
+export type RecordOrigin = {
+	/** True if the log was restored from a backup that the record may come from: it may be older than records delivered before. */
+	readonly mayBeOlder: boolean;
+};
+
 /** Options of {@linkcode createKeyedFollower}. */
 export type CreateKeyedFollowerOptions = {
 	readonly log: KeyedLog;
@@ -34,11 +45,16 @@
 	 */
 	readonly readTimeoutMs?: number;
 	/** Called once for each record, in order of offset. */
-	readonly onRecord: (record: StoredRecord) => void;
-	/** Lists the known keys; those that are missing after a gap are reported as dropped. */
+	readonly onRecord: (record: StoredRecord, origin: RecordOrigin) => void;
+	/**
+	 * Lists the known keys. Those that are missing after a gap are reported as
+	 * dropped; after a restore, once their writers had time to write them again.
+	 */
 	readonly listKnownKeys?: () => string[];
 	/** Called before records are delivered that follow a gap: earlier ones were missed. */
 	readonly onGap?: () => void;
+	/** Called when an answer shows that the log was restored, before the records of its new epoch are delivered. */
+	readonly onRestore?: (epoch: LogEpoch) => void;
 	/** Called when the log answers again, before its records are delivered. */
 	readonly onRecovery?: (outage: LogOutage) => void;
 };
@@ -51,6 +67,10 @@
 
 /** Kept short so that a recovered store is noticed within a fraction of a second. */
 const retryDelayMs = 200;
+/** Time in which writers write again what a restored log has lost. */
+const rewriteGraceMs = 2000;
+/** Abort reason that ends a pause; shared, because an abort without a reason creates a new error each time. */
+const readDue = new Error('The next read of the log is due');
 /** A timeout that expires later than this shows that this process was stalled, not that the log did not answer. */
 const stallMs = 500;
 
@@ -69,6 +89,10 @@
 export function createKeyedFollower(options: CreateKeyedFollowerOptions) {
 	const {log, clock, events, onRecord} = options;
 	let nextOffset: number | undefined;
+	let epoch: LogEpoch;
+	/** When keys that a restored log lacks count as dropped. */
+	let dropsDueAt: number | undefined;
+	let pauseController = new AbortController();
 	let isUp = false;
 	let lastFailureAt: number | undefined;
 	let lastSuccessAt: number | undefined;
@@ -79,6 +103,33 @@
 	// A hanging read has already used up its timeout, so the next one is sent at once.
 	const pausesMs: Record<ReadResult, number> = {answered: options.readIntervalMs, failed: retryDelayMs, hanging: 0};
 
+	function beginEpoch(nextEpoch: LogEpoch): void {
+		events.write('logRestored', {
+			log: log.name, epoch: nextEpoch, previousEpoch: epoch, next: nextOffset,
+		});
+		epoch = nextEpoch;
+		nextOffset = undefined;
+		dropsDueAt = clock.now() + rewriteGraceMs;
+		pauseController.abort(readDue);
+		options.onRestore?.(nextEpoch);
+	}
+
+	function isNewer(other: LogEpoch): boolean {
+		return other !== undefined && (epoch === undefined ? nextOffset !== undefined : other > epoch);
+	}
+
+	// An answer may arrive after one of a newer epoch. One that does not state its epoch counts as outdated once another
+	// has stated it: its offsets may be of any epoch.
+	function checkEpoch(answerEpoch: LogEpoch): 'current' | 'restored' | 'outdated' {
+		if (isNewer(answerEpoch)) {
+			beginEpoch(answerEpoch);
+			return 'restored';
+		}
+
+		epoch ??= nextOffset === undefined ? answerEpoch : undefined;
+		return answerEpoch === epoch ? 'current' : 'outdated';
+	}
+
 	function reportRecovery(): void {
 		const now = clock.now();
 		events.write('logBack', {log: log.name, next: nextOffset, awayMs: lastSuccessAt === undefined ? undefined : Math.round(now - lastSuccessAt)});
@@ -118,14 +169,39 @@
 		lastFailureAt = Math.max(lastFailureAt ?? sentAt, sentAt);
 	}
 
-	function deliverRecords(records: readonly StoredRecord[], from: number): void {
+	function deliverRecords(records: readonly StoredRecord[], from: number, mayBeOlder = false): void {
 		for (const record of records) {
 			if (record.offset >= from) {
-				onRecord(record);
+				onRecord(record, {mayBeOlder});
 			}
 		}
 	}
 
+	function dropMissingKeys(records: readonly StoredRecord[], end: number): void {
+		const missingKeys = new Set(options.listKnownKeys?.());
+		for (const record of records) {
+			missingKeys.delete(record.key);
+		}
+
+		// The exact offset of the deletion is unknown, but it precedes `end`.
+		for (const key of missingKeys) {
+			onRecord({key, offset: end - 1}, {mayBeOlder: false});
+		}
+	}
+
+	function deliverNewest(records: readonly StoredRecord[], end: number): void {
+		const isFirstOfEpoch = nextOffset === undefined;
+		if (!isFirstOfEpoch || dropsDueAt !== undefined) {
+			options.onGap?.();
+		}
+
+		deliverRecords(records.toSorted((left, right) => left.offset - right.offset), nextOffset ?? 0, isFirstOfEpoch && dropsDueAt !== undefined);
+		if (dropsDueAt === undefined || clock.now() >= dropsDueAt) {
+			dropMissingKeys(records, end);
+			dropsDueAt = undefined;
+		}
+	}
+
 	async function readNewest(): Promise<boolean> {
 		const sentAt = clock.now();
 		const newest = await log.readNewest();
@@ -134,28 +210,14 @@
 			return false;
 		}
 
-		markAvailable();
 		const {records, end} = newest.val;
 		// Ignores an answer older than what has been delivered: keys added since then would look dropped.
-		if (end < (nextOffset ?? 0)) {
-			return true;
-		}
-
-		if (nextOffset !== undefined) {
-			options.onGap?.();
-		}
-
-		const missingKeys = new Set(options.listKnownKeys?.());
-		for (const record of records) {
-			missingKeys.delete(record.key);
-		}
-
-		deliverRecords(records.toSorted((left, right) => left.offset - right.offset), nextOffset ?? 0);
-		// The exact offset of the deletion is unknown, but it precedes `end`.
-		for (const key of missingKeys) {
-			onRecord({key, offset: end - 1});
+		if (checkEpoch(newest.val.epoch) === 'outdated' || end < (nextOffset ?? 0)) {
+			return false;
 		}
 
+		markAvailable();
+		deliverNewest(records, end);
 		nextOffset = Math.max(nextOffset ?? 0, end);
 		recordSuccess(sentAt);
 		return true;
@@ -163,8 +225,14 @@
 
 	async function readFrom(from: number, longPollMs: number, signal: AbortSignal): Promise<boolean> {
 		const sentAt = clock.now();
+		const sentEpoch = epoch;
 		const page = await log.read(from, {waitMs: longPollMs, signal});
 		if (page.ok) {
+			// The offset has another meaning in an epoch that began during the read.
+			if (checkEpoch(page.val.epoch) !== 'current' || sentEpoch !== epoch) {
+				return false;
+			}
+
 			markAvailable();
 			// An overlapping read may already have delivered the same records.
 			deliverRecords(page.val.records, nextOffset ?? from);
@@ -174,7 +242,7 @@
 		}
 
 		if (page.val.kind === 'gone') {
-			return readNewest();
+			return checkEpoch(page.val.epoch) === 'outdated' ? false : readNewest();
 		}
 
 		// A read that exceeded its timeout has been recorded then, unless this process was stalled.
@@ -186,7 +254,10 @@
 	}
 
 	async function readNext(longPollMs: number, signal: AbortSignal): Promise<boolean> {
-		return nextOffset === undefined ? readNewest() : readFrom(nextOffset, longPollMs, signal);
+		const untilDropsMs = dropsDueAt === undefined ? Number.POSITIVE_INFINITY : dropsDueAt - clock.now();
+		return nextOffset === undefined || untilDropsMs <= 0
+			? readNewest()
+			: readFrom(nextOffset, Math.min(longPollMs, Math.ceil(untilDropsMs)), signal);
 	}
 
 	// A read on an unresponsive connection can hang for seconds while new reads would be answered. Without a timeout,
@@ -217,6 +288,8 @@
 	return {
 		/** Returns the offset of the next record to deliver; undefined before the first successful read. */
 		getNextOffset: () => nextOffset,
+		/** Returns the epoch that the next offset belongs to; undefined if the log does not state it. */
+		getEpoch: (): LogEpoch => epoch,
 		isUp: () => isUp,
 		/**
 		 * Returns the whole milliseconds since the last successful read was sent;
@@ -239,19 +312,35 @@
 			return pendingCatchUp;
 		},
 
-		/** Delivers a record that this process has just appended, if the log put it at the next offset. */
-		applyOwnRecord(record: StoredRecord): void {
-			if (record.offset === nextOffset) {
-				onRecord(record);
+		/** Delivers a record that this process has just appended, if the log put it at the next offset of the current epoch. */
+		applyOwnRecord(record: StoredRecord, recordEpoch?: LogEpoch): void {
+			if (record.offset === nextOffset && recordEpoch === epoch) {
+				onRecord(record, {mayBeOlder: false});
 				nextOffset += 1;
 			}
 		},
 
+		/** Records that another call to the same store has shown its epoch; a newer one ends the pause before the next read. */
+		observeEpoch(other: LogEpoch): void {
+			if (isNewer(other)) {
+				beginEpoch(other);
+			}
+		},
+
 		async run(signal: AbortSignal): Promise<void> {
+			signal.addEventListener('abort', () => {
+				pauseController.abort(readDue);
+			});
 			while (!signal.aborted) {
-				const pauseMs = pausesMs[await readWithTimeout(signal)];
+				pauseController = new AbortController();
+				const startedAt = clock.now();
+				const startOffset = nextOffset;
+				const result = await readWithTimeout(signal);
+				const hasProgressed = nextOffset !== startOffset || clock.now() - startedAt >= retryDelayMs;
+				// A log that answers a long poll at once without a record must not be read in a loop.
+				const pauseMs = result === 'answered' && !hasProgressed ? Math.max(options.readIntervalMs, retryDelayMs) : pausesMs[result];
 				if (pauseMs > 0) {
-					await clock.sleep(pauseMs, signal);
+					await clock.sleep(pauseMs, pauseController.signal);
 				}
 			}
 		},
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -332,3 +332,57 @@
 	expect(listCandidates()).toEqual(['u1', 'u2']);
 	stop();
 });
+
+/** Restores all logs from a backup of the records that `keep` counts. */
+function restoreLogs({logs}: Pick<ReturnType<typeof createFixture>, 'logs'>, keep: {readonly upstreams: number; readonly deployment: number}): void {
+	logs.upstreams.restore(keep.upstreams);
+	logs.deployment.restore(keep.deployment);
+	logs.grants.restore(0);
+}
+
+test('an upstream that left gets no requests after a restore of the log', async () => {
+	// Guards against requests to an upstream whose removal is lost with the history after the backup.
+	const fixture = createFixture(['u1', 'u2']);
+	const {time, remove, listCandidates, stop} = fixture;
+	await time.runUntil(1000);
+	remove('u1');
+	await time.runUntil(2000);
+	restoreLogs(fixture, {upstreams: 2, deployment: 0});
+	await time.runUntil(2600);
+	expect(listCandidates()).toEqual(['u2']);
+	await time.runUntil(6000);
+	expect(listCandidates()).toEqual(['u2']);
+	stop();
+});
+
+test('an upstream that a restored log lacks gets requests for two seconds, and longer if it registers again', async () => {
+	// Guards against a service without upstreams until they have registered again.
+	const fixture = createFixture(['u1', 'u2', 'u3']);
+	const {time, add, listCandidates, stop} = fixture;
+	await time.runUntil(1000);
+	restoreLogs(fixture, {upstreams: 1, deployment: 0});
+	await time.runUntil(2000);
+	expect(listCandidates()).toEqual(['u1', 'u2', 'u3']);
+	add('u2');
+	await time.runUntil(1000 + 600 + 2 * drainDurationMs);
+	expect(listCandidates()).toEqual(['u1', 'u2']);
+	stop();
+});
+
+test('an evacuation that a restored log lacks holds until operators had time to write it again', async () => {
+	const fixture = createFixture(['u1']);
+	const {time, putDeploymentRecord, state, stop} = fixture;
+	putDeploymentRecord('out/a', '{}');
+	putDeploymentRecord('out/b', '{}');
+	await time.runUntil(1000);
+	restoreLogs(fixture, {upstreams: 1, deployment: 0});
+	await time.runUntil(2000);
+	expect(state.evacuations.listEvacuated()).toEqual(['a', 'b']);
+	putDeploymentRecord('out/a', '{}');
+	await time.runUntil(7000);
+	expect(state.evacuations.listEvacuated()).toEqual(['a']);
+	putDeploymentRecord('out/a', undefined);
+	await time.runUntil(9000);
+	expect(state.evacuations.listEvacuated()).toEqual([]);
+	stop();
+});
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -5,10 +5,10 @@
  * @module
  */
 import {
-	createKeyedFollower, createExpiryGrace, formatHolderKey, isQuarantineKey, type HolderIdentity, type KeyedFollower,
+	createKeyedFollower, createExpiryGrace, formatHolderKey, isQuarantineKey, type HolderIdentity, type KeyedFollower, type RecordOrigin,
 } from '../coordination/mod.js';
 import type {
-	Deployment, EventLog, GatewayWire, KeyedLog, Route, StoredRecord, UpstreamRegistration,
+	Deployment, EventLog, GatewayWire, KeyedLog, LogEpoch, Route, StoredRecord, UpstreamRegistration,
 } from '../protocol/mod.js';
 import {
 	createEvacuations, createGrantRegistry, createRouteTable, createTokenAccount, createUpstreamDirectory, createValueHistory, holderRecordSchema, type DomainState, type HeldValue, type HolderRecord, type RouteTable,
@@ -173,13 +173,17 @@
 		});
 	}
 
-	function applyUpstreamRecord({key, value, offset}: StoredRecord): void {
+	function applyUpstreamRecord({key, value, offset}: StoredRecord, {mayBeOlder}: RecordOrigin): void {
 		if (value === undefined) {
 			removeUpstream(key, offset);
 			return;
 		}
 
 		const registration = adapter.decodeUpstream(key, value);
+		if (mayBeOlder && directory.mayBeOutdated(registration)) {
+			return;
+		}
+
 		const known = directory.get(key);
 		const wasOnGrace = directory.computeRemainingGraceMs(key, clock.now()) > 0;
 		directory.put(registration, clock.now());
@@ -232,20 +236,29 @@
 				adapter.evacuationRecords.check(value);
 			}
 
-			adoptDomainState({failureDomain, offset, isEvacuated: value !== undefined}, 'log');
+			adoptDomainState({
+				failureDomain, offset, isEvacuated: value !== undefined, epoch: deploymentFollower.getEpoch(),
+			}, 'log');
 		} else if (key === adapter.deploymentKey && value !== undefined) {
 			adoptDeployment(value, 'log');
 		}
 	}
 
-	const skipUnreadable = (apply: (record: StoredRecord) => void) => (record: StoredRecord) => {
+	const skipUnreadable = (apply: (record: StoredRecord, origin: RecordOrigin) => void) => (record: StoredRecord, origin: RecordOrigin) => {
 		applyOrSkip(record, () => {
-			apply(record);
+			apply(record, origin);
 		});
 	};
 
-	const deploymentFollower = createKeyedFollower({
-		log: adapter.logs.deployment, clock, events, longPollMs: deploymentLongPollMs, readIntervalMs: 0, readTimeoutMs, onRecord: skipUnreadable(applyDeploymentRecord),
+	// All logs are of one store, which is restored as a whole.
+	function shareEpoch(epoch: LogEpoch): void {
+		for (const follower of [deploymentFollower, upstreamFollower, grantFollower]) {
+			follower.observeEpoch(epoch);
+		}
+	}
+
+	const deploymentFollower: KeyedFollower = createKeyedFollower({
+		log: adapter.logs.deployment, clock, events, longPollMs: deploymentLongPollMs, readIntervalMs: 0, readTimeoutMs, onRecord: skipUnreadable(applyDeploymentRecord), onRestore: shareEpoch,
 		onGap() {
 			routeHistory.restart(clock.now());
 		},
@@ -253,15 +266,15 @@
 	});
 	const upstreamFollower: KeyedFollower = createKeyedFollower({
 		log: adapter.logs.upstreams, clock, events, longPollMs: 0, readIntervalMs: upstreamReadIntervalMs, readTimeoutMs, onRecord: skipUnreadable(applyUpstreamRecord),
-		listKnownKeys: directory.listIds, onRecovery: expiryGrace.recordOutage,
+		listKnownKeys: directory.listIds, onRecovery: expiryGrace.recordOutage, onRestore: shareEpoch,
 		onGap() {
 			versionHistory.restart(clock.now());
 		},
 	});
 	/** The followers whose views decide how a request is handled. */
 	const viewFollowers = [deploymentFollower, upstreamFollower];
-	const grantFollower = createKeyedFollower({
-		log: adapter.logs.grants, clock, events, longPollMs: 0, readIntervalMs: grantReadIntervalMs, onRecord: skipUnreadable(applyGrantRecord),
+	const grantFollower: KeyedFollower = createKeyedFollower({
+		log: adapter.logs.grants, clock, events, longPollMs: 0, readIntervalMs: grantReadIntervalMs, onRecord: skipUnreadable(applyGrantRecord), onRestore: shareEpoch,
 	});
 
 	// The first read after a stall can fail, as its connection timed out during the stall.
--- a/src/daemon/relay-interface.ts
+++ b/src/daemon/relay-interface.ts
@@ -14,8 +14,10 @@
 const relayTimeoutMs = 1200;
 
 /** @internal */
-function buildRelayRecords(state: RelayState, page?: KeyedPage) {
-	return {state, records: page?.records.map(record => ({...record})) ?? [], end: page?.end ?? 0};
+function buildRelayRecords(state: RelayState, {records = [], end = 0, epoch}: Partial<KeyedPage> = {}) {
+	return {
+		state, records: records.map(record => ({...record})), end, epoch,
+	};
 }
 
 const relayOutcomes = {
@@ -26,11 +28,15 @@
 function buildAppendReply(outcome: AppendOutcome) {
 	switch (outcome.kind) {
 		case 'appended': {
-			return {outcome: relayOutcomes.appended, offset: outcome.offset, detail: ''};
+			return {
+				outcome: relayOutcomes.appended, offset: outcome.offset, epoch: outcome.epoch, detail: '',
+			};
 		}
 
 		case 'behind': {
-			return {outcome: relayOutcomes.behind, offset: outcome.end, detail: ''};
+			return {
+				outcome: relayOutcomes.behind, offset: outcome.end, epoch: outcome.epoch, detail: '',
+			};
 		}
 
 		case 'refused':
@@ -65,7 +71,7 @@
 				return buildRelayRecords(RelayState.OK, page.val);
 			}
 
-			return buildRelayRecords(page?.val.kind === 'gone' ? RelayState.GONE : RelayState.AWAY);
+			return page?.val.kind === 'gone' ? buildRelayRecords(RelayState.GONE, {epoch: page.val.epoch}) : buildRelayRecords(RelayState.AWAY);
 		},
 		async append({log, key, value, at}) {
 			const outcome = await logsByName.get(log)?.append({key, value}, {expectedEnd: at});
@@ -77,7 +83,7 @@
 /** @internal */
 function readPage(reply: RelayRecords): Result<KeyedPage, Failure> {
 	return reply.state === RelayState.OK
-		? Ok({records: reply.records, end: reply.end})
+		? Ok({records: reply.records, end: reply.end, epoch: reply.epoch})
 		: Err(createFailure('log-unavailable', 'The relay cannot reach the store'));
 }
 
@@ -86,11 +92,11 @@
 	const failure = createFailure('log-unavailable', reply.detail);
 	switch (reply.outcome) {
 		case RelayOutcome.APPENDED: {
-			return {kind: 'appended', offset: reply.offset};
+			return {kind: 'appended', offset: reply.offset, epoch: reply.epoch};
 		}
 
 		case RelayOutcome.BEHIND: {
-			return {kind: 'behind', end: reply.offset};
+			return {kind: 'behind', end: reply.offset, epoch: reply.epoch};
 		}
 
 		case RelayOutcome.REFUSED: {
@@ -155,7 +161,7 @@
 			}
 
 			if (answer.val.state === RelayState.GONE) {
-				return Err({kind: 'gone'});
+				return Err({kind: 'gone', epoch: answer.val.epoch});
 			}
 
 			const page = countAndReadPage(answer.val);
--- a/src/protocol/deployment.ts
+++ b/src/protocol/deployment.ts
@@ -118,6 +118,8 @@
 	softwareVersion: z.string().min(1).optional(),
 	/** When it started, in milliseconds of Unix time by its own clock; undefined if it does not say. */
 	startedAt: z.number().int().optional(),
+	/** Increases with each renewal; undefined if it does not say. */
+	sequence: z.number().int().optional(),
 });
 
 export type RouteKind = z.infer<typeof routeKindSchema>;
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -44,6 +44,7 @@
 	peerNewsLost: {number: 1308, text: 'gossip could not be sent to other gateways'},
 	storePathLost: {number: 1109, text: 'direct path to the store failed'},
 	storePathBack: {number: 1110, text: 'direct path to the store restored'},
+	logRestored: {number: 1112, text: 'log restored from a backup'},
 	relayChosen: {number: 1111, text: 'accessing the store through a relay'},
 	requestRefused: {number: 1401, text: 'request refused'},
 	admissionChanged: {number: 1411, text: 'limit on running requests set or removed'},
--- a/src/state/evacuations.test.ts
+++ b/src/state/evacuations.test.ts
@@ -2,8 +2,10 @@
 import {expect, test} from 'vitest';
 import {createEvacuations, type DomainState} from './evacuations.js';
 
-const domainStates = fc.uniqueArray(fc.record({failureDomain: fc.constantFrom('a', 'b'), isEvacuated: fc.boolean(), offset: fc.nat(50)}), {
-	selector: ({offset}) => offset, maxLength: 20,
+const domainStates = fc.uniqueArray(fc.record({
+	failureDomain: fc.constantFrom('a', 'b'), isEvacuated: fc.boolean(), offset: fc.nat(50), epoch: fc.constantFrom(undefined, 1, 2),
+}), {
+	selector: ({offset, epoch}) => `${epoch} ${offset}`, maxLength: 20,
 });
 
 test('records in any order and any number of copies give the state of the newest one', () => {
@@ -14,7 +16,7 @@
 			evacuations.merge(state, 0);
 		}
 
-		const newest = new Map<string, DomainState>(states.toSorted((left, right) => left.offset - right.offset).map(state => [state.failureDomain, state]));
+		const newest = new Map<string, DomainState>(states.toSorted((left, right) => ((left.epoch ?? 0) - (right.epoch ?? 0)) || (left.offset - right.offset)).map(state => [state.failureDomain, state]));
 		for (const [failureDomain, {isEvacuated}] of newest) {
 			expect(evacuations.isEvacuated(failureDomain)).toBe(isEvacuated);
 		}
--- a/src/state/evacuations.ts
+++ b/src/state/evacuations.ts
@@ -3,17 +3,20 @@
  * them.
  *
  * The log orders evacuations and returns: of two records of a failure domain,
- * the one with the higher offset holds. Records may therefore arrive in any
- * order and from any source, and time plays no part.
+ * the one of the later epoch or else with the higher offset holds. Records may
+ * therefore arrive in any order and from any source, and time plays no part.
  *
  * @module
  */
+import type {LogEpoch} from '../protocol/mod.js';
 
 /** Whether a failure domain is evacuated, as of a record in the log. */
 export type DomainState = {
 	readonly failureDomain: string;
 	/** Offset of the record in the log. */
 	readonly offset: number;
+	/** Epoch of the log in which the record has its offset. */
+	readonly epoch?: LogEpoch;
 	readonly isEvacuated: boolean;
 };
 
@@ -27,6 +30,11 @@
 /** Maximum number of states sent to peers, the newest first, so that a gossip entry fits into a datagram. */
 const maxAnnouncedStates = 16;
 
+/** @internal A record whose epoch is not stated precedes all others. */
+function isLater(left: Pick<DomainState, 'epoch' | 'offset'>, right: Pick<DomainState, 'epoch' | 'offset'>): boolean {
+	return left.epoch === right.epoch ? left.offset > right.offset : (left.epoch ?? Number.NEGATIVE_INFINITY) > (right.epoch ?? Number.NEGATIVE_INFINITY);
+}
+
 /**
  * Creates an empty collection.
  *
@@ -44,15 +52,16 @@
 
 	return {
 		/** Stores a state at the time `now`. Returns true if it changes whether the failure domain is evacuated. */
-		merge({failureDomain, offset, isEvacuated}: DomainState, now: number): boolean {
+		merge(state: DomainState, now: number): boolean {
+			const {failureDomain, isEvacuated} = state;
 			const known = states.get(failureDomain);
-			if (known && known.offset >= offset) {
+			if (known && !isLater(state, known)) {
 				return false;
 			}
 
 			const hasChanged = (known?.isEvacuated ?? false) !== isEvacuated;
 			states.set(failureDomain, {
-				failureDomain, offset, isEvacuated, changedAt: hasChanged || !known ? now : known.changedAt,
+				...state, changedAt: hasChanged || !known ? now : known.changedAt,
 			});
 			return hasChanged;
 		},
@@ -70,8 +79,8 @@
 		/** Lists the states that peers may not know yet, at the time `now`. */
 		listAnnounced: (now: number): DomainState[] => [...states.values()]
 			.filter(({isEvacuated, changedAt}) => isEvacuated || now - changedAt < returnAnnouncementMs)
-			.sort((left, right) => right.offset - left.offset)
+			.sort((left, right) => isLater(left, right) ? -1 : 1)
 			.slice(0, maxAnnouncedStates)
-			.map(({failureDomain, offset, isEvacuated}) => ({failureDomain, offset, isEvacuated})),
+			.map(({changedAt, ...state}) => state),
 	};
 }
--- a/src/state/upstream-directory.test.ts
+++ b/src/state/upstream-directory.test.ts
@@ -62,3 +62,16 @@
 	directory.put({...entry, id: 'u3', address: '127.0.0.1:2'}, 50);
 	expect(directory.listLive('s', 60).map(({upstream}) => upstream.id)).toEqual(['u3']);
 });
+
+test('a registration from a backup is outdated unless it was renewed later', () => {
+	// Guards against requests to an upstream that left after the backup was made.
+	const directory = createUpstreamDirectory();
+	directory.put({...entry, sequence: 5}, 0);
+	expect(directory.mayBeOutdated({...entry, sequence: 5})).toBe(true);
+	expect(directory.mayBeOutdated({...entry, sequence: 6})).toBe(false);
+	expect(directory.mayBeOutdated({...entry, sequence: 4, isDraining: true})).toBe(false);
+	directory.drop('u1');
+	expect(directory.mayBeOutdated({...entry, sequence: 5})).toBe(true);
+	expect(directory.mayBeOutdated({...entry, sequence: 6})).toBe(false);
+	expect(directory.mayBeOutdated({...entry, id: 'u2'})).toBe(false);
+});
--- a/src/state/upstream-directory.ts
+++ b/src/state/upstream-directory.ts
@@ -16,6 +16,9 @@
 	readonly isOnGrace: boolean;
 };
 
+/** Maximum number of removed upstreams that are remembered; the oldest one is evicted first. */
+const maxRemovedSequences = 1000;
+
 /** Directory of registered upstreams. */
 export type UpstreamDirectory = ReturnType<typeof createUpstreamDirectory>;
 
@@ -33,6 +36,8 @@
  */
 export function createUpstreamDirectory() {
 	const registrations = new Map<string, Registration>();
+	/** Sequence numbers of the last registrations of upstreams that were removed, the oldest first. */
+	const removedSequences = new Map<string, number | undefined>();
 	/** ID of the upstream that was the last to register each address. */
 	const idByAddress = new Map<string, string>();
 
@@ -61,6 +66,21 @@
 		}
 	}
 
+	function remove(id: string): void {
+		const registration = registrations.get(id);
+		if (registration) {
+			removeAddress(id);
+			registrations.delete(id);
+			removedSequences.delete(id);
+			removedSequences.set(id, registration.upstream.sequence);
+		}
+
+		const [oldest] = removedSequences.keys();
+		if (oldest !== undefined && removedSequences.size > maxRemovedSequences) {
+			removedSequences.delete(oldest);
+		}
+	}
+
 	return {
 		/** Stores a registration. Registrations must be put in the order in which they were written. */
 		put(upstream: UpstreamRegistration, now: number): void {
@@ -71,6 +91,20 @@
 			registrations.set(upstream.id, {upstream: {...upstream, isDraining}, warmAt: now + upstream.warmUp});
 		},
 
+		/**
+		 * Returns true if a registration from a backup of the log may be older than
+		 * what is known of its upstream, which may have left since.
+		 */
+		mayBeOutdated({id, sequence, isDraining}: Pick<UpstreamRegistration, 'id' | 'sequence' | 'isDraining'>): boolean {
+			const known = registrations.get(id);
+			if (isDraining || (!known && !removedSequences.has(id))) {
+				return false;
+			}
+
+			const knownSequence = known ? known.upstream.sequence : removedSequences.get(id);
+			return sequence === undefined || knownSequence === undefined || sequence <= knownSequence;
+		},
+
 		/**
 		 * Removes a registration, at once or at `graceEndsAt`. The grace period is
 		 * for a registration that may have expired while its upstream was alive.
@@ -80,8 +114,7 @@
 			if (registration && graceEndsAt !== undefined) {
 				registration.graceEndsAt ??= graceEndsAt;
 			} else {
-				removeAddress(id);
-				registrations.delete(id);
+				remove(id);
 			}
 		},
 
@@ -135,8 +168,7 @@
 		prune(now: number): void {
 			for (const [id, {graceEndsAt}] of registrations) {
 				if (graceEndsAt !== undefined && now >= graceEndsAt) {
-					removeAddress(id);
-					registrations.delete(id);
+					remove(id);
 				}
 			}
 		},
