Recover the grants after the store was restored from a copy

Totals granted to each gateway live in the log alone, and a return loses the last of them; the writers' registries took the older record of a holder for a newer one, claims were accepted under an offset of another history, and gateways that started later knew nothing of what was lost.

In a new epoch nobody claims until the log has a recovery record. One gateway that knew the grants before asks all others, appends the records that the log lacks and then the recovery record; the next in order takes over after three seconds. Whoever has reported counts no claim of an earlier epoch any more, and a claim counts only if the epoch that accepted it is the one that it was computed in. Of two records of a holder the newer sequence number holds. For gateways that do not report, though they ran in the last ten seconds, the rest of each budget is reserved until they have written a record; a gateway that starts and finds neither a recovery record nor a writer of the epoch knows that the log may not be whole, and reserves all after eight seconds in which nobody else recovered it. Quarantines that the log has lost are written again, and a trial counts only in the epoch that it was claimed in.

The simulation of claims now also restores the log, freezes gateways and recovers: no order of 300 runs in each of four variants spends more than was bought.

--- a/src/coordination/budget-manager.test.ts
+++ b/src/coordination/budget-manager.test.ts
@@ -6,7 +6,7 @@
 	createGrantRegistry, createRouteTable, createTokenAccount, holderRecordSchema, type PeerView, type RouteTable, type TokenReservation,
 } from '../state/mod.js';
 import {
-	DemandTargetPolicy, ReturnedLoanPolicy, UnseenDemandTargetPolicy, createBudgetManager, createKeyedFollower, createLoanReturns, createTokenLending, type GrantTargetPolicy, type Repayment, type TokenLoanRequest,
+	DemandTargetPolicy, ReturnedLoanPolicy, UnseenDemandTargetPolicy, createBudgetManager, createKeyedFollower, createGrantRecovery, createLoanReturns, createTokenLending, isRecoveryKey, type GrantTargetPolicy, type Repayment, type TokenLoanRequest,
 } from './mod.js';
 
 // Simulates gateways with real budget managers over one log in memory. Appends
@@ -15,6 +15,9 @@
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 const customer = 'c1';
+const gatewayCount = 3;
+/** Longer than any gateway waits for another to recover the grants. */
+const recoveryDelayMs = 10_000;
 
 function buildTable(version: number, bought: number): RouteTable {
 	const deployment: Deployment = {
@@ -31,8 +34,9 @@
 /** Each gateway claims for itself, or the first claims for all. */
 type ClaimMode = 'each' | 'first';
 
-async function createSimulation(bought: number, mode: ClaimMode = 'each', grantTargetPolicy: GrantTargetPolicy = new DemandTargetPolicy()) {
+async function createSimulation(bought: number, mode: ClaimMode = 'each', grantTargetPolicy: GrantTargetPolicy = new DemandTargetPolicy(), epoch: number | undefined = undefined) {
 	const log = createFakeKeyedLog();
+	log.epoch = epoch;
 	let table = buildTable(1, bought);
 	let now = 0;
 	const clock = {
@@ -44,6 +48,14 @@
 			});
 		},
 	};
+	// Time passes with each pause of a recovery, so that one which waits for a gateway ends.
+	let recoveryNow = 0;
+	const recoveryClock = {
+		now: () => recoveryNow,
+		async sleep(durationMs: number) {
+			recoveryNow += durationMs;
+		},
+	};
 	const gateways: Gateway[] = [];
 	let serial = 0;
 	/** Gateways that do not answer. */
@@ -61,17 +73,24 @@
 		const account = createTokenAccount();
 		const grantRegistry = createGrantRegistry();
 		const self = {
-			role: 'gateway' as const, daemon, incarnation: `i${serial}`, address: daemon, failureDomain: 'd',
+			role: 'gateway' as const, daemon, incarnation: `i${String(serial).padStart(4, '0')}`, address: daemon, failureDomain: 'd',
 		};
 		const follower = createKeyedFollower({
 			log: fake.open(), clock, events, longPollMs: 0, readIntervalMs: 1,
-			onRecord({key, value}) {
+			onRecord(stored) {
+				const {key, value} = stored;
+				if (isRecoveryKey(key)) {
+					recovery.applyRecord(stored);
+					return;
+				}
+
 				const record = holderRecordSchema.parse(JSON.parse(value ?? 'null'));
 				grantRegistry.put(key, record);
 				if (key === `${daemon}/${self.incarnation}`) {
 					manager.applyOwnRecord(record);
 				}
 			},
+			onRestore: grantRegistry.forgetLogged,
 		});
 		const listViews = () => gateways.filter(other => other.daemon !== daemon).map((other): PeerView => ({
 			daemon: other.daemon, incarnation: other.incarnation, address: other.daemon, free: [{customer, tokens: Math.max(0, other.account.countFreeTokens(customer))}], uses: [], version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [],
@@ -100,7 +119,21 @@
 		const manager = createBudgetManager({
 			self, log: fake.open(), follower, grants: grantRegistry, account, findRouteTable: () => table, borrow: lending.borrow, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy, owners: {
 				isOwner: () => mode === 'each' || index === 0, isSmallFleet: () => mode === 'each', countGateways: () => 3, countClaimers: () => mode === 'each' ? 3 : 1,
-			}, clock, events, signal: stopper.signal,
+			}, clock, events, signal: stopper.signal, isLogComplete: () => recovery.checkComplete(),
+		});
+		const recovery = createGrantRecovery({
+			self, log: fake.open(), follower, grants: grantRegistry, account, findRouteTable: () => table, clock: recoveryClock, events,
+			isFirstStart: serial <= gatewayCount,
+			listPeers: () => gateways.filter(other => other.daemon !== daemon && !unresponsive.has(other.daemon)).map(other => other.daemon),
+			isPresumedFailed: () => false,
+			buildOwnRecord: () => manager.buildOwnRecord(),
+			async queryPeer(address, query) {
+				if (unresponsive.has(address)) {
+					throw new Error('The gateway does not answer');
+				}
+
+				return gateways.find(other => other.daemon === address)!.recovery.report(query);
+			},
 		});
 		// A gateway that did not answer gets the next repayment all the same.
 		let returnTime = 0;
@@ -121,7 +154,7 @@
 			sendRepayment: async (address, repayment) => deliverRepayment(address, repayment),
 		});
 		return {
-			daemon, incarnation: self.incarnation, manager, account, lending, returns, stopper, reservations: [] as TokenReservation[],
+			daemon, incarnation: self.incarnation, manager, account, lending, returns, recovery, stopper, reservations: [] as TokenReservation[],
 		};
 	}
 
@@ -147,8 +180,16 @@
 		return spent + reserved;
 	}
 
-	for (const index of [0, 1, 2]) {
+	function announce(started: Gateway): void {
+		for (const other of gateways.filter(({daemon}) => daemon !== started.daemon && !unresponsive.has(daemon))) {
+			other.recovery.recordHeard({daemon: started.daemon, incarnation: started.incarnation, address: started.daemon});
+			started.recovery.recordHeard({daemon: other.daemon, incarnation: other.incarnation, address: other.daemon});
+		}
+	}
+
+	for (let index = 0; index < gatewayCount; index += 1) {
 		gateways.push(start(index));
+		announce(gateways[index]!);
 	}
 
 	// A request leads to a claim only after its gateway has reached the log once.
@@ -167,6 +208,7 @@
 			usedByStopped += countUsed(gateways[index]!);
 			gateways[index]!.stopper.abort();
 			gateways[index] = start(index);
+			announce(gateways[index]);
 		},
 		deliveries,
 		deliverLate() {
@@ -180,13 +222,28 @@
 			await gateway.manager.releaseUnused();
 			this.restart(index);
 		},
+		/** Has each gateway that answers recover the grants, after it has waited long enough to take over from others. */
+		async recover() {
+			for (const {daemon, recovery, stopper} of gateways) {
+				recoveryNow += recoveryDelayMs;
+				if (!unresponsive.has(daemon)) {
+					await recovery.runRound(stopper.signal);
+				}
+			}
+		},
 		sumUsed: () => gateways.reduce((sum, gateway) => sum + countUsed(gateway), usedByStopped),
 		sumFree: () => gateways.reduce((sum, gateway) => sum + gateway.account.countFreeTokens(customer), 0),
 	};
 }
 
 const indexArbitrary = fc.integer({min: 0, max: 2});
-const stepArbitrary = fc.oneof(
+const restoreStepArbitrary = fc.oneof(
+	fc.record({kind: fc.constant('backup' as const)}),
+	fc.record({kind: fc.constant('restore' as const)}),
+	fc.record({kind: fc.constant('recover' as const)}),
+	fc.record({kind: fc.constant('freeze' as const), index: indexArbitrary, isFrozen: fc.constantFrom(true, false, false)}),
+);
+const plainStepArbitrary = fc.oneof(
 	{weight: 6, arbitrary: fc.record({kind: fc.constant('ask' as const), index: indexArbitrary, amount: fc.integer({min: 1, max: 400})})},
 	{weight: 6, arbitrary: fc.record({kind: fc.constant('together' as const), amounts: fc.tuple(fc.integer({min: 0, max: 600}), fc.integer({min: 0, max: 600}), fc.integer({min: 0, max: 600}))})},
 	{weight: 4, arbitrary: fc.record({kind: fc.constant('settle' as const), index: indexArbitrary, share: fc.double({min: 0, max: 1, noNaN: true})})},
@@ -202,18 +259,58 @@
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('top-up' as const), amount: fc.integer({min: 1, max: 1000})})},
 );
 
-test.each<[ClaimMode, string, GrantTargetPolicy]>([
+type ClaimVariant = [mode: ClaimMode, demand: string, policy: GrantTargetPolicy];
+
+const claimVariants: ClaimVariant[] = [
 	['each', 'observed', new DemandTargetPolicy()],
 	['each', 'unseen', new UnseenDemandTargetPolicy()],
 	['first', 'observed', new DemandTargetPolicy()],
 	['first', 'unseen', new UnseenDemandTargetPolicy()],
-])('no order of claims, loans, lost answers and deaths spends more than was bought: %s claims, %s demand', async (mode, _demand, policy) => {
-	await fc.assert(fc.asyncProperty(fc.array(stepArbitrary, {minLength: 30, maxLength: 80}), async steps => {
+];
+
+type ValueOf<Arbitrary> = Arbitrary extends fc.Arbitrary<infer Value> ? Value : never;
+type Step = ValueOf<typeof plainStepArbitrary> | ValueOf<typeof restoreStepArbitrary>;
+
+/** Checks that no order of steps spends more than was bought. */
+async function checkSpend([mode, , policy]: ClaimVariant, arbitrary: fc.Arbitrary<Step>, {epoch, numRuns}: {readonly epoch?: number; readonly numRuns: number}): Promise<void> {
+	await fc.assert(fc.asyncProperty(fc.array(arbitrary, {minLength: 30, maxLength: 80}), async steps => {
 		let bought = 2000;
 		let version = 1;
-		const simulation = await createSimulation(bought, mode, policy);
+		let backup = 0;
+		const simulation = await createSimulation(bought, mode, policy, epoch);
+		const isFrozen = (index: number) => simulation.unresponsive.has(simulation.gateways[index]!.daemon);
 		for (const step of steps) {
+			if ('index' in step && step.kind !== 'freeze' && step.kind !== 'kill' && isFrozen(step.index)) {
+				continue;
+			}
+
 			switch (step.kind) {
+				case 'backup': {
+					backup = simulation.log.records.length;
+					break;
+				}
+
+				case 'restore': {
+					simulation.log.restore(backup);
+					break;
+				}
+
+				case 'recover': {
+					await simulation.recover();
+					break;
+				}
+
+				case 'freeze': {
+					const {daemon} = simulation.gateways[step.index]!;
+					if (step.isFrozen) {
+						simulation.unresponsive.add(daemon);
+					} else {
+						simulation.unresponsive.delete(daemon);
+					}
+
+					break;
+				}
+
 				case 'ask': {
 					const gateway = simulation.gateways[step.index]!;
 					const reservation = await gateway.manager.acquire(customer, step.amount, {timeoutMs: 300});
@@ -226,7 +323,7 @@
 
 				case 'together': {
 					// Acquires concurrently, so that claims collide; an amount of 0 acquires nothing and only renews the grant.
-					await Promise.all(simulation.gateways.map(async (gateway, index) => {
+					await Promise.all(simulation.gateways.filter((_, index) => !isFrozen(index)).map(async (gateway, index) => {
 						const amount = step.amounts[index]!;
 						const reservation = amount > 0 ? await gateway.manager.acquire(customer, amount, {timeoutMs: 300}) : undefined;
 						await gateway.manager.renew();
@@ -301,12 +398,21 @@
 
 			expect(simulation.sumUsed() + simulation.sumFree()).toBeLessThanOrEqual(bought);
 		}
-	}), {numRuns: 150, seed: 7});
+	}), {numRuns, seed: 7});
+}
+
+test.each(claimVariants)('no order of claims, loans, lost answers and deaths spends more than was bought: %s claims, %s demand', async (...variant) => {
+	await checkSpend(variant, plainStepArbitrary, {numRuns: 150});
+});
+
+// Guards against claims that do not count what was granted in a lost history.
+test.each(claimVariants)('no order of backups and restores of the log, freezes and deaths spends more than was bought: %s claims, %s demand', async (...variant) => {
+	await checkSpend(variant, fc.oneof<Array<fc.WeightedArbitrary<Step>>>({weight: 34, arbitrary: plainStepArbitrary}, {weight: 12, arbitrary: restoreStepArbitrary}), {epoch: 1, numRuns: 300});
 });
 
 test('no tokens are spent twice after the log was restored from a backup', async () => {
 	// Guards against claims that do not count what was granted in the lost history.
-	const simulation = await createSimulation(2000);
+	const simulation = await createSimulation(2000, 'each', new DemandTargetPolicy(), 1);
 	const backup = simulation.log.records.length;
 	const before = await simulation.gateways[0]!.manager.acquire(customer, 1500, {timeoutMs: 300});
 	expect(before.ok).toBe(true);
@@ -357,7 +463,7 @@
 	const simulation = await createSimulation(1000, 'first');
 	const {returns} = simulation.gateways[0]!;
 	expect(returns.receive({
-		from: 'e2', fromIncarnation: 'i3', sequence: 1, toIncarnation: 'i0', amounts: [{customer, tokens: 100}],
+		from: 'e2', fromIncarnation: 'i0003', sequence: 1, toIncarnation: 'i0000', amounts: [{customer, tokens: 100}],
 	})).toBe(false);
 	expect(simulation.gateways[0]!.account.countFreeTokens(customer)).toBe(0);
 });
@@ -456,6 +562,7 @@
 			role: 'gateway', daemon: 'e1', incarnation: 'i1', address: 'e1', failureDomain: 'd',
 		},
 		log: createFakeKeyedLog().open(),
+		isLogComplete: () => true,
 		follower: {
 			getNextOffset: () => 0, getEpoch: () => undefined, isUp: () => true, computeStalenessMs: () => sinceAnswer, hasReadSince: () => false, catchUp: async () => never, applyOwnRecord: () => undefined, observeEpoch: () => undefined, run: async () => never,
 		},
@@ -615,6 +722,7 @@
 			role: 'gateway', daemon: 'e1', incarnation: 'i1', address: 'e1', failureDomain: 'd',
 		},
 		log: log.open(), follower, grants, clock, events, signal,
+		isLogComplete: () => true,
 		account: createTokenAccount(),
 		findRouteTable: () => buildTable(1, 1000),
 		loanPolicy: new ReturnedLoanPolicy(),
--- a/src/coordination/budget-manager.ts
+++ b/src/coordination/budget-manager.ts
@@ -123,7 +123,7 @@
 	}
 
 	function isClaimSlow(): boolean {
-		return !follower.isUp() || writer.getClaimDurationMs() > slowClaimMs;
+		return !follower.isUp() || !options.isLogComplete() || writer.getClaimDurationMs() > slowClaimMs;
 	}
 
 	function countRemaining(customer: string): number {
@@ -209,7 +209,7 @@
 		const bought = findRouteTable()?.findCustomer(customer)?.bought ?? 0;
 		const remaining = countRemaining(customer);
 		const syncAgeMs = follower.computeStalenessMs() ?? Number.POSITIVE_INFINITY;
-		const isCertain = follower.isUp() && syncAgeMs <= maxSyncAgeMs && isComplete;
+		const isCertain = follower.isUp() && syncAgeMs <= maxSyncAgeMs && isComplete && options.isLogComplete() && grants.listMissing().length === 0;
 		events.write('budgetShort', {
 			request, customer, amount, free: account.countFreeTokens(customer), bound: account.countCommittedTokens(customer), bought, elsewhere: grants.sumGranted(customer, key), isStoreUp: follower.isUp(), bookMs: syncAgeMs, isComplete,
 		});
@@ -279,6 +279,9 @@
 			}
 		},
 
+		/** Builds a record of what this gateway holds that supersedes all that it has sent, whether or not it was appended. */
+		buildOwnRecord: writer.buildOwnRecord,
+
 		/** Releases all unused tokens, when the gateway stops. */
 		releaseUnused: writer.releaseUnused,
 	};
--- a/src/coordination/gossip.ts
+++ b/src/coordination/gossip.ts
@@ -218,6 +218,9 @@
 		/** Returns the gateways recorded in the log that have had too little time to send gossip, but may answer a call. */
 		listUnheard: (): GossipPeer[] => options.listPeers().filter(({daemon: peer}) => !heard.has(peer) && computeMsSinceHeard(peer) < rate.viewTimeoutMs),
 
+		/** Returns true for a gateway that has not been heard from for so long that it is presumed failed. */
+		isPresumedFailed: (peer: string): boolean => !views.has(peer) && computeMsSinceHeard(peer) >= failureTimeoutMs,
+
 		/** Returns true for a gateway that has been heard from recently or that has had too little time to send gossip. */
 		isPresumedUp: (peer: string): boolean => views.has(peer) || computeMsSinceHeard(peer) < rate.viewTimeoutMs,
 
--- a/src/coordination/grant-writer.ts
+++ b/src/coordination/grant-writer.ts
@@ -33,6 +33,8 @@
 	readonly waitingClaims: ReadonlyMap<string, number>;
 	/** Decides how many free tokens a grant should have. */
 	readonly grantTargetPolicy: GrantTargetPolicy;
+	/** Returns true if the log has all grants; it may lack some after it was restored from a backup. */
+	readonly isLogComplete: () => boolean;
 	readonly clock: Clock;
 	readonly events: EventLog;
 	readonly signal: AbortSignal;
@@ -58,7 +60,7 @@
  * @param holder The incarnation
  * @returns The key
  */
-export function formatHolderKey(holder: Pick<HolderRecord, 'role' | 'daemon' | 'incarnation'>): string {
+export function formatHolderKey(holder: Pick<HolderRecord, 'daemon' | 'incarnation'>): string {
 	return `${holder.daemon}/${holder.incarnation}`;
 }
 
@@ -124,6 +126,11 @@
 		}, options.grantTargetPolicy);
 	}
 
+	// Tokens are reserved for this gateway until it has written a record since the recovery.
+	function isMissing(): boolean {
+		return grants.listMissing().includes(key) && grants.get(key)?.epoch !== follower.getEpoch();
+	}
+
 	// Returns the next record, or undefined if nothing changes or another writer has seen a newer deployment, in which
 	// budgets may have been lowered.
 	function buildNextRecord(): HolderRecord | undefined {
@@ -135,7 +142,7 @@
 		restoreRates();
 		const granted: Record<string, number> = {};
 		const rates: Record<string, number> = {};
-		let hasChanged = grants.get(key) === undefined || (isEnding && !grants.get(key)!.hasEnded);
+		let hasChanged = !grants.isLogged(key) || isMissing() || (isEnding && !grants.get(key)!.hasEnded);
 		for (const customer of new Set([...account.listCustomers(), ...(table.deployment.customers ?? []).map(({id}) => id)])) {
 			const bought = table.findCustomer(customer)?.bought;
 			// Compares with the total in the log, because a decrease takes effect in the account before it is appended.
@@ -152,7 +159,7 @@
 
 		return hasChanged
 			? {
-				...self, version: table.version, sequence: sequence + 1, granted, rates, hasEnded: isEnding,
+				...self, version: table.version, sequence: sequence + 1, granted, rates, hasEnded: isEnding, epoch: follower.getEpoch(),
 			}
 			: undefined;
 	}
@@ -172,7 +179,7 @@
 	// because the follower's own reads bring the records of other writers.
 	async function tryWriteRecord(): Promise<'done' | 'again'> {
 		const canSkipRead = follower.getNextOffset() !== undefined && waitingClaims.size === 0;
-		if ((canSkipRead && !buildNextRecord()) || !await follower.catchUp(signal)) {
+		if ((canSkipRead && !buildNextRecord()) || !await follower.catchUp(signal) || !options.isLogComplete()) {
 			return 'done';
 		}
 
@@ -189,11 +196,13 @@
 		switch (outcome.kind) {
 			case 'appended': {
 				claimDurationMs = Math.max(clock.now() - (roundStartedAt ?? clock.now()), claimDurationMs * durationDecay);
-				follower.applyOwnRecord({key, value, offset: outcome.offset});
+				follower.observeEpoch(outcome.epoch);
+				follower.applyOwnRecord({key, value, offset: outcome.offset}, outcome.epoch);
 				return 'done';
 			}
 
 			case 'behind': {
+				follower.observeEpoch(outcome.epoch);
 				return 'again';
 			}
 
@@ -231,6 +240,11 @@
 	return {
 		/** Applies a record of this gateway that was read back or confirmed; its increases may not be used before. */
 		applyOwnRecord(record: HolderRecord): void {
+			// Computed in another epoch, in which others held other totals, or superseded by what this gateway has sent since.
+			if (record.epoch !== follower.getEpoch() || record.sequence < sequence) {
+				return;
+			}
+
 			for (const customer of new Set([...account.listCustomers(), ...Object.keys(record.granted)])) {
 				account.setGranted(customer, record.granted[customer] ?? 0);
 			}
@@ -241,6 +255,15 @@
 			});
 		},
 
+		/** Builds a record of what this gateway holds that supersedes all that it has sent, whether or not it was appended. */
+		buildOwnRecord(): HolderRecord {
+			sequence += 1;
+			const granted = account.listCustomers().map(customer => [customer, account.get(customer).granted] as const).filter(([, tokens]) => tokens > 0);
+			return {
+				...self, version: Math.max(findRouteTable()?.version ?? 0, grants.get(key)?.version ?? 0), sequence, granted: Object.fromEntries(granted), hasEnded: grants.get(key)?.hasEnded ?? false, epoch: grants.get(key)?.epoch,
+			};
+		},
+
 		/** Runs a round now: claims the demand of the next seconds and releases idle tokens. */
 		renew: renewGrants,
 
--- a/src/coordination/quarantine-recorder.ts
+++ b/src/coordination/quarantine-recorder.ts
@@ -33,7 +33,7 @@
 /** Options of {@linkcode QuarantineRecorder.claimTrial}. */
 export type ClaimTrialOptions = {
 	readonly kind: LoggedCrashes;
-	readonly follower: Pick<KeyedFollower, 'catchUp' | 'getNextOffset' | 'applyOwnRecord'>;
+	readonly follower: Pick<KeyedFollower, 'catchUp' | 'getNextOffset' | 'getEpoch' | 'applyOwnRecord'>;
 	readonly signal: AbortSignal;
 };
 
@@ -174,7 +174,12 @@
 			return outcome.kind === 'behind' ? 'again' : 'failed';
 		}
 
-		follower.applyOwnRecord({...record, offset: outcome.offset});
+		// A claim that another history has accepted may be lost with it, or not be the only one there.
+		if (outcome.epoch !== follower.getEpoch()) {
+			return 'failed';
+		}
+
+		follower.applyOwnRecord({...record, offset: outcome.offset}, outcome.epoch);
 		return 'claimed';
 	}
 
@@ -189,6 +194,11 @@
 			noteLogged(key, value);
 		},
 
+		/** Records that the log was restored: until they are read again, it may lack all records. */
+		forgetLogged(): void {
+			loggedVersions.clear();
+		},
+
 		/** Writes a record immediately that changed with a crash which this gateway saw. */
 		recordCrash(kind: LoggedCrashes, digest: string): void {
 			observedKeys.add(formatKey(kind, digest));
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -124,6 +124,12 @@
 		onQuarantineRecord(record) {
 			quarantines.applyRecord(record);
 		},
+		onRecoveryRecord(record) {
+			tokens.recovery.applyRecord(record);
+		},
+		onGrantsRestored() {
+			quarantines.forgetLogged();
+		},
 	});
 	const {
 		account, grantRegistry, directory, evacuations, findRouteTable,
@@ -256,6 +262,7 @@
 		onView(view) {
 			retryAfterEstimator.recordView(view);
 			catchUp.handleView(view);
+			tokens.recovery.recordHeard(view);
 			quarantines.mergeView(view);
 			for (const domain of view.domains) {
 				state.adoptDomainFromPeer(domain, view.daemon);
@@ -280,7 +287,7 @@
 		daemon: self.daemon, log: logs.grants, follower: state.grantFollower, listPeers: listPresumedUpPeers, gossip, clock, events, signal,
 	});
 	const tokens = createGatewayTokens({
-		self, state, log: logs.grants, fleet, owners, gossip, peerViews, peerTimeoutMs, clock, events, signal,
+		self, state, log: logs.grants, fleet, owners, gossip, peerViews, peerTimeoutMs, clock, events, signal, listPeers: listPresumedUpPeers, isFirstStart: settings.isFirstStart,
 	});
 	const {budgetManager} = tokens;
 	const retryBudgets = createFleetRetryBudgets({
@@ -352,7 +359,7 @@
 		routes(router) {
 			router.service(Relay, createRelayInterface(Object.values(adapter.logs), signal));
 			router.service(Gateway, createGatewayPeerInterface({
-				handleCatchUp, lend: tokens.lending.lend, receiveRepayment: tokens.loanReturns.receive, findStream: streams.findStream,
+				handleCatchUp, lend: tokens.lending.lend, receiveRepayment: tokens.loanReturns.receive, findStream: streams.findStream, reportGrants: tokens.recovery.report,
 			}));
 		},
 		onUnauthenticated() {
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -5,7 +5,7 @@
  */
 import type {ServiceImpl} from '@connectrpc/connect';
 import {
-	encodePart, type CatchUpAnswer, type CatchUpQuery, type Repayment, type StreamAnswer, type StreamQuery, type TokenLoan, type TokenLoanRequest,
+	encodePart, type CatchUpAnswer, type CatchUpQuery, type GrantQuery, type GrantReport, type Repayment, type StreamAnswer, type StreamQuery, type TokenLoan, type TokenLoanRequest,
 } from '../coordination/mod.js';
 import type {Gateway} from '../protocol/mod.js';
 
@@ -15,6 +15,7 @@
 	readonly lend: (request: TokenLoanRequest) => Promise<TokenLoan>;
 	readonly receiveRepayment: (repayment: Repayment) => boolean;
 	readonly findStream: (query: StreamQuery) => Promise<StreamAnswer>;
+	readonly reportGrants: (query: GrantQuery) => GrantReport;
 };
 
 /**
@@ -22,7 +23,9 @@
  *
  * @example
  * ```ts
- * router.service(Gateway, createGatewayPeerInterface({handleCatchUp, lend, receiveRepayment, findStream}));
+ * router.service(Gateway, createGatewayPeerInterface({
+ * 	handleCatchUp, lend, receiveRepayment, findStream, reportGrants,
+ * }));
  * ```
  *
  * @param options The functions that handle the calls
@@ -46,6 +49,10 @@
 				...only && {only: {...only, origin: {...only.origin}}},
 			};
 		},
+		reportGrants({epoch, known}) {
+			const {records, ...report} = options.reportGrants({epoch, known: new Map(known.map(({key, sequence}) => [key, sequence]))});
+			return {...report, records: records.map(({key, record}) => ({key, value: JSON.stringify(record)}))};
+		},
 		returnLoans: request => ({isAccepted: options.receiveRepayment(request)}),
 	};
 }
--- a/src/daemon/gateway-quarantines.ts
+++ b/src/daemon/gateway-quarantines.ts
@@ -81,6 +81,9 @@
 			recorder.applyRecord(record);
 		},
 
+		/** Records that the log was restored from a backup, so that what it lacks is written again. */
+		forgetLogged: recorder.forgetLogged,
+
 		/** Merges the records that another gateway advertises. */
 		mergeView({crashes, parts: partRecords}: Pick<PeerView, 'crashes' | 'parts'>): void {
 			for (const record of crashes) {
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -74,6 +74,8 @@
 		onDeployment: () => undefined,
 		onOwnRecord: () => undefined,
 		onQuarantineRecord: () => undefined,
+		onRecoveryRecord: () => undefined,
+		onGrantsRestored: () => undefined,
 	});
 	const registry = createUpstreamRegistry({
 		eligibility: createUnlimitedEligibility({directory: state.directory, clock: time, evacuations: state.evacuations}), directory: state.directory, clock: time, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
@@ -364,7 +366,7 @@
 	await time.runUntil(2000);
 	expect(listCandidates()).toEqual(['u1', 'u2', 'u3']);
 	add('u2');
-	await time.runUntil(1000 + 600 + 2 * drainDurationMs);
+	await time.runUntil(1600 + (2 * drainDurationMs));
 	expect(listCandidates()).toEqual(['u1', 'u2']);
 	stop();
 });
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {
-	createKeyedFollower, createExpiryGrace, formatHolderKey, isQuarantineKey, type HolderIdentity, type KeyedFollower, type RecordOrigin,
+	createKeyedFollower, createExpiryGrace, formatHolderKey, isQuarantineKey, isRecoveryKey, type HolderIdentity, type KeyedFollower, type RecordOrigin,
 } from '../coordination/mod.js';
 import type {
 	Deployment, EventLog, GatewayWire, KeyedLog, LogEpoch, Route, StoredRecord, UpstreamRegistration,
@@ -52,6 +52,10 @@
 	readonly onOwnRecord: (record: HolderRecord) => void;
 	/** Called with each record of a quarantined request; throws if the record is invalid. */
 	readonly onQuarantineRecord: (record: StoredRecord) => void;
+	/** Called with each record that ends a recovery of the grants; throws if the record is invalid. */
+	readonly onRecoveryRecord: (record: StoredRecord) => void;
+	/** Called when the log of grants was restored from a backup. */
+	readonly onGrantsRestored: () => void;
 };
 
 /** State that a gateway replicates from keyed logs. */
@@ -215,6 +219,11 @@
 			return;
 		}
 
+		if (isRecoveryKey(key)) {
+			options.onRecoveryRecord(stored);
+			return;
+		}
+
 		const record = readHolderRecord(key, value);
 		grantRegistry.put(key, record);
 		if (key === ownKey) {
@@ -274,7 +283,12 @@
 	/** The followers whose views decide how a request is handled. */
 	const viewFollowers = [deploymentFollower, upstreamFollower];
 	const grantFollower: KeyedFollower = createKeyedFollower({
-		log: adapter.logs.grants, clock, events, longPollMs: 0, readIntervalMs: grantReadIntervalMs, onRecord: skipUnreadable(applyGrantRecord), onRestore: shareEpoch,
+		log: adapter.logs.grants, clock, events, longPollMs: 0, readIntervalMs: grantReadIntervalMs, onRecord: skipUnreadable(applyGrantRecord),
+		onRestore(epoch) {
+			grantRegistry.forgetLogged();
+			options.onGrantsRestored();
+			shareEpoch(epoch);
+		},
 	});
 
 	// The first read after a stall can fail, as its connection timed out during the stall.
--- a/src/daemon/gateway-tokens.ts
+++ b/src/daemon/gateway-tokens.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	ReturnedLoanPolicy, UnseenDemandTargetPolicy, createBudgetManager, createLoanReturns, createRepaymentClient, createTokenLending,
+	ReturnedLoanPolicy, UnseenDemandTargetPolicy, createBudgetManager, createGrantRecovery, createGrantReportClient, createLoanReturns, createRepaymentClient, createTokenLending,
 	type BudgetOwners, type Gossip, type HolderIdentity,
 } from '../coordination/mod.js';
 import type {EventLog, KeyedLog} from '../protocol/mod.js';
@@ -19,7 +19,11 @@
 	readonly log: KeyedLog;
 	readonly fleet: FleetClient;
 	readonly owners: BudgetOwners;
-	readonly gossip: Pick<Gossip, 'listUnresponsive' | 'listUnheard'>;
+	readonly gossip: Pick<Gossip, 'listUnresponsive' | 'listUnheard' | 'isPresumedFailed'>;
+	/** Lists other gateways that are presumed to be up, by name. */
+	readonly listPeers: () => readonly string[];
+	/** True if the whole fleet starts for the first time. */
+	readonly isFirstStart: boolean;
 	readonly peerViews: PeerViews;
 	/** Timeout of a call to another gateway, in milliseconds. */
 	readonly peerTimeoutMs: number;
@@ -56,7 +60,7 @@
 		daemon: self.daemon, account, events, clock,
 		listOwners: owners.listOwners,
 		isOwner: owners.isOwner,
-		canClaim: grantFollower.isUp,
+		canClaim: () => grantFollower.isUp() && recovery.checkComplete(),
 		claim: async (customer, amount) => budgetManager.claimForPeer(customer, amount),
 		onLent(customer, amount) {
 			budgetManager.recordLent(customer, amount);
@@ -72,8 +76,17 @@
 	});
 	const budgetManager = createBudgetManager({
 		self, log: options.log, follower: grantFollower, grants: grantRegistry, account, owners, clock, events, signal, findRouteTable,
+		isLogComplete: () => recovery.checkComplete(),
 		borrow: lending.borrow, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy: new UnseenDemandTargetPolicy(),
 	});
+	const recovery = createGrantRecovery({
+		self, log: options.log, follower: grantFollower, grants: grantRegistry, account, findRouteTable, clock, events,
+		isFirstStart: options.isFirstStart,
+		listPeers: options.listPeers,
+		isPresumedFailed: gossip.isPresumedFailed,
+		buildOwnRecord: budgetManager.buildOwnRecord,
+		queryPeer: createGrantReportClient({fleet, timeoutMs: peerTimeoutMs}),
+	});
 	const loanReturns = createLoanReturns({
 		self, account, clock, events,
 		listViews: peerViews.list,
@@ -84,9 +97,10 @@
 	});
 
 	return {
-		budgetManager, lending, loanReturns,
+		budgetManager, lending, loanReturns, recovery,
 
 		run(): void {
+			void recovery.run(signal);
 			void budgetManager.run();
 			void loanReturns.run(signal);
 		},
@@ -99,7 +113,7 @@
 		 */
 		async release(timeoutMs: number): Promise<void> {
 			const isStoreUp = await waitWithTimeout(grantFollower.catchUp(signal), {clock, timeoutMs: storeCheckTimeoutMs}) ?? false;
-			const repaid = loanReturns.repayAll({shouldIncludeGrants: !isStoreUp});
+			const repaid = loanReturns.repayAll({shouldIncludeGrants: !isStoreUp || !recovery.checkComplete()});
 			await waitWithTimeout(Promise.all([repaid, budgetManager.releaseUnused()]), {clock, timeoutMs});
 		},
 	};
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -35,6 +35,7 @@
 	budgetShort: {number: 1209, text: 'insufficient tokens for a request'},
 	loanUnanswered: {number: 1210, text: 'gateway did not respond to a loan request'},
 	loanEnded: {number: 1211, text: 'returning the unspent tokens of an idle loan'},
+	grantsRecovered: {number: 1212, text: 'grants complete in the log'},
 	peerSuspected: {number: 1301, text: 'peer does not respond'},
 	peerBack: {number: 1302, text: 'peer responds again'},
 	peerLeaving: {number: 1303, text: 'peer is leaving'},
--- a/src/state/grant-registry.ts
+++ b/src/state/grant-registry.ts
@@ -8,9 +8,15 @@
  * used up and never expires, because a paused holder cannot know how much time
  * has passed. The totals of ended incarnations continue to count.
  *
+ * A log that was restored from a backup lacks its last records. Of two records
+ * of an incarnation the one with the higher sequence number holds, so that the
+ * older one in the backup returns no tokens. What nobody remembers is counted by
+ * a recovery record (see `coordination/grant-recovery.ts`).
+ *
  * @module
  */
 import * as z from 'zod';
+import type {LogEpoch} from '../protocol/mod.js';
 
 /** Schema of a holder's record. */
 export const holderRecordSchema = z.object({
@@ -35,8 +41,29 @@
 	rates: z.record(z.string(), z.number().nonnegative()).optional(),
 	/** True if the incarnation has stopped; `granted` then holds only the tokens it used. */
 	hasEnded: z.boolean(),
+	/** Epoch of the log whose grants the writer knew completely. */
+	epoch: z.number().int().optional(),
+});
+
+/** Schema of the record that ends the recovery of the grants after the log was restored. */
+export const recoveryRecordSchema = z.object({
+	/** Epoch of the log from which on the grants are complete. */
+	epoch: z.number().int(),
+	/** Tokens that may have been granted to the missing holders, by customer. */
+	reserved: z.record(z.string(), z.number().nonnegative()),
+	/** Keys of the holders whose last records are unknown. The tokens are available again when all have written a record. */
+	missing: z.array(z.string()),
 });
 
+/** The end of a recovery. */
+export type RecoveryRecord = z.infer<typeof recoveryRecordSchema>;
+
+/** Stands for any holder in {@linkcode RecoveryRecord}: no gateway remembers who held grants. */
+export const anyHolder = '*';
+
+/** A holder's record and its key. */
+export type KeyedHolder = {readonly key: string; readonly record: HolderRecord};
+
 /** Record of one incarnation of a gateway or relay. */
 export type HolderRecord = z.infer<typeof holderRecordSchema>;
 
@@ -67,6 +94,9 @@
 	const holders = new Map<string, HolderRecord>();
 	const grantedByCustomer = new Map<string, number>();
 	const unreadableHolders = new Map<string, UnreadableHolder>();
+	/** Highest sequence number that the log has of each holder. */
+	const loggedSequences = new Map<string, number>();
+	let recovery: RecoveryRecord | undefined;
 	let newestVersion = Number.NEGATIVE_INFINITY;
 	let runningHolders: HolderRecord[] | undefined;
 
@@ -96,20 +126,88 @@
 		return [...newestByDaemon.values()].filter(holder => !holder.hasEnded);
 	}
 
+	// A relay writes the same sequence number in each incarnation.
+	function isOutdated(record: HolderRecord, known: HolderRecord | undefined): boolean {
+		return known?.incarnation === record.incarnation && record.sequence < known.sequence;
+	}
+
+	function merge(key: string, record: HolderRecord): void {
+		const previous = holders.get(key);
+		if (isOutdated(record, previous)) {
+			return;
+		}
+
+		if (previous) {
+			addGranted(previous, -1);
+		}
+
+		removeUnreadable(key);
+		addGranted(record, 1);
+		holders.set(key, record);
+		newestVersion = Math.max(newestVersion, record.version);
+		runningHolders = undefined;
+	}
+
+	function isLogged(key: string): boolean {
+		const sequence = loggedSequences.get(key);
+		return sequence !== undefined && sequence >= (holders.get(key)?.sequence ?? 0);
+	}
+
+	function hasWrittenSince(key: string, epoch: number): boolean {
+		return (holders.get(key)?.epoch ?? Number.NEGATIVE_INFINITY) >= epoch;
+	}
+
+	function listMissing(): readonly string[] {
+		return recovery?.missing.every(key => hasWrittenSince(key, recovery!.epoch)) === false ? recovery.missing : [];
+	}
+
+	function countReserved(customer: string): number {
+		return listMissing().length > 0 ? recovery!.reserved[customer] ?? 0 : 0;
+	}
+
 	return {
+		/** Stores a record that was read from the log. */
 		put(key: string, record: HolderRecord): void {
-			const previous = holders.get(key);
-			if (previous) {
-				addGranted(previous, -1);
-			}
+			merge(key, record);
+			loggedSequences.set(key, record.sequence);
+		},
+
+		/** Stores a record that another gateway has reported, if it is newer. */
+		merge,
 
-			removeUnreadable(key);
-			addGranted(record, 1);
-			holders.set(key, record);
-			newestVersion = Math.max(newestVersion, record.version);
-			runningHolders = undefined;
+		/** Records that the log was restored: until they are read again, it may lack all records. */
+		forgetLogged(): void {
+			loggedSequences.clear();
 		},
 
+		/** Returns true if the log has the newest known record of a holder. */
+		isLogged,
+
+		/** Lists the records that the log lacks. */
+		listUnlogged: (): KeyedHolder[] => [...holders].filter(([key]) => !isLogged(key)).map(([key, record]) => ({key, record})),
+
+		/** Lists all holders with their keys. */
+		listKeyed: (): KeyedHolder[] => [...holders].map(([key, record]) => ({key, record})),
+
+		/** Stores the end of a recovery; one of an earlier epoch is ignored. */
+		putRecovery(record: RecoveryRecord): void {
+			if (record.epoch >= (recovery?.epoch ?? Number.NEGATIVE_INFINITY)) {
+				recovery = record;
+			}
+		},
+
+		/** Returns the end of the last recovery. */
+		getRecovery: (): RecoveryRecord | undefined => recovery,
+
+		/** Lists the holders whose last records are still unknown after the last recovery. */
+		listMissing,
+
+		/** Returns true if a gateway that knew all grants has written in an epoch. */
+		hasWriterOf: (epoch: LogEpoch): boolean => [...holders.values()].some(holder => holder.role === 'gateway' && holder.epoch === epoch),
+
+		/** Returns true if any record states the epoch of its writer. */
+		statesEpochs: (): boolean => [...holders.values()].some(holder => holder.epoch !== undefined),
+
 		/**
 		 * Records that the newest record of a holder cannot be read, as when it was
 		 * written by another version of the program. Its earlier record still counts.
@@ -140,10 +238,10 @@
 		get: (key: string): HolderRecord | undefined => holders.get(key),
 		list: (): HolderRecord[] => [...holders.values()],
 
-		/** Returns the tokens of a customer's budget granted to all holders, without those of `excludedKey`. */
+		/** Returns the tokens of a customer's budget granted to all holders and reserved for missing ones, without those of `excludedKey`. */
 		sumGranted(customer: string, excludedKey?: string): number {
 			const excludedTokens = excludedKey === undefined ? 0 : holders.get(excludedKey)?.granted[customer] ?? 0;
-			return (grantedByCustomer.get(customer) ?? 0) - excludedTokens;
+			return (grantedByCustomer.get(customer) ?? 0) - excludedTokens + countReserved(customer);
 		},
 
 		/** Returns the newest deployment version that any writer had read. */
--- a/tools/harness/token-fleet.ts
+++ b/tools/harness/token-fleet.ts
@@ -156,7 +156,7 @@
 			},
 		});
 		const manager = createBudgetManager({
-			self, log: delayedLog, follower, grants: grantRegistry, account, owners, findRouteTable: () => table, clock: time, events, signal: stopper.signal,
+			self, log: delayedLog, follower, isLogComplete: () => true, grants: grantRegistry, account, owners, findRouteTable: () => table, clock: time, events, signal: stopper.signal,
 			borrow: lending.borrow, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy: new UnseenDemandTargetPolicy(),
 		});
 		const returns = createLoanReturns({
