Count the grants of a log that stated no epoch before it was restored

A gateway that started after a first restore saw records without an epoch, took them for those of an earlier version of the program and the log for complete. Records now say that their writer knew epochs and the log stated none. The new expectation failed before.

--- a/src/coordination/grant-writer.ts
+++ b/src/coordination/grant-writer.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import type {EventLog, KeyedLog} from '../protocol/mod.js';
-import type {
-	GrantRegistry, HolderRecord, RouteTable, TokenAccount,
+import {
+	unstatedEpoch, type GrantRegistry, type HolderRecord, type RouteTable, type TokenAccount,
 } from '../state/mod.js';
 import type {Clock} from '../transport/mod.js';
 import type {BudgetOwners} from './budget-owners.js';
@@ -126,9 +126,11 @@
 		}, options.grantTargetPolicy);
 	}
 
+	const getEpoch = () => follower.getEpoch() ?? unstatedEpoch;
+
 	// Tokens are reserved for this gateway until it has written a record since the recovery.
 	function isMissing(): boolean {
-		return grants.listMissing().includes(key) && grants.get(key)?.epoch !== follower.getEpoch();
+		return grants.listMissing().includes(key) && grants.get(key)?.epoch !== getEpoch();
 	}
 
 	// Returns the next record, or undefined if nothing changes or another writer has seen a newer deployment, in which
@@ -159,7 +161,7 @@
 
 		return hasChanged
 			? {
-				...self, version: table.version, sequence: sequence + 1, granted, rates, hasEnded: isEnding, epoch: follower.getEpoch(),
+				...self, version: table.version, sequence: sequence + 1, granted, rates, hasEnded: isEnding, epoch: getEpoch(),
 			}
 			: undefined;
 	}
@@ -241,7 +243,7 @@
 		/** Applies a record of this gateway that was read back or confirmed; its increases may not be used before. */
 		applyOwnRecord(record: HolderRecord): void {
 			// Computed in another epoch, in which others held other totals, or superseded by what this gateway has sent since.
-			if (record.epoch !== follower.getEpoch() || record.sequence < sequence) {
+			if (record.epoch !== getEpoch() || record.sequence < sequence) {
 				return;
 			}
 
--- a/src/coordination/recovery-decisions.test.ts
+++ b/src/coordination/recovery-decisions.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
 import {
-	anyHolder, createGrantRegistry, createRouteTable, type HolderRecord,
+	anyHolder, createGrantRegistry, createRouteTable, unstatedEpoch, type HolderRecord,
 } from '../state/mod.js';
 import {
 	buildAmnesiaRecord, buildRecoveryRecord, computeCovered, isLogComplete, listMissingHolders, type GrantReport,
@@ -43,6 +43,7 @@
 test('a log of gateways that do not know epochs is complete for a gateway that starts', () => {
 	// Guards against budgets that are reserved as lost when the first gateway of this version starts.
 	expect(isLogComplete(2, {grants: createRegistry([buildRecord('e1', 10)]), ...starting})).toBe(true);
+	expect(isLogComplete(2, {grants: createRegistry([buildRecord('e1', 10, unstatedEpoch)]), ...starting})).toBe(false);
 });
 
 test('a gateway that has known all grants waits for the recovery of each epoch', () => {
--- a/src/state/grant-registry.ts
+++ b/src/state/grant-registry.ts
@@ -41,10 +41,13 @@
 	rates: z.record(z.string(), z.number().nonnegative()).optional(),
 	/** True if the incarnation has stopped; `granted` then holds only the tokens it used. */
 	hasEnded: z.boolean(),
-	/** Epoch of the log whose grants the writer knew completely. */
+	/** Epoch of the log whose grants the writer knew completely; absent in records of versions that do not know epochs. */
 	epoch: z.number().int().optional(),
 });
 
+/** Epoch in the records of a log that does not state one. */
+export const unstatedEpoch = -1;
+
 /** Schema of the record that ends the recovery of the grants after the log was restored. */
 export const recoveryRecordSchema = z.object({
 	/** Epoch of the log from which on the grants are complete. */
@@ -205,7 +208,7 @@
 		/** Returns true if a gateway that knew all grants has written in an epoch. */
 		hasWriterOf: (epoch: LogEpoch): boolean => [...holders.values()].some(holder => holder.role === 'gateway' && holder.epoch === epoch),
 
-		/** Returns true if any record states the epoch of its writer. */
+		/** Returns true if any record was written by a version that knows epochs. */
 		statesEpochs: (): boolean => [...holders.values()].some(holder => holder.epoch !== undefined),
 
 		/**
