Refuse to report grants of an epoch that has ended

A gateway that knew of a later restore answered as one that knew nothing, so that the asking gateway took it for accounted for. It now refuses, and counts as missing.

--- a/src/coordination/grant-recovery.ts
+++ b/src/coordination/grant-recovery.ts
@@ -148,15 +148,16 @@
 			return true;
 		}
 
-		if (incomplete?.epoch !== follower.getEpoch() || !incomplete) {
-			incomplete = {epoch: follower.getEpoch(), since: clock.now()};
+		const epoch = follower.getEpoch();
+		if (!incomplete || incomplete.epoch !== epoch) {
+			incomplete = {epoch, since: clock.now()};
 		}
 
-		if (follower.getNextOffset() === undefined || !isLogComplete(follower.getEpoch(), {grants, isFirstStart: options.isFirstStart, isWitness})) {
+		if (follower.getNextOffset() === undefined || !isLogComplete(epoch, {grants, isFirstStart: options.isFirstStart, isWitness})) {
 			return false;
 		}
 
-		markComplete(follower.getEpoch());
+		markComplete(epoch);
 		return true;
 	}
 
@@ -274,10 +275,7 @@
 	}
 
 	return {
-		/** Returns true if the log has all grants as far as they are known, so that claims may be made. */
-		isComplete,
-
-		/** Completes the recovery if the log that has been read shows that it has ended. */
+		/** Returns true if the log that has been read has all grants as far as they are known, so that claims may be made. */
 		checkComplete,
 
 		/** Applies a recovery record read from the log; throws if it is malformed. */
@@ -295,13 +293,21 @@
 			}
 		},
 
-		/** Reports the grants that another gateway does not know. Claims of earlier epochs that are still pending do not count afterwards. */
+		/**
+		 * Reports the grants that another gateway does not know. Claims of earlier
+		 * epochs that are still pending do not count afterwards.
+		 *
+		 * @throws {RangeError} If the log has been restored again
+		 */
 		report({epoch, known}: GrantQuery): GrantReport {
 			follower.observeEpoch(epoch);
-			const isCurrent = follower.getEpoch() === epoch;
+			if (isWitness && follower.getEpoch() !== epoch) {
+				throw new RangeError(`The log is at epoch ${follower.getEpoch()}, not at ${epoch}`);
+			}
+
 			const own = {key: ownKey, record: options.buildOwnRecord()};
 			const others = grants.listKeyed().filter(({key, record}) => key !== ownKey && record.sequence > (known.get(key) ?? Number.NEGATIVE_INFINITY));
-			return {incarnation: self.incarnation, isWitness: isWitness && isCurrent, records: [own, ...others]};
+			return {incarnation: self.incarnation, isWitness, records: [own, ...others]};
 		},
 
 		/** Runs a round now: recovers the grants if this gateway is the one to do so. */
