--- a/src/coordination/budget-manager.test.ts
+++ b/src/coordination/budget-manager.test.ts
@@ -90,7 +90,7 @@
 					manager.applyOwnRecord(record);
 				}
 			},
-			onRestore: grantRegistry.forgetLogged,
+			onRestore: grantRegistry.dropLogged,
 		});
 		const listViews = () => gateways.filter(other => other.daemon !== daemon).map((other): PeerView => ({
 			daemon: other.daemon, incarnation: other.incarnation, address: other.daemon, free: [{customer, tokens: Math.max(0, other.account.countFreeTokens(customer))}], uses: [], version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [],
@@ -594,7 +594,7 @@
 		log: createFakeKeyedLog().open(),
 		isLogComplete: () => true,
 		follower: {
-			getNextOffset: () => 0, getEpoch: () => undefined, isUp: () => true, computeStalenessMs: () => sinceAnswer, hasReadSince: () => false, catchUp: async () => never, applyOwnRecord: () => undefined, observeEpoch: () => undefined, run: async () => never,
+			getNextOffset: () => 0, getEpoch: () => undefined, isUp: () => true, computeStalenessMs: () => sinceAnswer, hasReadSince: () => false, catchUp: async () => never, applyOwnRecord: () => undefined, recordEpoch: () => undefined, run: async () => never,
 		},
 		grants: createGrantRegistry(),
 		account,
--- a/src/coordination/grant-recovery.test.ts
+++ b/src/coordination/grant-recovery.test.ts
@@ -38,7 +38,7 @@
 	account.setGranted('c1', granted);
 	const {signal} = new AbortController();
 	const follower = createKeyedFollower({
-		log: log.open(), clock: time, events, longPollMs: 0, readIntervalMs: 100, onRestore: grants.forgetLogged,
+		log: log.open(), clock: time, events, longPollMs: 0, readIntervalMs: 100, onRestore: grants.dropLogged,
 		onRecord(stored) {
 			if (isRecoveryKey(stored.key)) {
 				recovery.applyRecord(stored);
--- a/src/coordination/grant-recovery.ts
+++ b/src/coordination/grant-recovery.ts
@@ -64,7 +64,7 @@
 const keyPrefix = '@history/';
 const roundIntervalMs = 100;
 /** Time for gateways to report, and for operators to write again what the log has lost. */
-const collectTimeoutMs = 2000;
+const reportTimeoutMs = 2000;
 /** A gateway takes over after this time for each one that ranks before it. */
 const takeOverDelayMs = 3000;
 /** Time after which nobody is expected to remember the grants. */
@@ -177,7 +177,7 @@
 		}
 	}
 
-	async function collectReports(epoch: number, reports: Map<string, GrantReport>): Promise<void> {
+	async function fetchReports(epoch: number, reports: Map<string, GrantReport>): Promise<void> {
 		const known = new Map(grants.listKeyed().map(({key, record}) => [key, record.sequence]));
 		const addresses = new Map(listPossibleHolders().map(({daemon, address}) => [daemon, address]));
 		await Promise.all([...addresses].filter(([daemon]) => !reports.has(daemon)).map(async ([daemon, address]) => {
@@ -204,7 +204,7 @@
 
 			const outcome = await log.append({key, value}, {expectedEnd: follower.getNextOffset()!});
 			if (outcome.kind === 'appended') {
-				follower.observeEpoch(outcome.epoch);
+				follower.recordEpoch(outcome.epoch);
 				follower.applyOwnRecord({key, value, offset: outcome.offset}, outcome.epoch);
 			}
 		}
@@ -212,7 +212,7 @@
 		return isDone();
 	}
 
-	async function publish(recovery: RecoveryRecord, signal: AbortSignal): Promise<void> {
+	async function appendRecovery(recovery: RecoveryRecord, signal: AbortSignal): Promise<void> {
 		const {epoch} = recovery;
 		for (const {key, record} of grants.listUnlogged()) {
 			if (!await appendUnless(() => grants.isLogged(key), {
@@ -228,14 +228,14 @@
 		});
 	}
 
-	async function collectAndPublish(epoch: number, signal: AbortSignal): Promise<void> {
+	async function recoverGrants(epoch: number, signal: AbortSignal): Promise<void> {
 		const startedAt = clock.now();
 		const reports = new Map<string, GrantReport>();
 		const listMissing = () => listMissingHolders(listPossibleHolders(), {reports, isPresumedFailed: options.isPresumedFailed});
 		grants.merge(ownKey, options.buildOwnRecord());
 		for (;;) {
-			await collectReports(epoch, reports);
-			if (listMissing().length === 0 || clock.now() - startedAt >= collectTimeoutMs) {
+			await fetchReports(epoch, reports);
+			if (listMissing().length === 0 || clock.now() - startedAt >= reportTimeoutMs) {
 				break;
 			}
 
@@ -246,7 +246,7 @@
 		}
 
 		const missing = listMissing().map(holder => formatHolderKey(holder));
-		await publish(buildRecoveryRecord(epoch, {missing, grants, table: findRouteTable()}), signal);
+		await appendRecovery(buildRecoveryRecord(epoch, {missing, grants, table: findRouteTable()}), signal);
 	}
 
 	function mayLead(waitedMs: number): boolean {
@@ -269,8 +269,8 @@
 		}
 
 		await (isWitness
-			? collectAndPublish(epoch, signal)
-			: publish(buildAmnesiaRecord(epoch, {grants, table: findRouteTable()}), signal));
+			? recoverGrants(epoch, signal)
+			: appendRecovery(buildAmnesiaRecord(epoch, {grants, table: findRouteTable()}), signal));
 		checkComplete();
 	}
 
@@ -300,7 +300,7 @@
 		 * @throws {RangeError} If the log has been restored again
 		 */
 		report({epoch, known}: GrantQuery): GrantReport {
-			follower.observeEpoch(epoch);
+			follower.recordEpoch(epoch);
 			if (isWitness && follower.getEpoch() !== epoch) {
 				throw new RangeError(`The log is at epoch ${follower.getEpoch()}, not at ${epoch}`);
 			}
--- a/src/coordination/grant-writer.ts
+++ b/src/coordination/grant-writer.ts
@@ -198,13 +198,13 @@
 		switch (outcome.kind) {
 			case 'appended': {
 				claimDurationMs = Math.max(clock.now() - (roundStartedAt ?? clock.now()), claimDurationMs * durationDecay);
-				follower.observeEpoch(outcome.epoch);
+				follower.recordEpoch(outcome.epoch);
 				follower.applyOwnRecord({key, value, offset: outcome.offset}, outcome.epoch);
 				return 'done';
 			}
 
 			case 'behind': {
-				follower.observeEpoch(outcome.epoch);
+				follower.recordEpoch(outcome.epoch);
 				return 'again';
 			}
 
--- a/src/coordination/keyed-follower.test.ts
+++ b/src/coordination/keyed-follower.test.ts
@@ -244,7 +244,7 @@
 	isHeld = true;
 	const pending = follower.catchUp(signal);
 	fake.restore(1);
-	follower.observeEpoch(2);
+	follower.recordEpoch(2);
 	put('c');
 	put('d');
 	release();
--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -321,7 +321,7 @@
 		},
 
 		/** Records that another call to the same store has shown its epoch; a newer one ends the pause before the next read. */
-		observeEpoch(other: LogEpoch): void {
+		recordEpoch(other: LogEpoch): void {
 			if (isNewer(other)) {
 				beginEpoch(other);
 			}
--- a/src/coordination/quarantine-recorder.ts
+++ b/src/coordination/quarantine-recorder.ts
@@ -195,7 +195,7 @@
 		},
 
 		/** Records that the log was restored: until they are read again, it may lack all records. */
-		forgetLogged(): void {
+		dropLogged(): void {
 			loggedVersions.clear();
 		},
 
--- a/src/coordination/recovery-decisions.test.ts
+++ b/src/coordination/recovery-decisions.test.ts
@@ -99,7 +99,7 @@
 test('of two records of a holder the newer one holds, in whichever order they are read', () => {
 	// Guards against a backup of the log that returns tokens which a holder has released.
 	const grants = createRegistry([{...buildRecord('e1', 50), sequence: 3}]);
-	grants.forgetLogged();
+	grants.dropLogged();
 	grants.put('e1/i1', {...buildRecord('e1', 200), sequence: 2});
 	expect(grants.sumGranted('c1')).toBe(50);
 	expect(grants.listUnlogged().map(({key}) => key)).toEqual(['e1/i1']);
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -128,7 +128,7 @@
 			tokens.recovery.applyRecord(record);
 		},
 		onGrantsRestored() {
-			quarantines.forgetLogged();
+			quarantines.dropLogged();
 		},
 	});
 	const {
--- a/src/daemon/gateway-quarantines.ts
+++ b/src/daemon/gateway-quarantines.ts
@@ -82,7 +82,7 @@
 		},
 
 		/** Records that the log was restored from a backup, so that what it lacks is written again. */
-		forgetLogged: recorder.forgetLogged,
+		dropLogged: recorder.dropLogged,
 
 		/** Merges the records that another gateway advertises. */
 		mergeView({crashes, parts: partRecords}: Pick<PeerView, 'crashes' | 'parts'>): void {
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -262,7 +262,7 @@
 	// All logs are of one store, which is restored as a whole.
 	function shareEpoch(epoch: LogEpoch): void {
 		for (const follower of [deploymentFollower, upstreamFollower, grantFollower]) {
-			follower.observeEpoch(epoch);
+			follower.recordEpoch(epoch);
 		}
 	}
 
@@ -285,7 +285,7 @@
 	const grantFollower: KeyedFollower = createKeyedFollower({
 		log: adapter.logs.grants, clock, events, longPollMs: 0, readIntervalMs: grantReadIntervalMs, onRecord: skipUnreadable(applyGrantRecord),
 		onRestore(epoch) {
-			grantRegistry.forgetLogged();
+			grantRegistry.dropLogged();
 			options.onGrantsRestored();
 			shareEpoch(epoch);
 		},
--- a/src/state/grant-registry.ts
+++ b/src/state/grant-registry.ts
@@ -179,7 +179,7 @@
 		merge,
 
 		/** Records that the log was restored: until they are read again, it may lack all records. */
-		forgetLogged(): void {
+		dropLogged(): void {
 			loggedSequences.clear();
 		},
 
