--- a/src/coordination/grant-recovery.ts
+++ b/src/coordination/grant-recovery.ts
@@ -24,7 +24,7 @@
 import {formatHolderKey, type HolderIdentity} from './grant-writer.js';
 import type {KeyedFollower} from './keyed-follower.js';
 import {
-	buildAmnesiaRecord, buildRecoveryRecord, computeCovered, isLogComplete, listMissingHolders, type GrantReport, type PossibleHolder,
+	buildUnknownGrantsRecord, buildRecoveryRecord, computeCovered, isLogComplete, listMissingHolders, type GrantReport, type PossibleHolder,
 } from './recovery-decisions.js';
 import {rankByRendezvous} from './rendezvous.js';
 
@@ -68,7 +68,7 @@
 /** A gateway takes over after this time for each one that ranks before it. */
 const takeOverDelayMs = 3000;
 /** Time after which nobody is expected to remember the grants. */
-const amnesiaTimeoutMs = 8000;
+const unknownGrantsTimeoutMs = 8000;
 /** Number of incarnations that are remembered of each gateway. */
 const maxHeardIncarnations = 2;
 /** Attempts to append a record against concurrent writers before the next round. */
@@ -251,7 +251,7 @@
 
 	function mayLead(waitedMs: number): boolean {
 		if (!isWitness) {
-			return waitedMs >= amnesiaTimeoutMs;
+			return waitedMs >= unknownGrantsTimeoutMs;
 		}
 
 		const rank = rankByRendezvous(`${keyPrefix}${follower.getEpoch()}`, [self.daemon, ...options.listPeers()]).indexOf(self.daemon);
@@ -270,7 +270,7 @@
 
 		await (isWitness
 			? recoverGrants(epoch, signal)
-			: appendRecovery(buildAmnesiaRecord(epoch, {grants, table: findRouteTable()}), signal));
+			: appendRecovery(buildUnknownGrantsRecord(epoch, {grants, table: findRouteTable()}), signal));
 		checkComplete();
 	}
 
--- a/src/coordination/recovery-decisions.test.ts
+++ b/src/coordination/recovery-decisions.test.ts
@@ -3,7 +3,7 @@
 	anyHolder, createGrantRegistry, createRouteTable, unstatedEpoch, type HolderRecord,
 } from '../state/mod.js';
 import {
-	buildAmnesiaRecord, buildRecoveryRecord, computeCovered, isLogComplete, listMissingHolders, type GrantReport,
+	buildUnknownGrantsRecord, buildRecoveryRecord, computeCovered, isLogComplete, listMissingHolders, type GrantReport,
 } from './mod.js';
 
 const table = createRouteTable({
@@ -82,7 +82,7 @@
 
 test('if no gateway remembers the grants, only what is bought later can be claimed', () => {
 	const grants = createRegistry([buildRecord('e1', 300, 1)]);
-	grants.putRecovery(buildAmnesiaRecord(2, {grants, table}));
+	grants.putRecovery(buildUnknownGrantsRecord(2, {grants, table}));
 	grants.put('e2/i1', buildRecord('e2', 0, 2));
 	expect(grants.sumGranted('c1')).toBe(1000);
 	expect(grants.listMissing()).toEqual([anyHolder]);
--- a/src/coordination/recovery-decisions.ts
+++ b/src/coordination/recovery-decisions.ts
@@ -131,14 +131,14 @@
  *
  * @example
  * ```ts
- * buildAmnesiaRecord(2, {grants, table});
+ * buildUnknownGrantsRecord(2, {grants, table});
  * ```
  *
  * @param epoch The log's epoch
  * @param options The known grants
  * @returns The record
  */
-export function buildAmnesiaRecord(epoch: number, options: Omit<BuildRecoveryRecordOptions, 'missing'>): RecoveryRecord {
+export function buildUnknownGrantsRecord(epoch: number, options: Omit<BuildRecoveryRecordOptions, 'missing'>): RecoveryRecord {
 	return buildRecoveryRecord(epoch, {...options, missing: [anyHolder]});
 }
 
