Pass on what is reserved for missing holders with reports of grants

A gateway that had been paused through one restore and recovered the grants after the next did not know what the first recovery had reserved, and claimed it.

--- a/src/coordination/grant-recovery.test.ts
+++ b/src/coordination/grant-recovery.test.ts
@@ -113,6 +113,24 @@
 	expect(log.records.map(({key}) => key)).toContain('@history/3');
 });
 
+test('what was reserved in an epoch that the recovering gateway has not seen stays reserved', async () => {
+	// Guards against a gateway that was paused through one restore and recovers the grants after the next.
+	const recoveryOfSecond = {epoch: 2, reserved: {c1: 600}, missing: ['e3/i1']};
+	const {time, log, grants, put, run} = createFixture({
+		queryPeer: async () => ({
+			incarnation: 'i1', isWitness: true, records: [], recovery: recoveryOfSecond,
+		}),
+	});
+	put(buildRecord('e2', 300, 2));
+	run();
+	await time.runUntil(500);
+	log.epoch = 2;
+	log.restore(1);
+	await time.runUntil(1500);
+	expect(grants.getRecovery()).toEqual({epoch: 3, reserved: {c1: 600}, missing: ['e3/i1']});
+	expect(grants.sumGranted('c1')).toBe(900);
+});
+
 test('a gateway keeps no tokens that the recovery has missed', async () => {
 	// Guards against a gateway that was cut off from all others and whose last claim is lost.
 	const {time, log, account, put, run} = createFixture({granted: 500});
--- a/src/coordination/grant-recovery.ts
+++ b/src/coordination/grant-recovery.ts
@@ -169,12 +169,17 @@
 	}
 
 	// A gateway that never knew all grants holds none. Its record would hide that of its previous incarnation, which may.
-	function mergeReport({isWitness: knowsGrants, records}: GrantReport): void {
+	function mergeReport(epoch: number, {isWitness: knowsGrants, records, recovery}: GrantReport): void {
 		for (const {key, record} of knowsGrants ? records : []) {
 			if (key !== ownKey) {
 				grants.merge(key, record);
 			}
 		}
+
+		// Tokens may be reserved in an epoch that this gateway has not seen. A recovery of this epoch is read from the log.
+		if (knowsGrants && recovery && recovery.epoch < epoch) {
+			grants.putRecovery(recovery);
+		}
 	}
 
 	async function fetchReports(epoch: number, reports: Map<string, GrantReport>): Promise<void> {
@@ -184,7 +189,7 @@
 			try {
 				const report = await options.queryPeer(address, {epoch, known});
 				reports.set(daemon, report);
-				mergeReport(report);
+				mergeReport(epoch, report);
 			} catch (error) {
 				events.write('peerSuspected', {peer: daemon, detail: (error as Error).message});
 			}
@@ -307,7 +312,9 @@
 
 			const own = {key: ownKey, record: options.buildOwnRecord()};
 			const others = grants.listKeyed().filter(({key, record}) => key !== ownKey && record.sequence > (known.get(key) ?? Number.NEGATIVE_INFINITY));
-			return {incarnation: self.incarnation, isWitness, records: [own, ...others]};
+			return {
+				incarnation: self.incarnation, isWitness, records: [own, ...others], recovery: grants.getRecovery(),
+			};
 		},
 
 		/** Runs a round now: recovers the grants if this gateway is the one to do so. */
--- a/src/coordination/grant-report-client.ts
+++ b/src/coordination/grant-report-client.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {holderRecordSchema} from '../state/mod.js';
+import {holderRecordSchema, recoveryRecordSchema} from '../state/mod.js';
 import type {FleetClient} from '../transport/mod.js';
 import type {CreateGrantRecoveryOptions} from './grant-recovery.js';
 
@@ -30,11 +30,14 @@
  */
 export function createGrantReportClient({fleet, timeoutMs}: CreateGrantReportClientOptions): CreateGrantRecoveryOptions['queryPeer'] {
 	return async (address, {epoch, known}) => {
-		const {incarnation, isWitness, records} = await fleet.connect(address).gateway.reportGrants({
+		const {incarnation, isWitness, records, recovery} = await fleet.connect(address).gateway.reportGrants({
 			epoch, known: [...known].map(([key, sequence]) => ({key, sequence})),
 		}, {timeoutMs});
 		return {
-			incarnation, isWitness, records: records.map(({key, value}) => ({key, record: holderRecordSchema.parse(JSON.parse(value))})),
+			incarnation,
+			isWitness,
+			records: records.map(({key, value}) => ({key, record: holderRecordSchema.parse(JSON.parse(value))})),
+			recovery: recovery === '' ? undefined : recoveryRecordSchema.parse(JSON.parse(recovery)),
 		};
 	};
 }
--- a/src/coordination/recovery-decisions.ts
+++ b/src/coordination/recovery-decisions.ts
@@ -17,6 +17,8 @@
 	readonly isWitness: boolean;
 	/** Records that the caller lacks, its own first. */
 	readonly records: readonly KeyedHolder[];
+	/** The end of the last recovery that it knows. */
+	readonly recovery?: RecoveryRecord;
 };
 
 /** Options of {@linkcode isLogComplete}. */
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -50,8 +50,8 @@
 			};
 		},
 		reportGrants({epoch, known}) {
-			const {records, ...report} = options.reportGrants({epoch, known: new Map(known.map(({key, sequence}) => [key, sequence]))});
-			return {...report, records: records.map(({key, record}) => ({key, value: JSON.stringify(record)}))};
+			const {records, recovery, ...report} = options.reportGrants({epoch, known: new Map(known.map(({key, sequence}) => [key, sequence]))});
+			return {...report, records: records.map(({key, record}) => ({key, value: JSON.stringify(record)})), recovery: recovery ? JSON.stringify(recovery) : ''};
 		},
 		returnLoans: request => ({isAccepted: options.receiveRepayment(request)}),
 	};
