Count and repair records that late appends of an earlier epoch have replaced

An append may take effect seconds late, and in a new epoch its condition can hold by chance. It then replaces the newer record of its holder, and a gateway that starts afterwards counts too little. The recovery record now names the sequence number of each holder: an older record counts as unreadable, so that all that is left is taken for granted, and gateways that know the newer one append it again. The new tests failed before.

--- a/src/coordination/grant-recovery.ts
+++ b/src/coordination/grant-recovery.ts
@@ -112,6 +112,8 @@
 	const heardHolders = new Map<string, readonly PossibleHolder[]>();
 	/** True if this gateway has known all grants at any time. */
 	let isWitness = false;
+	/** When this gateway repairs the log; undefined if it lacks no known record. */
+	let repairDueAt: number | undefined;
 	let incomplete: {readonly epoch: LogEpoch; readonly since: number} | undefined;
 
 	function isComplete(): boolean {
@@ -217,16 +219,24 @@
 		return isDone();
 	}
 
-	async function appendRecovery(recovery: RecoveryRecord, signal: AbortSignal): Promise<void> {
-		const {epoch} = recovery;
+	async function appendLost(epoch: number, signal: AbortSignal): Promise<boolean> {
 		for (const {key, record} of grants.listUnlogged()) {
 			if (!await appendUnless(() => grants.isLogged(key), {
 				key, value: JSON.stringify(record), epoch, signal,
 			})) {
-				return;
+				return false;
 			}
 		}
 
+		return true;
+	}
+
+	async function appendRecovery(recovery: RecoveryRecord, signal: AbortSignal): Promise<void> {
+		const {epoch} = recovery;
+		if (!await appendLost(epoch, signal)) {
+			return;
+		}
+
 		const isRecovered = () => grants.getRecovery()?.epoch === epoch;
 		await appendUnless(isRecovered, {
 			key: `${keyPrefix}${epoch}`, value: JSON.stringify(recovery), epoch, signal,
@@ -254,16 +264,31 @@
 		await appendRecovery(buildRecoveryRecord(epoch, {missing, grants, table: findRouteTable()}), signal);
 	}
 
+	function computeRank(): number {
+		return rankByRendezvous(`${keyPrefix}${follower.getEpoch()}`, [self.daemon, ...options.listPeers()]).indexOf(self.daemon);
+	}
+
 	function mayLead(waitedMs: number): boolean {
-		if (!isWitness) {
-			return waitedMs >= unknownGrantsTimeoutMs;
+		return waitedMs >= (isWitness ? computeRank() * takeOverDelayMs : unknownGrantsTimeoutMs);
+	}
+
+	// An append of an earlier epoch that took effect late may have replaced a newer record of its holder.
+	function isRepairDue(): boolean {
+		if (follower.getEpoch() === undefined || grants.listUnlogged().length === 0) {
+			repairDueAt = undefined;
+			return false;
 		}
 
-		const rank = rankByRendezvous(`${keyPrefix}${follower.getEpoch()}`, [self.daemon, ...options.listPeers()]).indexOf(self.daemon);
-		return waitedMs >= rank * takeOverDelayMs;
+		repairDueAt ??= clock.now() + (computeRank() * takeOverDelayMs);
+		return clock.now() >= repairDueAt;
 	}
 
-	async function runRound(signal: AbortSignal): Promise<void> {
+	async function repairLog(signal: AbortSignal): Promise<void> {
+		repairDueAt = clock.now() + takeOverDelayMs;
+		await appendLost(follower.getEpoch()!, signal);
+	}
+
+	async function recoverIfDue(signal: AbortSignal): Promise<void> {
 		if (!await follower.catchUp(signal) || checkComplete()) {
 			return;
 		}
@@ -279,6 +304,14 @@
 		checkComplete();
 	}
 
+	async function runRound(signal: AbortSignal): Promise<void> {
+		if (!checkComplete()) {
+			await recoverIfDue(signal);
+		} else if (isRepairDue()) {
+			await repairLog(signal);
+		}
+	}
+
 	return {
 		/** Returns true if the log that has been read has all grants as far as they are known, so that claims may be made. */
 		checkComplete,
@@ -317,15 +350,12 @@
 			};
 		},
 
-		/** Runs a round now: recovers the grants if this gateway is the one to do so. */
+		/** Runs a round now: recovers the grants, or repairs the log, if this gateway is the one to do so. */
 		runRound,
 
 		async run(signal: AbortSignal): Promise<void> {
 			while (!signal.aborted) {
-				if (!checkComplete()) {
-					await runRound(signal);
-				}
-
+				await runRound(signal);
 				await clock.sleep(roundIntervalMs, signal);
 			}
 		},
--- a/src/coordination/recovery-decisions.ts
+++ b/src/coordination/recovery-decisions.ts
@@ -95,7 +95,7 @@
 /** Options of {@linkcode buildRecoveryRecord}. */
 export type BuildRecoveryRecordOptions = {
 	readonly missing: readonly string[];
-	readonly grants: Pick<GrantRegistry, 'getRecovery' | 'listMissing' | 'sumGranted'>;
+	readonly grants: Pick<GrantRegistry, 'getRecovery' | 'listKeyed' | 'listMissing' | 'sumGranted'>;
 	readonly table: RouteTable | undefined;
 };
 
@@ -114,8 +114,12 @@
  */
 export function buildRecoveryRecord(epoch: number, {missing, grants, table}: BuildRecoveryRecordOptions): RecoveryRecord {
 	const stillMissing = grants.listMissing();
+	const holdersOfGrants = grants.listKeyed().filter(({record}) => record.role === 'gateway');
+	const sequences = Object.fromEntries(holdersOfGrants.map(({key, record}) => [key, record.sequence]));
 	if (missing.length === 0) {
-		return {epoch, reserved: stillMissing.length > 0 ? grants.getRecovery()!.reserved : {}, missing: [...stillMissing]};
+		return {
+			epoch, reserved: stillMissing.length > 0 ? grants.getRecovery()!.reserved : {}, missing: [...stillMissing], sequences,
+		};
 	}
 
 	const reserved: Record<string, number> = {};
@@ -124,7 +128,9 @@
 		reserved[id] = earlier + Math.max(0, (bought ?? 0) - grants.sumGranted(id));
 	}
 
-	return {epoch, reserved, missing: [...new Set([...stillMissing, ...missing])]};
+	return {
+		epoch, reserved, missing: [...new Set([...stillMissing, ...missing])], sequences,
+	};
 }
 
 /**
--- a/src/state/grant-registry.test.ts
+++ b/src/state/grant-registry.test.ts
@@ -67,3 +67,16 @@
 	registry.reserveForUnreadable('c2', 200);
 	expect(registry.sumGranted('c2')).toBe(200);
 });
+
+test('a record that is older than the one counted by a recovery may hide any grant', () => {
+	// Guards against an append of an earlier epoch that takes effect late, when only a gateway that starts reads the log.
+	const registry = createGrantRegistry();
+	registry.putRecovery({
+		epoch: 2, reserved: {}, missing: [], sequences: {e1: 6},
+	});
+	registry.put('e1', {...buildRecord('e1', {c1: 16}), sequence: 4});
+	registry.reserveForUnreadable('c1', 1000);
+	expect(registry.sumGranted('c1')).toBe(1000);
+	registry.put('e1', {...buildRecord('e1', {c1: 29}), sequence: 6});
+	expect(registry.sumGranted('c1')).toBe(29);
+});
--- a/src/state/grant-registry.ts
+++ b/src/state/grant-registry.ts
@@ -56,6 +56,8 @@
 	reserved: z.record(z.string(), z.number().nonnegative()),
 	/** Keys of the holders whose last records are unknown. The tokens are available again when all have written a record. */
 	missing: z.array(z.string()),
+	/** Sequence numbers of the holders' records, by key. An append of an earlier epoch may take effect later and replace one of them. */
+	sequences: z.record(z.string(), z.number().int()),
 });
 
 /** The end of a recovery. */
@@ -151,6 +153,19 @@
 		runningHolders = undefined;
 	}
 
+	function putUnreadable(key: string): void {
+		const granted = unreadableHolders.get(key)?.granted ?? new Map<string, number>();
+		unreadableHolders.set(key, {granted, counted: new Set()});
+	}
+
+	// The log has a record that is older than the one which the recovery counted.
+	function checkReplaced(key: string): void {
+		const counted = recovery?.sequences[key];
+		if (counted !== undefined && (holders.get(key)?.sequence ?? Number.NEGATIVE_INFINITY) < counted) {
+			putUnreadable(key);
+		}
+	}
+
 	function isLogged(key: string): boolean {
 		const sequence = loggedSequences.get(key);
 		return sequence !== undefined && sequence >= (holders.get(key)?.sequence ?? 0);
@@ -173,6 +188,7 @@
 		put(key: string, record: HolderRecord): void {
 			merge(key, record);
 			loggedSequences.set(key, record.sequence);
+			checkReplaced(key);
 		},
 
 		/** Stores a record that another gateway has reported, if it is newer. */
@@ -194,8 +210,13 @@
 
 		/** Stores the end of a recovery; one of an earlier epoch is ignored. */
 		putRecovery(record: RecoveryRecord): void {
-			if (record.epoch >= (recovery?.epoch ?? Number.NEGATIVE_INFINITY)) {
-				recovery = record;
+			if (record.epoch < (recovery?.epoch ?? Number.NEGATIVE_INFINITY)) {
+				return;
+			}
+
+			recovery = record;
+			for (const key of Object.keys(record.sequences)) {
+				checkReplaced(key);
 			}
 		},
 
@@ -215,10 +236,7 @@
 		 * Records that the newest record of a holder cannot be read, as when it was
 		 * written by another version of the program. Its earlier record still counts.
 		 */
-		putUnreadable(key: string): void {
-			const granted = unreadableHolders.get(key)?.granted ?? new Map<string, number>();
-			unreadableHolders.set(key, {granted, counted: new Set()});
-		},
+		putUnreadable,
 
 		/**
 		 * Counts all tokens of a customer that are not granted otherwise as granted to
