--- a/src/coordination/grant-recovery.ts
+++ b/src/coordination/grant-recovery.ts
@@ -163,7 +163,7 @@
 		return true;
 	}
 
-	// Gossip tells of gateways whose records this one had not read when the log was restored.
+	// Some are known from gossip only: the log may have been restored before their records were read.
 	function listPossibleHolders(): PossibleHolder[] {
 		const recorded = grants.listRunning().filter(({role, daemon}) => role === 'gateway' && daemon !== self.daemon);
 		const unrecorded = [...heardHolders.values()].flat().filter(holder => !grants.get(formatHolderKey(holder)));
