--- a/src/coordination/budget-manager.test.ts
+++ b/src/coordination/budgets/budget-manager.test.ts
@@ -1,13 +1,13 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createFakeKeyedLog, type AppendBehavior, type FakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
-import type {Deployment, EventLog} from '../protocol/mod.js';
+import {createFakeKeyedLog, type AppendBehavior, type FakeKeyedLog} from '../../../tools/harness/fake-keyed-log.js';
+import type {Deployment, EventLog} from '../../protocol/mod.js';
 import {
 	createGrantRegistry, createRouteTable, createTokenAccount, holderRecordSchema, type PeerView, type RouteTable, type TokenReservation,
-} from '../state/mod.js';
+} from '../../state/mod.js';
 import {
 	DemandTargetPolicy, ReturnedLoanPolicy, UnseenDemandTargetPolicy, createBudgetManager, createKeyedFollower, createGrantRecovery, createLoanReturns, createTokenLending, isRecoveryKey, type GrantTargetPolicy, type Repayment, type TokenLoanRequest,
-} from './mod.js';
+} from '../mod.js';
 
 // Simulates gateways with real budget managers over one log in memory. Appends
 // collide, their answers are lost, some take effect late, and gateways crash
--- a/src/coordination/budget-manager.ts
+++ b/src/coordination/budgets/budget-manager.ts
@@ -6,8 +6,8 @@
  */
 import {
 	Err, Ok, createFailure, type Failure, type Result,
-} from '../protocol/mod.js';
-import type {TokenReservation} from '../state/mod.js';
+} from '../../protocol/mod.js';
+import type {TokenReservation} from '../../state/mod.js';
 import type {BudgetOwners} from './budget-owners.js';
 import {createDemand} from './demand.js';
 import {createGrantWriter, formatHolderKey, type CreateGrantWriterOptions} from './grant-writer.js';
--- a/src/coordination/budget-owners.test.ts
+++ b/src/coordination/budgets/budget-owners.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {createBudgetOwners} from './mod.js';
+import {createBudgetOwners} from '../mod.js';
 
 function createOwners(daemon: string, names: readonly string[]) {
 	const fleet = {now: 0, names};
--- a/src/coordination/budget-owners.ts
+++ b/src/coordination/budgets/budget-owners.ts
@@ -15,8 +15,8 @@
  *
  * @module
  */
-import type {Clock} from '../transport/mod.js';
-import {rankByRendezvous} from './rendezvous.js';
+import type {Clock} from '../../transport/mod.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
 
 /** Options of {@linkcode createBudgetOwners}. */
 export type CreateBudgetOwnersOptions = {
--- a/src/coordination/demand.ts
+++ b/src/coordination/budgets/demand.ts
@@ -5,8 +5,8 @@
  *
  * @module
  */
-import {sumShares} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+import {sumShares} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 
 /** Options of {@linkcode createDemand}. */
 export type CreateDemandOptions = {
--- a/src/coordination/grant-manager.test.ts
+++ b/src/coordination/budgets/grant-manager.test.ts
@@ -1,14 +1,14 @@
 import Emittery from 'emittery';
 import {expect, test} from 'vitest';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
 import {
 	Ok, type EventLog, type LogRecord,
-} from '../protocol/mod.js';
-import {createFleetState, createGrantHolder, type Member} from '../state/mod.js';
-import type {FleetClient} from '../transport/mod.js';
+} from '../../protocol/mod.js';
+import {createFleetState, createGrantHolder, type Member} from '../../state/mod.js';
+import type {FleetClient} from '../../transport/mod.js';
 import {
 	AheadGrantPolicy, createGrantManager, createLoanManager, type LoanAnswer, type LogFollower, type LogWriter, type Membership, type Self,
-} from './mod.js';
+} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 const budget = 'city-budget';
--- a/src/coordination/grant-manager.ts
+++ b/src/coordination/budgets/grant-manager.ts
@@ -7,17 +7,17 @@
  */
 import {
 	Err, Ok, createId, type EventLog, type Failure, type GrantShare, type RecordOf, type Result,
-} from '../protocol/mod.js';
+} from '../../protocol/mod.js';
 import {
 	formatGrantId, sumShares, type GrantHolder, type Reservation, type TokenSource,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import type {LogFollower} from '../store/log-follower.js';
+import type {LogWriter} from '../store/log-writer.js';
+import type {Membership} from '../peers/membership.js';
 import {createDemand} from './demand.js';
 import type {BudgetView, GrantPolicy} from './grant-policy.js';
 import type {LoanManager, LoanSearch} from './loan-manager.js';
-import type {LogFollower} from './log-follower.js';
-import type {LogWriter} from './log-writer.js';
-import type {Membership} from './membership.js';
 import {createTokenAvailability} from './token-availability.js';
 
 /** Options of {@linkcode createGrantManager}. */
--- a/src/coordination/grant-policy.test.ts
+++ b/src/coordination/budgets/grant-policy.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {AheadGrantPolicy, type BudgetView} from './mod.js';
+import {AheadGrantPolicy, type BudgetView} from '../mod.js';
 
 const view: BudgetView = {
 	remaining: 8000, unspent: 8000, free: 0, reserved: 0, wanted: 0, rate: 0, entries: 2, hasClaimed: false, weighs: 'refusals',
--- a/src/coordination/grant-recovery.test.ts
+++ b/src/coordination/budgets/grant-recovery.test.ts
@@ -1,13 +1,13 @@
 import {expect, test} from 'vitest';
-import {createFakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
-import type {EventLog} from '../protocol/mod.js';
+import {createFakeKeyedLog} from '../../../tools/harness/fake-keyed-log.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
+import type {EventLog} from '../../protocol/mod.js';
 import {
 	createGrantRegistry, createRouteTable, createTokenAccount, holderRecordSchema, type HolderRecord,
-} from '../state/mod.js';
+} from '../../state/mod.js';
 import {
 	createGrantRecovery, createKeyedFollower, isRecoveryKey, type GrantQuery, type GrantReport,
-} from './mod.js';
+} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 const table = createRouteTable({
--- a/src/coordination/grant-recovery.ts
+++ b/src/coordination/budgets/grant-recovery.ts
@@ -16,17 +16,17 @@
  */
 import type {
 	EventLog, KeyedLog, LogEpoch, StoredRecord,
-} from '../protocol/mod.js';
+} from '../../protocol/mod.js';
 import {
 	recoveryRecordSchema, type GrantRegistry, type HolderRecord, type KeyedHolder, type RecoveryRecord, type RouteTable, type TokenAccount,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import type {KeyedFollower} from '../store/keyed-follower.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
 import {formatHolderKey, type HolderIdentity} from './grant-writer.js';
-import type {KeyedFollower} from './keyed-follower.js';
 import {
 	buildUnknownGrantsRecord, buildRecoveryRecord, computeCovered, isLogComplete, listMissingHolders, type GrantReport, type PossibleHolder,
 } from './recovery-decisions.js';
-import {rankByRendezvous} from './rendezvous.js';
 
 /** A query for the grants that a gateway knows. */
 export type GrantQuery = {
--- a/src/coordination/grant-report-client.ts
+++ b/src/coordination/budgets/grant-report-client.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import {holderRecordSchema, recoveryRecordSchema} from '../state/mod.js';
-import type {FleetClient} from '../transport/mod.js';
+import {holderRecordSchema, recoveryRecordSchema} from '../../state/mod.js';
+import type {FleetClient} from '../../transport/mod.js';
 import type {CreateGrantRecoveryOptions} from './grant-recovery.js';
 
 /** Options of {@linkcode createGrantReportClient}. */
--- a/src/coordination/grant-writer.ts
+++ b/src/coordination/budgets/grant-writer.ts
@@ -4,15 +4,15 @@
  *
  * @module
  */
-import type {EventLog, KeyedLog} from '../protocol/mod.js';
+import type {EventLog, KeyedLog} from '../../protocol/mod.js';
 import {
 	unstatedEpoch, type GrantRegistry, type HolderRecord, type RouteTable, type TokenAccount,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import type {KeyedFollower} from '../store/keyed-follower.js';
 import type {BudgetOwners} from './budget-owners.js';
 import type {Demand} from './demand.js';
 import {computeGrant, type GrantTargetPolicy} from './grant-size.js';
-import type {KeyedFollower} from './keyed-follower.js';
 
 /** Identity under which a gateway holds its grants. */
 export type HolderIdentity = Pick<HolderRecord, 'role' | 'daemon' | 'incarnation' | 'address' | 'newsAddress' | 'failureDomain'>;
--- a/src/coordination/loan-manager.test.ts
+++ b/src/coordination/budgets/loan-manager.test.ts
@@ -1,9 +1,9 @@
 import {expect, test} from 'vitest';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
-import type {EventLog} from '../protocol/mod.js';
-import {createGrantHolder, type Member} from '../state/mod.js';
-import type {FleetClient} from '../transport/mod.js';
-import {createLoanManager, type Membership} from './mod.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
+import type {EventLog} from '../../protocol/mod.js';
+import {createGrantHolder, type Member} from '../../state/mod.js';
+import type {FleetClient} from '../../transport/mod.js';
+import {createLoanManager, type Membership} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 const budget = 'city-budget';
--- a/src/coordination/loan-manager.ts
+++ b/src/coordination/budgets/loan-manager.ts
@@ -8,12 +8,12 @@
  *
  * @module
  */
-import {createId, type EventLog, type GrantShare} from '../protocol/mod.js';
+import {createId, type EventLog, type GrantShare} from '../../protocol/mod.js';
 import {
 	sumShares, type GrantHolder, type Member, type TokenSource,
-} from '../state/mod.js';
-import type {Clock, FleetClient} from '../transport/mod.js';
-import type {Membership} from './membership.js';
+} from '../../state/mod.js';
+import type {Clock, FleetClient} from '../../transport/mod.js';
+import type {Membership} from '../peers/membership.js';
 
 /** A request for a loan, as a peer sends it. */
 export type LoanRequest = {
--- a/src/coordination/loan-returns.ts
+++ b/src/coordination/budgets/loan-returns.ts
@@ -10,9 +10,9 @@
  *
  * @module
  */
-import type {EventLog} from '../protocol/mod.js';
-import type {FreeTokens, PeerView, TokenAccount} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+import type {EventLog} from '../../protocol/mod.js';
+import type {FreeTokens, PeerView, TokenAccount} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 
 /** Tokens that one gateway returns to another. */
 export type Repayment = {
--- a/src/coordination/reclaimer.ts
+++ b/src/coordination/budgets/reclaimer.ts
@@ -8,13 +8,13 @@
  *
  * @module
  */
-import type {EventLog} from '../protocol/mod.js';
-import type {Member} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
-import type {LogFollower} from './log-follower.js';
-import type {LogWriter} from './log-writer.js';
-import type {Membership} from './membership.js';
-import {rankByRendezvous} from './rendezvous.js';
+import type {EventLog} from '../../protocol/mod.js';
+import type {Member} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import type {LogFollower} from '../store/log-follower.js';
+import type {LogWriter} from '../store/log-writer.js';
+import type {Membership} from '../peers/membership.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
 
 /** Options of {@linkcode createReclaimer}. */
 export type CreateReclaimerOptions = {
--- a/src/coordination/recovery-decisions.test.ts
+++ b/src/coordination/budgets/recovery-decisions.test.ts
@@ -1,10 +1,10 @@
 import {expect, test} from 'vitest';
 import {
 	anyHolder, createGrantRegistry, createRouteTable, unstatedEpoch, type HolderRecord,
-} from '../state/mod.js';
+} from '../../state/mod.js';
 import {
 	buildUnknownGrantsRecord, buildRecoveryRecord, computeCovered, isLogComplete, listMissingHolders, type GrantReport,
-} from './mod.js';
+} from '../mod.js';
 
 const table = createRouteTable({
 	version: 1, routes: [], services: [], customers: [{id: 'c1', keys: ['k'], bought: 1000}], limits: {
--- a/src/coordination/recovery-decisions.ts
+++ b/src/coordination/budgets/recovery-decisions.ts
@@ -5,10 +5,10 @@
  *
  * @module
  */
-import type {LogEpoch} from '../protocol/mod.js';
+import type {LogEpoch} from '../../protocol/mod.js';
 import {
 	anyHolder, type GrantRegistry, type HolderRecord, type KeyedHolder, type RecoveryRecord, type RouteTable,
-} from '../state/mod.js';
+} from '../../state/mod.js';
 
 /** What another gateway reports of the grants. */
 export type GrantReport = {
--- a/src/coordination/repayment-client.test.ts
+++ b/src/coordination/budgets/repayment-client.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
-import {Gateway} from '../protocol/mod.js';
-import {createFleetClient, startFleetServer} from '../transport/mod.js';
+import {Gateway} from '../../protocol/mod.js';
+import {createFleetClient, startFleetServer} from '../../transport/mod.js';
 import {createRepaymentClient} from './repayment-client.js';
 
 const repayment = {
--- a/src/coordination/repayment-client.ts
+++ b/src/coordination/budgets/repayment-client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {Code, ConnectError} from '@connectrpc/connect';
-import type {FleetClient} from '../transport/mod.js';
+import type {FleetClient} from '../../transport/mod.js';
 import type {SendRepayment} from './loan-returns.js';
 
 /** Options of {@linkcode createRepaymentClient}. */
--- a/src/coordination/settler.ts
+++ b/src/coordination/budgets/settler.ts
@@ -7,12 +7,12 @@
  *
  * @module
  */
-import type {GrantShare} from '../protocol/mod.js';
-import {allocateShares, type Reservation} from '../state/mod.js';
-import type {Clock, FleetClient} from '../transport/mod.js';
+import type {GrantShare} from '../../protocol/mod.js';
+import {allocateShares, type Reservation} from '../../state/mod.js';
+import type {Clock, FleetClient} from '../../transport/mod.js';
+import type {LogFollower} from '../store/log-follower.js';
+import type {Membership} from '../peers/membership.js';
 import type {GrantManager} from './grant-manager.js';
-import type {LogFollower} from './log-follower.js';
-import type {Membership} from './membership.js';
 
 /** An attempt whose outcome is unknown. */
 export type OpenAttempt = {
--- a/src/coordination/token-availability.ts
+++ b/src/coordination/budgets/token-availability.ts
@@ -4,12 +4,12 @@
  *
  * @module
  */
-import {createFailure, type EventLog, type Failure} from '../protocol/mod.js';
-import type {GrantHolder} from '../state/mod.js';
+import {createFailure, type EventLog, type Failure} from '../../protocol/mod.js';
+import type {GrantHolder} from '../../state/mod.js';
+import type {LogFollower} from '../store/log-follower.js';
+import type {Membership} from '../peers/membership.js';
 import {isHeldByUnresponsive} from './unresponsive-holders.js';
 import type {LoanManager, LoanSearch} from './loan-manager.js';
-import type {LogFollower} from './log-follower.js';
-import type {Membership} from './membership.js';
 
 /** Options of {@linkcode createTokenAvailability}. */
 export type CreateTokenAvailabilityOptions = {
--- a/src/coordination/token-lending.test.ts
+++ b/src/coordination/budgets/token-lending.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from 'vitest';
-import type {EventLog} from '../protocol/mod.js';
-import {createTokenAccount, type PeerView} from '../state/mod.js';
-import {createTokenLending} from './mod.js';
+import type {EventLog} from '../../protocol/mod.js';
+import {createTokenAccount, type PeerView} from '../../state/mod.js';
+import {createTokenLending} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 
--- a/src/coordination/token-lending.ts
+++ b/src/coordination/budgets/token-lending.ts
@@ -4,9 +4,9 @@
  *
  * @module
  */
-import {createId, type EventLog} from '../protocol/mod.js';
-import type {PeerView, TokenAccount} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+import {createId, type EventLog} from '../../protocol/mod.js';
+import type {PeerView, TokenAccount} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 
 /** A request for a loan, as one gateway sends it to another. */
 export type TokenLoanRequest = {
--- a/src/coordination/token-waits.test.ts
+++ b/src/coordination/budgets/token-waits.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
-import {createTokenFleet, type TokenFleet, type TokenWait} from '../../tools/harness/token-fleet.js';
-import {pickPercentile} from '../../tools/measure/report.js';
+import {createTokenFleet, type TokenFleet, type TokenWait} from '../../../tools/harness/token-fleet.js';
+import {pickPercentile} from '../../../tools/measure/report.js';
 
 // A fleet of 31 gateways in virtual time, in which most customers have less than one request per second at each gateway.
 // Calls to the log become slow, as they are through relays.
--- a/src/coordination/unresponsive-holders.ts
+++ b/src/coordination/budgets/unresponsive-holders.ts
@@ -4,9 +4,9 @@
  *
  * @module
  */
+import type {LogFollower} from '../store/log-follower.js';
+import type {Membership} from '../peers/membership.js';
 import type {LoanManager} from './loan-manager.js';
-import type {LogFollower} from './log-follower.js';
-import type {Membership} from './membership.js';
 
 /** Options of {@linkcode isHeldByUnresponsive}. */
 export type IsHeldByUnresponsiveOptions = {readonly follower: LogFollower; readonly membership: Membership; readonly loans: LoanManager};
--- a/src/coordination/admission.test.ts
+++ b/src/coordination/load/admission.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from 'vitest';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
-import type {Clock} from '../transport/mod.js';
-import {createAdmission, monitorEventLoop, type Admission} from './mod.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
+import type {Clock} from '../../transport/mod.js';
+import {createAdmission, monitorEventLoop, type Admission} from '../mod.js';
 
 const usualRequest = {priority: 1, timeoutMs: 4000, elapsedMs: 0};
 
--- a/src/coordination/admission.ts
+++ b/src/coordination/load/admission.ts
@@ -11,7 +11,7 @@
  */
 import {
 	Err, Ok, createFailure, type Failure, type Result,
-} from '../protocol/mod.js';
+} from '../../protocol/mod.js';
 import {hasTimeLeft} from './remaining-time.js';
 
 /** Options of {@linkcode createAdmission}. */
--- a/src/coordination/connection-admission.test.ts
+++ b/src/coordination/load/connection-admission.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {createConnectionAdmission} from './mod.js';
+import {createConnectionAdmission} from '../mod.js';
 
 type Situation = {readonly room: number; readonly awaiting?: number; readonly peers?: number; readonly peersWithRoom?: number};
 
--- a/src/coordination/connection-admission.ts
+++ b/src/coordination/load/connection-admission.ts
@@ -10,7 +10,7 @@
  *
  * @module
  */
-import type {Clock} from '../transport/mod.js';
+import type {Clock} from '../../transport/mod.js';
 import {hasRoomElsewhere, type PeerRoom} from './peer-room.js';
 
 /** Options of {@linkcode createConnectionAdmission}. */
--- a/src/coordination/event-loop-monitor.test.ts
+++ b/src/coordination/load/event-loop-monitor.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
-import {monitorEventLoop, type LoopStall} from './mod.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
+import {monitorEventLoop, type LoopStall} from '../mod.js';
 
 /** Monitors an event loop that stalls once, from `at` on. */
 async function runStall({at, stallMs, cpuMs}: {readonly at: number; readonly stallMs: number; readonly cpuMs: number}) {
--- a/src/coordination/event-loop-monitor.ts
+++ b/src/coordination/load/event-loop-monitor.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type {Clock} from '../transport/mod.js';
+import type {Clock} from '../../transport/mod.js';
 
 /** Counters of a process since it started. */
 export type ProcessStats = {
--- a/src/coordination/metrics.test.ts
+++ b/src/coordination/load/metrics.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {createMetrics} from './mod.js';
+import {createMetrics} from '../mod.js';
 
 test('series beyond the limit are combined', () => {
 	// Guards against a gateway that runs out of memory after weeks of
--- a/src/coordination/metrics.ts
+++ b/src/coordination/load/metrics.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {build, type Histogram} from 'hdr-histogram-js';
-import type {FailureType} from '../protocol/mod.js';
+import type {FailureType} from '../../protocol/mod.js';
 
 /** Labels by which requests are grouped. */
 export type MetricLabels = {readonly customer: string; readonly class: string};
--- /dev/null
+++ b/src/coordination/load/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * How much a daemon accepts, what it measures, and when callers may retry.
+ *
+ * @module
+ */
+export * from './admission.js';
+export * from './connection-admission.js';
+export * from './event-loop-monitor.js';
+export * from './fleet-retry-budgets.js';
+export * from './metrics.js';
+export * from './peer-room.js';
+export * from './remaining-time.js';
+export * from './retry-after-estimator.js';
+export * from './retry-budget.js';
+export * from './traffic-counter.js';
+export * from './work-queue.js';
--- a/src/coordination/retry-after-estimator.test.ts
+++ b/src/coordination/load/retry-after-estimator.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import type {PeerView} from '../state/mod.js';
+import type {PeerView} from '../../state/mod.js';
 import {createRetryAfterEstimator} from './retry-after-estimator.js';
 
 function createFixture() {
--- a/src/coordination/retry-after-estimator.ts
+++ b/src/coordination/load/retry-after-estimator.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type {PeerView} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+import type {PeerView} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 
 /** Options of {@linkcode createRetryAfterEstimator}. */
 export type CreateRetryAfterEstimatorOptions = {
--- a/src/coordination/work-queue.test.ts
+++ b/src/coordination/load/work-queue.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
-import {createSystemClock} from '../transport/mod.js';
-import {createWorkQueue} from './mod.js';
+import {createSystemClock} from '../../transport/mod.js';
+import {createWorkQueue} from '../mod.js';
 
 const clock = createSystemClock();
 
--- a/src/coordination/work-queue.ts
+++ b/src/coordination/load/work-queue.ts
@@ -6,8 +6,8 @@
  */
 import {
 	Err, Ok, createFailure, type Failure, type Result,
-} from '../protocol/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../protocol/mod.js';
+import type {Clock} from '../../transport/mod.js';
 
 /** Options of {@linkcode createWorkQueue}. */
 export type CreateWorkQueueOptions = {
--- a/src/coordination/enrolment.ts
+++ b/src/coordination/peers/enrolment.ts
@@ -4,10 +4,10 @@
  *
  * @module
  */
-import {createId, type EventLog, type Join} from '../protocol/mod.js';
-import type {Clock} from '../transport/mod.js';
-import type {LogFollower} from './log-follower.js';
-import type {LogWriter} from './log-writer.js';
+import {createId, type EventLog, type Join} from '../../protocol/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import type {LogFollower} from '../store/log-follower.js';
+import type {LogWriter} from '../store/log-writer.js';
 import type {Self} from './membership.js';
 
 /** Options of {@linkcode createEnrolment}. */
--- a/src/coordination/gossip-codec.test.ts
+++ b/src/coordination/peers/gossip-codec.test.ts
@@ -1,11 +1,11 @@
 import {create, toBinary} from '@bufbuild/protobuf';
 import {expect, test} from 'vitest';
-import {PeerStateSchema} from '../protocol/mod.js';
-import {createCrashRegistry, createPartCrashRegistry, type PeerView} from '../state/mod.js';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
+import {PeerStateSchema} from '../../protocol/mod.js';
+import {createCrashRegistry, createPartCrashRegistry, type PeerView} from '../../state/mod.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
 import {
 	LoggedParts, LoggedRequests, decodeEntry, encodeEntry,
-} from './mod.js';
+} from '../mod.js';
 
 const id = {daemon: 'g1', incarnation: 'i', sequence: 1};
 const view: PeerView = {
--- a/src/coordination/gossip-codec.ts
+++ b/src/coordination/peers/gossip-codec.ts
@@ -6,11 +6,11 @@
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 import {
 	Err, Ok, PeerEntrySchema, PeerNewsSchema, PeerStateSchema, createFailure, type Failure, type PartRecord, type PeerEntry, type PeerNews, type Result,
-} from '../protocol/mod.js';
+} from '../../protocol/mod.js';
 import type {
 	PartAnnouncement, PeerEntryId, PeerView, PlacedPrompt,
-} from '../state/mod.js';
-import type {StreamAnnouncement} from './stream-recorder.js';
+} from '../../state/mod.js';
+import type {StreamAnnouncement} from '../streams/stream-recorder.js';
 
 /** Options of {@linkcode encodeEntry}. */
 export type EncodeEntryOptions = {
--- a/src/coordination/gossip.test.ts
+++ b/src/coordination/peers/gossip.test.ts
@@ -1,12 +1,12 @@
 import {setMaxListeners} from 'node:events';
 import {expect, test} from 'vitest';
-import {createRandom} from '../../tools/measure/random.js';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
-import type {EventLog} from '../protocol/mod.js';
-import {createPeerViews, type PeerView, type PlacedPrompt} from '../state/mod.js';
+import {createRandom} from '../../../tools/measure/random.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
+import type {EventLog} from '../../protocol/mod.js';
+import {createPeerViews, type PeerView, type PlacedPrompt} from '../../state/mod.js';
 import {
 	NearReceiverPolicy, UniformReceiverPolicy, createGossip, decodeGossip, encodeGossip, fanOut, listStreams, type ReceiverPolicy, type ReceiverPolicyOptions, type StreamAnnouncement,
-} from './mod.js';
+} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 /** One-way delay between two hosts. */
--- a/src/coordination/gossip.ts
+++ b/src/coordination/peers/gossip.ts
@@ -11,15 +11,15 @@
  *
  * @module
  */
-import type {EventLog, PeerEntry} from '../protocol/mod.js';
-import type {PeerView, PeerViews, PlacedPrompt} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+import type {EventLog, PeerEntry} from '../../protocol/mod.js';
+import type {PeerView, PeerViews, PlacedPrompt} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import type {StreamAnnouncement} from '../streams/stream-recorder.js';
 import {
 	decodeEntry, decodeGossip, encodeEntry, encodeGossip, encodeStream, listStreams,
 } from './gossip-codec.js';
 import {computeGossipRate, type GossipRate} from './gossip-rate.js';
 import type {GossipPeer, ReceiverPolicy} from './gossip-receivers.js';
-import type {StreamAnnouncement} from './stream-recorder.js';
 
 /** Options of {@linkcode createGossip}. */
 export type CreateGossipOptions = {
--- a/src/coordination/membership.test.ts
+++ b/src/coordination/peers/membership.test.ts
@@ -1,10 +1,10 @@
 import {expect, test} from 'vitest';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
 import {
 	Err, Ok, createFailure, type EventLog,
-} from '../protocol/mod.js';
-import type {HostList} from '../transport/mod.js';
-import {createMembership} from './mod.js';
+} from '../../protocol/mod.js';
+import type {HostList} from '../../transport/mod.js';
+import {createMembership} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 
--- a/src/coordination/membership.ts
+++ b/src/coordination/peers/membership.ts
@@ -8,10 +8,10 @@
  * @module
  */
 import Emittery from 'emittery';
-import type {EventLog, LogEntry} from '../protocol/mod.js';
-import type {FleetSnapshot, Member} from '../state/mod.js';
-import type {Clock, FleetClient, HostListClient} from '../transport/mod.js';
-import type {RelayedRecords} from './log-follower.js';
+import type {EventLog, LogEntry} from '../../protocol/mod.js';
+import type {FleetSnapshot, Member} from '../../state/mod.js';
+import type {Clock, FleetClient, HostListClient} from '../../transport/mod.js';
+import type {RelayedRecords} from '../store/log-follower.js';
 
 /** Load of an upstream daemon, as last reported. */
 export type ReportedLoad = {
--- a/src/coordination/peer-catch-up.test.ts
+++ b/src/coordination/peers/peer-catch-up.test.ts
@@ -1,8 +1,8 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {expect, test} from 'vitest';
-import type {EventLog} from '../protocol/mod.js';
-import type {PeerView} from '../state/mod.js';
-import {createPeerCatchUp, type CatchUpQuery} from './mod.js';
+import type {EventLog} from '../../protocol/mod.js';
+import type {PeerView} from '../../state/mod.js';
+import {createPeerCatchUp, type CatchUpQuery} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 
--- a/src/coordination/peer-catch-up.ts
+++ b/src/coordination/peers/peer-catch-up.ts
@@ -5,11 +5,11 @@
  *
  * @module
  */
-import type {EventLog} from '../protocol/mod.js';
+import type {EventLog} from '../../protocol/mod.js';
 import type {
 	CrashRecord, PartAnnouncement, PeerView, PlacedPrompt,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 
 /** Query to a peer. */
 export type CatchUpQuery = {readonly knownVersion: number; readonly wantsPrompts: boolean};
--- a/src/coordination/placement-gossip.test.ts
+++ b/src/coordination/peers/placement-gossip.test.ts
@@ -1,11 +1,11 @@
 import {expect, test} from 'vitest';
-import {createUnlimitedEligibility} from '../../tools/harness/unlimited-upstreams.js';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
-import type {EventLog, GatewayService, GenerationParameters} from '../protocol/mod.js';
-import {createPeerViews, createUpstreamDirectory} from '../state/mod.js';
+import {createUnlimitedEligibility} from '../../../tools/harness/unlimited-upstreams.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
+import type {EventLog, GatewayService, GenerationParameters} from '../../protocol/mod.js';
+import {createPeerViews, createUpstreamDirectory} from '../../state/mod.js';
 import {
 	UniformReceiverPolicy, createPeerCatchUp, createGossip, createUpstreamRegistry, fanOut, type UpstreamRegistry,
-} from './mod.js';
+} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 const service: GatewayService = {
--- a/src/coordination/crash-detector.test.ts
+++ b/src/coordination/quarantine/crash-detector.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from 'vitest';
-import type {UpstreamRegistration} from '../protocol/mod.js';
-import type {ProbeResult} from '../transport/mod.js';
-import {createCrashDetector} from './mod.js';
+import type {UpstreamRegistration} from '../../protocol/mod.js';
+import type {ProbeResult} from '../../transport/mod.js';
+import {createCrashDetector} from '../mod.js';
 
 const upstream: UpstreamRegistration = {
 	id: 'u1', service: 's', address: '127.0.0.1:1', failureDomain: 'd', slots: 4, isDraining: false, warmUp: 0,
--- a/src/coordination/crash-detector.ts
+++ b/src/coordination/quarantine/crash-detector.ts
@@ -7,8 +7,8 @@
  *
  * @module
  */
-import type {UpstreamRegistration} from '../protocol/mod.js';
-import type {ProbeResult} from '../transport/mod.js';
+import type {UpstreamRegistration} from '../../protocol/mod.js';
+import type {ProbeResult} from '../../transport/mod.js';
 
 /** Options of {@linkcode createCrashDetector}. */
 export type CreateCrashDetectorOptions = {
--- a/src/coordination/logged-crashes.test.ts
+++ b/src/coordination/quarantine/logged-crashes.test.ts
@@ -1,11 +1,11 @@
 import {expect, test} from 'vitest';
-import {createFakeKeyedLog, type FakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
-import {createVirtualTime, type VirtualTime} from '../../tools/measure/virtual-clock.js';
-import type {EventLog} from '../protocol/mod.js';
-import {createPartCrashRegistry} from '../state/mod.js';
+import {createFakeKeyedLog, type FakeKeyedLog} from '../../../tools/harness/fake-keyed-log.js';
+import {createVirtualTime, type VirtualTime} from '../../../tools/measure/virtual-clock.js';
+import type {EventLog} from '../../protocol/mod.js';
+import {createPartCrashRegistry} from '../../state/mod.js';
 import {
 	LoggedParts, createKeyedFollower, createPartQuarantine, createQuarantineRecorder, listPartKeys,
-} from './mod.js';
+} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 const parts = listPartKeys('s', {
--- a/src/coordination/logged-crashes.ts
+++ b/src/coordination/quarantine/logged-crashes.ts
@@ -6,8 +6,8 @@
 import * as z from 'zod';
 import {
 	announcePart, type CrashRegistry, type PartAnnouncement, type PartCrashRegistry, type PartRecord,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 import type {PartQuarantine} from './part-quarantine.js';
 import {crashesToSuspect, type Quarantine} from './quarantine.js';
 
--- a/src/coordination/part-announcements.ts
+++ b/src/coordination/quarantine/part-announcements.ts
@@ -5,8 +5,8 @@
  */
 import {
 	announcePart, type PartAnnouncement, type PartCrashRegistry, type TrackedPartRecord,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 import type {BlameLevel} from './part-blame.js';
 
 /** Options of {@linkcode createPartAnnouncements}. */
--- a/src/coordination/part-blame.test.ts
+++ b/src/coordination/quarantine/part-blame.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import type {PartRecord} from '../state/mod.js';
-import {countSeparateCrashes, decideBlame, type LastRead} from './mod.js';
+import type {PartRecord} from '../../state/mod.js';
+import {countSeparateCrashes, decideBlame, type LastRead} from '../mod.js';
 
 /** Interval between crashes that count separately. */
 const intervalMs = 1000;
--- a/src/coordination/part-blame.ts
+++ b/src/coordination/quarantine/part-blame.ts
@@ -13,7 +13,7 @@
  *
  * @module
  */
-import type {PartRecord, UpstreamCrash} from '../state/mod.js';
+import type {PartRecord, UpstreamCrash} from '../../state/mod.js';
 
 /** How certain it is that a group of parts crashes upstreams. */
 export type BlameLevel = 'suspected' | 'held';
--- a/src/coordination/part-keys.ts
+++ b/src/coordination/quarantine/part-keys.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {createHash} from 'node:crypto';
-import type {GenerationParameters, UpstreamRegistration} from '../protocol/mod.js';
+import type {GenerationParameters, UpstreamRegistration} from '../../protocol/mod.js';
 
 /** A part of a prompt, as one model of a service reads it. */
 export type PartKey = {
--- a/src/coordination/part-quarantine-soak.test.ts
+++ b/src/coordination/quarantine/part-quarantine-soak.test.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import {expect, test} from 'vitest';
-import {createCrashFleet, injectFaults, type CrashFleet} from '../../tools/harness/crash-fleet.js';
-import {listPartKeys, type PartKey} from './mod.js';
+import {createCrashFleet, injectFaults, type CrashFleet} from '../../../tools/harness/crash-fleet.js';
+import {listPartKeys, type PartKey} from '../mod.js';
 
 // Sends requests that share one part which crashes upstreams, and sound requests that share their other parts, while
 // gateways restart, are partitioned and lose datagrams, the store is unavailable, and upstreams crash on their own.
--- a/src/coordination/part-quarantine.test.ts
+++ b/src/coordination/quarantine/part-quarantine.test.ts
@@ -1,8 +1,8 @@
 import {expect, test} from 'vitest';
-import {createPartCrashRegistry} from '../state/mod.js';
+import {createPartCrashRegistry} from '../../state/mod.js';
 import {
 	computeStartKey, createPartQuarantine, listPartKeys, type PartKey,
-} from './mod.js';
+} from '../mod.js';
 
 const generation = {model: 'm', promptTokens: 30, maxOutputTokens: 8};
 const listParts = (...ids: string[]) => listPartKeys('s', {...generation, parts: ids.map(id => ({id, tokens: 10}))});
--- a/src/coordination/part-quarantine.ts
+++ b/src/coordination/quarantine/part-quarantine.ts
@@ -15,11 +15,11 @@
  */
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type Result,
-} from '../protocol/mod.js';
+} from '../../protocol/mod.js';
 import {
 	announcePart, type PartAnnouncement, type PartCrashRegistry, type TrackedPartRecord,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 import {createPartAnnouncements} from './part-announcements.js';
 import {
 	decideBlame, type BlamedGroup, type BlameLevel, type LastRead,
--- a/src/coordination/part-trials.ts
+++ b/src/coordination/quarantine/part-trials.ts
@@ -7,8 +7,8 @@
  *
  * @module
  */
-import type {PartCrashRegistry} from '../state/mod.js';
-import {waitWithTimeout, type Clock} from '../transport/mod.js';
+import type {PartCrashRegistry} from '../../state/mod.js';
+import {waitWithTimeout, type Clock} from '../../transport/mod.js';
 
 /** Options of {@linkcode createPartTrials}. */
 export type CreatePartTrialsOptions = {
--- a/src/coordination/quarantine-recorder.test.ts
+++ b/src/coordination/quarantine/quarantine-recorder.test.ts
@@ -1,11 +1,11 @@
 import {expect, test} from 'vitest';
-import {createFakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
-import type {EventLog} from '../protocol/mod.js';
-import {createCrashRegistry} from '../state/mod.js';
+import {createFakeKeyedLog} from '../../../tools/harness/fake-keyed-log.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
+import type {EventLog} from '../../protocol/mod.js';
+import {createCrashRegistry} from '../../state/mod.js';
 import {
 	LoggedRequests, createQuarantine, createQuarantineRecorder, rankByRendezvous,
-} from './mod.js';
+} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 
--- a/src/coordination/quarantine-recorder.ts
+++ b/src/coordination/quarantine/quarantine-recorder.ts
@@ -11,11 +11,11 @@
  *
  * @module
  */
-import type {EventLog, KeyedLog, StoredRecord} from '../protocol/mod.js';
-import type {Clock} from '../transport/mod.js';
-import type {KeyedFollower} from './keyed-follower.js';
+import type {EventLog, KeyedLog, StoredRecord} from '../../protocol/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import type {KeyedFollower} from '../store/keyed-follower.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
 import type {LoggedCrashes} from './logged-crashes.js';
-import {rankByRendezvous} from './rendezvous.js';
 
 /** Options of {@linkcode createQuarantineRecorder}. */
 export type CreateQuarantineRecorderOptions = {
--- a/src/coordination/quarantine-soak.test.ts
+++ b/src/coordination/quarantine/quarantine-soak.test.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import {expect, test} from 'vitest';
-import {createCrashFleet, injectFaults, type CrashFleet} from '../../tools/harness/crash-fleet.js';
+import {createCrashFleet, injectFaults, type CrashFleet} from '../../../tools/harness/crash-fleet.js';
 
 // Simulates a fleet in virtual time with the modules that record crashes and distribute them. A request that crashes
 // upstreams and a popular harmless request are sent repeatedly while gateways restart, are partitioned and lose datagrams,
--- a/src/coordination/quarantine.test.ts
+++ b/src/coordination/quarantine/quarantine.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
-import {createCrashRegistry, type CrashRecord} from '../state/mod.js';
-import {createQuarantine, rankByRendezvous} from './mod.js';
+import {createCrashRegistry, type CrashRecord} from '../../state/mod.js';
+import {createQuarantine, rankByRendezvous} from '../mod.js';
 
 const gateways = ['g1', 'g2', 'g3'];
 const digest = 'poison';
--- a/src/coordination/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -17,10 +17,10 @@
  */
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type Result,
-} from '../protocol/mod.js';
-import type {CrashRegistry, CrashRecord} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
-import {rankByRendezvous} from './rendezvous.js';
+} from '../../protocol/mod.js';
+import type {CrashRegistry, CrashRecord} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
 
 /** Options of {@linkcode createQuarantine}. */
 export type CreateQuarantineOptions = {
--- a/src/coordination/attempt-runner.ts
+++ b/src/coordination/requests/attempt-runner.ts
@@ -9,15 +9,15 @@
 import {
 	Ok, computeDigest, createFailure, isFailureType, runStatusSchema,
 	type Done, type EventLog, type Failure, type GrantShare, type Refused, type Result, type RunFrame, type Work,
-} from '../protocol/mod.js';
-import type {AnswerEnd, Member, Reservation} from '../state/mod.js';
-import {createTimeoutSignal, type Clock, type FleetClient} from '../transport/mod.js';
-import {isExpectedFrame, isCompleteAnswer} from './frame-check.js';
-import type {GrantManager} from './grant-manager.js';
-import type {LogFollower} from './log-follower.js';
-import type {Membership} from './membership.js';
-import type {RouteRegistry} from './route-registry.js';
-import type {Settler} from './settler.js';
+} from '../../protocol/mod.js';
+import type {AnswerEnd, Member, Reservation} from '../../state/mod.js';
+import {createTimeoutSignal, type Clock, type FleetClient} from '../../transport/mod.js';
+import {isExpectedFrame, isCompleteAnswer} from '../streams/frame-check.js';
+import type {GrantManager} from '../budgets/grant-manager.js';
+import type {LogFollower} from '../store/log-follower.js';
+import type {Membership} from '../peers/membership.js';
+import type {RouteRegistry} from '../upstreams/route-registry.js';
+import type {Settler} from '../budgets/settler.js';
 
 /** A validated request of a caller, ready to be sent. */
 export type RoutedCall = {
--- a/src/coordination/forward-types.ts
+++ b/src/coordination/requests/forward-types.ts
@@ -5,9 +5,9 @@
  */
 import type {
 	Failure, GenerationParameters, RawHeaders, Route, GatewayService,
-} from '../protocol/mod.js';
-import type {StreamOrigin} from '../state/mod.js';
-import type {PartKey} from './part-keys.js';
+} from '../../protocol/mod.js';
+import type {StreamOrigin} from '../../state/mod.js';
+import type {PartKey} from '../quarantine/part-keys.js';
 
 /** Writes the answer to the caller. */
 export type CallerAnswer = {
--- a/src/coordination/model-runner.test.ts
+++ b/src/coordination/requests/model-runner.test.ts
@@ -1,10 +1,10 @@
 import {Buffer} from 'node:buffer';
 import {expect, test} from 'vitest';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
-import {Ok, type EventLog} from '../protocol/mod.js';
-import {createRequestTable} from '../state/mod.js';
-import type {EngineClient} from '../transport/mod.js';
-import {createModelRunner, type ReceiptReporter} from './mod.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
+import {Ok, type EventLog} from '../../protocol/mod.js';
+import {createRequestTable} from '../../state/mod.js';
+import type {EngineClient} from '../../transport/mod.js';
+import {createModelRunner, type ReceiptReporter} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 
--- a/src/coordination/model-runner.ts
+++ b/src/coordination/requests/model-runner.ts
@@ -7,13 +7,13 @@
 import {Buffer} from 'node:buffer';
 import {
 	Err, Ok, chatChunkSchema, createFailure, type EventLog, type Failure, type Result, type Usage,
-} from '../protocol/mod.js';
-import {allocateShares, sumShares, type TrackedRequest} from '../state/mod.js';
+} from '../../protocol/mod.js';
+import {allocateShares, sumShares, type TrackedRequest} from '../../state/mod.js';
 import {
 	createTimeoutSignal, isConnectionRefused, type Clock, type EngineCall, type EngineClient,
-} from '../transport/mod.js';
-import {readMaxTokens} from './engine-limit.js';
-import type {ReceiptReporter} from './receipt-reporter.js';
+} from '../../transport/mod.js';
+import {readMaxTokens} from '../upstreams/engine-limit.js';
+import type {ReceiptReporter} from '../store/receipt-reporter.js';
 
 /** One model request to run. */
 export type ModelWork = {
--- a/src/coordination/request-executor.ts
+++ b/src/coordination/requests/request-executor.ts
@@ -6,16 +6,16 @@
  */
 import {
 	Err, Ok, Work, createFailure, type EventLog, type Failure, type GrantShare, type Result, type RunRequest,
-} from '../protocol/mod.js';
-import {formatIncarnationId, type RequestTable, type TrackedRequest} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
-import {createChangeWaiter} from './change-waiter.js';
-import type {LogFollower} from './log-follower.js';
-import type {Self} from './membership.js';
+} from '../../protocol/mod.js';
+import {formatIncarnationId, type RequestTable, type TrackedRequest} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import {createChangeWaiter} from '../store/change-waiter.js';
+import type {LogFollower} from '../store/log-follower.js';
+import type {Self} from '../peers/membership.js';
+import type {ReceiptReporter} from '../store/receipt-reporter.js';
+import type {WorkQueue} from '../load/work-queue.js';
 import type {ModelRunner} from './model-runner.js';
-import type {ReceiptReporter} from './receipt-reporter.js';
 import type {RunPermit, ServiceRunner} from './service-runner.js';
-import type {WorkQueue} from './work-queue.js';
 
 /** Options of {@linkcode createRequestExecutor}. */
 export type CreateRequestExecutorOptions = {
--- a/src/coordination/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -1,16 +1,16 @@
 import {Buffer} from 'node:buffer';
 import {expect, test} from 'vitest';
-import {createUnlimitedEligibility} from '../../tools/harness/unlimited-upstreams.js';
+import {createUnlimitedEligibility} from '../../../tools/harness/unlimited-upstreams.js';
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type GatewayWire, type Route, type UpstreamRegistration,
-} from '../protocol/mod.js';
+} from '../../protocol/mod.js';
 import {
 	createCrashRegistry, createPartCrashRegistry, createUpstreamDirectory, createUpstreamRests, type StreamOrigin,
-} from '../state/mod.js';
-import {createSystemClock, type CallFailure, type UpstreamCall} from '../transport/mod.js';
+} from '../../state/mod.js';
+import {createSystemClock, type CallFailure, type UpstreamCall} from '../../transport/mod.js';
 import {
 	CachedPromptSource, createPartQuarantine, createQuarantine, createRequestForwarder, createRetryBudget, createTrafficCounter, createUpstreamRegistry, type ForwardRequest,
-} from './mod.js';
+} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 
--- a/src/coordination/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -6,19 +6,19 @@
  *
  * @module
  */
-import {createFailure, type EventLog, type Failure} from '../protocol/mod.js';
-import type {StreamOrigin} from '../state/mod.js';
-import {StreamAnswerRelay, BufferedAnswerRelay, type AnswerRelay} from './answer-relay.js';
+import {createFailure, type EventLog, type Failure} from '../../protocol/mod.js';
+import type {StreamOrigin} from '../../state/mod.js';
+import {StreamAnswerRelay, BufferedAnswerRelay, type AnswerRelay} from '../streams/answer-relay.js';
+import type {PartQuarantine} from '../quarantine/part-quarantine.js';
+import type {PlacementCandidate} from '../upstreams/placement-policy.js';
+import type {Quarantine} from '../quarantine/quarantine.js';
+import {hasTimeLeft} from '../load/remaining-time.js';
+import {createRequestPlacement, type CreateRequestPlacementOptions} from '../upstreams/request-placement.js';
+import type {RetryBudget} from '../load/retry-budget.js';
+import {versionGoneRetryAfterMs} from '../streams/stream-resolver.js';
+import type {UpstreamEligibility} from '../upstreams/upstream-eligibility.js';
+import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
 import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
-import type {PartQuarantine} from './part-quarantine.js';
-import type {PlacementCandidate} from './placement-policy.js';
-import type {Quarantine} from './quarantine.js';
-import {hasTimeLeft} from './remaining-time.js';
-import {createRequestPlacement, type CreateRequestPlacementOptions} from './request-placement.js';
-import type {RetryBudget} from './retry-budget.js';
-import {versionGoneRetryAfterMs} from './stream-resolver.js';
-import type {UpstreamEligibility} from './upstream-eligibility.js';
-import type {UpstreamRegistry} from './upstream-registry.js';
 import {
 	createUpstreamSender, type CreateUpstreamSenderOptions, type ForwardingState, type ForwardProgress, type SendOutcome,
 } from './upstream-sender.js';
--- a/src/coordination/request-router.test.ts
+++ b/src/coordination/requests/request-router.test.ts
@@ -1,11 +1,11 @@
 import {expect, test} from 'vitest';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
 import {
 	Ok, createFailure, type EventLog, type Failure,
-} from '../protocol/mod.js';
+} from '../../protocol/mod.js';
 import {
 	createRequestRouter, createRetryBudget, type Attempt, type AttemptOutcome, type AttemptRunner, type LogFollower, type RouteRegistry, type RoutedCall, type RoutingPolicy,
-} from './mod.js';
+} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 const daemons = ['up-1', 'up-2', 'up-3', 'up-4'];
--- a/src/coordination/request-router.ts
+++ b/src/coordination/requests/request-router.ts
@@ -6,17 +6,17 @@
  */
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type FailureType, type Result,
-} from '../protocol/mod.js';
-import type {AnswerEnd, Member} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../protocol/mod.js';
+import type {AnswerEnd, Member} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import type {LogFollower} from '../store/log-follower.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
+import type {RetryBudget} from '../load/retry-budget.js';
+import type {RouteRegistry} from '../upstreams/route-registry.js';
+import type {RoutingPolicy} from '../upstreams/routing-policy.js';
 import {
 	isRunNotFound, type Attempt, type AttemptOutcome, type AttemptRunner, type RoutedCall,
 } from './attempt-runner.js';
-import type {LogFollower} from './log-follower.js';
-import {rankByRendezvous} from './rendezvous.js';
-import type {RetryBudget} from './retry-budget.js';
-import type {RouteRegistry} from './route-registry.js';
-import type {RoutingPolicy} from './routing-policy.js';
 
 /** Options of {@linkcode createRequestRouter}. */
 export type CreateRequestRouterOptions = {
--- a/src/coordination/service-runner.test.ts
+++ b/src/coordination/requests/service-runner.test.ts
@@ -1,12 +1,12 @@
 import {expect, test} from 'vitest';
 import {
 	Ok, createEventLog, type LogEntry, type LogRecord,
-} from '../protocol/mod.js';
-import {createRequestTable} from '../state/mod.js';
-import {createSystemClock, type LogClient} from '../transport/mod.js';
+} from '../../protocol/mod.js';
+import {createRequestTable} from '../../state/mod.js';
+import {createSystemClock, type LogClient} from '../../transport/mod.js';
 import {
 	createLogFollower, createLogWriter, createReceiptReporter, createServiceRunner, type Self,
-} from './mod.js';
+} from '../mod.js';
 
 const service = {
 	name: 'slots', cost: 50, idempotent: false, withoutLog: 'refuse' as const,
--- a/src/coordination/service-runner.ts
+++ b/src/coordination/requests/service-runner.ts
@@ -6,14 +6,14 @@
  */
 import {
 	Ok, createFailure, type EventLog, type Failure, type Result, type Service,
-} from '../protocol/mod.js';
-import {allocateShares, type RegisteredRun, type TrackedRequest} from '../state/mod.js';
-import type {Clock, ServiceClient} from '../transport/mod.js';
-import type {LogFollower} from './log-follower.js';
-import type {LogWriter} from './log-writer.js';
-import type {Self} from './membership.js';
-import type {ReceiptReporter} from './receipt-reporter.js';
-import {rankByRendezvous} from './rendezvous.js';
+} from '../../protocol/mod.js';
+import {allocateShares, type RegisteredRun, type TrackedRequest} from '../../state/mod.js';
+import type {Clock, ServiceClient} from '../../transport/mod.js';
+import type {LogFollower} from '../store/log-follower.js';
+import type {LogWriter} from '../store/log-writer.js';
+import type {Self} from '../peers/membership.js';
+import type {ReceiptReporter} from '../store/receipt-reporter.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
 
 /** One service call to run. */
 export type ServiceWork = {
--- a/src/coordination/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -5,27 +5,27 @@
  */
 import type {
 	AnswerMetadata, GatewayWire, Result, UpstreamRegistration,
-} from '../protocol/mod.js';
-import type {StreamOrigin} from '../state/mod.js';
+} from '../../protocol/mod.js';
+import type {StreamOrigin} from '../../state/mod.js';
 import {
 	createTimeoutSignal, type CallFailure, type Clock, type UpstreamResponse, type UpstreamClient,
-} from '../transport/mod.js';
-import type {AnswerRelay, RelayOutcome} from './answer-relay.js';
-import type {CrashDetector} from './crash-detector.js';
+} from '../../transport/mod.js';
+import type {AnswerRelay, RelayOutcome} from '../streams/answer-relay.js';
+import type {CrashDetector} from '../quarantine/crash-detector.js';
+import type {LimitRecorder} from '../upstreams/limit-recorder.js';
+import type {NoticeRecorder} from '../upstreams/notice-recorder.js';
+import {computeStartKey, formatPartIds} from '../quarantine/part-keys.js';
+import type {PartQuarantine, PartRun} from '../quarantine/part-quarantine.js';
+import type {Quarantine} from '../quarantine/quarantine.js';
+import {hasTimeLeft} from '../load/remaining-time.js';
+import type {Placement} from '../upstreams/request-placement.js';
+import {createStallTimeout} from '../streams/stall-timeout.js';
+import type {StreamRecorder} from '../streams/stream-recorder.js';
+import type {TrafficCounter} from '../load/traffic-counter.js';
+import type {UpstreamEligibility} from '../upstreams/upstream-eligibility.js';
+import type {UpstreamRegistry, UpstreamRequestTracker} from '../upstreams/upstream-registry.js';
+import {computeUrgency} from '../upstreams/urgency.js';
 import type {ForwardReport, ForwardRequest} from './forward-types.js';
-import type {LimitRecorder} from './limit-recorder.js';
-import type {NoticeRecorder} from './notice-recorder.js';
-import {computeStartKey, formatPartIds} from './part-keys.js';
-import type {PartQuarantine, PartRun} from './part-quarantine.js';
-import type {Quarantine} from './quarantine.js';
-import {hasTimeLeft} from './remaining-time.js';
-import type {Placement} from './request-placement.js';
-import {createStallTimeout} from './stall-timeout.js';
-import type {StreamRecorder} from './stream-recorder.js';
-import type {TrafficCounter} from './traffic-counter.js';
-import type {UpstreamEligibility} from './upstream-eligibility.js';
-import type {UpstreamRegistry, UpstreamRequestTracker} from './upstream-registry.js';
-import {computeUrgency} from './urgency.js';
 
 /** Options of {@linkcode createUpstreamSender}. */
 export type CreateUpstreamSenderOptions = {
--- a/src/coordination/change-waiter.ts
+++ b/src/coordination/store/change-waiter.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type {TrackedRequest} from '../state/mod.js';
+import type {TrackedRequest} from '../../state/mod.js';
 
 /** Why a wait ended: the request changed, or the interval passed. */
 export type WaitResult = 'changed' | 'quiet';
--- a/src/coordination/intents.ts
+++ b/src/coordination/store/intents.ts
@@ -10,8 +10,8 @@
  */
 import {
 	Err, Ok, createFailure, createId, type Change, type EventLog, type Failure, type Intent, type Result,
-} from '../protocol/mod.js';
-import type {Configuration, Plan} from '../state/mod.js';
+} from '../../protocol/mod.js';
+import type {Configuration, Plan} from '../../state/mod.js';
 import type {LogFollower} from './log-follower.js';
 import type {LogWriter} from './log-writer.js';
 
--- a/src/coordination/keyed-follower.test.ts
+++ b/src/coordination/store/keyed-follower.test.ts
@@ -1,10 +1,10 @@
 import {expect, test} from 'vitest';
-import {createFakeKeyedLog} from '../../tools/harness/fake-keyed-log.js';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
+import {createFakeKeyedLog} from '../../../tools/harness/fake-keyed-log.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
 import {
 	Err, Ok, createFailure, type EventLog, type KeyedLog,
-} from '../protocol/mod.js';
-import {createKeyedFollower} from './mod.js';
+} from '../../protocol/mod.js';
+import {createKeyedFollower} from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 const longPollMs = 1500;
--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/store/keyed-follower.ts
@@ -10,8 +10,8 @@
  */
 import {
 	createFailure, type EventLog, type Failure, type KeyedLog, type LogEpoch, type StoredRecord,
-} from '../protocol/mod.js';
-import {waitWithTimeout, type Clock} from '../transport/mod.js';
+} from '../../protocol/mod.js';
+import {waitWithTimeout, type Clock} from '../../transport/mod.js';
 
 /** A period in which the log did not answer; times are in milliseconds of the monotonic clock. */
 export type LogOutage = {
--- a/src/coordination/log-follower.ts
+++ b/src/coordination/store/log-follower.ts
@@ -7,9 +7,9 @@
 import Emittery from 'emittery';
 import type {
 	EventLog, LogEntry, LogPage, LogRecord,
-} from '../protocol/mod.js';
-import {createFleetState, type FleetSnapshot, type FleetState} from '../state/mod.js';
-import type {Clock, LogClient} from '../transport/mod.js';
+} from '../../protocol/mod.js';
+import {createFleetState, type FleetSnapshot, type FleetState} from '../../state/mod.js';
+import type {Clock, LogClient} from '../../transport/mod.js';
 
 /** Records relayed by a peer. */
 export type RelayedRecords = {
--- a/src/coordination/log-writer.ts
+++ b/src/coordination/store/log-writer.ts
@@ -6,9 +6,9 @@
  */
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type LogRecord, type Result,
-} from '../protocol/mod.js';
-import type {FleetState} from '../state/mod.js';
-import type {Clock, LogClient} from '../transport/mod.js';
+} from '../../protocol/mod.js';
+import type {FleetState} from '../../state/mod.js';
+import type {Clock, LogClient} from '../../transport/mod.js';
 import type {LogFollower} from './log-follower.js';
 
 /** Options of {@linkcode createLogWriter}. */
--- a/src/coordination/order-sender.ts
+++ b/src/coordination/store/order-sender.ts
@@ -7,10 +7,10 @@
  *
  * @module
  */
-import type {EventLog} from '../protocol/mod.js';
-import type {Clock, EngineClient} from '../transport/mod.js';
+import type {EventLog} from '../../protocol/mod.js';
+import type {Clock, EngineClient} from '../../transport/mod.js';
+import type {Self} from '../peers/membership.js';
 import type {LogFollower} from './log-follower.js';
-import type {Self} from './membership.js';
 
 /** Options of {@linkcode createOrderSender}. */
 export type CreateOrderSenderOptions = {
--- a/src/coordination/receipt-reporter.ts
+++ b/src/coordination/store/receipt-reporter.ts
@@ -6,14 +6,14 @@
  */
 import type {
 	EventLog, GrantShare, Receipt, RecordOf,
-} from '../protocol/mod.js';
+} from '../../protocol/mod.js';
 import {
 	createReceiptQueue, formatIncarnationId, type ReceiptQueue, type RequestTable,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import type {Self} from '../peers/membership.js';
 import type {LogFollower} from './log-follower.js';
 import type {LogWriter} from './log-writer.js';
-import type {Self} from './membership.js';
 
 /** Options of {@linkcode createReceiptReporter}. */
 export type CreateReceiptReporterOptions = {
--- a/src/coordination/relayed-log.ts
+++ b/src/coordination/store/relayed-log.ts
@@ -11,8 +11,8 @@
  */
 import type {
 	AppendOutcome, EventLog, Failure, KeyedLog, NewestRecords, Result,
-} from '../protocol/mod.js';
-import {waitWithTimeout, type Clock} from '../transport/mod.js';
+} from '../../protocol/mod.js';
+import {waitWithTimeout, type Clock} from '../../transport/mod.js';
 
 /** Tracks whether the direct path to the store works and which relays reach it; shared by all logs of a daemon. */
 export type StorePathTracker = ReturnType<typeof createStorePathTracker>;
--- a/src/coordination/snapshotter.ts
+++ b/src/coordination/store/snapshotter.ts
@@ -4,11 +4,11 @@
  *
  * @module
  */
-import type {EventLog} from '../protocol/mod.js';
+import type {EventLog} from '../../protocol/mod.js';
+import type {Membership} from '../peers/membership.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
 import type {LogFollower} from './log-follower.js';
 import type {LogWriter} from './log-writer.js';
-import type {Membership} from './membership.js';
-import {rankByRendezvous} from './rendezvous.js';
 
 /** Options of {@linkcode startSnapshotter}. */
 export type StartSnapshotterOptions = {
--- a/src/coordination/answer-relay.ts
+++ b/src/coordination/streams/answer-relay.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import type {GatewayWire} from '../protocol/mod.js';
-import type {UpstreamResponse} from '../transport/mod.js';
+import type {GatewayWire} from '../../protocol/mod.js';
+import type {UpstreamResponse} from '../../transport/mod.js';
+import type {ForwardRequest} from '../requests/forward-types.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
-import type {ForwardRequest} from './forward-types.js';
 
 /**
  * Outcome of relaying an answer.
--- a/src/coordination/event-splitter.test.ts
+++ b/src/coordination/streams/event-splitter.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createEventSplitter} from './mod.js';
+import {createEventSplitter} from '../mod.js';
 
 const stream = Buffer.from('id: 1\ndata: a\n\n: comment\nid:2\r\ndata: é\r\n\r\ndata: no id\n\nid: 4\ndata: cut');
 
--- a/src/coordination/frame-check.ts
+++ b/src/coordination/streams/frame-check.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type {Done, RunFrame} from '../protocol/mod.js';
+import type {Done, RunFrame} from '../../protocol/mod.js';
 
 /** The frame that a connection expects next. */
 export type ExpectedFrame = {
--- /dev/null
+++ b/src/coordination/streams/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Answers of upstreams on their way to callers, and the origins of streams.
+ *
+ * @module
+ */
+export * from './answer-relay.js';
+export * from './event-splitter.js';
+export * from './stall-timeout.js';
+export * from './stream-recorder.js';
+export * from './stream-resolver.js';
+export * from './stream-witnesses.js';
--- a/src/coordination/stall-timeout.ts
+++ b/src/coordination/streams/stall-timeout.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type {Clock} from '../transport/mod.js';
+import type {Clock} from '../../transport/mod.js';
 
 /** Options of {@linkcode createStallTimeout}. */
 export type CreateStallTimeoutOptions = {
--- a/src/coordination/stream-recorder.ts
+++ b/src/coordination/streams/stream-recorder.ts
@@ -7,10 +7,10 @@
  *
  * @module
  */
-import type {EventLog} from '../protocol/mod.js';
-import {createStreamRecords, type StreamOrigin, type StreamRecord} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
-import type {GossipPeer} from './gossip-receivers.js';
+import type {EventLog} from '../../protocol/mod.js';
+import {createStreamRecords, type StreamOrigin, type StreamRecord} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import type {GossipPeer} from '../peers/gossip-receivers.js';
 import {selectWitnesses, witnessCount} from './stream-witnesses.js';
 
 /** What a gateway announces of a stream. */
--- a/src/coordination/stream-resolver.test.ts
+++ b/src/coordination/streams/stream-resolver.test.ts
@@ -1,11 +1,11 @@
 import {expect, test} from 'vitest';
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type Result, type Route,
-} from '../protocol/mod.js';
-import {createValueHistory} from '../state/mod.js';
+} from '../../protocol/mod.js';
+import {createValueHistory} from '../../state/mod.js';
 import {
 	createStreamRecorder, createStreamResolver, type StreamAnswer, type StreamAnnouncement,
-} from './mod.js';
+} from '../mod.js';
 
 const lifetimeMs = 1000;
 const origin = {service: 's', softwareVersion: 'v1'};
--- a/src/coordination/stream-resolver.ts
+++ b/src/coordination/streams/stream-resolver.ts
@@ -9,12 +9,12 @@
  */
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type Result, type Route,
-} from '../protocol/mod.js';
+} from '../../protocol/mod.js';
 import {
 	findOnlyOrigin, type FindOnlyOriginOptions, type OnlyOrigin, type StreamOrigin,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
-import type {GossipPeer} from './gossip-receivers.js';
+} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import type {GossipPeer} from '../peers/gossip-receivers.js';
 import type {StreamRecorder} from './stream-recorder.js';
 import {queriedCount, selectWitnesses} from './stream-witnesses.js';
 
--- a/src/coordination/stream-versions.test.ts
+++ b/src/coordination/streams/stream-versions.test.ts
@@ -1,17 +1,17 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createRandom} from '../../tools/measure/random.js';
-import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
+import {createRandom} from '../../../tools/measure/random.js';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
 import {
 	Err, Ok, createFailure, type EventLog, type Failure, type Result, type Route,
-} from '../protocol/mod.js';
+} from '../../protocol/mod.js';
 import {
 	createValueHistory, findOnlyOrigin, isFitFor, type StreamOrigin,
-} from '../state/mod.js';
+} from '../../state/mod.js';
 import {
 	createStreamRecorder, createStreamResolver, type GossipPeer, type StreamAnswer, type StreamQuery,
-} from './mod.js';
+} from '../mod.js';
 
 // Gateways, a store and upstreams of several versions in virtual time: streams
 // begin, break and are resumed while gateways are killed or cut off, datagrams
--- a/src/coordination/stream-witnesses.ts
+++ b/src/coordination/streams/stream-witnesses.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import {rankByRendezvous} from './rendezvous.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
 
 /** Gateways that record each stream, so that one of them may fail together with the gateway that serves it. */
 export const witnessCount = 2;
--- a/src/coordination/expiry-grace.test.ts
+++ b/src/coordination/upstreams/expiry-grace.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {createExpiryGrace} from './mod.js';
+import {createExpiryGrace} from '../mod.js';
 
 const heartbeatIntervalMs = 1200;
 
--- a/src/coordination/expiry-grace.ts
+++ b/src/coordination/upstreams/expiry-grace.ts
@@ -11,7 +11,7 @@
  *
  * @module
  */
-import type {LogOutage} from './keyed-follower.js';
+import type {LogOutage} from '../store/keyed-follower.js';
 
 /** Options of {@linkcode createExpiryGrace}. */
 export type CreateExpiryGraceOptions = {
--- a/src/coordination/limit-admission.test.ts
+++ b/src/coordination/upstreams/limit-admission.test.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createUpstreamLimits} from '../state/mod.js';
+import {createUpstreamLimits} from '../../state/mod.js';
 import {createLimitAdmission} from './limit-admission.js';
 import {SubstitutedShare, UnlimitedShare, type SharePolicy} from './share-policy.js';
 
--- a/src/coordination/limit-admission.ts
+++ b/src/coordination/upstreams/limit-admission.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type {UpstreamLimits} from '../state/mod.js';
+import type {UpstreamLimits} from '../../state/mod.js';
 import {createSendWindow, type CreateSendWindowOptions} from './send-window.js';
 
 /** Options of {@linkcode createLimitAdmission}. */
--- a/src/coordination/limit-recorder.ts
+++ b/src/coordination/upstreams/limit-recorder.ts
@@ -4,9 +4,9 @@
  *
  * @module
  */
-import type {AnswerMetadata, EventLog} from '../protocol/mod.js';
-import type {LimitAnnouncement, UpstreamLimits} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+import type {AnswerMetadata, EventLog} from '../../protocol/mod.js';
+import type {LimitAnnouncement, UpstreamLimits} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 
 /** Options of {@linkcode createLimitRecorder}. */
 export type CreateLimitRecorderOptions = {
--- a/src/coordination/notice-recorder.test.ts
+++ b/src/coordination/upstreams/notice-recorder.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {createUpstreamDepartures, createUpstreamRests} from '../state/mod.js';
+import {createUpstreamDepartures, createUpstreamRests} from '../../state/mod.js';
 import {createNoticeRecorder, type UpstreamNotice} from './notice-recorder.js';
 
 function createFixture() {
--- a/src/coordination/notice-recorder.ts
+++ b/src/coordination/upstreams/notice-recorder.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import type {AnswerMetadata, EventLog} from '../protocol/mod.js';
-import type {UpstreamDepartures, UpstreamRests, UpstreamStart} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+import type {AnswerMetadata, EventLog} from '../../protocol/mod.js';
+import type {UpstreamDepartures, UpstreamRests, UpstreamStart} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 
 /** Options of {@linkcode createNoticeRecorder}. */
 export type CreateNoticeRecorderOptions = {
--- a/src/coordination/placement-policy.test.ts
+++ b/src/coordination/upstreams/placement-policy.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from 'vitest';
 import {
 	PromptPlacementPolicy, ServicePlacementPolicy, computeUrgency, type PlacementCandidate, type PlacementQuery,
-} from './mod.js';
+} from '../mod.js';
 
 const promptPolicy = new PromptPlacementPolicy();
 
--- a/src/coordination/placement-policy.ts
+++ b/src/coordination/upstreams/placement-policy.ts
@@ -4,8 +4,8 @@
  *
  * @module
  */
-import type {GenerationParameters, PromptPart} from '../protocol/mod.js';
-import {rankByRendezvous} from './rendezvous.js';
+import type {GenerationParameters, PromptPart} from '../../protocol/mod.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
 
 /** An upstream to which the request may be sent. */
 export type PlacementCandidate = {
--- a/src/coordination/prompt-source.test.ts
+++ b/src/coordination/upstreams/prompt-source.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from 'vitest';
 import {
 	CachedPromptSource, NoPromptSource, PromptPlacementPolicy, type PlacementCandidate, type PlacementQuery,
-} from './mod.js';
+} from '../mod.js';
 
 const ids = ['u1', 'u2', 'u3', 'u4'];
 const sharedTokens = 13_000;
--- a/src/coordination/prompt-source.ts
+++ b/src/coordination/upstreams/prompt-source.ts
@@ -8,10 +8,10 @@
  *
  * @module
  */
+import {rankByRendezvous} from '../peers/rendezvous.js';
 import {
 	getRendezvousKey, listSharedParts, type PlacementCandidate, type PlacementQuery,
 } from './placement-policy.js';
-import {rankByRendezvous} from './rendezvous.js';
 
 /** Upstreams from which a source is chosen. */
 export type PromptSourceOptions = {
--- a/src/coordination/request-placement.ts
+++ b/src/coordination/upstreams/request-placement.ts
@@ -4,14 +4,14 @@
  *
  * @module
  */
-import type {StreamOrigin} from '../state/mod.js';
-import type {ForwardRequest} from './forward-types.js';
+import type {StreamOrigin} from '../../state/mod.js';
+import type {ForwardRequest} from '../requests/forward-types.js';
+import type {PartQuarantine} from '../quarantine/part-quarantine.js';
+import type {Quarantine} from '../quarantine/quarantine.js';
 import {
 	LeastRunningPolicy, PromptPlacementPolicy, ServicePlacementPolicy, type PlacementCandidate, type PlacementPolicy, type PlacementQuery,
 } from './placement-policy.js';
 import type {PromptSourceOptions, PromptSourcePolicy} from './prompt-source.js';
-import type {PartQuarantine} from './part-quarantine.js';
-import type {Quarantine} from './quarantine.js';
 import type {UpstreamRegistry} from './upstream-registry.js';
 
 /** Options of {@linkcode createRequestPlacement}. */
--- a/src/coordination/route-registry.ts
+++ b/src/coordination/upstreams/route-registry.ts
@@ -4,8 +4,8 @@
  *
  * @module
  */
-import type {Member} from '../state/mod.js';
-import type {Membership} from './membership.js';
+import type {Member} from '../../state/mod.js';
+import type {Membership} from '../peers/membership.js';
 import type {RouteCandidate} from './routing-policy.js';
 
 /** Options of {@linkcode createRouteRegistry}. */
--- a/src/coordination/routing-policy.ts
+++ b/src/coordination/upstreams/routing-policy.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {rankByRendezvous} from './rendezvous.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
 
 /** An upstream that may get the request. */
 export type RouteCandidate = {
--- a/src/coordination/send-window.ts
+++ b/src/coordination/upstreams/send-window.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type {Clock} from '../transport/mod.js';
+import type {Clock} from '../../transport/mod.js';
 import type {SharePolicy} from './share-policy.js';
 
 /** Options of {@linkcode createSendWindow}. */
--- a/src/coordination/share-policy.ts
+++ b/src/coordination/upstreams/share-policy.ts
@@ -9,7 +9,7 @@
  *
  * @module
  */
-import {rankByRendezvous} from './rendezvous.js';
+import {rankByRendezvous} from '../peers/rendezvous.js';
 
 /** Data on which a policy may base a share. */
 export type ShareQuery = {
--- a/src/coordination/upstream-eligibility.test.ts
+++ b/src/coordination/upstreams/upstream-eligibility.test.ts
@@ -1,9 +1,9 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import type {GatewayService, UpstreamRegistration} from '../protocol/mod.js';
+import type {GatewayService, UpstreamRegistration} from '../../protocol/mod.js';
 import {
 	createEvacuations, createUpstreamDepartures, createUpstreamDirectory, createUpstreamLimits, createUpstreamRests,
-} from '../state/mod.js';
+} from '../../state/mod.js';
 import {createColdAdmission} from './cold-admission.js';
 import {createLimitAdmission} from './limit-admission.js';
 import {OwnedShare, SubstitutedShare} from './share-policy.js';
--- a/src/coordination/upstream-eligibility.ts
+++ b/src/coordination/upstreams/upstream-eligibility.ts
@@ -9,11 +9,11 @@
  *
  * @module
  */
-import type {GatewayService} from '../protocol/mod.js';
+import type {GatewayService} from '../../protocol/mod.js';
 import {
 	isFitFor, type Evacuations, type LiveUpstream, type StreamOrigin, type UpstreamDepartures, type UpstreamDirectory, type UpstreamRests,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 import type {ColdAdmission} from './cold-admission.js';
 import type {LimitAdmission} from './limit-admission.js';
 
--- a/src/coordination/upstream-notices.test.ts
+++ b/src/coordination/upstreams/upstream-notices.test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createUnlimitedEligibility} from '../../tools/harness/unlimited-upstreams.js';
-import type {GatewayService} from '../protocol/mod.js';
-import {createUpstreamDepartures, createUpstreamDirectory, createUpstreamRests} from '../state/mod.js';
+import {createUnlimitedEligibility} from '../../../tools/harness/unlimited-upstreams.js';
+import type {GatewayService} from '../../protocol/mod.js';
+import {createUpstreamDepartures, createUpstreamDirectory, createUpstreamRests} from '../../state/mod.js';
 import {createNoticeRecorder, type UpstreamNotice} from './notice-recorder.js';
 
 // Any order of answers of two starts of an upstream, of registrations that are put, removed and put again, and of requests.
--- a/src/coordination/upstream-registry.ts
+++ b/src/coordination/upstreams/upstream-registry.ts
@@ -7,11 +7,11 @@
  */
 import type {
 	GatewayService, GenerationParameters, ReportedLoad, UpstreamRegistration,
-} from '../protocol/mod.js';
+} from '../../protocol/mod.js';
 import {
 	createPromptCache, type LiveUpstream, type PlacedPrompt, type StreamOrigin, type UpstreamDirectory, type UpstreamUse,
-} from '../state/mod.js';
-import type {Clock} from '../transport/mod.js';
+} from '../../state/mod.js';
+import type {Clock} from '../../transport/mod.js';
 import type {PlacementCandidate} from './placement-policy.js';
 import type {UpstreamEligibility} from './upstream-eligibility.js';
 
--- a/src/coordination/urgency.test.ts
+++ b/src/coordination/upstreams/urgency.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {computeUrgency} from './mod.js';
+import {computeUrgency} from '../mod.js';
 
 const generation = {
 	model: 'm', promptTokens: 15_000, maxOutputTokens: 100, parts: [],
--- a/src/coordination/urgency.ts
+++ b/src/coordination/upstreams/urgency.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type {GenerationParameters} from '../protocol/mod.js';
-import type {StreamOrigin} from '../state/mod.js';
+import type {GenerationParameters} from '../../protocol/mod.js';
+import type {StreamOrigin} from '../../state/mod.js';
 
 /** Engines process urgency 0 first and this one last. */
 const lowestUrgency = 9;
--- a/tools/measure/routing-least-reported.ts
+++ b/tools/measure/routing-least-reported.ts
@@ -4,5 +4,5 @@
  *
  * @module
  */
-export * from '../../src/coordination/routing-policy.js';
-export {LeastReportedRoutingPolicy as PrefixRoutingPolicy} from '../../src/coordination/routing-policy.js';
+export * from '../../src/coordination/upstreams/routing-policy.js';
+export {LeastReportedRoutingPolicy as PrefixRoutingPolicy} from '../../src/coordination/upstreams/routing-policy.js';
--- a/tools/measure/routing-round-robin.ts
+++ b/tools/measure/routing-round-robin.ts
@@ -3,5 +3,5 @@
  *
  * @module
  */
-export * from '../../src/coordination/routing-policy.js';
-export {RoundRobinRoutingPolicy as PrefixRoutingPolicy} from '../../src/coordination/routing-policy.js';
+export * from '../../src/coordination/upstreams/routing-policy.js';
+export {RoundRobinRoutingPolicy as PrefixRoutingPolicy} from '../../src/coordination/upstreams/routing-policy.js';
--- a/tools/prove/booking-proofs.ts
+++ b/tools/prove/booking-proofs.ts
@@ -62,7 +62,7 @@
 booking. The caller retries through the other entry, and another daemon runs the booking again.`,
 	isInCi: true,
 	fleet: bookingFleet,
-	unguardedModules: replaceModule('src/coordination/service-runner', 'service-runner-without-permit'),
+	unguardedModules: replaceModule('src/coordination/requests/service-runner', 'service-runner-without-permit'),
 	async run(fleet) {
 		await configureCity(fleet);
 		const answers = new Map<string, CallerResponse | undefined>();
@@ -102,7 +102,7 @@
 	// There are two guards: the request table keeps the failure, and the permit is granted only once.
 	unguardedModules: {
 		...replaceModule('src/state/request-table', 'request-table-without-failures'),
-		...replaceModule('src/coordination/service-runner', 'service-runner-without-permit'),
+		...replaceModule('src/coordination/requests/service-runner', 'service-runner-without-permit'),
 	},
 	async run(fleet) {
 		await configureCity(fleet);
@@ -124,7 +124,7 @@
 callers book, and an executor is killed. A booking that ran without a record in the log is run again by another daemon.`,
 	isInCi: true,
 	fleet: bookingFleet,
-	unguardedModules: replaceModule('src/coordination/service-runner', 'service-runner-without-permit'),
+	unguardedModules: replaceModule('src/coordination/requests/service-runner', 'service-runner-without-permit'),
 	async run(fleet) {
 		await configureCity(fleet);
 		await tryBook(getCallerUrl(fleet.entries[0]), 'warm');
@@ -161,7 +161,7 @@
 executor, and the first one resumes with the call still pending.`,
 	isInCi: true,
 	fleet: bookingFleet,
-	unguardedModules: replaceModule('src/coordination/service-runner', 'service-runner-without-permit'),
+	unguardedModules: replaceModule('src/coordination/requests/service-runner', 'service-runner-without-permit'),
 	async run(fleet) {
 		await configureCity(fleet);
 		const names = Array.from({length: 8}, (_, index) => `slot-${index}`);
--- a/tools/prove/budget-proofs.ts
+++ b/tools/prove/budget-proofs.ts
@@ -67,9 +67,9 @@
 	fleet: {
 		entries: 2, engines: 1, bookings: 0, hasProxies: true, settings: fastSuspicion,
 		// Upstream daemons would relay log records to the partitioned entry. Without them, the fence is the only guard.
-		replacedModules: replaceModule('src/coordination/membership', 'membership-without-relay'),
+		replacedModules: replaceModule('src/coordination/peers/membership', 'membership-without-relay'),
 	},
-	unguardedModules: replaceModule('src/coordination/receipt-reporter', 'receipt-reporter-without-fence'),
+	unguardedModules: replaceModule('src/coordination/store/receipt-reporter', 'receipt-reporter-without-fence'),
 	async run(fleet) {
 		await configureCity(fleet, 2000);
 		return spendWhilePartitioned(fleet);
@@ -85,7 +85,7 @@
 	isInCi: true,
 	fleet: {entries: 1, engines: 1, bookings: 0},
 	unguardedModules: {
-		...replaceModule('src/coordination/log-writer', 'log-writer-with-blind-retry'),
+		...replaceModule('src/coordination/store/log-writer', 'log-writer-with-blind-retry'),
 		...replaceModule('src/state/ledger', 'ledger-without-deduplication'),
 	},
 	async run(fleet) {
@@ -111,7 +111,7 @@
 the entry holds no tokens because it claims them from the log for each request.`,
 	isInCi: true,
 	fleet: {entries: 2, engines: 1, bookings: 0},
-	unguardedModules: replaceModule('src/coordination/grant-policy', 'grant-policy-log-first'),
+	unguardedModules: replaceModule('src/coordination/budgets/grant-policy', 'grant-policy-log-first'),
 	async run(fleet) {
 		await configureCity(fleet, 8000);
 		await tryChat(getCallerUrl(fleet.entries[0]), {content: 'answer 20', maxTokens: 20});
@@ -139,7 +139,7 @@
 request adds the delay of the log to every answer; an entry that has claimed tokens ahead does not.`,
 	isInCi: true,
 	fleet: {entries: 2, engines: 1, bookings: 0},
-	unguardedModules: replaceModule('src/coordination/grant-policy', 'grant-policy-log-first'),
+	unguardedModules: replaceModule('src/coordination/budgets/grant-policy', 'grant-policy-log-first'),
 	async run(fleet) {
 		await configureCity(fleet, 20_000);
 		await tryChat(getCallerUrl(fleet.entries[0]), {content: 'answer 20', maxTokens: 20});
@@ -210,7 +210,7 @@
 	fleet: {
 		entries: 2, engines: 1, bookings: 1, settings: fastSuspicion,
 	},
-	unguardedModules: replaceModule('src/coordination/attempt-runner', 'attempt-runner-without-attach'),
+	unguardedModules: replaceModule('src/coordination/requests/attempt-runner', 'attempt-runner-without-attach'),
 	async run(fleet) {
 		const village = {key: 'village-key', booking: 'slot-8', idempotencyKey: 'slot-8'};
 		await fleet.configure([{name: city.name, key: city.key, tokens: 500}, {name: 'village', key: village.key, tokens: 50}]);
@@ -243,7 +243,7 @@
 	fleet: {
 		entries: 1, engines: 2, bookings: 0, settings: fastSuspicion,
 	},
-	unguardedModules: replaceModule('src/coordination/settler', 'settler-disabled'),
+	unguardedModules: replaceModule('src/coordination/budgets/settler', 'settler-disabled'),
 	async run(fleet) {
 		await configureCity(fleet, 2000);
 		const call = tryChat(getCallerUrl(fleet.entries[0]), {content: 'answer 300', maxTokens: 300});
@@ -280,7 +280,7 @@
 	fleet: {
 		entries: 1, engines: 1, bookings: 0, engine: {overrun: 60},
 	},
-	unguardedModules: replaceModule('src/coordination/engine-limit', 'engine-limit-ignored'),
+	unguardedModules: replaceModule('src/coordination/upstreams/engine-limit', 'engine-limit-ignored'),
 	async run(fleet) {
 		await configureCity(fleet, 5000);
 		const answer = await tryChat(getCallerUrl(fleet.entries[0]), {content: 'answer 200', maxTokens: 40, stream: true});
--- a/tools/prove/configuration-proofs.ts
+++ b/tools/prove/configuration-proofs.ts
@@ -58,7 +58,7 @@
 	fleet: {
 		entries: 2, engines: 1, bookings: 0, hasProxies: true, settings: fastSuspicion,
 	},
-	unguardedModules: replaceModule('src/coordination/membership', 'membership-without-relay'),
+	unguardedModules: replaceModule('src/coordination/peers/membership', 'membership-without-relay'),
 	async run(fleet) {
 		await configureCity(fleet, 1000);
 		fleet.entries[1]!.logProxy!.setPartitioned(true);
@@ -84,8 +84,8 @@
 		entries: 2, engines: 1, bookings: 0, settings: {...fastSuspicion, log: {snapshotEvery: 15}},
 	},
 	unguardedModules: {
-		...replaceModule('src/coordination/snapshotter', 'snapshotter-disabled'),
-		...replaceModule('src/coordination/membership', 'membership-without-relay'),
+		...replaceModule('src/coordination/store/snapshotter', 'snapshotter-disabled'),
+		...replaceModule('src/coordination/peers/membership', 'membership-without-relay'),
 	},
 	async run(fleet) {
 		await configureCity(fleet, 1000);
@@ -119,8 +119,8 @@
 		entries: 2, engines: 1, bookings: 0, settings: {...fastSuspicion, log: {snapshotEvery: 15}},
 	},
 	unguardedModules: {
-		...replaceModule('src/coordination/snapshotter', 'snapshotter-disabled'),
-		...replaceModule('src/coordination/membership', 'membership-without-relay'),
+		...replaceModule('src/coordination/store/snapshotter', 'snapshotter-disabled'),
+		...replaceModule('src/coordination/peers/membership', 'membership-without-relay'),
 	},
 	async run(fleet) {
 		await configureCity(fleet, 1000);
@@ -151,7 +151,7 @@
 	fleet: {
 		entries: 2, engines: 1, bookings: 0, hasProxies: true, settings: fastSuspicion,
 	},
-	unguardedModules: replaceModule('src/coordination/membership', 'membership-without-relay'),
+	unguardedModules: replaceModule('src/coordination/peers/membership', 'membership-without-relay'),
 	async run(fleet) {
 		// An entry that joins after the budget was created finds all of it claimed by the other one, and holds no tokens until
 		// it receives a request.
--- a/tools/prove/delivery-proofs.ts
+++ b/tools/prove/delivery-proofs.ts
@@ -23,7 +23,7 @@
 	fleet: {
 		entries: 1, engines: 1, bookings: 0, replacedModules: replaceModule('src/daemon/upstream-interface', 'upstream-interface-with-crossed-frames'),
 	},
-	unguardedModules: replaceModule('src/coordination/frame-check', 'frame-check-disabled'),
+	unguardedModules: replaceModule('src/coordination/streams/frame-check', 'frame-check-disabled'),
 	async run(fleet) {
 		await configureCity(fleet);
 		const answers = await Promise.all(Array.from({length: 12}, async (_, index) => tryChat(getCallerUrl(fleet.entries[0]), {
@@ -106,7 +106,7 @@
 	},
 	unguardedModules: {
 		...replaceModule('src/transport/log-client', 'log-client-without-timeout'),
-		...replaceModule('src/coordination/membership', 'membership-without-relay'),
+		...replaceModule('src/coordination/peers/membership', 'membership-without-relay'),
 	},
 	async run(fleet) {
 		await configureCity(fleet);
--- a/tools/prove/entry-failure-proofs.ts
+++ b/tools/prove/entry-failure-proofs.ts
@@ -19,7 +19,7 @@
 	fleet: {
 		entries: 2, engines: 1, bookings: 0, settings: fastSuspicion,
 	},
-	unguardedModules: replaceModule('src/coordination/reclaimer', 'reclaimer-disabled'),
+	unguardedModules: replaceModule('src/coordination/budgets/reclaimer', 'reclaimer-disabled'),
 };
 
 // Until the entry is suspected, refusals are correct: the tokens are held by a daemon that may still be alive.
@@ -98,7 +98,7 @@
 	fleet: {
 		entries: 2, engines: 1, bookings: 0, settings: fastSuspicion,
 	},
-	unguardedModules: replaceModule('src/coordination/loan-manager', 'loan-manager-without-incomplete-search'),
+	unguardedModules: replaceModule('src/coordination/budgets/loan-manager', 'loan-manager-without-incomplete-search'),
 	async run(fleet) {
 		await configureCity(fleet, 1000);
 		const {lender, borrower} = await pickLender(fleet);
--- a/tools/prove/unguarded/attempt-runner-without-attach.ts
+++ b/tools/prove/unguarded/attempt-runner-without-attach.ts
@@ -6,9 +6,9 @@
  *
  * @module
  */
-import {createAttemptRunner as createGuarded, type AttemptRunner, type CreateAttemptRunnerOptions} from '../../../src/coordination/attempt-runner.js';
+import {createAttemptRunner as createGuarded, type AttemptRunner, type CreateAttemptRunnerOptions} from '../../../src/coordination/requests/attempt-runner.js';
 
-export * from '../../../src/coordination/attempt-runner.js';
+export * from '../../../src/coordination/requests/attempt-runner.js';
 
 export function createAttemptRunner(options: CreateAttemptRunnerOptions): AttemptRunner {
 	return {...createGuarded(options), attach: () => undefined};
--- a/tools/prove/unguarded/engine-limit-ignored.ts
+++ b/tools/prove/unguarded/engine-limit-ignored.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-export * from '../../../src/coordination/engine-limit.js';
+export * from '../../../src/coordination/upstreams/engine-limit.js';
 
 export function readMaxTokens(): number {
 	return Number.MAX_SAFE_INTEGER;
--- a/tools/prove/unguarded/frame-check-disabled.ts
+++ b/tools/prove/unguarded/frame-check-disabled.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-export * from '../../../src/coordination/frame-check.js';
+export * from '../../../src/coordination/streams/frame-check.js';
 
 export function isExpectedFrame(): boolean {
 	return true;
--- a/tools/prove/unguarded/grant-policy-log-first.ts
+++ b/tools/prove/unguarded/grant-policy-log-first.ts
@@ -5,8 +5,8 @@
  *
  * @module
  */
-import {LogFirstGrantPolicy} from '../../../src/coordination/grant-policy.js';
+import {LogFirstGrantPolicy} from '../../../src/coordination/budgets/grant-policy.js';
 
-export * from '../../../src/coordination/grant-policy.js';
+export * from '../../../src/coordination/budgets/grant-policy.js';
 
 export class AheadGrantPolicy extends LogFirstGrantPolicy {}
--- a/tools/prove/unguarded/loan-manager-without-incomplete-search.ts
+++ b/tools/prove/unguarded/loan-manager-without-incomplete-search.ts
@@ -6,9 +6,9 @@
  *
  * @module
  */
-import {createLoanManager as createGuarded, type CreateLoanManagerOptions, type LoanManager} from '../../../src/coordination/loan-manager.js';
+import {createLoanManager as createGuarded, type CreateLoanManagerOptions, type LoanManager} from '../../../src/coordination/budgets/loan-manager.js';
 
-export * from '../../../src/coordination/loan-manager.js';
+export * from '../../../src/coordination/budgets/loan-manager.js';
 
 export function createLoanManager(options: CreateLoanManagerOptions): LoanManager {
 	const manager = createGuarded(options);
--- a/tools/prove/unguarded/log-writer-with-blind-retry.ts
+++ b/tools/prove/unguarded/log-writer-with-blind-retry.ts
@@ -6,9 +6,9 @@
  *
  * @module
  */
-import {createLogWriter as createGuarded, type CreateLogWriterOptions, type LogWriter} from '../../../src/coordination/log-writer.js';
+import {createLogWriter as createGuarded, type CreateLogWriterOptions, type LogWriter} from '../../../src/coordination/store/log-writer.js';
 
-export * from '../../../src/coordination/log-writer.js';
+export * from '../../../src/coordination/store/log-writer.js';
 
 export function createLogWriter(options: CreateLogWriterOptions): LogWriter {
 	const writer = createGuarded(options);
--- a/tools/prove/unguarded/membership-without-relay.ts
+++ b/tools/prove/unguarded/membership-without-relay.ts
@@ -5,9 +5,9 @@
  *
  * @module
  */
-import {createMembership as createGuarded, type CreateMembershipOptions, type Membership} from '../../../src/coordination/membership.js';
+import {createMembership as createGuarded, type CreateMembershipOptions, type Membership} from '../../../src/coordination/peers/membership.js';
 
-export * from '../../../src/coordination/membership.js';
+export * from '../../../src/coordination/peers/membership.js';
 
 export function createMembership(options: CreateMembershipOptions): Membership {
 	return {...createGuarded(options), fetchRecords: async () => undefined};
--- a/tools/prove/unguarded/receipt-reporter-without-fence.ts
+++ b/tools/prove/unguarded/receipt-reporter-without-fence.ts
@@ -5,9 +5,9 @@
  *
  * @module
  */
-import {createReceiptReporter as createGuarded, type CreateReceiptReporterOptions, type ReceiptReporter} from '../../../src/coordination/receipt-reporter.js';
+import {createReceiptReporter as createGuarded, type CreateReceiptReporterOptions, type ReceiptReporter} from '../../../src/coordination/store/receipt-reporter.js';
 
-export * from '../../../src/coordination/receipt-reporter.js';
+export * from '../../../src/coordination/store/receipt-reporter.js';
 
 export function createReceiptReporter(options: CreateReceiptReporterOptions): ReceiptReporter {
 	return {...createGuarded(options), findFencedGrant: () => undefined};
--- a/tools/prove/unguarded/reclaimer-disabled.ts
+++ b/tools/prove/unguarded/reclaimer-disabled.ts
@@ -5,9 +5,9 @@
  *
  * @module
  */
-import type {Reclaimer} from '../../../src/coordination/reclaimer.js';
+import type {Reclaimer} from '../../../src/coordination/budgets/reclaimer.js';
 
-export * from '../../../src/coordination/reclaimer.js';
+export * from '../../../src/coordination/budgets/reclaimer.js';
 
 export function createReclaimer(): Reclaimer {
 	return {
--- a/tools/prove/unguarded/service-runner-without-permit.ts
+++ b/tools/prove/unguarded/service-runner-without-permit.ts
@@ -5,9 +5,9 @@
  *
  * @module
  */
-import {createServiceRunner as createGuarded, type CreateServiceRunnerOptions, type ServiceRunner} from '../../../src/coordination/service-runner.js';
+import {createServiceRunner as createGuarded, type CreateServiceRunnerOptions, type ServiceRunner} from '../../../src/coordination/requests/service-runner.js';
 
-export * from '../../../src/coordination/service-runner.js';
+export * from '../../../src/coordination/requests/service-runner.js';
 
 export function createServiceRunner(options: CreateServiceRunnerOptions): ServiceRunner {
 	return {
--- a/tools/prove/unguarded/settler-disabled.ts
+++ b/tools/prove/unguarded/settler-disabled.ts
@@ -5,9 +5,9 @@
  *
  * @module
  */
-import {createSettler as createGuarded, type CreateSettlerOptions, type Settler} from '../../../src/coordination/settler.js';
+import {createSettler as createGuarded, type CreateSettlerOptions, type Settler} from '../../../src/coordination/budgets/settler.js';
 
-export * from '../../../src/coordination/settler.js';
+export * from '../../../src/coordination/budgets/settler.js';
 
 export function createSettler(options: CreateSettlerOptions): Settler {
 	return {
--- a/tools/prove/unguarded/snapshotter-disabled.ts
+++ b/tools/prove/unguarded/snapshotter-disabled.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-export * from '../../../src/coordination/snapshotter.js';
+export * from '../../../src/coordination/store/snapshotter.js';
 
 export function startSnapshotter(): () => void {
 	return () => undefined;
