--- /dev/null
+++ b/src/coordination/peers/load-codec.ts
@@ -0,0 +1,86 @@
+/**
+ * Encoding of what gateways tell each other about load: their own, and that of
+ * the upstreams that they use.
+ *
+ * @module
+ */
+import type {PeerState} from '../../protocol/mod.js';
+import type {GatewayLoad, UpstreamUse} from '../../state/mod.js';
+
+type LoadMessage = NonNullable<PeerState['load']>;
+type UseMessage = PeerState['uses'][number];
+
+const percentPerShare = 100;
+
+/** @internal */
+function toPercent(share: number): number {
+	return Math.max(0, Math.round(share * percentPerShare));
+}
+
+/**
+ * Encodes the load of a gateway.
+ *
+ * @example
+ * ```ts
+ * encodeLoad({processorShare: 0.5, linkShare: 0.1, memoryShare: 0.3, takesConnections: true, failureDomain: 'a'}).processorPercent; // 50
+ * ```
+ *
+ * @param load The load
+ * @returns The fields of the message
+ */
+export function encodeLoad({processorShare, linkShare, memoryShare, takesConnections, failureDomain}: GatewayLoad) {
+	return {
+		processorPercent: toPercent(processorShare), linkPercent: toPercent(linkShare), memoryPercent: toPercent(memoryShare), takesConnections, failureDomain,
+	};
+}
+
+/**
+ * Decodes the load of a gateway.
+ *
+ * @example
+ * ```ts
+ * decodeLoad(message).linkShare; // 0.1
+ * ```
+ *
+ * @param message The message
+ * @returns The load
+ */
+export function decodeLoad({processorPercent, linkPercent, memoryPercent, takesConnections, failureDomain}: Pick<LoadMessage, 'processorPercent' | 'linkPercent' | 'memoryPercent' | 'takesConnections' | 'failureDomain'>): GatewayLoad {
+	return {
+		processorShare: processorPercent / percentPerShare, linkShare: linkPercent / percentPerShare, memoryShare: memoryPercent / percentPerShare, takesConnections, failureDomain,
+	};
+}
+
+/**
+ * Encodes a gateway's use of an upstream.
+ *
+ * @example
+ * ```ts
+ * encodeUse({upstream: 'i-7', inFlight: 1, waitingTokens: 0, slowness: 1.5}).slownessPercent; // 150
+ * ```
+ *
+ * @param use The use
+ * @returns The fields of the message
+ */
+export function encodeUse({upstream, inFlight, waitingTokens, heldTokens, slowness}: UpstreamUse) {
+	return {
+		upstream, inFlight, waitingTokens, heldTokens: Math.round(heldTokens ?? 0), slownessPercent: toPercent(slowness ?? 0),
+	};
+}
+
+/**
+ * Decodes a gateway's use of an upstream.
+ *
+ * @example
+ * ```ts
+ * decodeUse(message).heldTokens; // 17_000
+ * ```
+ *
+ * @param message The message
+ * @returns The use
+ */
+export function decodeUse({upstream, inFlight, waitingTokens, heldTokens, slownessPercent}: Pick<UseMessage, 'upstream' | 'inFlight' | 'waitingTokens' | 'heldTokens' | 'slownessPercent'>): UpstreamUse {
+	return {
+		upstream, inFlight, waitingTokens, ...heldTokens > 0 && {heldTokens}, ...slownessPercent > 0 && {slowness: slownessPercent / percentPerShare},
+	};
+}
--- a/src/state/peer-views.ts
+++ b/src/state/peer-views.ts
@@ -18,6 +18,22 @@
 	readonly inFlight: number;
 	/** Prompt tokens of those requests that have not received a first event yet. */
 	readonly waitingTokens: number;
+	/** Tokens that those requests hold in the upstream's memory at most, prompts and output. */
+	readonly heldTokens?: number;
+	/** How long work takes on the upstream's host as a multiple of the usual; undefined if it was not stated recently. */
+	readonly slowness?: number;
+};
+
+/** How much of its capacity a gateway uses; shares from 0, above 1 if it is asked for more than it has. */
+export type GatewayLoad = {
+	readonly processorShare: number;
+	/** Share of the busier direction of the network link. */
+	readonly linkShare: number;
+	readonly memoryShare: number;
+	/** True if the gateway asks the load balancer for new connections. */
+	readonly takesConnections: boolean;
+	/** Failure domain of the gateway, whose load balancer hands connections to it. */
+	readonly failureDomain: string;
 };
 
 /** Free tokens of a customer's budget. */
@@ -36,6 +52,8 @@
 	readonly isLeaving: boolean;
 	/** True if it accepts all connections and requests. */
 	readonly hasRoom: boolean;
+	/** Undefined if the gateway does not know its capacity. */
+	readonly load?: GatewayLoad;
 	/** Recently changed records of requests during which upstreams crashed. */
 	readonly crashes: readonly CrashRecord[];
 	/** Recently changed records of parts of prompts during whose answers upstreams crashed. */
