Let loans survive late replies with cumulative totals

Cause: a lender deducts a loan before it replies.

Change: a lender states the total that it has lent to the borrower's incarnation, and the borrower credits the difference. Calls last 5 s while requests wait 300 ms, lenders that have not replied are polled, and unconfirmed tokens count as lent. Repayments carry totals too and are repeated until answered. A request waits for tokens no longer than its timeout in total, and late tokens wake it. The modules of lending are split by job. Fixtures of existing tests got the new options; in token-lending.test.ts the clock no longer ends each wait at once, because waits for replies are now part of the lending. budget-manager.test.ts plays lost and late requests and replies, invalid totals and gateways of the earlier version.

--- a/src/coordination/budgets/budget-manager.ts
+++ b/src/coordination/budgets/budget-manager.ts
@@ -7,16 +7,19 @@
 import {
 	Err, Ok, createFailure, type Failure, type Result,
 } from '../../protocol/mod.js';
-import type {TokenReservation} from '../../state/mod.js';
+import type {HolderRecord, TokenReservation} from '../../state/mod.js';
+import {waitWithTimeout} from '../../transport/mod.js';
 import type {BudgetOwners} from './budget-owners.js';
+import {createClaimRounds} from './claim-rounds.js';
 import {createDemand} from './demand.js';
 import {createGrantWriter, formatHolderKey, type CreateGrantWriterOptions} from './grant-writer.js';
 import type {LoanPolicy, LoanView} from './loan-policy.js';
 import type {BorrowAmounts, BorrowOutcome} from './token-lending.js';
+import {createTokenQueue, type TokenWaiter} from './token-queue.js';
 
 /** Options of {@linkcode BudgetManager.acquire}. */
 export type AcquireTokensOptions = {
-	/** Timeout of a claim, in milliseconds. */
+	/** Time for which the request may wait in total, in milliseconds. */
 	readonly timeoutMs: number;
 	/** ID of the request, for log events. */
 	readonly request?: string;
@@ -28,6 +31,8 @@
 /** Options of {@linkcode createBudgetManager}. */
 export type CreateBudgetManagerOptions = Omit<CreateGrantWriterOptions, 'demand' | 'waitingClaims' | 'owners'> & {
 	readonly borrow: BorrowTokens;
+	/** Returns true if a gateway that may have lent tokens has not replied, so that its tokens may arrive at any time. */
+	readonly hasOpenLoans?: (customer: string) => boolean;
 	/** Determines which gateway claims a customer's budget. */
 	readonly owners: Pick<BudgetOwners, 'isOwner' | 'isSmallFleet' | 'countClaimers' | 'countGateways'>;
 	/** Decides how much is borrowed from owners. */
@@ -47,6 +52,8 @@
 const maxSyncAgeMs = 2 * roundIntervalMs;
 /** Timeout of a claim on behalf of another gateway. That gateway waits 300 ms for the answer, most of which the messages may take while both are busy. */
 const claimForPeerTimeoutMs = 100;
+/** Share of the remaining wait that a claim may use, so that the other gateways can be asked after it. */
+const claimWaitShare = 0.75;
 /** Searches for tokens that a request makes in any case. */
 const minBorrowRounds = 2;
 /** Searches for tokens that a request makes while the owner of the budget claims more. */
@@ -91,35 +98,17 @@
 		return reservation;
 	}
 
-	async function claimUntil(customer: string, {timeoutMs, isDone}: {readonly timeoutMs: number; readonly isDone: () => boolean}): Promise<void> {
-		const deadline = clock.now() + timeoutMs;
-		waitingClaims.set(customer, (waitingClaims.get(customer) ?? 0) + 1);
-		// A round that was already running when the request arrived may not have counted it.
-		for (let round = 0; round < 2 && clock.now() < deadline; round += 1) {
-			await Promise.race([writer.renew(), clock.sleep(deadline - clock.now())]);
-			if (isDone()) {
-				break;
-			}
-		}
+	const queue = createTokenQueue({reserve});
+	const claims = createClaimRounds({renew: writer.renew, waitingClaims, clock});
 
-		const remainingClaims = waitingClaims.get(customer)! - 1;
-		if (remainingClaims === 0) {
-			waitingClaims.delete(customer);
-		} else {
-			waitingClaims.set(customer, remainingClaims);
-		}
+	function tryServe(waiter: TokenWaiter): boolean {
+		queue.serve(waiter.customer);
+		return waiter.reservation !== undefined;
 	}
 
-	async function claimAndReserve(customer: string, amount: number, timeoutMs: number): Promise<TokenReservation | undefined> {
-		let reservation: TokenReservation | undefined;
-		await claimUntil(customer, {
-			timeoutMs,
-			isDone() {
-				reservation = reserve(customer, amount);
-				return reservation !== undefined;
-			},
-		});
-		return reservation;
+	async function claimAndServe(waiter: TokenWaiter, timeoutMs: number): Promise<boolean> {
+		await claims.claimUntil(waiter.customer, {timeoutMs, isDone: () => tryServe(waiter)});
+		return waiter.reservation !== undefined;
 	}
 
 	function isClaimSlow(): boolean {
@@ -138,22 +127,23 @@
 		};
 	}
 
-	async function borrowMissing(customer: string): Promise<BorrowOutcome> {
+	async function borrowMissing(customer: string, deadline: number): Promise<BorrowOutcome> {
 		const needed = demand.countWanted(customer) - account.countFreeTokens(customer);
 		const wanted = owners.isSmallFleet() ? needed * borrowFactor : options.loanPolicy.computeWanted(buildLoanView(customer, needed));
-		return options.borrow(customer, {needed, wanted, unclaimed: follower.isUp() ? countRemaining(customer) : 0});
+		return options.borrow(customer, {
+			needed, wanted, unclaimed: follower.isUp() ? countRemaining(customer) : 0, maxWaitMs: Math.max(0, deadline - clock.now()),
+		});
 	}
 
 	// Borrows from other gateways, one of which claims for this one. Borrows twice, because a search that was already
 	// running may not have counted this request, and again once a claim of the owner may have succeeded.
-	async function borrowFromOwner(customer: string, amount: number, timeoutMs: number): Promise<BorrowOutcome & {readonly reservation: TokenReservation | undefined}> {
-		const deadline = clock.now() + timeoutMs;
+	async function borrowFromOwner(waiter: TokenWaiter, deadline: number): Promise<BorrowOutcome> {
+		const {customer, amount} = waiter;
 		for (let round = 1; ; round += 1) {
-			const outcome = await borrowMissing(customer);
-			const reservation = reserve(customer, amount);
+			const outcome = await borrowMissing(customer, deadline);
 			const maxRounds = outcome.isOwnerClaiming && countRemaining(customer) >= amount ? maxBorrowRounds : minBorrowRounds;
-			if (reservation !== undefined || round >= maxRounds) {
-				return {...outcome, reservation};
+			if (tryServe(waiter) || round >= maxRounds || clock.now() >= deadline) {
+				return outcome;
 			}
 
 			if (round >= minBorrowRounds) {
@@ -168,39 +158,50 @@
 		}
 	}
 
+	// Tokens that a lender has deducted arrive with a late reply or with the answer to a poll.
+	async function waitForOpenLoans(waiter: TokenWaiter, deadline: number): Promise<void> {
+		if (waiter.reservation === undefined && options.hasOpenLoans?.(waiter.customer) && clock.now() < deadline) {
+			await waitWithTimeout(waiter.served, {clock, timeoutMs: deadline - clock.now()});
+		}
+	}
+
 	// Claims only if the log shows unclaimed tokens and no owner reaches it. Otherwise the claim would collide with those of
 	// the owner and delay the tokens of all.
-	async function acquireFromOwner(customer: string, amount: number, {timeoutMs, request}: AcquireTokensOptions): Promise<Result<TokenReservation, Failure>> {
-		const {reservation, isComplete, isOwnerClaiming} = await borrowFromOwner(customer, amount, timeoutMs);
-		if (reservation) {
-			return Ok(reservation);
+	async function obtainFromOwner(waiter: TokenWaiter, deadline: number): Promise<{readonly isComplete: boolean}> {
+		const {customer, amount} = waiter;
+		const {isComplete, isOwnerClaiming} = await borrowFromOwner(waiter, deadline);
+		if (waiter.reservation === undefined) {
+			await syncGrants(Math.max(0, deadline - clock.now()));
+			const mayClaim = !isOwnerClaiming && follower.isUp() && countRemaining(customer) >= amount;
+			if (!mayClaim || !await claimAndServe(waiter, deadline - clock.now())) {
+				await waitForOpenLoans(waiter, deadline);
+			}
 		}
 
-		await syncGrants(timeoutMs);
-		const mayClaim = !isOwnerClaiming && follower.isUp() && countRemaining(customer) >= amount;
-		const claimed = mayClaim ? await claimAndReserve(customer, amount, timeoutMs) : undefined;
-		return claimed ? Ok(claimed) : Err(refuse(customer, amount, {isComplete, request}));
+		return {isComplete};
 	}
 
 	// Claims first, or borrows first while claims are slow. Always borrows last, so that a refusal is based on the latest
 	// answers of the other gateways.
-	async function acquireAsOwner(customer: string, amount: number, {timeoutMs, request}: AcquireTokensOptions): Promise<Result<TokenReservation, Failure>> {
+	async function obtainAsOwner(waiter: TokenWaiter, deadline: number): Promise<{readonly isComplete: boolean}> {
+		const {customer} = waiter;
 		if (isClaimSlow()) {
-			await borrowMissing(customer);
-			const borrowed = reserve(customer, amount);
-			if (borrowed) {
-				return Ok(borrowed);
+			await borrowMissing(customer, deadline);
+			if (tryServe(waiter)) {
+				return {isComplete: true};
 			}
 		}
 
-		const claimed = follower.isUp() ? await claimAndReserve(customer, amount, timeoutMs) : undefined;
-		if (claimed) {
-			return Ok(claimed);
+		if (follower.isUp() && await claimAndServe(waiter, (deadline - clock.now()) * claimWaitShare)) {
+			return {isComplete: true};
+		}
+
+		const {isComplete} = await borrowMissing(customer, deadline);
+		if (!tryServe(waiter)) {
+			await waitForOpenLoans(waiter, deadline);
 		}
 
-		const {isComplete} = await borrowMissing(customer);
-		const lastReservation = reserve(customer, amount);
-		return lastReservation ? Ok(lastReservation) : Err(refuse(customer, amount, {isComplete, request}));
+		return {isComplete};
 	}
 
 	// Refuses as exhausted only if the log and every gateway have just confirmed it. While a read hangs, the log still counts
@@ -220,27 +221,39 @@
 
 	return {
 		/** Applies a record of this gateway that was read back or confirmed; its increases may not be used before. */
-		applyOwnRecord: writer.applyOwnRecord,
+		applyOwnRecord(record: HolderRecord): void {
+			writer.applyOwnRecord(record);
+			for (const customer of Object.keys(record.granted)) {
+				queue.serve(customer);
+			}
+		},
 
 		/** Reserves the worst case of a request from free tokens, by a claim, or by loans from other gateways. */
-		async acquire(customer: string, amount: number, acquireOptions: AcquireTokensOptions): Promise<Result<TokenReservation, Failure>> {
+		async acquire(customer: string, amount: number, {timeoutMs, request}: AcquireTokensOptions): Promise<Result<TokenReservation, Failure>> {
 			const immediate = reserve(customer, amount);
 			if (immediate) {
 				return Ok(immediate);
 			}
 
-			const stopWaiting = demand.addWaiting(customer, amount);
+			const waiter = queue.add(customer, {amount, onLeft: demand.addWaiting(customer, amount)});
+			const deadline = clock.now() + timeoutMs;
 			try {
-				return await (owners.isOwner(customer) ? acquireAsOwner(customer, amount, acquireOptions) : acquireFromOwner(customer, amount, acquireOptions));
+				const obtained = owners.isOwner(customer) ? obtainAsOwner(waiter, deadline) : obtainFromOwner(waiter, deadline);
+				const outcome = await Promise.race([waiter.served, obtained]);
+				return waiter.reservation ? Ok(waiter.reservation) : Err(refuse(customer, amount, {isComplete: 'isComplete' in outcome && outcome.isComplete, request}));
 			} finally {
-				stopWaiting();
+				waiter.remove();
 			}
 		},
 
+		/** Gives tokens that have become free to waiting requests. */
+		serveWaiting: queue.serve,
+
 		/** Ends a reservation with the number of tokens used. */
 		settle(reservation: TokenReservation, used: number): void {
 			account.settle(reservation, used);
 			demand.recordSpent(reservation.customer, used - reservation.amount);
+			queue.serve(reservation.customer);
 		},
 
 		/** Returns the number of tokens that waiting requests need. */
@@ -249,7 +262,7 @@
 		/** Claims tokens on behalf of another gateway until the given amount is free in addition to what waiting requests need. */
 		async claimForPeer(customer: string, amount: number): Promise<void> {
 			const stopWaiting = demand.addWaiting(customer, amount);
-			await claimUntil(customer, {timeoutMs: claimForPeerTimeoutMs, isDone: () => account.countFreeTokens(customer) >= demand.countWanted(customer)});
+			await claims.claimUntil(customer, {timeoutMs: claimForPeerTimeoutMs, isDone: () => account.countFreeTokens(customer) >= demand.countWanted(customer)});
 			stopWaiting();
 		},
 
@@ -259,6 +272,7 @@
 		/** Subtracts tokens that another gateway has returned from the demand. */
 		recordReturned(customer: string, amount: number): void {
 			demand.recordSpent(customer, -amount);
+			queue.serve(customer);
 		},
 
 		/** Returns the number of borrowed tokens to return to the customer's owner. */
--- a/src/coordination/budgets/loan-returns.ts
+++ b/src/coordination/budgets/loan-returns.ts
@@ -6,13 +6,16 @@
  * it sends them and never takes them back unless the receiver states that it has
  * not accepted them. The receiver accepts each repayment once, and only in the
  * incarnation that it is addressed to: a later incarnation cannot know what the
- * earlier one has accepted. Tokens of a repayment that stays unanswered are lost.
+ * earlier one has accepted. A repayment that stays unanswered is sent again for as
+ * long as that incarnation runs; its tokens are lost when it ends.
  *
  * @module
  */
 import type {EventLog} from '../../protocol/mod.js';
 import type {FreeTokens, PeerView, TokenAccount} from '../../state/mod.js';
 import type {Clock} from '../../transport/mod.js';
+import {ReturnedTotals, formatIncarnationKey} from './loan-totals.js';
+import {createRepaymentReceiver} from './repayment-receiver.js';
 
 /** Tokens that one gateway returns to another. */
 export type Repayment = {
@@ -22,6 +25,8 @@
 	readonly sequence: number;
 	readonly toIncarnation: string;
 	readonly amounts: readonly FreeTokens[];
+	/** Tokens returned in total to that incarnation, for each customer in `amounts`; empty or absent from a gateway of an earlier version. */
+	readonly totals?: readonly FreeTokens[];
 };
 
 /** Sends a repayment to a gateway and returns whether it accepted the tokens; throws if that is unknown. */
@@ -54,7 +59,7 @@
 const roundIntervalMs = 1000;
 /** A process that has just started serves callers first; returns can wait. */
 const firstRoundDelayMs = 5000;
-/** Attempts to deliver a repayment before its tokens count as lost. */
+/** Attempts to deliver a repayment in immediate succession; further ones are made once per round. */
 const maxAttempts = 3;
 /** Time for which a gateway that did not answer gets no new repayments. */
 const unresponsivePeriodMs = 2000;
@@ -75,14 +80,16 @@
 export function createLoanReturns(options: CreateLoanReturnsOptions) {
 	const {self, account, events, clock} = options;
 	const unansweredAt = new Map<string, number>();
-	/** Number of the last repayment accepted from each incarnation of another gateway. */
-	const lastAccepted = new Map<string, number>();
 	/** Receivers of repayments that are under way: one at a time each, so that numbers arrive in order. */
 	const busyReceivers = new Set<string>();
+	/** Repayments that were not answered, by receiver. It gets no others before, because one of an earlier version ignores lower numbers. */
+	const unanswered = new Map<string, Repayment>();
+	const totals = new ReturnedTotals();
+	const receiver = createRepaymentReceiver(options);
 	let sequence = 0;
 
 	function canReceive({daemon, isLeaving}: PeerView): boolean {
-		return !isLeaving && !busyReceivers.has(daemon) && clock.now() - (unansweredAt.get(daemon) ?? Number.NEGATIVE_INFINITY) >= unresponsivePeriodMs;
+		return !isLeaving && !busyReceivers.has(daemon) && !unanswered.has(daemon) && clock.now() - (unansweredAt.get(daemon) ?? Number.NEGATIVE_INFINITY) >= unresponsivePeriodMs;
 	}
 
 	function listReceivers(): ReadonlyMap<string, PeerView> {
@@ -100,8 +107,9 @@
 		return owner === undefined ? receivers.values().next().value : receivers.get(owner);
 	}
 
-	function restore(amounts: readonly FreeTokens[]): void {
+	function restore({daemon}: PeerView, {toIncarnation, amounts}: Repayment): void {
 		for (const {customer, tokens} of amounts) {
+			totals.add(formatIncarnationKey(daemon, toIncarnation), customer, -tokens);
 			account.addBorrowed(customer, tokens);
 		}
 	}
@@ -113,20 +121,46 @@
 		}
 	}
 
-	async function deliver(receiver: PeerView, repayment: Repayment): Promise<void> {
-		for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
-			try {
-				const isAccepted = await options.sendRepayment(receiver.address, repayment);
-				// A refusal after an unanswered attempt does not show that the earlier attempt was not accepted.
-				if (!isAccepted && attempt === 1) {
-					restore(repayment.amounts);
-				}
-
-				return;
-			} catch (error) {
-				reportUnanswered(receiver, repayment, (error as Error).message);
+	/** Returns true if the receiver has answered. */
+	async function tryDeliver(receiver: PeerView, repayment: Repayment, isFirst: boolean): Promise<boolean> {
+		try {
+			const isAccepted = await options.sendRepayment(receiver.address, repayment);
+			// A refusal after an unanswered attempt does not show that the earlier attempt was not accepted.
+			if (!isAccepted && isFirst) {
+				restore(receiver, repayment);
+			}
+
+			return true;
+		} catch (error) {
+			reportUnanswered(receiver, repayment, (error as Error).message);
+			return false;
+		}
+	}
+
+	async function deliver(receiver: PeerView, repayment: Repayment, {isRepeated}: {readonly isRepeated: boolean}): Promise<void> {
+		busyReceivers.add(receiver.daemon);
+		unanswered.set(receiver.daemon, repayment);
+		for (let attempt = 1; attempt <= (isRepeated ? 1 : maxAttempts); attempt += 1) {
+			if (await tryDeliver(receiver, repayment, !isRepeated && attempt === 1)) {
+				unanswered.delete(receiver.daemon);
+				break;
 			}
 		}
+
+		busyReceivers.delete(receiver.daemon);
+	}
+
+	// Tokens for an incarnation that has ended are lost: it may have accepted and spent them.
+	async function retryUnanswered(): Promise<void> {
+		const views = new Map(options.listViews().map(view => [view.daemon, view]));
+		await Promise.all([...unanswered].map(async ([daemon, repayment]) => {
+			const view = views.get(daemon);
+			if (view !== undefined && view.incarnation !== repayment.toIncarnation) {
+				unanswered.delete(daemon);
+			} else if (view !== undefined && !busyReceivers.has(daemon)) {
+				await deliver(view, repayment, {isRepeated: true});
+			}
+		}));
 	}
 
 	async function repay(receiver: PeerView, amounts: readonly FreeTokens[]): Promise<void> {
@@ -142,14 +176,11 @@
 		}
 
 		sequence += 1;
-		busyReceivers.add(receiver.daemon);
-		try {
-			await deliver(receiver, {
-				from: self.daemon, fromIncarnation: self.incarnation, sequence, toIncarnation: receiver.incarnation, amounts: deducted,
-			});
-		} finally {
-			busyReceivers.delete(receiver.daemon);
-		}
+		const key = formatIncarnationKey(receiver.daemon, receiver.incarnation);
+		await deliver(receiver, {
+			from: self.daemon, fromIncarnation: self.incarnation, sequence, toIncarnation: receiver.incarnation, amounts: deducted,
+			totals: deducted.map(({customer, tokens}) => ({customer, tokens: totals.add(key, customer, tokens)})),
+		}, {isRepeated: false});
 	}
 
 	async function repayTokens({computeAmount, findReceiver}: ReturnOptions): Promise<void> {
@@ -168,27 +199,10 @@
 
 	return {
 		/** Accepts tokens that another gateway returns. Returns false if they are addressed to another incarnation. */
-		receive({from, fromIncarnation, sequence: number, toIncarnation, amounts}: Repayment): boolean {
-			if (toIncarnation !== self.incarnation) {
-				return false;
-			}
+		receive: receiver.receive,
 
-			const sender = `${from}/${fromIncarnation}`;
-			if (number <= (lastAccepted.get(sender) ?? 0)) {
-				return true;
-			}
-
-			lastAccepted.set(sender, number);
-			for (const {customer, tokens} of amounts) {
-				account.addBorrowed(customer, tokens);
-				options.onReceived(customer, tokens);
-				events.write('loanTaken', {
-					customer, from, amount: tokens, isReturned: true,
-				});
-			}
-
-			return true;
-		},
+		/** Repeats the repayments that were not answered. */
+		retryUnanswered,
 
 		/** Gives all idle borrowed tokens to other gateways, or all free tokens, when this one stops. */
 		repayAll: async ({shouldIncludeGrants}: {readonly shouldIncludeGrants: boolean}): Promise<void> => repayTokens({
@@ -199,6 +213,7 @@
 			await clock.sleep(firstRoundDelayMs, signal);
 			while (!signal.aborted) {
 				await clock.sleep(roundIntervalMs, signal);
+				void retryUnanswered();
 				void repayTokens({computeAmount: options.computeReturned, findReceiver: findOwner});
 			}
 		},
--- a/src/coordination/budgets/repayment-client.ts
+++ b/src/coordination/budgets/repayment-client.ts
@@ -29,9 +29,9 @@
  * @returns The function that sends a repayment
  */
 export function createRepaymentClient({fleet, timeoutMs}: CreateRepaymentClientOptions): SendRepayment {
-	return async (address, {amounts, ...repayment}) => {
+	return async (address, {amounts, totals = [], ...repayment}) => {
 		try {
-			const {isAccepted} = await fleet.connect(address).gateway.returnLoans({...repayment, amounts: [...amounts]}, {timeoutMs});
+			const {isAccepted} = await fleet.connect(address).gateway.returnLoans({...repayment, amounts: [...amounts], totals: [...totals]}, {timeoutMs});
 			return isAccepted;
 		} catch (error) {
 			if (ConnectError.from(error).code === Code.Unimplemented) {
--- a/src/coordination/budgets/token-lending.ts
+++ b/src/coordination/budgets/token-lending.ts
@@ -4,60 +4,23 @@
  *
  * @module
  */
-import {createId, type EventLog} from '../../protocol/mod.js';
-import type {PeerView, TokenAccount} from '../../state/mod.js';
-import type {Clock} from '../../transport/mod.js';
-
-/** A request for a loan, as one gateway sends it to another. */
-export type TokenLoanRequest = {
-	/** Unique ID of the loan; a repeated request gets the same answer. */
-	readonly loan: string;
-	readonly customer: string;
-	/** Tokens that waiting requests lack. */
-	readonly needed: number;
-	/** Tokens with which the borrower would not need another loan soon. */
-	readonly wanted: number;
-	/** Name of the borrowing gateway. */
-	readonly from: string;
-	/** True if the lender may claim tokens that it lacks itself. */
-	readonly mayClaim: boolean;
-};
-
-/** The answer to a request for a loan. */
-export type TokenLoan = {
-	readonly tokens: number;
-	/** True if the lender claims on behalf of others and can reach the log, so that the borrower need not claim. */
-	readonly isClaiming: boolean;
-};
-
-/** A gateway that may lend. */
-type Lender = Pick<PeerView, 'daemon' | 'address'>;
+import type {PeerView} from '../../state/mod.js';
+import {waitWithTimeout} from '../../transport/mod.js';
+import {createLoanCalls, type CreateLoanCallsOptions, type LoanAsk} from './loan-calls.js';
+import {createLoanLender, type CreateLoanLenderOptions} from './loan-lender.js';
+import type {Lender, TokenLoan, TokenLoanRequest} from './token-loan.js';
 
 /** Options of {@linkcode createTokenLending}. */
-export type CreateTokenLendingOptions = {
-	readonly daemon: string;
-	readonly account: TokenAccount;
-	readonly events: EventLog;
+export type CreateTokenLendingOptions = Omit<CreateLoanCallsOptions, 'listLenders'> & CreateLoanLenderOptions & {
 	readonly listViews: () => PeerView[];
 	/** Returns the gateways recorded as running in the log that recently became unresponsive or have not been heard from yet. */
 	readonly listUnresponsive: () => readonly string[];
 	/** Returns those of them that have not been heard from yet but may answer a call. */
 	readonly listUnheard: () => readonly Lender[];
-	/** Returns the number of tokens that waiting requests of this gateway need. */
-	readonly countWanted: (customer: string) => number;
 	/** Returns the gateways in the order in which they take over the customer's budget; none if each claims for itself. */
 	readonly listOwners: (customer: string) => readonly string[];
 	/** Returns true if this gateway claims the customer's budget. */
 	readonly isOwner: (customer: string) => boolean;
-	/** Returns true if this gateway can reach the log. */
-	readonly canClaim: () => boolean;
-	/** Claims tokens on behalf of another gateway. */
-	readonly claim: (customer: string, amount: number) => Promise<void>;
-	/** Called with the amount lent to a gateway on whose behalf this one claims. */
-	readonly onLent: (customer: string, amount: number) => void;
-	readonly clock: Clock;
-	/** Requests a loan from one gateway; throws if it does not answer. */
-	readonly requestLoan: (address: string, request: TokenLoanRequest) => Promise<TokenLoan>;
 };
 
 /** Lends tokens to other gateways and borrows from them. */
@@ -76,6 +39,8 @@
 export type BorrowAmounts = Pick<TokenLoanRequest, 'needed' | 'wanted'> & {
 	/** Tokens of the budget that owners can claim. */
 	readonly unclaimed: number;
+	/** Time for which the waiting request may wait; without a limit if undefined. */
+	readonly maxWaitMs?: number;
 };
 
 /** Time for which a gateway that did not answer is queried after the others. */
@@ -84,10 +49,8 @@
 const maxOwnersQueried = 2;
 /** Number of other gateways that are queried for free tokens; each call delays the request. */
 const maxOthersQueried = 6;
-/** Number of answers kept for repeated requests. */
-const maxStoredAnswers = 2000;
-/** A lender may lend more than is needed now, up to this share of its spare tokens. */
-const surplusShare = 0.5;
+/** Time for which a search waits for the reply of one lender; the call itself may take longer. */
+const replyWaitMs = 300;
 
 /**
  * Creates the lending of one gateway.
@@ -101,55 +64,22 @@
  * @returns The lending
  */
 export function createTokenLending(options: CreateTokenLendingOptions) {
-	const {account, events, clock} = options;
-	const answers = new Map<string, Promise<TokenLoan>>();
+	const {clock} = options;
 	/** Time of the last unanswered request to each gateway. */
 	const unansweredAt = new Map<string, number>();
 	const searches = new Map<string, Promise<BorrowOutcome>>();
-
-	function evictOldAnswers(): void {
-		for (const loan of answers.keys()) {
-			if (answers.size <= maxStoredAnswers) {
-				return;
-			}
-
-			answers.delete(loan);
-		}
-	}
-
-	function recordLoan(peer: Lender, customer: string, {lent, requestedAt}: {readonly lent: number; readonly requestedAt: number}): void {
-		if (lent > 0) {
-			account.addBorrowed(customer, lent);
-			events.write('loanTaken', {
-				customer, from: peer.daemon, amount: lent, ms: Math.round(clock.now() - requestedAt),
-			});
-		}
-	}
-
-	// Repeats the request under the same loan ID, because the lender may have subtracted the tokens before its answer was
-	// lost. The caller's request does not wait for this.
-	async function retryLoanRequest(peer: Lender, request: TokenLoanRequest): Promise<void> {
-		const requestedAt = clock.now();
-		try {
-			const {tokens} = await options.requestLoan(peer.address, request);
-			recordLoan(peer, request.customer, {lent: tokens, requestedAt});
-		} catch (error) {
-			events.write('loanUnanswered', {peer: peer.daemon, customer: request.customer, detail: (error as Error).message});
-		}
-	}
-
-	async function sendLoanRequest(peer: Lender, request: TokenLoanRequest): Promise<TokenLoan | undefined> {
-		const requestedAt = clock.now();
-		try {
-			const loan = await options.requestLoan(peer.address, request);
-			recordLoan(peer, request.customer, {lent: loan.tokens, requestedAt});
-			return loan;
-		} catch (error) {
-			events.write('loanUnanswered', {peer: peer.daemon, customer: request.customer, detail: (error as Error).message});
+	const calls = createLoanCalls({...options, listLenders: () => [...options.listViews(), ...options.listUnheard()]});
+	const lender = createLoanLender(options);
+
+	async function requestLoan(peer: Lender, ask: LoanAsk, deadline: number) {
+		const {reply, markLate} = calls.open(peer, ask);
+		const loan = await waitWithTimeout(reply, {clock, timeoutMs: Math.min(replyWaitMs, Math.max(0, deadline - clock.now()))});
+		if (loan === undefined) {
+			markLate();
 			unansweredAt.set(peer.daemon, clock.now());
-			void retryLoanRequest(peer, request);
-			return undefined;
 		}
+
+		return loan;
 	}
 
 	function isUnresponsive({daemon}: Lender): boolean {
@@ -178,7 +108,10 @@
 		return advertised.reduce((sum, tokens) => sum + tokens, 0) >= missing;
 	}
 
-	async function search(customer: string, {needed, wanted, unclaimed}: BorrowAmounts): Promise<BorrowOutcome> {
+	async function search(customer: string, {
+		needed, wanted, unclaimed, maxWaitMs = Number.POSITIVE_INFINITY,
+	}: BorrowAmounts): Promise<BorrowOutcome> {
+		const deadline = clock.now() + maxWaitMs;
 		const wantedRatio = wanted / Math.max(1, needed);
 		const mayClaim = !options.isOwner(customer);
 		let missing = needed;
@@ -186,12 +119,17 @@
 		let isComplete = true;
 		let isOwnerClaiming = false;
 		const requestMissing = async (peer: Lender, lenderMayClaim: boolean) => {
-			const loan = await sendLoanRequest(peer, {
-				loan: createId('l'), customer, needed: missing, wanted: Math.ceil(missing * wantedRatio), from: options.daemon, mayClaim: lenderMayClaim,
-			});
+			if (clock.now() >= deadline) {
+				isComplete = false;
+				return false;
+			}
+
+			const loan = await requestLoan(peer, {
+				customer, needed: missing, wanted: Math.ceil(missing * wantedRatio), mayClaim: lenderMayClaim,
+			}, deadline);
 			isComplete &&= loan !== undefined;
 			isOwnerClaiming ||= loan?.isClaiming === true;
-			missing -= loan?.tokens ?? 0;
+			missing -= loan?.credited ?? 0;
 			unresponsive.delete(peer.daemon);
 			return loan !== undefined;
 		};
@@ -227,61 +165,31 @@
 		return {tokens: needed - missing, isComplete: isComplete && unresponsive.size === 0, isOwnerClaiming};
 	}
 
-	function countSpare(customer: string): number {
-		return Math.max(0, account.countFreeTokens(customer) - options.countWanted(customer));
-	}
-
-	function makeLoan({
-		customer, needed, wanted, from, mayClaim,
-	}: TokenLoanRequest, requestedAt: number): number {
-		const spare = countSpare(customer);
-		// A large request that is refused anyway must not take the remainder of a budget from its owner, because smaller
-		// requests at other gateways would not find it.
-		if (mayClaim && spare < needed) {
-			return 0;
-		}
-
-		const lent = account.lend(customer, Math.min(spare, Math.max(needed, Math.min(wanted, Math.floor(spare * surplusShare)))));
-		if (lent > 0) {
-			events.write('loanGiven', {
-				customer, to: from, amount: lent, ms: Math.round(clock.now() - requestedAt),
-			});
-			if (mayClaim) {
-				options.onLent(customer, lent);
-			}
-		}
+	return {
+		/** Lends the tokens that a peer needs, and more if many are spare. */
+		lend: async (request: TokenLoanRequest): Promise<TokenLoan> => lender.lend(request),
 
-		return lent;
-	}
+		/** Returns the tokens lent that their borrowers have not confirmed. */
+		countUnconfirmed: lender.countUnconfirmed,
 
-	async function claimAndLend(request: TokenLoanRequest): Promise<TokenLoan> {
-		const requestedAt = clock.now();
-		if (request.mayClaim && countSpare(request.customer) < request.needed) {
-			await options.claim(request.customer, request.needed);
-		}
+		/** Returns the tokens credited after nobody waited for their reply any more. */
+		getLateTokens: calls.getLateTokens,
 
-		return {tokens: makeLoan(request, requestedAt), isClaiming: request.mayClaim && options.canClaim()};
-	}
+		/** Returns true if a lender that may have deducted tokens of the customer has not replied. */
+		hasOpenLoans: calls.hasOpen,
 
-	return {
-		/** Lends the tokens that a peer needs, and more if many are spare. Waiting requests of this gateway take precedence. */
-		async lend(request: TokenLoanRequest): Promise<TokenLoan> {
-			const known = answers.get(request.loan);
-			if (known) {
-				return known;
-			}
+		/** Polls lenders that have not replied, until the signal is aborted. */
+		run: calls.run,
 
-			const answer = claimAndLend(request);
-			answers.set(request.loan, answer);
-			evictOldAnswers();
-			return answer;
-		},
+		/** Polls lenders that have not replied once. */
+		pollOpenLoans: calls.pollOpenLoans,
 
 		/** Borrows from the owner and the gateways with the most free tokens. Concurrent calls for one customer share a search. */
 		async borrow(customer: string, amounts: BorrowAmounts): Promise<BorrowOutcome> {
 			const running = searches.get(customer);
 			if (running) {
-				return running;
+				const outcome = amounts.maxWaitMs === undefined ? await running : await waitWithTimeout(running, {clock, timeoutMs: amounts.maxWaitMs});
+				return outcome ?? {tokens: 0, isComplete: false, isOwnerClaiming: false};
 			}
 
 			const started = search(customer, amounts);
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -342,6 +342,7 @@
 			runningRequests: callerInterface.countRunning(),
 			deploymentVersion: getDeploymentVersion(),
 			account,
+			lending: tokens.lending,
 			admission,
 			quarantine: quarantines.requests,
 			partQuarantine: quarantines.parts,
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -5,7 +5,7 @@
  */
 import process from 'node:process';
 import type {
-	Admission, Metrics, PartQuarantine, Quarantine, StreamRecorder, TrafficCounter,
+	Admission, Metrics, PartQuarantine, Quarantine, StreamRecorder, TokenLending, TrafficCounter,
 } from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
 import type {TokenAccount, UpstreamDepartures, UpstreamLimits} from '../state/mod.js';
@@ -20,6 +20,7 @@
 	/** Version of the deployment in force. */
 	readonly deploymentVersion: number;
 	readonly account: TokenAccount;
+	readonly lending: Pick<TokenLending, 'countUnconfirmed' | 'getLateTokens'>;
 	readonly admission: Pick<Admission, 'getLimit' | 'getLagMs'>;
 	readonly quarantine: Pick<Quarantine, 'listAll' | 'listHeld'>;
 	readonly partQuarantine: Pick<PartQuarantine, 'countBlamed' | 'listHeld'>;
@@ -41,7 +42,7 @@
  * @example
  * ```ts
  * response.end(formatGatewayMetrics({
- * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, streamRecorder, callerServerStatistics, readinessResponses: 2,
+ * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, streamRecorder, callerServerStatistics, readinessResponses: 2,
  * }));
  * ```
  *
@@ -50,7 +51,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, streamRecorder, callerServerStatistics, readinessResponses,
+		metrics, events, runningRequests, deploymentVersion, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, streamRecorder, callerServerStatistics, readinessResponses,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${runningRequests}`,
@@ -72,6 +73,7 @@
 		`fireflylane_streams_recorded ${streamRecorder.count()}`,
 		`fireflylane_stream_records_evicted_total ${streamRecorder.countEvictions()}`,
 		`fireflylane_readiness_answers_total ${readinessResponses}`,
+		`fireflylane_loans_late_tokens_total ${lending.getLateTokens()}`,
 	];
 	for (const {kind, isCrossDomain, bytes} of traffic.list()) {
 		lines.push(`fireflylane_traffic_bytes_total{kind="${kind}",crosses_domains="${isCrossDomain}"} ${bytes}`);
@@ -86,6 +88,8 @@
 		for (const part of ['granted', 'borrowed', 'lent', 'reserved', 'spent'] as const) {
 			lines.push(`fireflylane_tokens{customer="${customer}",part="${part}"} ${balance[part]}`);
 		}
+
+		lines.push(`fireflylane_tokens{customer="${customer}",part="unconfirmed"} ${lending.countUnconfirmed(customer)}`);
 	}
 
 	return `${lines.join('\n')}\n${metrics.formatPrometheusText()}`;
--- a/src/daemon/gateway-tokens.ts
+++ b/src/daemon/gateway-tokens.ts
@@ -35,6 +35,8 @@
 /** The tokens of a gateway. */
 export type GatewayTokens = ReturnType<typeof createGatewayTokens>;
 
+/** Timeout of a call for a loan. Requests wait for less, but replies over a saturated link took up to 1.5 s, and each delivers tokens. */
+const loanCallTimeoutMs = 5000;
 /** Time within which the store must answer for a stopping gateway to release its grants in the log. */
 const storeCheckTimeoutMs = 200;
 
@@ -57,7 +59,7 @@
 	} = options;
 	const {account, grantFollower, grantRegistry, findRouteTable} = state;
 	const lending = createTokenLending({
-		daemon: self.daemon, account, events, clock,
+		daemon: self.daemon, incarnation: self.incarnation, account, events, clock,
 		listOwners: owners.listOwners,
 		isOwner: owners.isOwner,
 		canClaim: () => grantFollower.isUp() && recovery.checkComplete(),
@@ -70,14 +72,19 @@
 		listUnheard: gossip.listUnheard,
 		countWanted: customer => budgetManager.countWanted(customer),
 		async requestLoan(address, request) {
-			const {tokens, isClaiming} = await fleet.connect(address).gateway.lend(request, {timeoutMs: peerTimeoutMs});
-			return {tokens, isClaiming};
+			const {tokens, isClaiming, incarnation, total} = await fleet.connect(address).gateway.lend(request, {timeoutMs: loanCallTimeoutMs});
+			return {
+				tokens, isClaiming, incarnation, total,
+			};
+		},
+		onCredited(customer) {
+			budgetManager.serveWaiting(customer);
 		},
 	});
 	const budgetManager = createBudgetManager({
 		self, log: options.log, follower: grantFollower, grants: grantRegistry, account, owners, clock, events, signal, findRouteTable,
 		isLogComplete: () => recovery.checkComplete(),
-		borrow: lending.borrow, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy: new UnseenDemandTargetPolicy(),
+		borrow: lending.borrow, hasOpenLoans: lending.hasOpenLoans, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy: new UnseenDemandTargetPolicy(),
 	});
 	const recovery = createGrantRecovery({
 		self, log: options.log, follower: grantFollower, grants: grantRegistry, account, findRouteTable, clock, events,
@@ -103,6 +110,7 @@
 			void recovery.run(signal);
 			void budgetManager.run();
 			void loanReturns.run(signal);
+			void lending.run(signal);
 		},
 
 		/**
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -36,6 +36,8 @@
 	loanUnanswered: {number: 1210, text: 'gateway did not respond to a loan request'},
 	loanEnded: {number: 1211, text: 'returning the unspent tokens of an idle loan'},
 	grantsRecovered: {number: 1212, text: 'grants complete in the log'},
+	loanCreditedLate: {number: 1213, text: 'tokens of a late loan reply credited'},
+	loanTotalIgnored: {number: 1214, text: 'invalid loan total ignored'},
 	peerSuspected: {number: 1301, text: 'peer does not respond'},
 	peerBack: {number: 1302, text: 'peer responds again'},
 	peerLeaving: {number: 1303, text: 'peer is leaving'},
