Admit by fair shares of customers and urgencies under overload

Change: while the limit is in force, admission asks the fair shares, recognises retries, refuses retries that are too late, and gives refused callers times in order. Refusals are counted by reason in the metrics.

--- a/src/coordination/load/admission.ts
+++ b/src/coordination/load/admission.ts
@@ -5,21 +5,28 @@
  * A gateway that accepts more requests than its processor can handle delays
  * all of them, because each step of a request waits for the steps of all
  * others. Requests that it refuses immediately can still be served in time by
- * another gateway.
+ * another gateway. Within the limit, customers and urgencies are admitted by
+ * their shares; see docs/design/fair-admission.md.
  *
  * @module
  */
 import {
 	Err, Ok, createFailure, type Failure, type Result,
 } from '../../protocol/mod.js';
+import type {Clock} from '../../transport/mod.js';
+import {createFairShares, type ShareRequest, type ShareStanding} from './fair-shares.js';
+import type {PeerRoom} from './peer-room.js';
 import {hasTimeLeft} from './remaining-time.js';
+import {createRetrySchedule, type RefusedRequest} from './retry-schedule.js';
+import {createRouteTimes} from './route-times.js';
 
 /** Options of {@linkcode createAdmission}. */
 export type CreateAdmissionOptions = {
 	/** Returns the shortest latency objective of any route, in milliseconds. */
 	readonly findShortestObjective: () => number;
-	/** Returns a random number between 0 and 1. */
-	readonly random: () => number;
+	readonly clock: Pick<Clock, 'now'>;
+	/** Counts the other gateways that are not leaving, and those of them that have room. */
+	readonly countPeers: () => PeerRoom;
 	/** Called when a limit comes into force or is removed. */
 	readonly onChange: (change: {readonly isBounded: boolean; readonly running: number; readonly lagMs: number}) => void;
 };
@@ -28,12 +35,22 @@
 export type AdmissionRequest = {
 	/** 0 is the most urgent. */
 	readonly priority: number;
+	/** Undefined if the route needs no customer. */
+	readonly customer: string | undefined;
+	/** ID of the route. */
+	readonly route: string;
 	/** Time for which the caller waits, in milliseconds. */
 	readonly timeoutMs: number;
 	/** Longest time since the request can have arrived, in milliseconds. */
 	readonly elapsedMs: number;
 };
 
+/** Why a request is refused: its time is over; even the fastest recent request of its route took longer; its customer or urgency has had its share; no room for any. */
+export const refusalReasons = ['expired', 'too-late', 'over-share', 'full'] as const;
+
+/** Why a request is refused, see {@linkcode refusalReasons}. */
+export type RefusalReason = typeof refusalReasons[number];
+
 /** Limits the number of concurrent requests. */
 export type Admission = ReturnType<typeof createAdmission>;
 
@@ -50,12 +67,25 @@
 const minLimit = 4;
 /** The limit is removed when it exceeds the running requests by about this factor. */
 const unlimitedFactor = 2;
-/** Share of the limit for each priority, the most urgent first. The last also applies to all lower priorities. */
-const priorityShares = [1.25, 1, 0.8] as const;
-/** Range of the retry-after time; the retry reaches another gateway. */
-const retryAfterRangeMs = {min: 200, max: 600} as const;
-/** Upper limit of the retry-after time, as a share of the time for which the caller waits. */
-const retryAfterShare = 0.25;
+/** Share of the limit for requests whose customer has had its share. The rest stays free for those that have not: a fifth of 20 requests covers four arrivals between two ends. */
+const surplusShare = 0.8;
+/** The same for a retry, which goes before first attempts of its customer. */
+const surplusRetryShare = 0.9;
+/** The shares above fall by this for a customer that has had twice its share or more, because one that sends ten times as many requests would also find room first ten times as often. */
+const maxSurplusReduction = 0.2;
+/** Share of the limit for retries within their share: the caller has no further attempt. */
+const retryShare = 1.1;
+/** Share of the limit for the most urgent requests within their share, so that room for them is left when all others are refused. */
+const urgentShare = 1.25;
+
+/** @internal Returns the share of the limit that a request may use. */
+function computeLimitShare({priority, isRetry}: ShareRequest, {isWithinShare, excessShare}: ShareStanding): number {
+	if (!isWithinShare) {
+		return (isRetry ? surplusRetryShare : surplusShare) - (maxSurplusReduction * Math.min(1, excessShare));
+	}
+
+	return priority === 0 ? urgentShare : (isRetry ? retryShare : 1);
+}
 
 /**
  * Creates an admission control without a limit.
@@ -66,16 +96,21 @@
  *
  * @example
  * ```ts
- * const entered = admission.admit({priority: 0, timeoutMs: 4000, elapsedMs: 0});
+ * const entered = admission.admit({priority: 0, customer: 'c', route: 'chat', timeoutMs: 4000, elapsedMs: 0});
  * if (entered.ok) {
  * 	entered.val(); // called when the request ends
  * }
  * ```
  *
- * @param options The shortest objective and the change callback
+ * @param options The clock, the shortest objective, the other gateways and the change callback
  * @returns The admission control
  */
 export function createAdmission(options: CreateAdmissionOptions) {
+	const {clock} = options;
+	const shares = createFairShares(options);
+	const retrySchedule = createRetrySchedule(options);
+	const routeTimes = createRouteTimes(options);
+	const refusals = new Map<RefusalReason, number>(refusalReasons.map(reason => [reason, 0]));
 	let running = 0;
 	let limit = Number.POSITIVE_INFINITY;
 	let overloadsInRow = 0;
@@ -99,32 +134,59 @@
 		}
 	}
 
-	function chooseRetryAfterMs(timeoutMs: number): number {
-		const {min, max} = retryAfterRangeMs;
-		return Math.round(Math.min(timeoutMs * retryAfterShare, min + (options.random() * (max - min))));
+	function refuse(reason: RefusalReason, detail: string, refused: RefusedRequest): Result<never, Failure> {
+		refusals.set(reason, refusals.get(reason)! + 1);
+		return Err(createFailure('overloaded', detail, {retryAfterMs: retrySchedule.scheduleReturn(refused)}));
+	}
+
+	function start(route: string): () => void {
+		const startedAt = clock.now();
+		running += 1;
+		return () => {
+			running -= 1;
+			retrySchedule.recordEnd();
+			routeTimes.recordEnd(route, clock.now() - startedAt);
+		};
 	}
 
 	return {
 		/** Admits a request and returns a function to call when it ends, or refuses it with a retry-after time. */
-		admit({priority, timeoutMs, elapsedMs}: AdmissionRequest): Result<() => void, Failure> {
+		admit({priority, customer, route, timeoutMs, elapsedMs}: AdmissionRequest): Result<() => void, Failure> {
+			const remainingMs = timeoutMs - elapsedMs;
+			const isRetry = routeTimes.recordArrival(route, timeoutMs);
 			if (!hasTimeLeft(timeoutMs, elapsedMs)) {
 				const detail = `The request has no time left: it may have arrived ${Math.round(elapsedMs)} ms ago, and its timeout is ${timeoutMs} ms`;
-				return Err(createFailure('overloaded', detail, {retryAfterMs: chooseRetryAfterMs(timeoutMs)}));
+				return refuse('expired', detail, {remainingMs, mayReturn: false, endsNeeded: 0});
 			}
 
-			const share = priorityShares[Math.min(priority, priorityShares.length - 1)]!;
-			if (running >= minLimit && running >= limit * share) {
-				return Err(createFailure('overloaded', `This gateway is overloaded with ${running} running requests`, {retryAfterMs: chooseRetryAfterMs(timeoutMs)}));
+			const shareRequest: ShareRequest = {priority, customer, isRetry};
+			shares.recordDemand(shareRequest, running / limit);
+			if (Number.isFinite(limit) && running >= minLimit) {
+				// A first attempt has the whole time of its route, and the last ends of a route may all be of requests that timed out.
+				if (isRetry && routeTimes.isTooLate(route, remainingMs)) {
+					const detail = `The request has ${Math.round(remainingMs)} ms left, and no recent request of its route was answered as fast`;
+					return refuse('too-late', detail, {remainingMs, mayReturn: false, endsNeeded: 0});
+				}
+
+				const standing = shares.computeStanding(shareRequest);
+				const ownLimit = limit * computeLimitShare(shareRequest, standing);
+				if (running >= ownLimit) {
+					const detail = `This gateway is overloaded with ${running} running requests`;
+					const refused = {remainingMs, mayReturn: !isRetry, endsNeeded: Math.floor(running - ownLimit) + 1};
+					return standing.isWithinShare
+						? refuse('full', detail, refused)
+						: refuse('over-share', `${detail}, and the customer has had its share of those of its priority`, refused);
+				}
 			}
 
-			running += 1;
-			return Ok(() => {
-				running -= 1;
-			});
+			shares.recordAdmitted(shareRequest);
+			return Ok(start(route));
 		},
 
-		/** Returns how many more requests of any priority are admitted now; infinite while there is no limit. */
-		countRoom: (): number => Math.max(minLimit, limit * priorityShares.at(-1)!) - running,
+		/** Returns the number of refused requests by reason since the start. */
+		listRefusals: () => [...refusals].map(([reason, count]) => ({reason, count})),
+		/** Returns how many more requests of any priority and customer are admitted now; infinite while there is no limit. */
+		countRoom: (): number => Math.max(minLimit, limit * surplusShare) - running,
 		/** Returns true while there is a limit. */
 		isOverloaded: () => Number.isFinite(limit),
 		/** Returns the maximum number of concurrent requests; infinite while there is no limit. */
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -315,7 +315,8 @@
 		findRetryBudget: retryBudgets.find,
 	});
 	const admission = createAdmission({
-		random: Math.random,
+		clock,
+		countPeers: countPeerRoom,
 		findShortestObjective: () => Math.min(...findRouteTable()?.deployment.routes.map(({objective}) => objective) ?? []),
 		onChange(change) {
 			events.write('admissionChanged', change);
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -217,7 +217,9 @@
 			return;
 		}
 
-		const permit = admission.admit({priority: getPriority(resolved), timeoutMs: computeTimeoutMs(resolved), elapsedMs: clock.now() - context.arrivedAt});
+		const permit = admission.admit({
+			priority: getPriority(resolved), customer: resolved.customer?.id, route: resolved.route.id, timeoutMs: computeTimeoutMs(resolved), elapsedMs: clock.now() - context.arrivedAt,
+		});
 		if (permit.err) {
 			refuse(context, resolved.metadata.id, permit.val);
 			return;
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -20,7 +20,7 @@
 	/** Version of the deployment in force. */
 	readonly deploymentVersion: number;
 	readonly account: TokenAccount;
-	readonly admission: Pick<Admission, 'getLimit' | 'getLagMs'>;
+	readonly admission: Pick<Admission, 'getLimit' | 'getLagMs' | 'listRefusals'>;
 	readonly quarantine: Pick<Quarantine, 'listAll' | 'listHeld'>;
 	readonly partQuarantine: Pick<PartQuarantine, 'countBlamed' | 'listHeld'>;
 	readonly upstreamLimits: Pick<UpstreamLimits, 'count'>;
@@ -73,6 +73,10 @@
 		`fireflylane_stream_records_evicted_total ${streamRecorder.countEvictions()}`,
 		`fireflylane_readiness_answers_total ${readinessResponses}`,
 	];
+	for (const {reason, count} of admission.listRefusals()) {
+		lines.push(`fireflylane_admission_refusals_total{reason="${reason}"} ${count}`);
+	}
+
 	for (const {kind, isCrossDomain, bytes} of traffic.list()) {
 		lines.push(`fireflylane_traffic_bytes_total{kind="${kind}",crosses_domains="${isCrossDomain}"} ${bytes}`);
 	}
