--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -21,7 +21,7 @@
 	readonly deploymentVersion: number;
 	readonly account: TokenAccount;
 	readonly lending: Pick<TokenLending, 'countUnconfirmed' | 'getLateTokens'>;
-	readonly admission: Pick<Admission, 'getLimit' | 'getLagMs'>;
+	readonly admission: Pick<Admission, 'getLimit' | 'getLagMs' | 'listRefusals'>;
 	readonly quarantine: Pick<Quarantine, 'listAll' | 'listHeld'>;
 	readonly partQuarantine: Pick<PartQuarantine, 'countBlamed' | 'listHeld'>;
 	readonly upstreamLimits: Pick<UpstreamLimits, 'count'>;
@@ -75,6 +75,10 @@
 		`fireflylane_readiness_answers_total ${readinessResponses}`,
 		`fireflylane_loans_late_tokens_total ${lending.getLateTokens()}`,
 	];
+	for (const {reason, count} of admission.listRefusals()) {
+		lines.push(`fireflylane_admission_refusals_total{reason="${reason}"} ${count}`);
+	}
+
 	for (const {kind, isCrossDomain, bytes} of traffic.list()) {
 		lines.push(`fireflylane_traffic_bytes_total{kind="${kind}",crosses_domains="${isCrossDomain}"} ${bytes}`);
 	}
