--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -8,6 +8,17 @@
 
 const addressSchema = z.object({host: z.string(), port: z.number().int().min(0).max(65_535)});
 
+/** Schema of the capacity of a gateway's host; what is not named is not measured. */
+const capacitySchema = z.object({
+	/** Processor time per elapsed time. */
+	processorCores: z.number().positive().optional(),
+	memoryBytes: z.number().positive().optional(),
+	/** Capacity of the network link in each direction. */
+	linkBytesPerSecond: z.number().positive().optional(),
+	/** Maximum number of open file descriptors. */
+	descriptors: z.number().int().positive().optional(),
+});
+
 /** Schema of a gateway daemon's settings. */
 export const gatewaySettingsSchema = z.object({
 	role: z.literal('gateway'),
@@ -47,6 +58,8 @@
 	coldOverage: z.number().min(1).default(1),
 	/** Requests to a cold upstream allowed in addition to that multiple in any second, fleet-wide. */
 	coldSlack: z.number().nonnegative().default(0),
+	/** Without it, only the lag of the event loop counts as overload. Read at the start. */
+	capacity: capacitySchema.optional(),
 });
 
 /** Schema of a relay daemon's settings. */
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -18,4 +18,5 @@
 export * from './probe-address.js';
 export * from './read-delay.js';
 export * from './service-client.js';
+export * from './socket-counters.js';
 export * from './upstream-client.js';
