--- a/src/coordination/load/domain-load.ts
+++ b/src/coordination/load/domain-load.ts
@@ -37,8 +37,9 @@
  * @returns The largest; undefined if one of them is not a number, is negative or exceeds what a gateway can measure
  */
 export function computeBusiestShare({processorShare, linkShare, memoryShare}: LoadShares): number | undefined {
-	const isReadable = [processorShare, linkShare, memoryShare].every(share => share >= 0 && share <= maxLoadShare);
-	return isReadable ? Math.max(processorShare, linkShare, memoryShare) : undefined;
+	// Both are NaN, and so the comparisons false, if one of the shares is.
+	const largest = Math.max(processorShare, linkShare, memoryShare);
+	return Math.min(processorShare, linkShare, memoryShare) >= 0 && largest <= maxLoadShare ? largest : undefined;
 }
 
 /** @internal */
--- a/src/coordination/load/load-meter.ts
+++ b/src/coordination/load/load-meter.ts
@@ -58,7 +58,7 @@
 const noLoad: LoadShares = {processorShare: 0, linkShare: 0, memoryShare: 0};
 
 /** @internal Returns 0 for a share that is not measured, so that no unreadable figure reaches gossip, which cannot encode it. */
-function limitShare(share: number): number {
+function normalizeShare(share: number): number {
 	return share > 0 ? Math.min(share, maxLoadShare) : 0;
 }
 
@@ -80,9 +80,9 @@
 ): LoadShares {
 	const linkBytes = Math.max(after.receivedBytes - before.receivedBytes, after.sentBytes - before.sentBytes) * linkBytesPerContentByte;
 	return {
-		processorShare: processorCores === undefined ? 0 : limitShare((after.processorMs - before.processorMs) / elapsedMs / processorCores),
-		linkShare: linkBytesPerSecond === undefined ? 0 : limitShare(linkBytes * millisecondsPerSecond / elapsedMs / linkBytesPerSecond),
-		memoryShare: memoryBytes === undefined ? 0 : limitShare(after.residentBytes / memoryBytes),
+		processorShare: processorCores === undefined ? 0 : normalizeShare((after.processorMs - before.processorMs) / elapsedMs / processorCores),
+		linkShare: linkBytesPerSecond === undefined ? 0 : normalizeShare(linkBytes * millisecondsPerSecond / elapsedMs / linkBytesPerSecond),
+		memoryShare: memoryBytes === undefined ? 0 : normalizeShare(after.residentBytes / memoryBytes),
 	};
 }
 
--- a/src/coordination/load/rotation-decision.ts
+++ b/src/coordination/load/rotation-decision.ts
@@ -50,7 +50,7 @@
  */
 const memoryRecoveryShare = 0.75;
 /** Mean share of the others below which they have room for the callers of one more gateway. */
-const peerRoomShare = 0.6;
+export const peerRoomShare = 0.6;
 /**
  * Shortest time without new connections. The load balancer needs two checks, a second apart, to notice, and the load of the
  * callers that it moves leaves the smoothed shares a second later; a gateway that returned sooner would get them back.
@@ -103,16 +103,13 @@
 	let isTaking = true;
 	let leftAt = 0;
 	let noRoomSince: number | undefined;
-	let membership = '';
 	let rankByDaemon = new Map<string, number>();
 
 	// The order changes only with the gateways of the domain; computing it takes longer than the rest of the decision.
 	function updateRanks(peers: readonly DomainPeer[]): void {
-		const members = [daemon, ...peers.map(peer => peer.daemon)].sort();
-		const key = members.join(' ');
-		if (key !== membership) {
-			membership = key;
-			rankByDaemon = new Map(rankByRendezvous(failureDomain, members).map((member, rank) => [member, rank]));
+		if (rankByDaemon.size !== peers.length + 1 || !peers.every(peer => rankByDaemon.has(peer.daemon))) {
+			const ranked = rankByRendezvous(failureDomain, [daemon, ...peers.map(peer => peer.daemon)]);
+			rankByDaemon = new Map(ranked.map((member, rank) => [member, rank]));
 		}
 	}
 
@@ -150,14 +147,14 @@
 		return noRoomSince !== undefined && clock.now() - noRoomSince >= minNoRoomMs;
 	}
 
-	function leaveIfOverloaded({shares, peers}: RotationInput): void {
+	function decideLeaving({shares, peers}: RotationInput): void {
 		const isOverloaded = Math.max(shares.processorShare, shares.linkShare, shares.memoryShare) > overloadShare;
 		if (isOverloaded && computeMeanShare(peers) < peerRoomShare && mayBeOut(peers)) {
 			setTaking(false, 'overloaded');
 		}
 	}
 
-	function returnIfPossible({shares, peers}: RotationInput): void {
+	function decideReturn({shares, peers}: RotationInput): void {
 		if (!mayBeOut(peers)) {
 			setTaking(true, 'too-few-gateways');
 		} else if (hasNoRoomElsewhere(peers)) {
@@ -172,9 +169,9 @@
 		update(input: RotationInput): void {
 			updateRanks(input.peers);
 			if (isTaking) {
-				leaveIfOverloaded(input);
+				decideLeaving(input);
 			} else {
-				returnIfPossible(input);
+				decideReturn(input);
 			}
 		},
 
