Connect the load of a gateway with its readiness, gossip and open connections

Cause: a gateway reported ready while callers saturated its link, and callers that keep connections stayed. Change: readiness follows the decision, gossip carries the load, responses carry Connection: close once two checks have failed, and before a deployment is known connections are closed unread while rejections use more than a quarter of the link. A connection stays open if its request is not received completely or its caller pipelines. Metrics fireflylane_load_share and fireflylane_not_ready.

--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -8,10 +8,10 @@
 import process from 'node:process';
 import {
 	CachedPromptSource, NearReceiverPolicy, OwnedShare, SubstitutedShare,
-	createAdmission, createBudgetOwners, createColdAdmission, createConnectionAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createNoticeRecorder, createPeerCatchUp,
+	createAdmission, createBudgetOwners, createColdAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createNoticeRecorder, createPeerCatchUp,
 	createRelayedLog, createRequestForwarder, createRetryAfterEstimator,
-	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, decodePart, fanOut, isReadyForConnections, monitorEventLoop,
-	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type PeerRoom, type ProcessStats,
+	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, decodePart, fanOut, monitorEventLoop,
+	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type ProcessStats,
 } from '../coordination/mod.js';
 import {
 	Gateway, Relay, createId, type EventLog, type GatewaySettings, type KeyedLog,
@@ -26,6 +26,7 @@
 import {formatGatewayMetrics} from './gateway-metrics.js';
 import {createGatewayFleet} from './gateway-fleet.js';
 import {createGatewayInterface} from './gateway-interface.js';
+import {createGatewayLoadControl} from './gateway-load.js';
 import {createGatewayPeerInterface} from './gateway-peer-interface.js';
 import {createGatewayQuarantines} from './gateway-quarantines.js';
 import {createGatewayState, type GatewayAdapter} from './gateway-state.js';
@@ -203,6 +204,7 @@
 			version: getDeploymentVersion(),
 			isLeaving: stopWindow.hasBegun(),
 			hasRoom: admission.countRoom() > 0,
+			load: loadControl.getLoad(),
 			crashes: quarantines.requests.listRecent(),
 			parts: quarantines.parts.listRecent(),
 			domains: evacuations.listAnnounced(clock.now()),
@@ -321,21 +323,23 @@
 			events.write('admissionChanged', change);
 		},
 	});
+	const loadControl = createGatewayLoadControl({
+		settings, admission, peerViews, gossip, clock, events, signal,
+		listPeers: gatewayFleet.listPeers,
+		isServing: state.isReady,
+		isStopping: stopWindow.hasBegun,
+		hasDeployment: () => findRouteTable() !== undefined,
+	});
 	const callerInterface = createGatewayInterface({
 		wire: adapter.wire, findRouteTable, syncViews: async unreadMs => state.syncViews(unreadMs, signal), budgetManager, forwarder, streamResolver: streams.resolver, metrics, clock, events, stopWindow, admission, quarantine: quarantines.requests, partQuarantine: quarantines.parts,
 		computeStopRetryAfterMs: () => retryAfterEstimator.estimate(peerViews.list(), {ownRemainingMs: stopWindow.computeRemainingMs()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve);
-	function countPeerRoom(): PeerRoom {
-		const staying = peerViews.list().filter(({isLeaving}) => !isLeaving);
-		return {total: staying.length, withRoom: staying.filter(({hasRoom}) => hasRoom).length};
-	}
-
-	const connectionAdmission = createConnectionAdmission({countRoom: admission.countRoom, clock, countPeers: countPeerRoom});
-	callerServer.setAcceptPolicy(connectionAdmission.shouldAccept);
+	loadControl.attach(callerServer);
 	const statusServers = await startStatusServers(settings, {
 		readinessPath: adapter.wire.readinessPath, quarantine: quarantines.requests, partQuarantine: quarantines.parts, events,
-		isReady: () => state.isReady() && !stopWindow.hasBegun() && isReadyForConnections({isOverloaded: admission.isOverloaded(), peers: countPeerRoom()}),
+		isReady: loadControl.isReady,
+		onReadinessCheck: loadControl.recordReadinessCheck,
 		formatMetrics: readinessResponses => formatGatewayMetrics({
 			metrics,
 			events,
@@ -350,6 +354,7 @@
 			countResting: () => rests.count(clock.now()),
 			traffic,
 			streamRecorder: streams.recorder,
+			load: loadControl,
 			callerServerStatistics: callerServer.getStatistics(),
 			readinessResponses,
 		}),
@@ -388,6 +393,7 @@
 	tokens.run();
 	void gossip.run(signal);
 	void reportTraffic();
+	loadControl.run();
 	quarantines.run();
 	void monitorEventLoop({
 		clock, onWindow: admission.recordLag, readStats: readProcessStats,
--- /dev/null
+++ b/src/daemon/gateway-load.test.ts
@@ -0,0 +1,108 @@
+import {expect, test} from 'vitest';
+import {createVirtualTime} from '../../tools/measure/virtual-clock.js';
+import type {EventLog} from '../protocol/mod.js';
+import type {PeerView} from '../state/mod.js';
+import {createGatewayLoadControl, type CreateGatewayLoadControlOptions} from './gateway-load.js';
+
+const failureDomain = 'z1';
+const peerLoad = {
+	processorShare: 0.1, linkShare: 0.1, memoryShare: 0.1, takesConnections: true, failureDomain,
+};
+
+/** Creates a control whose processor, of hardly any capacity, is overloaded by anything that this process does. */
+function createFixture(capacity: CreateGatewayLoadControlOptions['settings']['capacity'], load: PeerView['load'] = peerLoad) {
+	const time = createVirtualTime();
+	const written: Array<{readonly event: string; readonly fields: unknown}> = [];
+	const state = {urgent: 0, isServing: true, hasDeployment: true};
+	const policies = {shouldAccept: (_awaiting: number): boolean => true, shouldClose: undefined as (() => boolean) | undefined};
+	const stopper = new AbortController();
+	const control = createGatewayLoadControl({
+		settings: {id: 'gw-0', failureDomain, capacity},
+		admission: {countRoom: () => Number.POSITIVE_INFINITY, isOverloaded: () => false},
+		peerViews: {
+			list: () => [{
+				daemon: 'gw-1', incarnation: 'i', address: '', free: [], uses: [], version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [], load,
+			}],
+		},
+		gossip: {
+			markUrgent() {
+				state.urgent += 1;
+			},
+		},
+		listPeers: () => [{
+			daemon: 'gw-1', address: '', newsAddress: '', failureDomain,
+		}],
+		isServing: () => state.isServing,
+		isStopping: () => false,
+		hasDeployment: () => state.hasDeployment,
+		clock: time,
+		events: {
+			write(event: string, fields: unknown) {
+				written.push({event, fields});
+			},
+		} as unknown as EventLog,
+		signal: stopper.signal,
+	});
+	control.attach({
+		countBytes: () => 0,
+		setAcceptPolicy(policy) {
+			policies.shouldAccept = policy;
+		},
+		setClosePolicy(policy) {
+			policies.shouldClose = policy;
+		},
+	});
+	control.run();
+	return {
+		control, time, state, policies, written, stopper,
+	};
+}
+
+/** The process uses more than a millionth of a core. */
+const tinyProcessor = {processorCores: 1e-6};
+
+// Guards against an overloaded gateway whose readiness, gossip and responses do not follow the decision.
+test('an overloaded gateway is not ready, tells its peers and closes connections after two checks', async () => {
+	const {control, time, state, policies, written, stopper} = createFixture(tinyProcessor);
+	expect(control.isReady()).toBe(true);
+	expect(control.getLoad()).toBeUndefined();
+	await time.runUntil(1500);
+	expect(control.listNotReadyReasons()).toEqual(['load']);
+	expect(control.getLoad()).toMatchObject({takesConnections: false, failureDomain});
+	expect(control.getLoad()!.processorShare).toBeLessThanOrEqual(100);
+	expect(control.listShares().map(({resource}) => resource)).toEqual(['processor']);
+	expect(state.urgent).toBeGreaterThan(0);
+	control.recordReadinessCheck(control.isReady());
+	expect(policies.shouldClose?.()).toBe(false);
+	control.recordReadinessCheck(control.isReady());
+	expect(policies.shouldClose?.()).toBe(true);
+	await time.runUntil(2000);
+	expect(written.map(({event}) => event)).toEqual(['rotationChanged', 'connectionCloseChanged']);
+	stopper.abort();
+});
+
+// Guards against new behaviour where the settings name no capacity, or only one that nothing measures.
+test.each([undefined, {}, {descriptors: 4100}])('a gateway with the capacity %j advertises no load and stays ready', async capacity => {
+	const {control, time, state, policies, written} = createFixture(capacity);
+	await time.runUntil(5000);
+	control.recordReadinessCheck(false);
+	control.recordReadinessCheck(false);
+	expect(control.isReady()).toBe(true);
+	expect(control.getLoad()).toBeUndefined();
+	expect(control.listShares()).toEqual([]);
+	expect(policies.shouldClose).toBeUndefined();
+	expect(policies.shouldAccept(1000)).toBe(true);
+	expect(state.urgent).toBe(0);
+	expect(written).toEqual([]);
+	state.isServing = false;
+	expect(control.listNotReadyReasons()).toEqual(['not-serving']);
+});
+
+// Guards against a log line for each measurement of a peer with a faulty meter.
+test('an unreadable load of a peer is logged once and keeps the gateway in rotation', async () => {
+	const {control, time, written, stopper} = createFixture(tinyProcessor, {...peerLoad, linkShare: 101});
+	await time.runUntil(5000);
+	expect(control.isReady()).toBe(true);
+	expect(written.map(({event}) => event)).toEqual(['peerLoadUnreadable']);
+	stopper.abort();
+});
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -10,6 +10,7 @@
 import type {EventLog} from '../protocol/mod.js';
 import type {TokenAccount, UpstreamDepartures, UpstreamLimits} from '../state/mod.js';
 import type {CallerServerStatistics} from '../transport/mod.js';
+import {notReadyReasons, type GatewayLoadControl} from './gateway-load.js';
 
 /** Options of {@linkcode formatGatewayMetrics}. */
 export type FormatGatewayMetricsOptions = {
@@ -29,6 +30,7 @@
 	readonly countResting: () => number;
 	readonly traffic: Pick<TrafficCounter, 'list'>;
 	readonly streamRecorder: Pick<StreamRecorder, 'count' | 'countEvictions'>;
+	readonly load: Pick<GatewayLoadControl, 'listShares' | 'listNotReadyReasons'>;
 	/** Connections and requests of this gateway's callers. */
 	readonly callerServerStatistics: CallerServerStatistics;
 	/** Number of answered readiness checks. */
@@ -41,7 +43,7 @@
  * @example
  * ```ts
  * response.end(formatGatewayMetrics({
- * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, streamRecorder, callerServerStatistics, readinessResponses: 2,
+ * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, streamRecorder, load, callerServerStatistics, readinessResponses: 2,
  * }));
  * ```
  *
@@ -50,7 +52,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, streamRecorder, callerServerStatistics, readinessResponses,
+		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, streamRecorder, load, callerServerStatistics, readinessResponses,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${runningRequests}`,
@@ -73,6 +75,15 @@
 		`fireflylane_stream_records_evicted_total ${streamRecorder.countEvictions()}`,
 		`fireflylane_readiness_answers_total ${readinessResponses}`,
 	];
+	for (const {resource, share} of load.listShares()) {
+		lines.push(`fireflylane_load_share{resource="${resource}"} ${share}`);
+	}
+
+	const currentReasons = load.listNotReadyReasons();
+	for (const reason of notReadyReasons) {
+		lines.push(`fireflylane_not_ready{reason="${reason}"} ${currentReasons.includes(reason) ? 1 : 0}`);
+	}
+
 	for (const {kind, isCrossDomain, bytes} of traffic.list()) {
 		lines.push(`fireflylane_traffic_bytes_total{kind="${kind}",crosses_domains="${isCrossDomain}"} ${bytes}`);
 	}
--- a/src/daemon/status-servers.ts
+++ b/src/daemon/status-servers.ts
@@ -12,6 +12,8 @@
 	/** Path at which the load balancer checks whether the gateway accepts connections. */
 	readonly readinessPath: string;
 	readonly isReady: () => boolean;
+	/** Called with the answer to each readiness check. */
+	readonly onReadinessCheck: (isReady: boolean) => void;
 	readonly formatMetrics: (readinessResponses: number) => string;
 	readonly quarantine: AddQuarantineRoutesOptions['quarantine'];
 	readonly partQuarantine: AddQuarantineRoutesOptions['partQuarantine'];
@@ -41,7 +43,9 @@
 	const readiness = await startHttpServer(listen.readiness, service => {
 		service.get(options.readinessPath, (_request, response) => {
 			readinessResponses += 1;
-			response.statusCode = options.isReady() ? 200 : 503;
+			const isReady = options.isReady();
+			options.onReadinessCheck(isReady);
+			response.statusCode = isReady ? 200 : 503;
 			response.end();
 		});
 	});
--- a/src/transport/caller-server.test.ts
+++ b/src/transport/caller-server.test.ts
@@ -39,3 +39,113 @@
 	expect(text.endsWith('0\r\n\r\n')).toBe(true);
 	server.closeAllConnections();
 });
+
+const requestText = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
+
+/** Starts a server whose responses the test completes, and a connection to it. */
+async function createFixture() {
+	const state = {shouldClose: false};
+	const responses: ServerResponse[] = [];
+	const server = await startCallerServer({host: '127.0.0.1', port: 0}, async (_request, response) => {
+		responses.push(response);
+	});
+	server.setClosePolicy(() => state.shouldClose);
+	const socket = await open(server.url);
+	const received = {text: '', hasEnded: false};
+	socket.on('data', data => {
+		received.text += String(data);
+	});
+	socket.on('end', () => {
+		received.hasEnded = true;
+	});
+	return {
+		server, state, responses, socket, received,
+	};
+}
+
+const complete = (response: ServerResponse, text: string) => response.writeHead(200, ['Content-Length', String(text.length)]).end(text);
+
+// Guards against callers who keep their connections to an overloaded gateway, and against closing without notice.
+test('the close policy is asked when the headers of a response are written', async () => {
+	const {server, state, responses, socket, received} = await createFixture();
+	socket.write(requestText);
+	await expect.poll(() => responses.length).toBe(1);
+	complete(responses[0]!, 'first');
+	await expect.poll(() => received.text).toContain('first');
+	expect(received.text.toLowerCase()).not.toContain('connection: close');
+	socket.write(requestText);
+	await expect.poll(() => responses.length).toBe(2);
+	state.shouldClose = true;
+	complete(responses[1]!, 'second');
+	await expect.poll(() => received.hasEnded).toBe(true);
+	expect(received.text.toLowerCase()).toContain('connection: close');
+	expect(received.text.endsWith('second')).toBe(true);
+	server.closeAllConnections();
+});
+
+// Guards against the loss of requests that a caller sent before it received a response with `connection: close`.
+test('the close policy does not close the connection of a caller who pipelines', async () => {
+	const {server, state, responses, socket, received} = await createFixture();
+	state.shouldClose = true;
+	socket.write(requestText + requestText);
+	await expect.poll(() => responses.length).toBe(2);
+	complete(responses[0]!, 'first');
+	complete(responses[1]!, 'second');
+	await expect.poll(() => received.text).toContain('second');
+	socket.write(requestText);
+	await expect.poll(() => responses.length).toBe(3);
+	complete(responses[2]!, 'third');
+	await expect.poll(() => received.text).toContain('third');
+	expect(received.text.toLowerCase()).not.toContain('connection: close');
+	server.closeAllConnections();
+});
+
+// Guards against a reset that discards the response: a connection that is closed with unread data is reset.
+test('the close policy does not close a connection while the request is received', async () => {
+	const {server, state, responses, socket, received} = await createFixture();
+	state.shouldClose = true;
+	socket.write('POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 17000\r\n\r\n');
+	await expect.poll(() => responses.length).toBe(1);
+	complete(responses[0]!, 'refused');
+	socket.write('x'.repeat(17_000));
+	await expect.poll(() => received.text).toContain('refused');
+	expect(received.text.toLowerCase()).not.toContain('connection: close');
+	socket.write(requestText);
+	await expect.poll(() => responses.length).toBe(2);
+	complete(responses[1]!, 'served');
+	await expect.poll(() => received.hasEnded).toBe(true);
+	expect(received.text.endsWith('served')).toBe(true);
+	server.closeAllConnections();
+});
+
+// Guards against a request that runs although its response will be discarded, which its caller may send again elsewhere.
+test('a request that crosses a response with connection: close is not served', async () => {
+	const {server, state, responses, socket, received} = await createFixture();
+	state.shouldClose = true;
+	socket.write(requestText);
+	await expect.poll(() => responses.length).toBe(1);
+	responses[0]!.writeHead(200, {'content-type': 'text/event-stream'});
+	responses[0]!.write('data: first\n\n');
+	await expect.poll(() => received.text).toContain('first');
+	socket.write(requestText);
+	await expect.poll(() => server.getStatistics().requests).toBe(2);
+	responses[0]!.end('data: last\n\n');
+	await expect.poll(() => received.hasEnded).toBe(true);
+	expect(received.text).toContain('data: last');
+	expect(received.text.endsWith('0\r\n\r\n')).toBe(true);
+	expect(responses.length).toBe(1);
+	server.closeAllConnections();
+});
+
+test('the server counts the bytes of the busier direction of open and closed connections', async () => {
+	const {server, responses, socket, received} = await createFixture();
+	socket.write(requestText);
+	await expect.poll(() => responses.length).toBe(1);
+	complete(responses[0]!, 'x'.repeat(5000));
+	await expect.poll(() => received.text.length).toBeGreaterThan(5000);
+	expect(server.countBytes()).toBe(received.text.length);
+	socket.destroy();
+	await expect.poll(() => server.getStatistics().open).toBe(0);
+	expect(server.countBytes()).toBe(received.text.length);
+	server.closeAllConnections();
+});
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -37,6 +37,13 @@
 	 * read; a connection that is not accepted is closed unread.
 	 */
 	readonly setAcceptPolicy: (shouldAccept: (awaiting: number) => boolean) => void;
+	/**
+	 * Sets the decision whether a response carries `connection: close`, made when its headers are written. A connection whose
+	 * request is not received completely, or whose caller pipelines, stays open.
+	 */
+	readonly setClosePolicy: (shouldClose: () => boolean) => void;
+	/** Returns the bytes of the busier direction of all connections since the start. */
+	readonly countBytes: () => number;
 	/** Closes all connections immediately and stops listening. */
 	readonly closeAllConnections: () => void;
 	readonly getStatistics: () => CallerServerStatistics;
@@ -86,6 +93,20 @@
 	return true;
 }
 
+/** @internal Returns whether a response has told the caller that no later request on the connection is served. */
+function hasSentClose(response: ServerResponse | undefined): boolean {
+	return response !== undefined && response.headersSent && response.getHeader('connection') === 'close';
+}
+
+/** @internal Calls a function just before the headers of a response are written. */
+function watchHeaders(response: ServerResponse, onHeaders: () => void): void {
+	const {writeHead} = response;
+	response.writeHead = ((...parameters: Parameters<typeof writeHead>) => {
+		onHeaders();
+		return Reflect.apply<ServerResponse, Parameters<typeof writeHead>, ServerResponse>(writeHead, response, parameters);
+	}) as typeof writeHead;
+}
+
 /**
  * Starts the server.
  *
@@ -114,6 +135,7 @@
 	let requestCount = 0;
 	let droppedCount = 0;
 	let shouldAccept: (awaiting: number) => boolean = () => true;
+	let shouldClose: (() => boolean) | undefined;
 	server.on('drop', () => {
 		droppedCount += 1;
 	});
@@ -126,10 +148,19 @@
 			requestCount += 1;
 			const unreadMs = readDelay.estimateMs(request.socket);
 			const previousResponse = tracker.trackRequest(request, response);
-			if (shouldCloseAfterResponse && !setConnectionClose(response, previousResponse)) {
+			// The response to a request after one with `connection: close` would be discarded; the caller knows that it was not served.
+			if (hasSentClose(previousResponse) || (shouldCloseAfterResponse && !setConnectionClose(response, previousResponse))) {
 				return;
 			}
 
+			if (shouldClose) {
+				watchHeaders(response, () => {
+					if (shouldClose!() && tracker.canCloseAfter(request, response)) {
+						response.setHeader('connection', 'close');
+					}
+				});
+			}
+
 			// A response that began before the stop has no `connection: close`. The connection is closed as soon as it is
 			// idle, so that the caller does not send its next request to a gateway that is about to exit.
 			response.on('close', () => {
@@ -159,6 +190,10 @@
 		setAcceptPolicy(policy) {
 			shouldAccept = policy;
 		},
+		setClosePolicy(policy) {
+			shouldClose = policy;
+		},
+		countBytes: tracker.countBytes,
 		closeAllConnections() {
 			clearInterval(ticks);
 			server.close();
--- a/src/transport/connection-tracker.ts
+++ b/src/transport/connection-tracker.ts
@@ -11,6 +11,8 @@
 	bytesRead: number;
 	/** The latest response, until it has been sent; earlier responses on the connection are sent before it. */
 	latestResponse: ServerResponse | undefined;
+	/** True if the caller has sent a request before the response to the previous one was complete. */
+	hasPipelined: boolean;
 };
 
 /** Time within which the first request of a new connection is expected. */
@@ -40,15 +42,18 @@
 export function createConnectionTracker(server: Server) {
 	const connections = new Map<Socket, ConnectionState>();
 	let acceptedCount = 0;
+	const closedBytes = {received: 0, sent: 0};
 	/** Connections without a request, with the times at which they were accepted; the oldest comes first. */
 	const awaiting = new Map<Socket, number>();
 	server.on('connection', (socket: Socket) => {
 		acceptedCount += 1;
 		awaiting.set(socket, performance.now());
-		connections.set(socket, {bytesRead: 0, latestResponse: undefined});
+		connections.set(socket, {bytesRead: 0, latestResponse: undefined, hasPipelined: false});
 		socket.once('close', () => {
 			connections.delete(socket);
 			awaiting.delete(socket);
+			closedBytes.received += socket.bytesRead;
+			closedBytes.sent += socket.bytesWritten;
 		});
 	});
 
@@ -75,6 +80,17 @@
 		/** Returns the number of connections accepted since the start. */
 		countAccepted: (): number => acceptedCount,
 
+		/** Returns the bytes of the busier direction of all connections since the start. */
+		countBytes(): number {
+			let {received, sent} = closedBytes;
+			for (const socket of connections.keys()) {
+				received += socket.bytesRead;
+				sent += socket.bytesWritten;
+			}
+
+			return Math.max(received, sent);
+		},
+
 		/** Returns the number of connections accepted a moment ago that have had no request. */
 		countAwaiting(): number {
 			forgetUnused();
@@ -94,6 +110,7 @@
 			}
 
 			const previousResponse = state.latestResponse;
+			state.hasPipelined ||= previousResponse !== undefined;
 			state.latestResponse = response;
 			response.once('close', () => {
 				if (state.latestResponse === response) {
@@ -104,6 +121,16 @@
 			return previousResponse;
 		},
 
+		/**
+		 * Returns whether a connection may be closed after the response to a request without losing anything: the request has
+		 * been received completely, as closing a connection with unread data resets it and can discard the response, and the
+		 * caller does not pipeline, as its next request may already be under way.
+		 */
+		canCloseAfter({socket, complete}: IncomingMessage, response: ServerResponse): boolean {
+			const state = connections.get(socket);
+			return state !== undefined && complete && !state.hasPipelined && state.latestResponse === response;
+		},
+
 		closeIfIdle,
 
 		/** Closes all idle connections. */
