--- a/src/coordination/load/mod.ts
+++ b/src/coordination/load/mod.ts
@@ -5,9 +5,12 @@
  */
 export * from './admission.js';
 export * from './connection-admission.js';
+export * from './connection-close-decision.js';
+export * from './domain-load.js';
 export * from './event-loop-monitor.js';
 export * from './fair-shares.js';
 export * from './fleet-retry-budgets.js';
+export * from './load-meter.js';
 export * from './metrics.js';
 export * from './peer-room.js';
 export * from './remaining-time.js';
@@ -15,5 +18,7 @@
 export * from './retry-budget.js';
 export * from './retry-schedule.js';
 export * from './route-times.js';
+export * from './rotation-decision.js';
+export * from './start-admission.js';
 export * from './traffic-counter.js';
 export * from './work-queue.js';
--- a/src/coordination/load/peer-room.ts
+++ b/src/coordination/load/peer-room.ts
@@ -18,6 +18,23 @@
 	readonly withRoom: number;
 };
 
+/**
+ * Counts the other gateways that are not leaving, and those of them that have
+ * room.
+ *
+ * @example
+ * ```ts
+ * countPeerRoom([{isLeaving: false, hasRoom: true}, {isLeaving: true, hasRoom: true}]); // {total: 1, withRoom: 1}
+ * ```
+ *
+ * @param views What the other gateways advertise
+ * @returns The counts
+ */
+export function countPeerRoom(views: ReadonlyArray<{readonly isLeaving: boolean; readonly hasRoom: boolean}>): PeerRoom {
+	const staying = views.filter(({isLeaving}) => !isLeaving);
+	return {total: staying.length, withRoom: staying.filter(({hasRoom}) => hasRoom).length};
+}
+
 /**
  * Returns whether most other gateways have room.
  *
