Add an account of the bytes that a process holds, and events of byte limits

Cause: nothing bounds what a gateway holds for its callers in total; an engine that sends without end costs it up to 500 MB, and the smallest gateways have 178 MB.

Change: each holder of bytes states how many it holds. Above 32 MB for the process the largest holder is cut.

Measured: src/transport/byte-limits.test.ts passes (2 tests).

--- /dev/null
+++ b/src/transport/byte-limits.test.ts
@@ -0,0 +1,38 @@
+import {expect, test} from 'vitest';
+import {createByteLimits} from './mod.js';
+
+test('the largest holder is cut until the rest fits', () => {
+	const cut: string[] = [];
+	const limits = createByteLimits({maxHeldBytes: 100});
+	const open = (name: string) => limits.openHolder('assembled', () => {
+		cut.push(name);
+	});
+	open('small').set(40);
+	const large = open('large');
+	large.set(50);
+	expect(cut).toEqual([]);
+	open('last').set(30);
+	expect(cut).toEqual(['large']);
+	// A holder that was cut counts no more, also if it goes on.
+	large.set(500);
+	expect([limits.countHeld(), limits.countMaxHeld()]).toEqual([70, 90]);
+	open('own').set(1000);
+	expect(cut).toEqual(['large', 'own']);
+	expect(limits.countHeld()).toBe(70);
+});
+
+test('holders that close, set their bytes again or are cut while they are cut leave an exact total', () => {
+	// Guards against a total that drifts, until every response is cut or none.
+	const limits = createByteLimits({maxHeldBytes: 100});
+	const other = limits.openHolder('unsent', () => undefined);
+	const holder = limits.openHolder('received', () => {
+		other.close();
+		holder.set(7);
+		holder.close();
+	});
+	other.set(20);
+	holder.set(60);
+	holder.set(90);
+	expect(limits.countHeld()).toBe(0);
+	expect(limits.listCuts()).toContainEqual(['held', 1]);
+});
--- /dev/null
+++ b/src/transport/byte-limits.ts
@@ -0,0 +1,152 @@
+/**
+ * Limits on the bytes that a process holds for its callers and upstreams: an
+ * account of the held bytes, and a count of what was cut by a limit.
+ *
+ * @module
+ */
+import type {EventLog, EventName} from '../protocol/mod.js';
+
+/** Which limit a response or connection exceeded. */
+export type ByteLimit = 'event' | 'response' | 'unusable' | 'held';
+
+/** Where bytes are held: received from an upstream and not yet relayed, being assembled, or written and not yet sent to the caller. */
+export type HeldPart = 'received' | 'assembled' | 'unsent';
+
+/** One holder of bytes. */
+export type ByteHolder = {
+	/** Sets how many bytes the holder holds; has no effect once it is closed or cut. */
+	readonly set: (bytes: number) => void;
+	/** Ends the holding. */
+	readonly close: () => void;
+};
+
+/** Limits on held bytes, one object for each process. */
+export type ByteLimits = ReturnType<typeof createByteLimits>;
+
+/** Options of {@linkcode createByteLimits}. */
+export type CreateByteLimitsOptions = {
+	/** Maximum number of bytes that the process holds for callers, unfinished events and buffered responses. */
+	readonly maxHeldBytes?: number;
+	readonly events?: Pick<EventLog, 'write'>;
+};
+
+const bytesPerMegabyte = 1_048_576;
+/** The smallest gateways have 178 MB, of which an idle one uses 80 MB. */
+const defaultMaxHeldBytes = 32 * bytesPerMegabyte;
+/** A stream event contains one or a few tokens; a larger one must be held until it is complete. */
+export const maxEventBytes = bytesPerMegabyte;
+/** Longer responses are forwarded as they arrive, so they can't be replaced by another upstream's. */
+export const maxBufferedResponseBytes = bytesPerMegabyte;
+/** A response without a length has no end that could be checked in advance. */
+export const maxResponseBytes = 64 * bytesPerMegabyte;
+/** Header lines and the framing of a response take at most 16 KB for its headers and a few bytes for each chunk. */
+export const maxUnusableBytes = 262_144;
+
+const cutEvents = {
+	event: 'eventTooLong', response: 'responseTooLong', unusable: 'unusableBytes', held: 'heldBytesExceeded',
+} as const satisfies Record<ByteLimit, EventName>;
+
+type HolderState = {bytes: number; readonly part: HeldPart; readonly cut: (detail: string) => void; isOpen: boolean};
+
+/**
+ * Creates the limits of a process.
+ *
+ * @example
+ * ```ts
+ * const limits = createByteLimits({events, maxHeldBytes: 32_000_000});
+ * const holder = limits.openHolder('assembled', detail => answer.abandon());
+ * holder.set(4096);
+ * holder.close();
+ * ```
+ *
+ * @param options The limit of the process and the event log
+ * @returns The limits
+ */
+export function createByteLimits({maxHeldBytes = defaultMaxHeldBytes, events}: CreateByteLimitsOptions = {}) {
+	const holders = new Set<HolderState>();
+	const cuts = new Map<ByteLimit, number>(Object.keys(cutEvents).map(limit => [limit as ByteLimit, 0]));
+	let heldBytes = 0;
+	let maxSeenBytes = 0;
+
+	function recordCut(limit: ByteLimit, fields: Readonly<Record<string, string | number | undefined>>): void {
+		cuts.set(limit, cuts.get(limit)! + 1);
+		events?.write(cutEvents[limit], fields);
+	}
+
+	function closeHolder(state: HolderState): void {
+		if (state.isOpen) {
+			state.isOpen = false;
+			heldBytes -= state.bytes;
+			holders.delete(state);
+		}
+	}
+
+	function findLargest(): HolderState | undefined {
+		let largest: HolderState | undefined;
+		for (const state of holders) {
+			if (state.bytes > (largest?.bytes ?? 0)) {
+				largest = state;
+			}
+		}
+
+		return largest;
+	}
+
+	// A holder leaves the account before it is cut, because cutting it may close or change other holders.
+	function cutLargest(): void {
+		for (let largest = findLargest(); largest && heldBytes > maxHeldBytes; largest = findLargest()) {
+			const {part, bytes} = largest;
+			const totalBytes = heldBytes;
+			closeHolder(largest);
+			recordCut('held', {
+				part, bytes, totalBytes, maxBytes: maxHeldBytes,
+			});
+			largest.cut(`The process held ${totalBytes} bytes, and this response the most of them`);
+		}
+	}
+
+	return {
+		/** Opens a holder. `cut` is called if the process holds too much and this holder holds the most; it must discard what is held. */
+		openHolder(part: HeldPart, cut: (detail: string) => void): ByteHolder {
+			const state: HolderState = {
+				bytes: 0, part, cut, isOpen: true,
+			};
+			holders.add(state);
+			return {
+				set(bytes) {
+					if (!state.isOpen) {
+						return;
+					}
+
+					heldBytes += bytes - state.bytes;
+					state.bytes = bytes;
+					if (heldBytes > maxHeldBytes) {
+						cutLargest();
+					}
+
+					maxSeenBytes = Math.max(maxSeenBytes, heldBytes);
+				},
+				close() {
+					closeHolder(state);
+				},
+			};
+		},
+
+		/** Counts and logs what was cut by a limit. */
+		recordCut,
+
+		/** Logs that a response is no longer buffered. */
+		recordForwarded(fields: Readonly<Record<string, string | number | undefined>>): void {
+			events?.write('responseForwarded', fields);
+		},
+
+		/** Returns the number of bytes held now. */
+		countHeld: () => heldBytes,
+
+		/** Returns the largest number of bytes that were held at any time, after cuts. */
+		countMaxHeld: () => maxSeenBytes,
+
+		/** Lists how often each limit cut a response or closed a connection. */
+		listCuts: (): ReadonlyArray<readonly [ByteLimit, number]> => [...cuts],
+	};
+}
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from './abort-signals.js';
+export * from './byte-limits.js';
 export * from './caller-server.js';
 export * from './clock.js';
 export * from './connection-tracker.js';
