Bound what the client of upstreams reads, and search an unfinished event once

Cause: the HTTP client does not report chunk extensions, informational responses, reason phrases and empty lines, so an engine that sends one of them without end was read without end (1.1 GB of a chunk extension). A 103 was taken for the final response. The event splitter copied and searched an unfinished event again with each chunk.

Queued chunks are counted with 128 bytes for the object of each. The splitter appends to a buffer that doubles and searches only what is new.

--- a/src/coordination/streams/event-splitter.test.ts
+++ b/src/coordination/streams/event-splitter.test.ts
@@ -14,3 +14,33 @@
 		expect(Buffer.concat([...events.map(event => event.bytes), splitter.getRemainder()]).equals(stream)).toBe(true);
 	}), {numRuns: 200, seed: 11});
 });
+
+test('an event that arrives in many chunks is searched once', () => {
+	// Guards against work that is quadratic in an unfinished event, which an engine that never ends an event uses to stop a gateway.
+	const chunk = Buffer.from('data: line\n'.repeat(8));
+	const measureMs = (chunks: number) => {
+		const splitter = createEventSplitter();
+		const startedAt = performance.now();
+		for (let index = 0; index < chunks; index += 1) {
+			splitter.push(chunk);
+		}
+
+		expect(splitter.getRemainder().length).toBe(chunks * chunk.length);
+		return performance.now() - startedAt;
+	};
+
+	measureMs(1000);
+	// 1.4 MB; 16,000 copies and searches of what has arrived take tens of seconds.
+	expect(measureMs(16_000)).toBeLessThan(1000);
+});
+
+test('events keep their bytes when more are pushed, and the unfinished event keeps none of theirs', () => {
+	const splitter = createEventSplitter();
+	splitter.push(Buffer.from('data: a'));
+	const [first] = splitter.push(Buffer.from('\n\ndata: b'));
+	const [second] = splitter.push(Buffer.from('\n\n'));
+	splitter.push(Buffer.from('data: ccccccccccc'));
+	expect([first, second].map(event => Buffer.from(event!.bytes).toString())).toEqual(['data: a\n\n', 'data: b\n\n']);
+	splitter.push(Buffer.concat([Buffer.from('\n\n'), Buffer.from('data: d\n\n'.repeat(5000)), Buffer.from('da')]));
+	expect(splitter.getHeldBytes()).toBeLessThan(100);
+});
--- a/src/coordination/streams/event-splitter.ts
+++ b/src/coordination/streams/event-splitter.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
+import {createGrowingBuffer} from './growing-buffer.js';
 
 /** A complete event with its unmodified bytes. */
 export type StreamEvent = {readonly id: string | undefined; readonly bytes: Uint8Array};
@@ -14,6 +15,8 @@
 const idPattern = /^id: ?(?<id>.*)$/m;
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
+/** The line end before an empty line that a later chunk completes: a line feed and possibly a carriage return. */
+const lineEndLength = 2;
 
 /** @internal */
 function parseEventId(bytes: Uint8Array): string | undefined {
@@ -49,25 +52,46 @@
  * @returns The splitter
  */
 export function createEventSplitter() {
-	let remainder = Buffer.alloc(0) as Uint8Array;
+	const remainder = createGrowingBuffer();
 
 	return {
 		/** Adds bytes and returns the events that they complete. */
 		push(chunk: Uint8Array): StreamEvent[] {
-			remainder = remainder.length === 0 ? chunk : Buffer.concat([remainder, chunk]);
+			// The bytes before were searched when they were added.
+			const from = Math.max(0, remainder.getLength() - lineEndLength);
+			let bytes = chunk;
+			if (remainder.getLength() > 0) {
+				remainder.append(chunk);
+				bytes = remainder.view();
+			}
+
+			let end = findEventEnd(bytes, from);
+			if (end === -1) {
+				if (remainder.getLength() === 0) {
+					remainder.append(chunk);
+				}
+
+				return [];
+			}
+
+			// The events refer to the bytes, so the remainder moves to a buffer of its own.
+			remainder.take();
 			const events: StreamEvent[] = [];
-			let end = findEventEnd(remainder, 0);
-			while (end !== -1) {
-				const bytes = remainder.subarray(0, end);
-				events.push({id: parseEventId(bytes), bytes});
-				remainder = remainder.subarray(end);
-				end = findEventEnd(remainder, 0);
+			let start = 0;
+			for (; end !== -1; end = findEventEnd(bytes, start)) {
+				const event = bytes.subarray(start, end);
+				events.push({id: parseEventId(event), bytes: event});
+				start = end;
 			}
 
+			remainder.append(bytes.subarray(start));
 			return events;
 		},
 
-		/** Returns the bytes of the last, incomplete event. */
-		getRemainder: (): Uint8Array => remainder,
+		/** Returns the bytes of the last, incomplete event; valid until the next call of `push`. */
+		getRemainder: (): Uint8Array => remainder.view(),
+
+		/** Returns the number of bytes of memory that the incomplete event occupies. */
+		getHeldBytes: () => remainder.getCapacity(),
 	};
 }
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -12,6 +12,8 @@
 import {
 	Err, Ok, type RawHeaders, type Result,
 } from '../protocol/mod.js';
+import {createByteLimits, type ByteHolder, type ByteLimits} from './byte-limits.js';
+import {createConnectionMeters, type ConnectionMeter} from './connection-meter.js';
 
 /** A request to one upstream. */
 export type UpstreamCall = {
@@ -56,19 +58,47 @@
 	readonly connectTimeoutMs: number;
 	/** Maximum number of connections to one upstream; calls that open their own connection are not counted. */
 	readonly maxConnections: number;
+	/** Limits of the process on held bytes; by default the client has limits of its own. */
+	readonly limits?: ByteLimits;
 };
 
+/** Lower statuses are informational: the final response follows on the connection. */
+const minFinalStatus = 200;
 /** The upstream is paused while more than this many bytes are buffered for a slow reader. */
 const maxBufferedBytes = 65_536;
 
+/** Memory of the object that represents a chunk. A body in chunks of one byte would otherwise seem to need no memory. */
+const chunkObjectBytes = 128;
+
 /** @internal Buffers the chunks of a body between undici, which pushes them, and their reader. */
-function createChunkQueue(controller: Dispatcher.DispatchController) {
+function createChunkQueue(controller: Dispatcher.DispatchController, openHolder: (cut: (detail: string) => void) => ByteHolder) {
 	const chunks: Uint8Array[] = [];
 	let bufferedBytes = 0;
 	let hasEnded = false;
 	let failure: Error | undefined;
+	let isDiscarded = false;
 	let wake: () => void = () => undefined;
 
+	// The chunks that have arrived are not passed on either, so that what is left of a response does not look complete.
+	function discard(detail: string): void {
+		isDiscarded = true;
+		failure ??= new Error(detail);
+		chunks.length = 0;
+		bufferedBytes = 0;
+		holder.close();
+		wake();
+	}
+
+	const holder = openHolder(detail => {
+		discard(detail);
+		controller.abort(new Error(detail));
+	});
+
+	function countBytes(change: number): void {
+		bufferedBytes += change;
+		holder.set(bufferedBytes);
+	}
+
 	async function waitForChange(): Promise<void> {
 		return new Promise(resolve => {
 			wake = resolve;
@@ -77,8 +107,12 @@
 
 	return {
 		push(chunk: Uint8Array): void {
+			if (isDiscarded) {
+				return;
+			}
+
 			chunks.push(chunk);
-			bufferedBytes += chunk.length;
+			countBytes(chunk.length + chunkObjectBytes);
 			if (bufferedBytes > maxBufferedBytes) {
 				controller.pause();
 			}
@@ -87,26 +121,31 @@
 		},
 		end(error?: Error): void {
 			hasEnded = true;
-			failure = error;
+			failure ??= error;
 			wake();
 		},
+		discard,
 		async * read(): AsyncIterableIterator<Uint8Array> {
-			for (;;) {
-				const chunk = chunks.shift();
-				if (chunk) {
-					bufferedBytes -= chunk.length;
-					if (controller.paused && bufferedBytes <= maxBufferedBytes) {
-						controller.resume();
-					}
+			try {
+				for (;;) {
+					const chunk = chunks.shift();
+					if (chunk) {
+						countBytes(-chunk.length - chunkObjectBytes);
+						if (controller.paused && bufferedBytes <= maxBufferedBytes) {
+							controller.resume();
+						}
 
-					yield chunk;
-				} else if (failure) {
-					throw failure;
-				} else if (hasEnded) {
-					return;
-				} else {
-					await waitForChange();
+						yield chunk;
+					} else if (failure) {
+						throw failure;
+					} else if (hasEnded) {
+						return;
+					} else {
+						await waitForChange();
+					}
 				}
+			} finally {
+				holder.close();
 			}
 		},
 	};
@@ -123,7 +162,7 @@
  * write to the socket, which fails at once if the connection was reset and
  * succeeds if the upstream closed it normally.
  */
-function createResetDetector() {
+function createResetDetector(onConnect: (socket: Socket, address: string) => void) {
 	const resetVerdicts = new Map<string, Promise<boolean>>();
 
 	function recordVerdict(address: string, wasReset: Promise<boolean>): void {
@@ -148,6 +187,10 @@
 			connector(options, (...result) => {
 				const [, socket] = result;
 				const address = `${options.hostname}:${options.port}`;
+				if (socket) {
+					onConnect(socket, address);
+				}
+
 				socket?.on('error', () => {
 					recordVerdict(address, Promise.resolve(true));
 				});
@@ -178,7 +221,9 @@
  * @returns The client
  */
 export function createUpstreamClient(options: CreateUpstreamClientOptions): UpstreamClient {
-	const resetDetector = createResetDetector();
+	const limits = options.limits ?? createByteLimits();
+	const meters = createConnectionMeters(limits);
+	const resetDetector = createResetDetector(meters.watch);
 	const connect = resetDetector.watch(buildConnector({timeout: options.connectTimeoutMs, allowHalfOpen: true}));
 	// The response timeouts of undici are disabled: each call is limited by its own signal.
 	const clientOptions = {
@@ -190,6 +235,7 @@
 		return new Promise(resolve => {
 			let controller: Dispatcher.DispatchController | undefined;
 			let queue: ReturnType<typeof createChunkQueue> | undefined;
+			let meter: ConnectionMeter | undefined;
 			const abortCall = () => {
 				if (controller) {
 					controller.abort(new Error('The call was aborted'));
@@ -223,15 +269,27 @@
 					controller = started;
 				},
 				onResponseStart(started, status, headers) {
-					queue = createChunkQueue(started);
+					if (status < minFinalStatus) {
+						return;
+					}
+
+					meter = meters.getActive();
+					const opened = createChunkQueue(started, cut => limits.openHolder('received', cut));
+					queue = opened;
 					resolve(Ok({
-						status, headers, rawHeaders: listRawHeaders(started.rawHeaders), chunks: queue.read(), abandon: abortCall,
+						status, headers, rawHeaders: listRawHeaders(started.rawHeaders), chunks: opened.read(),
+						abandon() {
+							opened.discard('The response was abandoned');
+							abortCall();
+						},
 					}));
 				},
 				onResponseData(_started, chunk) {
+					meter?.recordBody(chunk.length);
 					queue?.push(chunk);
 				},
 				onResponseEnd() {
+					meter?.recordEnd();
 					void endQueue(resetDetector.wasReset(call.address));
 				},
 				onResponseError(_started, error) {
