Limit events and responses, and forward long responses as they arrive

Bytes that a caller has not taken are counted. A truncated response to HTTP/1.0 ends with a reset. Metrics: fireflylane_held_bytes, fireflylane_held_bytes_max and fireflylane_responses_cut_total.

--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -8,6 +8,7 @@
  */
 import {createFailure, type EventLog, type Failure} from '../../protocol/mod.js';
 import type {StreamOrigin} from '../../state/mod.js';
+import type {ByteLimits} from '../../transport/mod.js';
 import {StreamAnswerRelay, BufferedAnswerRelay, type AnswerRelay} from '../streams/answer-relay.js';
 import type {PartQuarantine} from '../quarantine/part-quarantine.js';
 import type {PlacementCandidate} from '../upstreams/placement-policy.js';
@@ -32,6 +33,8 @@
 	readonly quarantine: Pick<Quarantine, 'trackRun' | 'isSuspected' | 'mayRetry'>;
 	readonly partQuarantine: Pick<PartQuarantine, 'trackRun' | 'isSuspected' | 'mayRetry' | 'admit' | 'admitSend'>;
 	readonly events: EventLog;
+	/** Limits of the process on held bytes; by default each request has limits of its own. */
+	readonly limits?: ByteLimits;
 };
 
 /** Forwards requests to upstreams. */
@@ -56,13 +59,13 @@
  */
 export function createRequestForwarder(options: CreateRequestForwarderOptions) {
 	const {
-		wire, registry, eligibility, findRetryBudget, quarantine, partQuarantine, clock, events,
+		wire, registry, eligibility, findRetryBudget, quarantine, partQuarantine, clock, events, limits,
 	} = options;
 	const requestPlacement = createRequestPlacement(options);
 	const sender = createUpstreamSender(options);
 
 	function createRelay(request: ForwardRequest): AnswerRelay {
-		return request.route.kind === 'stream' ? new StreamAnswerRelay(request, wire) : new BufferedAnswerRelay(request, wire);
+		return request.route.kind === 'stream' ? new StreamAnswerRelay(request, wire, limits) : new BufferedAnswerRelay(request, wire, limits);
 	}
 
 	function createState(request: ForwardRequest): ForwardingState {
@@ -150,67 +153,77 @@
 		return buildReport(state, failure.ran === 'no' ? 'refused' : 'failed', detail);
 	}
 
+	async function forwardUntilAnswered(state: ForwardingState): Promise<ForwardReport> {
+		const {
+			request, relay, progress, tried,
+		} = state;
+		const retryBudget = findRetryBudget(request.service.id);
+		let deliveries = 0;
+		let deliverFailure: (() => void) | undefined;
+		let detail = '';
+		let held: UnansweredReason | undefined;
+		retryBudget.deposit();
+		for (;;) {
+			held = describeHeld(request);
+			if (held) {
+				break;
+			}
+
+			const placement = requestPlacement.pick(request, tried, state.origin);
+			const isFirst = deliveries === 0;
+			if (placement === undefined || !hasTimeLeft(request.deadline, clock.now()) || progress.sends >= request.route.attempts || !(isFirst || retryBudget.tryWithdraw())) {
+				break;
+			}
+
+			const {id} = placement.candidate;
+			tried.add(id);
+			recordCandidate(progress, placement.candidate);
+			const outcome = await sender.send(state, placement);
+			// The route limits how many upstreams may run a request, so a refused connection or another upstream at the address
+			// does not count as a send. The retry budget limits deliveries, which include those to another upstream at the address.
+			const reached = findReached(outcome);
+			progress.sends += reached === 'chosen' ? 1 : 0;
+			deliveries += reached === 'none' ? 0 : 1;
+			if (request.signal.aborted && outcome.kind !== 'complete') {
+				detail = String((request.signal.reason as Error).message);
+				break;
+			}
+
+			if (outcome.kind === 'complete') {
+				return buildReport(state, 'served');
+			}
+
+			detail = describeOutcome(outcome);
+			if (outcome.kind === 'failed') {
+				deliverFailure = outcome.deliver;
+			}
+
+			events.write('requestRetried', {
+				request: request.id, upstream: id, softwareVersion: progress.softwareVersion, outcome: outcome.kind, events: relay.eventCount, detail,
+			});
+			if (outcome.kind !== 'not-run' && !mayRetryElsewhere(request, relay)) {
+				break;
+			}
+		}
+
+		if (deliverFailure && !request.answer.hasStarted()) {
+			deliverFailure();
+			return buildReport(state, 'passed-on', detail);
+		}
+
+		const reason = held ?? (tried.size === 0 ? describeUnsent(state) : describeLast(detail, state));
+		return finishUnanswered(state, reason);
+	}
+
 	return {
 		/** Forwards a request. When the promise resolves, the caller has received its final answer. */
 		async forward(request: ForwardRequest): Promise<ForwardReport> {
 			const state = createState(request);
-			const {relay, progress, tried} = state;
-			const retryBudget = findRetryBudget(request.service.id);
-			let deliveries = 0;
-			let deliverFailure: (() => void) | undefined;
-			let detail = '';
-			let held: UnansweredReason | undefined;
-			retryBudget.deposit();
-			for (;;) {
-				held = describeHeld(request);
-				if (held) {
-					break;
-				}
-
-				const placement = requestPlacement.pick(request, tried, state.origin);
-				const isFirst = deliveries === 0;
-				if (placement === undefined || !hasTimeLeft(request.deadline, clock.now()) || progress.sends >= request.route.attempts || !(isFirst || retryBudget.tryWithdraw())) {
-					break;
-				}
-
-				const {id} = placement.candidate;
-				tried.add(id);
-				recordCandidate(progress, placement.candidate);
-				const outcome = await sender.send(state, placement);
-				// The route limits how many upstreams may run a request, so a refused connection or another upstream at the address
-				// does not count as a send. The retry budget limits deliveries, which include those to another upstream at the address.
-				const reached = findReached(outcome);
-				progress.sends += reached === 'chosen' ? 1 : 0;
-				deliveries += reached === 'none' ? 0 : 1;
-				if (request.signal.aborted && outcome.kind !== 'complete') {
-					detail = String((request.signal.reason as Error).message);
-					break;
-				}
-
-				if (outcome.kind === 'complete') {
-					return buildReport(state, 'served');
-				}
-
-				detail = describeOutcome(outcome);
-				if (outcome.kind === 'failed') {
-					deliverFailure = outcome.deliver;
-				}
-
-				events.write('requestRetried', {
-					request: request.id, upstream: id, softwareVersion: progress.softwareVersion, outcome: outcome.kind, events: relay.eventCount, detail,
-				});
-				if (outcome.kind !== 'not-run' && !mayRetryElsewhere(request, relay)) {
-					break;
-				}
+			try {
+				return await forwardUntilAnswered(state);
+			} finally {
+				state.relay.close();
 			}
-
-			if (deliverFailure && !request.answer.hasStarted()) {
-				deliverFailure();
-				return buildReport(state, 'passed-on', detail);
-			}
-
-			const reason = held ?? (tried.size === 0 ? describeUnsent(state) : describeLast(detail, state));
-			return finishUnanswered(state, reason);
 		},
 	};
 }
--- a/src/coordination/streams/answer-relay.ts
+++ b/src/coordination/streams/answer-relay.ts
@@ -4,10 +4,13 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import type {GatewayWire} from '../../protocol/mod.js';
-import type {UpstreamResponse} from '../../transport/mod.js';
+import {createFailure, type GatewayWire} from '../../protocol/mod.js';
+import {
+	createByteLimits, maxBufferedResponseBytes, maxEventBytes, maxResponseBytes, type ByteHolder, type ByteLimits, type UpstreamResponse,
+} from '../../transport/mod.js';
 import type {ForwardRequest} from '../requests/forward-types.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
+import {createGrowingBuffer} from './growing-buffer.js';
 
 /**
  * Outcome of relaying an answer.
@@ -33,11 +36,21 @@
 	readonly onProgress: (bytes: number) => void;
 };
 
+/** What is held of one response while it is assembled. */
+type Assembly = {
+	readonly holder: ByteHolder;
+	/** Why the response was cut by the limit of the process; undefined if it was not. */
+	readonly getCutDetail: () => string | undefined;
+};
+
 const minServerErrorStatus = 500;
 
 /** Relays the answers to one request, possibly from several upstreams, to its caller. */
 export abstract class AnswerRelay {
-	constructor(protected readonly request: ForwardRequest, protected readonly wire: GatewayWire) {}
+	// The server error that is held back while other upstreams are tried.
+	#failureHolder: ByteHolder | undefined;
+
+	constructor(protected readonly request: ForwardRequest, protected readonly wire: GatewayWire, protected readonly limits: ByteLimits = createByteLimits()) {}
 
 	/** Number of events sent to the caller. */
 	abstract get eventCount(): number;
@@ -45,37 +58,127 @@
 	/** Id of the event after which another upstream must resume; undefined to start from the beginning. */
 	abstract get lastEventId(): string | undefined;
 
+	/** Relays an answer whose status and headers have arrived. */
+	async relay(answer: UpstreamResponse, options: RelayOptions): Promise<RelayOutcome> {
+		let cutDetail: string | undefined;
+		const holder = this.limits.openHolder('assembled', detail => {
+			cutDetail = detail;
+			answer.abandon();
+		});
+		try {
+			const outcome = await this.relayAssembled(answer, options, {holder, getCutDetail: () => cutDetail});
+			return cutDetail === undefined || outcome.kind === 'complete' ? outcome : {kind: 'broken', detail: cutDetail, wasConnectionLost: false};
+		} finally {
+			holder.close();
+		}
+	}
+
+	/** Ends the holding of a server error that was held back. */
+	close(): void {
+		this.#failureHolder?.close();
+	}
+
 	/** True if the request can still be restarted or resumed at another upstream. */
 	abstract canRetry(): boolean;
 
-	/** Relays an answer whose status and headers have arrived. */
-	abstract relay(answer: UpstreamResponse, options: RelayOptions): Promise<RelayOutcome>;
+	/** Ends an answer that exceeded a limit. */
+	protected breakAnswer(answer: UpstreamResponse, limit: 'event' | 'response', {bytes, maxBytes}: {readonly bytes: number; readonly maxBytes: number}): RelayOutcome {
+		answer.abandon();
+		this.limits.recordCut(limit, {request: this.request.id, bytes, maxBytes});
+		return {kind: 'broken', detail: `The ${limit} is longer than ${maxBytes} bytes`, wasConnectionLost: false};
+	}
 
-	/** Buffers the whole answer before sending any of it, so that the request can be retried if the answer is incomplete. */
-	protected async relayBuffered(answer: UpstreamResponse, options: RelayOptions): Promise<RelayOutcome> {
-		const chunks: Uint8Array[] = [];
+	/**
+	 * Buffers the answer before sending any of it, so that the request can be retried if the answer is incomplete. An answer
+	 * that is too long to be buffered is forwarded as it arrives.
+	 */
+	protected async relayBuffered(answer: UpstreamResponse, options: RelayOptions, assembly: Assembly): Promise<RelayOutcome> {
+		const buffer = createGrowingBuffer();
+		const isFailure = answer.status >= minServerErrorStatus;
+		let bytes = 0;
+		let isForwarded = false;
 		try {
 			for await (const chunk of answer.chunks) {
-				chunks.push(chunk);
+				bytes += chunk.length;
 				options.onProgress(chunk.length);
+				if (bytes > maxResponseBytes) {
+					return this.breakAnswer(answer, 'response', {bytes, maxBytes: maxResponseBytes});
+				}
+
+				if (isForwarded) {
+					await this.request.answer.write(chunk);
+					continue;
+				}
+
+				buffer.append(chunk);
+				assembly.holder.set(buffer.getCapacity());
+				if (bytes <= maxBufferedResponseBytes) {
+					continue;
+				}
+
+				if (isFailure) {
+					return this.breakAnswer(answer, 'response', {bytes, maxBytes: maxBufferedResponseBytes});
+				}
+
+				if (assembly.getCutDetail() === undefined) {
+					isForwarded = true;
+					this.limits.recordForwarded({request: this.request.id, bytes});
+					options.onFirstEvent();
+					this.request.answer.start(answer.status, this.wire.buildAnswerHeaders(answer.rawHeaders));
+					assembly.holder.set(0);
+					await this.request.answer.write(buffer.take());
+				}
 			}
 		} catch (error) {
 			return {kind: 'broken', detail: (error as Error).message, wasConnectionLost: true};
 		}
 
-		const deliver = () => {
-			this.request.answer.start(answer.status, this.wire.buildAnswerHeaders(answer.rawHeaders));
-			this.request.answer.end(Buffer.concat(chunks));
-		};
+		if (isForwarded) {
+			this.request.answer.end();
+			return {kind: 'complete'};
+		}
 
-		if (answer.status >= minServerErrorStatus) {
-			return {kind: 'failed', deliver};
+		const cutDetail = assembly.getCutDetail();
+		if (cutDetail !== undefined) {
+			return {kind: 'broken', detail: cutDetail, wasConnectionLost: false};
+		}
+
+		if (isFailure) {
+			return {kind: 'failed', deliver: this.#holdFailure(answer, buffer.take())};
 		}
 
 		options.onFirstEvent();
-		deliver();
+		assembly.holder.close();
+		this.#deliver(answer, buffer.take());
 		return {kind: 'complete'};
 	}
+
+	/** Relays an answer and sets in its assembly how many bytes are held. */
+	protected abstract relayAssembled(answer: UpstreamResponse, options: RelayOptions, assembly: Assembly): Promise<RelayOutcome>;
+
+	#deliver(answer: UpstreamResponse, body: Uint8Array): void {
+		this.request.answer.start(answer.status, this.wire.buildAnswerHeaders(answer.rawHeaders));
+		this.request.answer.end(body);
+	}
+
+	// Returns the function that sends the server error. It replaces the one that was held back before.
+	#holdFailure(answer: UpstreamResponse, failureBody: Uint8Array): () => void {
+		let body: Uint8Array | undefined = failureBody;
+		this.#failureHolder?.close();
+		const holder = this.limits.openHolder('assembled', () => {
+			body = undefined;
+		});
+		this.#failureHolder = holder;
+		holder.set(failureBody.length);
+		return () => {
+			holder.close();
+			if (body) {
+				this.#deliver(answer, body);
+			} else {
+				this.request.answer.refuse(createFailure('outcome-unknown', 'The upstream answered with a server error that could not be kept', {ran: 'unknown'}));
+			}
+		};
+	}
 }
 
 /** Relays answers that are buffered in full before they are sent. */
@@ -89,11 +192,12 @@
 	}
 
 	canRetry(): boolean {
-		return this.request.route.kind === 'idempotent';
+		// Nothing can replace an answer that is forwarded as it arrives.
+		return this.request.route.kind === 'idempotent' && !this.request.answer.hasStarted();
 	}
 
-	async relay(answer: UpstreamResponse, options: RelayOptions): Promise<RelayOutcome> {
-		return this.relayBuffered(answer, options);
+	protected async relayAssembled(answer: UpstreamResponse, options: RelayOptions, assembly: Assembly): Promise<RelayOutcome> {
+		return this.relayBuffered(answer, options, assembly);
 	}
 }
 
@@ -112,13 +216,17 @@
 
 	canRetry(): boolean {
 		// Once an event has been sent, the resume position is known only if the events have ids.
-		return this.request.route.isResumable && (this.#eventCount === 0 || this.#lastEventId !== undefined);
+		if (!this.request.route.isResumable) {
+			return false;
+		}
+
+		return this.#eventCount === 0 ? !this.request.answer.hasStarted() : this.#lastEventId !== undefined;
 	}
 
-	async relay(answer: UpstreamResponse, options: RelayOptions): Promise<RelayOutcome> {
+	protected async relayAssembled(answer: UpstreamResponse, options: RelayOptions, assembly: Assembly): Promise<RelayOutcome> {
 		const isStream = String(answer.headers['content-type'] ?? '').startsWith('text/event-stream');
 		if (answer.status !== 200 || !isStream) {
-			return this.#relayNonStream(answer, options);
+			return this.#relayNonStream(answer, options, assembly);
 		}
 
 		const splitter = createEventSplitter();
@@ -126,8 +234,16 @@
 			for await (const chunk of answer.chunks) {
 				options.onProgress(chunk.length);
 				const events = splitter.push(chunk);
-				if (events.length > 0) {
-					await this.#forwardEvents(events, answer, options);
+				assembly.holder.set(splitter.getHeldBytes());
+				const tooLong = events.findIndex(event => event.bytes.length > maxEventBytes);
+				const whole = tooLong === -1 ? events : events.slice(0, tooLong);
+				if (whole.length > 0) {
+					await this.#forwardEvents(whole, answer, options);
+				}
+
+				const bytes = events[tooLong]?.bytes.length ?? splitter.getRemainder().length;
+				if (bytes > maxEventBytes) {
+					return this.breakAnswer(answer, 'event', {bytes, maxBytes: maxEventBytes});
 				}
 			}
 		} catch (error) {
@@ -143,13 +259,13 @@
 		return {kind: 'complete'};
 	}
 
-	async #relayNonStream(answer: UpstreamResponse, options: RelayOptions): Promise<RelayOutcome> {
+	async #relayNonStream(answer: UpstreamResponse, options: RelayOptions, assembly: Assembly): Promise<RelayOutcome> {
 		if (this.request.answer.hasStarted()) {
 			answer.abandon();
 			return {kind: 'broken', detail: `The stream was not resumed: status ${answer.status}`, wasConnectionLost: false};
 		}
 
-		return this.relayBuffered(answer, options);
+		return this.relayBuffered(answer, options, assembly);
 	}
 
 	// A resumed stream keeps the status and headers of the first upstream that sent an event.
--- a/src/daemon/caller-answer.ts
+++ b/src/daemon/caller-answer.ts
@@ -9,6 +9,7 @@
 import {
 	failureTable, formatProblem, type Failure, type GatewayWire,
 } from '../protocol/mod.js';
+import type {ByteHolder, ByteLimits} from '../transport/mod.js';
 
 /** @internal Waits until buffered data has been sent or the caller has disconnected. Removes its listeners, as a long stream waits many times. */
 async function waitUntilDrained(response: ServerResponse): Promise<void> {
@@ -21,31 +22,87 @@
 	}
 }
 
+/** @internal Closes the connection. Responses to HTTP/1.0 end with their connection, so that only a reset shows that one is truncated. */
+function truncate(response: ServerResponse): void {
+	const {socket, httpVersion} = response.req;
+	if (httpVersion === '1.0') {
+		socket.resetAndDestroy();
+	} else {
+		socket.destroy();
+	}
+}
+
 /**
  * Creates an answer that is written to an HTTP response.
  *
  * @example
  * ```ts
- * createCallerAnswer(response, wire).refuse(createFailure('unknown-key', 'The key is unknown'));
+ * createCallerAnswer(response, wire, limits).refuse(createFailure('unknown-key', 'The key is unknown'));
  * ```
  *
  * @param response The response; nothing may have been written to it
  * @param wire Wire format of the headers
+ * @param limits Limits of the process on held bytes; if undefined, what is held for the caller is not counted
  * @returns The answer
  */
-export function createCallerAnswer(response: ServerResponse, wire: GatewayWire): CallerAnswer {
+export function createCallerAnswer(response: ServerResponse, wire: GatewayWire, limits?: Pick<ByteLimits, 'openHolder'>): CallerAnswer {
+	let holder: ByteHolder | undefined;
+	let unsentBytes = 0;
+
+	function countUnsent(change: number): void {
+		unsentBytes += change;
+		holder?.set(unsentBytes);
+	}
+
+	// The connection is observed as well: a response that waits for an earlier one on its connection is not closed with it.
+	function openHolder(openOne: ByteLimits['openHolder']): ByteHolder {
+		const {socket} = response.req;
+		const opened = openOne('unsent', () => {
+			truncate(response);
+		});
+		const close = () => {
+			opened.close();
+			socket.off('close', close);
+			response.off('close', close);
+		};
+
+		socket.once('close', close);
+		response.once('close', close);
+		return opened;
+	}
+
+	function recordWrite(bytes: number): void {
+		if (limits && !response.destroyed && !response.req.socket.destroyed) {
+			holder ??= openHolder(limits.openHolder);
+			countUnsent(bytes);
+		}
+	}
+
 	return {
 		hasStarted: () => response.headersSent,
 		start(status, headers) {
 			response.writeHead(status, [...headers]);
 			response.flushHeaders();
 		},
-		write: async bytes => response.write(bytes) || response.destroyed ? undefined : waitUntilDrained(response),
+		async write(bytes) {
+			recordWrite(bytes.length);
+			if (response.destroyed) {
+				return;
+			}
+
+			const isDrained = response.write(bytes, () => {
+				countUnsent(-bytes.length);
+			});
+			if (!isDrained && !response.destroyed) {
+				await waitUntilDrained(response);
+			}
+		},
 		end(bytes) {
+			recordWrite(bytes?.length ?? 0);
 			response.end(bytes);
 		},
 		abort() {
-			response.destroy();
+			truncate(response);
 		},
 		refuse(failure: Failure) {
 			if (response.headersSent || response.destroyed) {
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -20,7 +20,7 @@
 	createPeerViews, createUpstreamDepartures, createUpstreamLimits, createUpstreamRests, type PeerView,
 } from '../state/mod.js';
 import {
-	createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, probeAddress, startCallerServer, startFleetServer,
+	createByteLimits, createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, probeAddress, startCallerServer, startFleetServer,
 } from '../transport/mod.js';
 import type {RunningDaemon} from './core.js';
 import {formatGatewayMetrics} from './gateway-metrics.js';
@@ -294,9 +294,10 @@
 		countGateways: () => grantRegistry.listRunning().filter(({role}) => role === 'gateway').length,
 		getLimits: () => ({share: settings.retryShare, slack: settings.retrySlack}),
 	});
+	const byteLimits = createByteLimits({events});
 	const forwarder = createRequestForwarder({
-		wire: adapter.wire, clock, events,
-		client: createUpstreamClient({connectTimeoutMs, maxConnections: maxUpstreamConnections}),
+		wire: adapter.wire, clock, events, limits: byteLimits,
+		client: createUpstreamClient({connectTimeoutMs, maxConnections: maxUpstreamConnections, limits: byteLimits}),
 		registry: upstreamRegistry,
 		eligibility,
 		limitRecorder,
@@ -322,7 +323,7 @@
 		},
 	});
 	const callerInterface = createGatewayInterface({
-		wire: adapter.wire, findRouteTable, syncViews: async unreadMs => state.syncViews(unreadMs, signal), budgetManager, forwarder, streamResolver: streams.resolver, metrics, clock, events, stopWindow, admission, quarantine: quarantines.requests, partQuarantine: quarantines.parts,
+		wire: adapter.wire, findRouteTable, syncViews: async unreadMs => state.syncViews(unreadMs, signal), budgetManager, forwarder, streamResolver: streams.resolver, metrics, clock, events, stopWindow, admission, quarantine: quarantines.requests, partQuarantine: quarantines.parts, byteLimits,
 		computeStopRetryAfterMs: () => retryAfterEstimator.estimate(peerViews.list(), {ownRemainingMs: stopWindow.computeRemainingMs()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve);
@@ -349,6 +350,7 @@
 			departures,
 			countResting: () => rests.count(clock.now()),
 			traffic,
+			byteLimits,
 			streamRecorder: streams.recorder,
 			callerServerStatistics: callerServer.getStatistics(),
 			readinessResponses,
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -14,7 +14,7 @@
 } from '../protocol/mod.js';
 import type {RouteTable, StreamOrigin, TokenReservation} from '../state/mod.js';
 import {
-	readPendingInput, readBody, waitUnlessAborted, waitUntilSent, type Clock, type ReceivedRequest,
+	readPendingInput, readBody, waitUnlessAborted, waitUntilSent, type ByteLimits, type Clock, type ReceivedRequest,
 } from '../transport/mod.js';
 import {createCallerAnswer} from './caller-answer.js';
 import {computeRequestDigest} from './request-digest.js';
@@ -37,6 +37,7 @@
 	readonly admission: Admission;
 	readonly quarantine: Pick<Quarantine, 'admit'>;
 	readonly partQuarantine: Pick<PartQuarantine, 'admit' | 'tryTrial'>;
+	readonly byteLimits?: ByteLimits;
 	/** Returns the time after which a caller refused by a stopping gateway may retry, in milliseconds. */
 	readonly computeStopRetryAfterMs: () => number;
 };
@@ -100,7 +101,7 @@
  */
 export function createGatewayInterface(options: CreateGatewayInterfaceOptions) {
 	const {
-		wire, findRouteTable, syncViews, budgetManager, forwarder, streamResolver, metrics, clock, events, stopWindow, admission, quarantine, partQuarantine, computeStopRetryAfterMs,
+		wire, findRouteTable, syncViews, budgetManager, forwarder, streamResolver, metrics, clock, events, stopWindow, admission, quarantine, partQuarantine, byteLimits, computeStopRetryAfterMs,
 	} = options;
 	const runningRequests = new Set<IncomingMessage>();
 	const requestCounts = new WeakMap<Socket, number>();
@@ -349,7 +350,7 @@
 
 		/** Serves one request and resolves when its response has been sent; never rejects. */
 		async serve(request: IncomingMessage, response: ServerResponse, {unreadMs}: ReceivedRequest): Promise<void> {
-			const answer = createCallerAnswer(response, wire);
+			const answer = createCallerAnswer(response, wire, byteLimits);
 			const abortController = new AbortController();
 			response.on('close', () => {
 				if (!response.writableFinished) {
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -9,7 +9,7 @@
 } from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
 import type {TokenAccount, UpstreamDepartures, UpstreamLimits} from '../state/mod.js';
-import type {CallerServerStatistics} from '../transport/mod.js';
+import type {ByteLimits, CallerServerStatistics} from '../transport/mod.js';
 
 /** Options of {@linkcode formatGatewayMetrics}. */
 export type FormatGatewayMetricsOptions = {
@@ -28,6 +28,7 @@
 	/** Returns the number of upstreams that rest. */
 	readonly countResting: () => number;
 	readonly traffic: Pick<TrafficCounter, 'list'>;
+	readonly byteLimits: Pick<ByteLimits, 'countHeld' | 'countMaxHeld' | 'listCuts'>;
 	readonly streamRecorder: Pick<StreamRecorder, 'count' | 'countEvictions'>;
 	/** Connections and requests of this gateway's callers. */
 	readonly callerServerStatistics: CallerServerStatistics;
@@ -41,7 +42,7 @@
  * @example
  * ```ts
  * response.end(formatGatewayMetrics({
- * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, streamRecorder, callerServerStatistics, readinessResponses: 2,
+ * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, byteLimits, streamRecorder, callerServerStatistics, readinessResponses: 2,
  * }));
  * ```
  *
@@ -50,7 +51,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, streamRecorder, callerServerStatistics, readinessResponses,
+		metrics, events, runningRequests, deploymentVersion, account, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, byteLimits, streamRecorder, callerServerStatistics, readinessResponses,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${runningRequests}`,
@@ -71,12 +72,18 @@
 		`fireflylane_upstreams_resting ${countResting()}`,
 		`fireflylane_streams_recorded ${streamRecorder.count()}`,
 		`fireflylane_stream_records_evicted_total ${streamRecorder.countEvictions()}`,
+		`fireflylane_held_bytes ${byteLimits.countHeld()}`,
+		`fireflylane_held_bytes_max ${byteLimits.countMaxHeld()}`,
 		`fireflylane_readiness_answers_total ${readinessResponses}`,
 	];
 	for (const {kind, isCrossDomain, bytes} of traffic.list()) {
 		lines.push(`fireflylane_traffic_bytes_total{kind="${kind}",crosses_domains="${isCrossDomain}"} ${bytes}`);
 	}
 
+	for (const [limit, count] of byteLimits.listCuts()) {
+		lines.push(`fireflylane_responses_cut_total{limit="${limit}"} ${count}`);
+	}
+
 	for (const [event, count] of events.counts) {
 		lines.push(`fireflylane_events_total{event="${event}"} ${count}`);
 	}
