--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -9,7 +9,7 @@
 } from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
 import type {TokenAccount, UpstreamDepartures, UpstreamLimits} from '../state/mod.js';
-import type {CallerServerStatistics} from '../transport/mod.js';
+import type {ByteLimits, CallerServerStatistics} from '../transport/mod.js';
 import {notReadyReasons, type GatewayLoadControl} from './gateway-load.js';
 
 /** Options of {@linkcode formatGatewayMetrics}. */
@@ -30,6 +30,7 @@
 	/** Returns the number of upstreams that rest. */
 	readonly countResting: () => number;
 	readonly traffic: Pick<TrafficCounter, 'list'>;
+	readonly byteLimits: Pick<ByteLimits, 'countHeld' | 'countMaxHeld' | 'listCuts'>;
 	readonly streamRecorder: Pick<StreamRecorder, 'count' | 'countEvictions'>;
 	readonly load: Pick<GatewayLoadControl, 'listShares' | 'listNotReadyReasons'>;
 	/** Connections and requests of this gateway's callers. */
@@ -44,7 +45,7 @@
  * @example
  * ```ts
  * response.end(formatGatewayMetrics({
- * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, streamRecorder, load, callerServerStatistics, readinessResponses: 2,
+ * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, byteLimits, streamRecorder, load, callerServerStatistics, readinessResponses: 2,
  * }));
  * ```
  *
@@ -53,7 +54,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, runningRequests, deploymentVersion, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, streamRecorder, load, callerServerStatistics, readinessResponses,
+		metrics, events, runningRequests, deploymentVersion, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, byteLimits, streamRecorder, load, callerServerStatistics, readinessResponses,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${runningRequests}`,
@@ -74,6 +75,8 @@
 		`fireflylane_upstreams_resting ${countResting()}`,
 		`fireflylane_streams_recorded ${streamRecorder.count()}`,
 		`fireflylane_stream_records_evicted_total ${streamRecorder.countEvictions()}`,
+		`fireflylane_held_bytes ${byteLimits.countHeld()}`,
+		`fireflylane_held_bytes_max ${byteLimits.countMaxHeld()}`,
 		`fireflylane_readiness_answers_total ${readinessResponses}`,
 		`fireflylane_loans_late_tokens_total ${lending.getLateTokens()}`,
 	];
@@ -94,6 +97,10 @@
 		lines.push(`fireflylane_traffic_bytes_total{kind="${kind}",crosses_domains="${isCrossDomain}"} ${bytes}`);
 	}
 
+	for (const [limit, count] of byteLimits.listCuts()) {
+		lines.push(`fireflylane_responses_cut_total{limit="${limit}"} ${count}`);
+	}
+
 	for (const [event, count] of events.counts) {
 		lines.push(`fireflylane_events_total{event="${event}"} ${count}`);
 	}
