Read the slowness that engines state in the load header

Cause: engines share their hosts with others and state how long work takes at this moment as the fourth value of the load header, which was ignored. Change: the value is read as a multiple of the usual.

--- a/src/protocol/gateway-wire.ts
+++ b/src/protocol/gateway-wire.ts
@@ -52,7 +52,13 @@
 };
 
 /** Load of an upstream as reported in an answer. */
-export type ReportedLoad = {readonly running: number; readonly waiting: number; readonly slots: number};
+export type ReportedLoad = {
+	readonly running: number;
+	readonly waiting: number;
+	readonly slots: number;
+	/** How long work takes on the upstream's host at this moment as a multiple of the usual; undefined if not stated. */
+	readonly slowness?: number | 'malformed';
+};
 
 /** Metadata of an answer from an upstream. */
 export type AnswerMetadata = {
