Sum the tokens held and the slowness stated by other gateways

Cause: the fields held_tokens and slowness_percent of gossip were unused. Change: peer views keep sums as views arrive; slowness is a mean over the gateways that state one, kept in whole percent so that subtracting leaves no rounding error. Numbers above 32 bits are limited, because they would make an entry unsendable. The tests of sums also cover the new fields. Measured: peer-views and gossip tests pass.

--- a/src/coordination/peers/load-codec.ts
+++ b/src/coordination/peers/load-codec.ts
@@ -12,6 +12,14 @@
 
 const percentPerShare = 100;
 
+/** The largest number of the message's fields. A larger one would make the whole entry unsendable. */
+const maxUint32 = 0xFF_FF_FF_FF;
+
+/** @internal */
+function toUint32(value: number): number {
+	return Math.min(maxUint32, Math.max(0, Math.round(value)));
+}
+
 /** @internal */
 function toPercent(share: number): number {
 	return Math.max(0, Math.round(share * percentPerShare));
@@ -64,7 +72,7 @@
  */
 export function encodeUse({upstream, inFlight, waitingTokens, heldTokens, slowness}: UpstreamUse) {
 	return {
-		upstream, inFlight, waitingTokens, heldTokens: Math.round(heldTokens ?? 0), slownessPercent: toPercent(slowness ?? 0),
+		upstream, inFlight, waitingTokens: toUint32(waitingTokens), heldTokens: toUint32(heldTokens ?? 0), slownessPercent: toPercent(slowness ?? 0),
 	};
 }
 
--- a/src/coordination/peers/placement-gossip.test.ts
+++ b/src/coordination/peers/placement-gossip.test.ts
@@ -85,11 +85,15 @@
 	await time.runUntil(1000);
 	const tracker = sender.registry.trackRequest('u1', request);
 	await time.runUntil(1060);
-	expect(receiver.views.sumUse('u1')).toEqual({upstream: 'u1', inFlight: 1, waitingTokens: 12_000});
+	expect(receiver.views.sumUse('u1')).toEqual({
+		upstream: 'u1', inFlight: 1, waitingTokens: 12_000, heldTokens: 12_100, statedInFlight: 1,
+	});
 	expect(countCachedAt(receiver.registry)).toBe(12_000);
 	tracker.recordFirstEvent();
 	await time.runUntil(1120);
-	expect(receiver.views.sumUse('u1')).toEqual({upstream: 'u1', inFlight: 1, waitingTokens: 0});
+	expect(receiver.views.sumUse('u1')).toEqual({
+		upstream: 'u1', inFlight: 1, waitingTokens: 0, heldTokens: 12_100, statedInFlight: 1,
+	});
 	stopper.abort();
 });
 
--- a/src/state/peer-views.test.ts
+++ b/src/state/peer-views.test.ts
@@ -27,7 +27,9 @@
 
 // If the sums deviated from the views, an upstream would look loaded or idle permanently.
 test('the sums match the views after any changes', () => {
-	const use = fc.record({upstream: fc.constantFrom('u1', 'u2'), inFlight: fc.nat(5), waitingTokens: fc.nat(100)});
+	const use = fc.record({
+		upstream: fc.constantFrom('u1', 'u2'), inFlight: fc.nat(5), waitingTokens: fc.nat(100), heldTokens: fc.option(fc.nat(50_000), {nil: undefined}), slowness: fc.option(fc.integer({min: 1, max: 100_000}).map(percent => percent / 100), {nil: undefined}),
+	});
 	const change = fc.record({daemon: fc.constantFrom('e1', 'e2', 'e3'), uses: fc.uniqueArray(use, {selector: item => item.upstream}), isDropped: fc.boolean()});
 	fc.assert(fc.property(fc.array(change), changes => {
 		const views = createPeerViews();
@@ -40,11 +42,21 @@
 
 		for (const upstream of ['u1', 'u2']) {
 			const all = views.list().flatMap(view => view.uses.filter(item => item.upstream === upstream));
-			expect(views.sumUse(upstream)).toEqual({
+			const stated = all.filter(item => item.heldTokens !== undefined);
+			const statedInFlight = stated.reduce((sum, item) => sum + item.inFlight, 0);
+			const values = all.map(item => item.slowness).filter(value => value !== undefined);
+			const {slowness, ...sums} = views.sumUse(upstream);
+			expect(sums).toEqual({
 				upstream,
 				inFlight: all.reduce((sum, item) => sum + item.inFlight, 0),
 				waitingTokens: all.reduce((sum, item) => sum + item.waitingTokens, 0),
+				heldTokens: statedInFlight > 0 ? stated.reduce((sum, item) => sum + item.heldTokens!, 0) : undefined,
+				statedInFlight: statedInFlight > 0 ? statedInFlight : undefined,
 			});
+			expect(slowness === undefined).toBe(values.length === 0);
+			if (slowness !== undefined) {
+				expect(slowness).toBeCloseTo(values.reduce((sum, value) => sum + value, 0) / values.length, 6);
+			}
 		}
 	}));
 });
--- a/src/state/peer-views.ts
+++ b/src/state/peer-views.ts
@@ -24,6 +24,12 @@
 	readonly slowness?: number;
 };
 
+/** Requests that all other gateways have at one upstream; `slowness` is the mean over those that state one. */
+export type PeerUse = UpstreamUse & {
+	/** Requests of the gateways that state the tokens which they hold; undefined if none does. */
+	readonly statedInFlight?: number;
+};
+
 /** How much of its capacity a gateway uses; shares from 0, above 1 if it is asked for more than it has. */
 export type GatewayLoad = {
 	readonly processorShare: number;
@@ -67,6 +73,46 @@
 /** Views of all other gateways. */
 export type PeerViews = ReturnType<typeof createPeerViews>;
 
+/** Slowness is summed in percent: integers leave no rounding error when they are subtracted again. */
+type UseSum = {inFlight: number; waitingTokens: number; heldTokens: number; statedInFlight: number; slownessPercent: number; slownessCount: number};
+
+const percentPerMultiple = 100;
+
+/** @internal */
+function addUse(sum: UseSum, use: UpstreamUse, sign: 1 | -1): void {
+	sum.inFlight += sign * use.inFlight;
+	sum.waitingTokens += sign * use.waitingTokens;
+	if (use.heldTokens !== undefined) {
+		sum.heldTokens += sign * use.heldTokens;
+		sum.statedInFlight += sign * use.inFlight;
+	}
+
+	if (use.slowness !== undefined) {
+		sum.slownessPercent += sign * Math.round(use.slowness * percentPerMultiple);
+		sum.slownessCount += sign;
+	}
+}
+
+/** @internal */
+function isEmpty(sum: UseSum): boolean {
+	return sum.inFlight === 0 && sum.waitingTokens === 0 && sum.heldTokens === 0 && sum.slownessCount === 0;
+}
+
+/** @internal */
+function buildPeerUse(upstream: string, sum: UseSum | undefined): PeerUse {
+	if (!sum) {
+		return {upstream, inFlight: 0, waitingTokens: 0};
+	}
+
+	const {inFlight, waitingTokens, heldTokens, statedInFlight, slownessPercent, slownessCount} = sum;
+	return {
+		upstream, inFlight, waitingTokens,
+		heldTokens: statedInFlight > 0 ? heldTokens : undefined,
+		statedInFlight: statedInFlight > 0 ? statedInFlight : undefined,
+		slowness: slownessCount > 0 ? slownessPercent / slownessCount / percentPerMultiple : undefined,
+	};
+}
+
 type ReceivedView = {readonly view: PeerView; readonly sequence: number; readonly at: number};
 
 /** Identifies the gossip entry that a view was received in. */
@@ -86,17 +132,18 @@
  */
 export function createPeerViews() {
 	const receivedViews = new Map<string, ReceivedView>();
-	const useByUpstream = new Map<string, {inFlight: number; waitingTokens: number}>();
+	const useByUpstream = new Map<string, UseSum>();
 
 	function addUses(uses: readonly UpstreamUse[], sign: 1 | -1): void {
-		for (const {upstream, inFlight, waitingTokens} of uses) {
-			const sum = useByUpstream.get(upstream) ?? {inFlight: 0, waitingTokens: 0};
-			sum.inFlight += sign * inFlight;
-			sum.waitingTokens += sign * waitingTokens;
-			if (sum.inFlight === 0 && sum.waitingTokens === 0) {
-				useByUpstream.delete(upstream);
+		for (const use of uses) {
+			const sum = useByUpstream.get(use.upstream) ?? {
+				inFlight: 0, waitingTokens: 0, heldTokens: 0, statedInFlight: 0, slownessPercent: 0, slownessCount: 0,
+			};
+			addUse(sum, use, sign);
+			if (isEmpty(sum)) {
+				useByUpstream.delete(use.upstream);
 			} else {
-				useByUpstream.set(upstream, sum);
+				useByUpstream.set(use.upstream, sum);
 			}
 		}
 	}
@@ -124,9 +171,7 @@
 		has: (daemon: string): boolean => receivedViews.has(daemon),
 
 		/** Returns the sum of all other gateways' requests at an upstream. */
-		sumUse: (upstream: string): UpstreamUse => ({
-			upstream, inFlight: 0, waitingTokens: 0, ...useByUpstream.get(upstream),
-		}),
+		sumUse: (upstream: string): PeerUse => buildPeerUse(upstream, useByUpstream.get(upstream)),
 
 		/** Deletes views received before `minReceivedAt` and returns the names of their gateways. */
 		dropStale(minReceivedAt: number): string[] {
