Place streams by expected delay, learnt speed and memory of engines

Cause: long streams were late at slow engines, shared parts were read again, and nothing kept long prompts from filling an engine's memory. Change: StreamPlacementPolicy weighs the time to the first event, pauses, reading shared parts again and memory; ranks are weighted by learnt speed; ties are broken by the request. An engine that restarts under its ID is learnt anew. The earlier policy stays for services without engine shape and slowness.

--- a/src/coordination/upstreams/mod.ts
+++ b/src/coordination/upstreams/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 export * from './cold-admission.js';
+export * from './engine-memory.js';
+export * from './engine-speed.js';
 export * from './expiry-grace.js';
 export * from './limit-admission.js';
 export * from './limit-recorder.js';
@@ -15,6 +17,8 @@
 export * from './routing-policy.js';
 export * from './send-window.js';
 export * from './share-policy.js';
+export * from './stream-cost.js';
+export * from './stream-placement-policy.js';
 export * from './upstream-eligibility.js';
 export * from './upstream-registry.js';
 export * from './urgency.js';
--- a/src/coordination/upstreams/placement-policy.ts
+++ b/src/coordination/upstreams/placement-policy.ts
@@ -19,6 +19,14 @@
 	readonly cachedTokens: number;
 	/** Time for the same work relative to other upstreams; 1 is typical. */
 	readonly slowness: number;
+	/** How long work takes on the upstream's host at this moment as a multiple of the usual; undefined if it was not stated recently. */
+	readonly momentarySlowness?: number;
+	/** Tokens in one event of a stream; undefined if the shape of the engine is unknown. */
+	readonly tokensPerEvent?: number;
+	/** Capacity of the engine's memory in tokens; undefined if the shape of the engine is unknown. */
+	readonly memoryTokens?: number;
+	/** Tokens that requests of all gateways hold in that memory, as far as known. */
+	readonly heldTokens?: number;
 	/** Share of recent requests that failed. */
 	readonly failureShare: number;
 	readonly isSameDomain: boolean;
@@ -33,6 +41,8 @@
 	/** Request id; the rendezvous key of requests without a prompt. */
 	readonly id: string;
 	readonly generation: GenerationParameters | undefined;
+	/** Time within which the first event is due, in milliseconds. */
+	readonly objectiveMs?: number;
 };
 
 /** Chooses an upstream for a request. */
@@ -40,8 +50,23 @@
 	/** Picks the candidate with the lowest cost. There must be at least one candidate. */
 	pick(query: PlacementQuery, candidates: readonly PlacementCandidate[]): PlacementCandidate {
 		const ranks = new Map(rankByRendezvous(this.getRendezvousKey(query), candidates.map(({id}) => id)).map((id, rank) => [id, rank]));
-		const costs = new Map(candidates.map(candidate => [candidate, this.estimateCost(query, candidate, ranks.get(candidate.id)!)]));
-		return candidates.toSorted((left, right) => costs.get(left)! - costs.get(right)!)[0]!;
+		let chosen = candidates[0]!;
+		let lowestCost = Number.POSITIVE_INFINITY;
+		for (const candidate of candidates) {
+			const cost = this.estimateCost(query, candidate, ranks.get(candidate.id)!);
+			if (cost < lowestCost) {
+				lowestCost = cost;
+				chosen = candidate;
+			}
+		}
+
+		return chosen;
+	}
+
+	/** Returns the candidate to which a prompt that is cached nowhere is sent; undefined if there is none. */
+	findFirst(query: PlacementQuery, candidates: readonly PlacementCandidate[]): PlacementCandidate | undefined {
+		const [first] = rankByRendezvous(this.getRendezvousKey(query), candidates.map(({id}) => id));
+		return candidates.find(({id}) => id === first);
 	}
 
 	/** Estimates the cost of a candidate, in a unit of the policy's choice. */
--- a/src/coordination/upstreams/prompt-source.ts
+++ b/src/coordination/upstreams/prompt-source.ts
@@ -8,9 +8,8 @@
  *
  * @module
  */
-import {rankByRendezvous} from '../peers/rendezvous.js';
 import {
-	getRendezvousKey, listSharedParts, type PlacementCandidate, type PlacementQuery,
+	PromptPlacementPolicy, listSharedParts, type PlacementCandidate, type PlacementPolicy, type PlacementQuery,
 } from './placement-policy.js';
 
 /** Upstreams from which a source is chosen. */
@@ -18,6 +17,8 @@
 	/** The upstream that processes the prompt. */
 	readonly chosen: PlacementCandidate;
 	readonly candidates: readonly PlacementCandidate[];
+	/** Policy by which prompts are placed, and which therefore knows where others send the same part; default: {@linkcode PromptPlacementPolicy}. */
+	readonly placementPolicy?: Pick<PlacementPolicy, 'findFirst'>;
 };
 
 /** Chooses the source of a prompt. */
@@ -36,6 +37,8 @@
 /** A copy takes 5 ms to set up, in which an upstream processes a few hundred tokens. */
 const minFetchedTokens = 500;
 
+const defaultPlacementPolicy = new PromptPlacementPolicy();
+
 /** @internal Memory that one software version wrote does not fit another one. */
 function isMemoryReadable(source: PlacementCandidate, chosen: PlacementCandidate): boolean {
 	return chosen.softwareVersion !== undefined && source.softwareVersion === chosen.softwareVersion;
@@ -47,7 +50,7 @@
  * rendezvous hashing, to which other gateways send the same part.
  */
 export class CachedPromptSource extends PromptSourcePolicy {
-	pick(query: PlacementQuery, {chosen, candidates}: PromptSourceOptions): PlacementCandidate | undefined {
+	pick(query: PlacementQuery, {chosen, candidates, placementPolicy = defaultPlacementPolicy}: PromptSourceOptions): PlacementCandidate | undefined {
 		const sharedTokens = listSharedParts(query.generation?.parts ?? []).reduce((sum, {tokens}) => sum + tokens, 0);
 		if (sharedTokens - chosen.cachedTokens < minFetchedTokens) {
 			return undefined;
@@ -59,7 +62,6 @@
 			return best;
 		}
 
-		const [first] = rankByRendezvous(getRendezvousKey(query), sources.map(({id}) => id));
-		return sources.find(({id}) => id === first);
+		return placementPolicy.findFirst(query, sources);
 	}
 }
--- a/src/coordination/upstreams/request-placement.ts
+++ b/src/coordination/upstreams/request-placement.ts
@@ -12,6 +12,7 @@
 	LeastRunningPolicy, PromptPlacementPolicy, ServicePlacementPolicy, type PlacementCandidate, type PlacementPolicy, type PlacementQuery,
 } from './placement-policy.js';
 import type {PromptSourceOptions, PromptSourcePolicy} from './prompt-source.js';
+import {StreamPlacementPolicy} from './stream-placement-policy.js';
 import type {UpstreamRegistry} from './upstream-registry.js';
 
 /** Options of {@linkcode createRequestPlacement}. */
@@ -46,14 +47,21 @@
 }: CreateRequestPlacementOptions) {
 	const suspectPolicy: PlacementPolicy = new LeastRunningPolicy();
 	const promptPolicy: PlacementPolicy = new PromptPlacementPolicy();
+	const streamPolicy: PlacementPolicy = new StreamPlacementPolicy();
 	const servicePolicy: PlacementPolicy = new ServicePlacementPolicy();
 
-	function findPolicy({digest, parts, generation}: ForwardRequest): PlacementPolicy {
+	// The newer policy needs to know what it weighs: the shape of the engines or the slowness of their hosts.
+	function findPromptPolicy({service}: ForwardRequest, candidates: readonly PlacementCandidate[]): PlacementPolicy {
+		return service.engine !== undefined || candidates.some(({momentarySlowness}) => momentarySlowness !== undefined) ? streamPolicy : promptPolicy;
+	}
+
+	function findPolicy(request: ForwardRequest, candidates: readonly PlacementCandidate[]): PlacementPolicy {
+		const {digest, parts, generation} = request;
 		if (quarantine.isSuspected(digest) || partQuarantine.isSuspected(parts)) {
 			return suspectPolicy;
 		}
 
-		return generation ? promptPolicy : servicePolicy;
+		return generation ? findPromptPolicy(request, candidates) : servicePolicy;
 	}
 
 	function pickSource({service}: ForwardRequest, query: PlacementQuery, options: PromptSourceOptions): string | undefined {
@@ -72,9 +80,9 @@
 				return undefined;
 			}
 
-			const query = {id: request.id ?? '', generation};
-			const candidate = findPolicy(request).pick(query, candidates);
-			return {candidate, fetchFrom: pickSource(request, query, {chosen: candidate, candidates})};
+			const query = {id: request.id ?? '', generation, objectiveMs: request.route.objective};
+			const candidate = findPolicy(request, candidates).pick(query, candidates);
+			return {candidate, fetchFrom: pickSource(request, query, {chosen: candidate, candidates, placementPolicy: findPromptPolicy(request, candidates)})};
 		},
 	};
 }
--- a/src/coordination/upstreams/upstream-registry.ts
+++ b/src/coordination/upstreams/upstream-registry.ts
@@ -1,17 +1,22 @@
 /**
  * Statistics that a gateway keeps on each upstream for placement: its requests
- * in flight, the load reported in answers, the time to the first event, and
- * failed calls.
+ * in flight and the memory that they hold, the load reported in answers, its
+ * speed, and failed calls.
  *
  * @module
  */
 import type {
-	GatewayService, GenerationParameters, ReportedLoad, UpstreamRegistration,
+	EventLog, GatewayService, GenerationParameters, ReportedLoad, UpstreamRegistration,
 } from '../../protocol/mod.js';
 import {
-	createPromptCache, type LiveUpstream, type PlacedPrompt, type StreamOrigin, type UpstreamDirectory, type UpstreamUse,
+	createPromptCache, type LiveUpstream, type PeerUse, type PlacedPrompt, type StreamOrigin, type UpstreamDirectory, type UpstreamUse,
 } from '../../state/mod.js';
 import type {Clock} from '../../transport/mod.js';
+import {computeRequestTokens, estimateHeldTokens, maxHeldShare} from './engine-memory.js';
+import {
+	createEngineSpeed, estimateRelativeSlowness, smoothingFactor, updateAverage, type EngineSpeed,
+} from './engine-speed.js';
+import {estimateFirstEventMs} from './stream-cost.js';
 import type {PlacementCandidate} from './placement-policy.js';
 import type {UpstreamEligibility} from './upstream-eligibility.js';
 
@@ -20,11 +25,12 @@
 	readonly directory: UpstreamDirectory;
 	readonly eligibility: Pick<UpstreamEligibility, 'listEligible'>;
 	readonly clock: Clock;
+	readonly events?: Pick<EventLog, 'write'>;
 	readonly failureDomain: string;
 	/** Returns the age of the directory's data, in milliseconds. */
 	readonly getViewAgeMs?: () => number | undefined;
 	/** Returns the combined use of an upstream by all other gateways. */
-	readonly sumPeerUse: (upstream: string) => UpstreamUse;
+	readonly sumPeerUse: (upstream: string) => PeerUse;
 	/** Called when this gateway's use of an upstream changes. */
 	readonly onUseChange?: () => void;
 	/** Called when a prompt is sent to an upstream. */
@@ -62,10 +68,15 @@
 	inFlight: number;
 	/** Prompt tokens of this gateway's requests that have not had their first event. */
 	waitingTokens: number;
+	/** Tokens that this gateway's requests hold in the upstream's memory at most. */
+	heldTokens: number;
+	isMemoryShort: boolean;
 	reportedLoad: ReportedLoad | undefined;
 	reportedAt: number;
-	/** Moving average of the milliseconds per token of work until the first event. */
-	msPerToken: number;
+	/** What is learnt of the process that runs at present; replaced when it starts again. */
+	speed: EngineSpeed;
+	/** The registration's start time, by which a restart is noticed. */
+	startedAt: number | undefined;
 	failureShare: number;
 	unansweredInRow: number;
 	avoidUntil: number;
@@ -77,17 +88,18 @@
 const maxAvoidMs = 4000;
 /** Time for which a reported load is used. */
 const reportedLoadTtlMs = 1000;
-/** Weight of the newest sample in exponential moving averages. */
-const smoothingFactor = 0.15;
 /** Fixed work of each request in prompt tokens, because a request without a prompt takes time too. */
 const baseRequestTokens = 800;
 /** Factor by which the slowness of an upstream that is warming up is multiplied. */
 const warmUpSlowness = 2;
-/** Limits of the estimated slowness relative to the other upstreams. */
-const slownessRange = {min: 0.6, max: 8} as const;
+/** Maximum number of upstreams whose unreadable slowness is logged. */
+const maxUnreadableUpstreams = 100;
+/** Share of the memory below which it is no longer short. The distance to `maxHeldShare` is more than one long prompt, so that one request does not end and begin the shortage. */
+const enoughMemoryShare = 0.8;
+
 /** @internal */
-function updateAverage(current: number, sample: number): number {
-	return current === 0 ? sample : (current * (1 - smoothingFactor)) + (sample * smoothingFactor);
+function computeMean(left: number | undefined, right: number | undefined): number | undefined {
+	return left === undefined || right === undefined ? left ?? right : (left + right) / 2;
 }
 
 /**
@@ -108,37 +120,92 @@
 		directory, eligibility, clock, failureDomain,
 	} = options;
 	const statsById = new Map<string, UpstreamStats>();
+	const unreadable = new Set<string>();
+	/** Moving average of the tokens that a request holds; 0 before the first. */
+	let meanRequestTokens = 0;
 	const promptCache = createPromptCache();
 
 	function ensureStats(id: string): UpstreamStats {
 		const stats = statsById.get(id) ?? {
-			inFlight: 0, waitingTokens: 0, reportedLoad: undefined, reportedAt: Number.NEGATIVE_INFINITY, msPerToken: 0, failureShare: 0, unansweredInRow: 0, avoidUntil: Number.NEGATIVE_INFINITY,
+			inFlight: 0, waitingTokens: 0, heldTokens: 0, isMemoryShort: false, reportedLoad: undefined, reportedAt: Number.NEGATIVE_INFINITY, speed: createEngineSpeed(), startedAt: directory.get(id)?.startedAt, failureShare: 0, unansweredInRow: 0, avoidUntil: Number.NEGATIVE_INFINITY,
 		};
 		statsById.set(id, stats);
 		return stats;
 	}
 
-	function findMedianMsPerToken(ids: readonly string[]): number {
-		const values = ids.map(id => ensureStats(id).msPerToken).filter(value => value > 0).sort((left, right) => left - right);
+	// An upstream that restarts under its ID may run on another host, and has cached nothing. Its requests in flight end on their own.
+	function resetIfRestarted({id, startedAt}: UpstreamRegistration): UpstreamStats {
+		const stats = ensureStats(id);
+		if (startedAt !== stats.startedAt) {
+			if (stats.startedAt !== undefined) {
+				Object.assign(stats, {
+					speed: createEngineSpeed(), reportedLoad: undefined, failureShare: 0, unansweredInRow: 0, avoidUntil: Number.NEGATIVE_INFINITY,
+				});
+				promptCache.drop(id);
+				options.events?.write('upstreamSpeedReset', {upstream: id});
+			}
+
+			stats.startedAt = startedAt;
+		}
+
+		return stats;
+	}
+
+	function findMedianMsPerWork(ids: readonly string[]): number {
+		const values = Float64Array.from(ids, id => ensureStats(id).speed.getMsPerWork()).filter(value => value > 0).sort();
 		return values[Math.floor(values.length / 2)] ?? 0;
 	}
 
-	function estimateSlowness(stats: UpstreamStats, median: number, isWarm: boolean): number {
-		const relative = stats.msPerToken > 0 && median > 0 ? stats.msPerToken / median : 1;
-		return Math.min(slownessRange.max, Math.max(slownessRange.min, relative)) * (isWarm ? 1 : warmUpSlowness);
+	function countReportedRequests({reportedLoad, reportedAt}: UpstreamStats): number {
+		return reportedLoad && clock.now() - reportedAt < reportedLoadTtlMs ? reportedLoad.running + reportedLoad.waiting : 0;
+	}
+
+	function estimateUpstreamHeldTokens(stats: UpstreamStats, peerUse: PeerUse, allRequests: number): number {
+		return estimateHeldTokens({
+			knownTokens: stats.heldTokens + (peerUse.heldTokens ?? 0),
+			knownRequests: stats.inFlight + (peerUse.statedInFlight ?? 0),
+			allRequests,
+			meanRequestTokens,
+		});
+	}
+
+	function reportMemory(upstream: string, stats: UpstreamStats, memoryTokens: number): void {
+		const peerUse = options.sumPeerUse(upstream);
+		const heldTokens = Math.round(estimateUpstreamHeldTokens(stats, peerUse, stats.inFlight + peerUse.inFlight));
+		const isShort = heldTokens > memoryTokens * (stats.isMemoryShort ? enoughMemoryShare : maxHeldShare);
+		if (isShort !== stats.isMemoryShort) {
+			stats.isMemoryShort = isShort;
+			options.events?.write(isShort ? 'upstreamMemoryShort' : 'upstreamMemoryFree', {upstream, heldTokens, memoryTokens});
+		}
+	}
+
+	function recordSlowness(upstream: string, speed: EngineSpeed, slowness: ReportedLoad['slowness']): void {
+		if (slowness === 'malformed') {
+			if (!unreadable.has(upstream) && unreadable.size < maxUnreadableUpstreams) {
+				unreadable.add(upstream);
+				options.events?.write('upstreamSlownessUnreadable', {upstream});
+			}
+		} else if (slowness !== undefined) {
+			speed.recordSlowness(slowness, clock.now());
+		}
 	}
 
-	function buildCandidate({upstream, warmAt, isOnGrace}: LiveUpstream, generation: GenerationParameters | undefined, median: number): PlacementCandidate {
-		const stats = ensureStats(upstream.id);
+	function buildCandidate({upstream, warmAt, isOnGrace}: LiveUpstream, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>, median: number): PlacementCandidate {
+		const stats = resetIfRestarted(upstream);
 		const peerUse = options.sumPeerUse(upstream.id);
-		const reportedRequests = stats.reportedLoad && clock.now() - stats.reportedAt < reportedLoadTtlMs ? stats.reportedLoad.running + stats.reportedLoad.waiting : 0;
+		const inFlight = Math.max(stats.inFlight + peerUse.inFlight, countReportedRequests(stats));
+		const now = clock.now();
 		return {
 			id: upstream.id,
 			slots: upstream.slots,
-			inFlight: Math.max(stats.inFlight + peerUse.inFlight, reportedRequests),
+			inFlight,
 			waitingTokens: stats.waitingTokens + peerUse.waitingTokens,
 			cachedTokens: generation ? promptCache.countCachedTokens(upstream.id, generation.parts) : 0,
-			slowness: estimateSlowness(stats, median, clock.now() >= warmAt),
+			slowness: estimateRelativeSlowness(stats.speed.getMsPerWork(), median) * (now >= warmAt ? 1 : warmUpSlowness),
+			momentarySlowness: stats.speed.estimateMomentary(now, peerUse.slowness),
+			tokensPerEvent: service.engine?.tokensPerEvent,
+			memoryTokens: service.engine?.memory,
+			heldTokens: estimateUpstreamHeldTokens(stats, peerUse, inFlight),
 			failureShare: stats.failureShare,
 			isSameDomain: upstream.failureDomain === failureDomain,
 			isOnGrace,
@@ -157,8 +224,8 @@
 			const live = eligibility.listEligible(service, origin).filter(({upstream}) => !excluded.has(upstream.id));
 			const responsive = live.filter(({upstream}) => ensureStats(upstream.id).avoidUntil <= now);
 			const selected = responsive.length > 0 ? responsive : live;
-			const median = findMedianMsPerToken(selected.map(({upstream}) => upstream.id));
-			return selected.map(item => buildCandidate(item, generation, median));
+			const median = findMedianMsPerWork(selected.map(({upstream}) => upstream.id));
+			return selected.map(item => buildCandidate(item, {service, generation}, median));
 		},
 
 		get: (id: string): UpstreamRegistration | undefined => directory.get(id),
@@ -167,14 +234,27 @@
 		/** Starts tracking a request at an upstream. The caller must call `end` on the returned tracker. */
 		trackRequest(id: string, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>): UpstreamRequestTracker {
 			const stats = ensureStats(id);
+			// Answers that arrive after a restart are of the earlier process.
+			const {speed} = stats;
 			const startedAt = clock.now();
 			const uncachedTokens = generation ? generation.promptTokens - promptCache.countCachedTokens(id, generation.parts) : 0;
-			const workTokens = baseRequestTokens + stats.waitingTokens + uncachedTokens;
+			const peerUse = options.sumPeerUse(id);
+			// Where the shape of engines is unknown, the work is the number of tokens, and only of this gateway.
+			const work = service.engine
+				? estimateFirstEventMs({
+					queuedTokens: stats.waitingTokens + peerUse.waitingTokens, uncachedTokens, runningRequests: Math.max(stats.inFlight + peerUse.inFlight, countReportedRequests(stats)), slowness: 1, stepsPerEvent: service.engine.tokensPerEvent,
+				})
+				: baseRequestTokens + stats.waitingTokens + uncachedTokens;
+			const startSlowness = speed.estimateMomentary(startedAt, peerUse.slowness);
+			const heldTokens = generation ? computeRequestTokens(generation) : 0;
 			let pendingTokens = uncachedTokens;
 			stats.inFlight += 1;
 			stats.waitingTokens += uncachedTokens;
+			stats.heldTokens += heldTokens;
 			if (generation) {
 				const memory = service.engine?.memory ?? Number.POSITIVE_INFINITY;
+				meanRequestTokens = updateAverage(meanRequestTokens, heldTokens);
+				reportMemory(id, stats, memory);
 				promptCache.recordPrompt(id, generation.parts, memory);
 				options.onPromptPlaced?.({upstream: id, memory, parts: [...generation.parts]});
 				options.onUseChange?.();
@@ -193,12 +273,15 @@
 				recordFirstEvent() {
 					stats.unansweredInRow = 0;
 					stats.failureShare = updateAverage(stats.failureShare, 0);
-					stats.msPerToken = updateAverage(stats.msPerToken, (clock.now() - startedAt) / workTokens);
+					speed.recordWork({durationMs: clock.now() - startedAt, work, momentarySlowness: computeMean(startSlowness, speed.estimateMomentary(clock.now(), options.sumPeerUse(id).slowness))});
 					releaseWaitingTokens();
 				},
 				recordLoad(load) {
-					stats.reportedLoad = load;
-					stats.reportedAt = clock.now();
+					recordSlowness(id, speed, load.slowness);
+					if (speed === stats.speed) {
+						stats.reportedLoad = load;
+						stats.reportedAt = clock.now();
+					}
 				},
 				recordUnresponsive() {
 					stats.unansweredInRow += 1;
@@ -213,6 +296,10 @@
 				end() {
 					releaseWaitingTokens();
 					stats.inFlight -= 1;
+					stats.heldTokens -= heldTokens;
+					if (stats.isMemoryShort) {
+						reportMemory(id, stats, service.engine?.memory ?? Number.POSITIVE_INFINITY);
+					}
 				},
 			};
 		},
@@ -228,7 +315,12 @@
 
 		/** Lists this gateway's requests in flight at each upstream. */
 		listUses: (): UpstreamUse[] => [...statsById].filter(([, stats]) => stats.inFlight > 0)
-			.map(([upstream, {inFlight, waitingTokens}]) => ({upstream, inFlight, waitingTokens})),
+			.map(([upstream, {inFlight, waitingTokens, heldTokens, speed}]) => {
+				const slowness = speed.getReported(clock.now());
+				return {
+					upstream, inFlight, waitingTokens, ...heldTokens > 0 && {heldTokens}, ...slowness !== undefined && {slowness},
+				};
+			}),
 
 		/** Removes upstreams that are no longer registered and have no requests in flight. */
 		prune(): void {
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -160,7 +160,7 @@
 		isInformed: () => state.isDeploymentRecent() || peerViews.list().length > 0,
 	});
 	const upstreamRegistry = createUpstreamRegistry({
-		directory, eligibility, clock, failureDomain: settings.failureDomain, getViewAgeMs: state.computeViewAgeMs, sumPeerUse: peerViews.sumUse,
+		directory, eligibility, clock, events, failureDomain: settings.failureDomain, getViewAgeMs: state.computeViewAgeMs, sumPeerUse: peerViews.sumUse,
 		onUseChange() {
 			gossip.markChanged();
 		},
