Search for tokens in parallel, order waiting requests and borrow in advance

Cause: a search asked up to eight gateways one after the other, 300 ms each, and a gateway with demand could hold 0.003 of the remaining budget, two or three requests, so that nearly every request waited for a loan: 300 to 660 ms at the 95th percentile.

Waiting requests share a queue by urgency and arrival, and tokens that arrive are given to it at once. A gateway with demand borrows below a watermark, up to its share of 0.05 of what remains. 503 states when tokens are expected; a request beyond the budget gets 402 without a search. budget-manager.ts is split by job.

--- a/src/coordination/budgets/budget-manager.test.ts
+++ b/src/coordination/budgets/budget-manager.test.ts
@@ -129,7 +129,7 @@
 			},
 		});
 		const manager = createBudgetManager({
-			self, log: fake.open(), follower, grants: grantRegistry, account, findRouteTable: () => table, borrow: lending.borrow, hasOpenLoans: lending.hasOpenLoans, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy, owners: {
+			self, log: fake.open(), follower, grants: grantRegistry, account, findRouteTable: () => table, borrow: lending.borrow, loans: lending, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy, owners: {
 				isOwner: () => mode === 'each' || index === 0, isSmallFleet: () => mode === 'each', countGateways: () => 3, countClaimers: () => mode === 'each' ? 3 : 1,
 			}, clock, events, signal: stopper.signal, isLogComplete: () => recovery.checkComplete(),
 		});
--- a/src/coordination/budgets/budget-manager.ts
+++ b/src/coordination/budgets/budget-manager.ts
@@ -5,34 +5,35 @@
  * @module
  */
 import {
-	Err, Ok, createFailure, type Failure, type Result,
+	Err, Ok, type Failure, type Result,
 } from '../../protocol/mod.js';
 import type {HolderRecord, TokenReservation} from '../../state/mod.js';
-import {waitWithTimeout} from '../../transport/mod.js';
 import type {BudgetOwners} from './budget-owners.js';
 import {createClaimRounds} from './claim-rounds.js';
 import {createDemand} from './demand.js';
 import {createGrantWriter, formatHolderKey, type CreateGrantWriterOptions} from './grant-writer.js';
-import type {LoanPolicy, LoanView} from './loan-policy.js';
-import type {BorrowAmounts, BorrowOutcome} from './token-lending.js';
+import type {LoanPolicy} from './loan-policy.js';
+import type {BorrowOutcome} from './loan-search.js';
+import {createTokenBorrower, type BorrowTokens, type LoanProgress} from './token-borrower.js';
 import {createTokenQueue, type TokenWaiter} from './token-queue.js';
+import {createTokenSources, type SearchResult} from './token-sources.js';
+import {decideRefusal, estimateRetryAfterMs} from './token-refusal.js';
 
 /** Options of {@linkcode BudgetManager.acquire}. */
 export type AcquireTokensOptions = {
 	/** Time for which the request may wait in total, in milliseconds. */
 	readonly timeoutMs: number;
+	/** Order among waiting requests of the customer; less is more urgent; default 0. */
+	readonly urgency?: number;
 	/** ID of the request, for log events. */
 	readonly request?: string;
 };
 
-/** Borrows tokens from other gateways. */
-export type BorrowTokens = (customer: string, amounts: BorrowAmounts) => Promise<BorrowOutcome>;
-
 /** Options of {@linkcode createBudgetManager}. */
 export type CreateBudgetManagerOptions = Omit<CreateGrantWriterOptions, 'demand' | 'waitingClaims' | 'owners'> & {
 	readonly borrow: BorrowTokens;
-	/** Returns true if a gateway that may have lent tokens has not replied, so that its tokens may arrive at any time. */
-	readonly hasOpenLoans?: (customer: string) => boolean;
+	/** State of the loans; without it, none are expected to arrive late. */
+	readonly loans?: LoanProgress;
 	/** Determines which gateway claims a customer's budget. */
 	readonly owners: Pick<BudgetOwners, 'isOwner' | 'isSmallFleet' | 'countClaimers' | 'countGateways'>;
 	/** Decides how much is borrowed from owners. */
@@ -52,18 +53,7 @@
 const maxSyncAgeMs = 2 * roundIntervalMs;
 /** Timeout of a claim on behalf of another gateway. That gateway waits 300 ms for the answer, most of which the messages may take while both are busy. */
 const claimForPeerTimeoutMs = 100;
-/** Share of the remaining wait that a claim may use, so that the other gateways can be asked after it. */
-const claimWaitShare = 0.75;
-/** Searches for tokens that a request makes in any case. */
-const minBorrowRounds = 2;
-/** Searches for tokens that a request makes while the owner of the budget claims more. */
-const maxBorrowRounds = 4;
-/** Pause before another search, in which a claim of the owner may succeed. */
-const ownerClaimDelayMs = 150;
-/** In a small fleet a gateway borrows this multiple of the tokens it lacks, so that its next requests need not borrow again. */
-const borrowFactor = 3;
-/** Retry delay for a caller whose customer's tokens are reserved by running requests. */
-const busyRetryAfterMs = 1000;
+const noLoans: LoanProgress = {hasOpenLoans: () => false, countInFlight: () => 0, getDurationMs: () => 0};
 
 /**
  * Creates a budget manager; `run` operates it until the signal is aborted.
@@ -87,6 +77,10 @@
 	const writer = createGrantWriter({
 		...options, demand, waitingClaims,
 	});
+	const {loans = noLoans} = options;
+	const borrower = createTokenBorrower({
+		...options, loans, demand, countRemaining, isLogUp: follower.isUp,
+	});
 
 	// Counts demand when tokens are reserved: a stream is settled seconds later, and a burst would go unnoticed until then.
 	function reserve(customer: string, amount: number): TokenReservation | undefined {
@@ -98,7 +92,10 @@
 		return reservation;
 	}
 
-	const queue = createTokenQueue({reserve});
+	const queue = createTokenQueue({
+		reserve,
+		countObtainable: customer => ({free: account.countFreeTokens(customer), inFlight: loans.countInFlight(customer) + countClaiming(customer)}),
+	});
 	const claims = createClaimRounds({renew: writer.renew, waitingClaims, clock});
 
 	function tryServe(waiter: TokenWaiter): boolean {
@@ -106,11 +103,6 @@
 		return waiter.reservation !== undefined;
 	}
 
-	async function claimAndServe(waiter: TokenWaiter, timeoutMs: number): Promise<boolean> {
-		await claims.claimUntil(waiter.customer, {timeoutMs, isDone: () => tryServe(waiter)});
-		return waiter.reservation !== undefined;
-	}
-
 	function isClaimSlow(): boolean {
 		return !follower.isUp() || !options.isLogComplete() || writer.getClaimDurationMs() > slowClaimMs;
 	}
@@ -121,102 +113,60 @@
 		return Math.max(0, bought - grants.sumGranted(customer, key) - account.countCommittedTokens(customer));
 	}
 
-	function buildLoanView(customer: string, needed: number): LoanView {
-		return {
-			needed, rate: demand.findRate(customer), idle: account.countIdleLoans(customer), remaining: countRemaining(customer), gateways: owners.countGateways(),
-		};
-	}
-
-	async function borrowMissing(customer: string, deadline: number): Promise<BorrowOutcome> {
-		const needed = demand.countWanted(customer) - account.countFreeTokens(customer);
-		const wanted = owners.isSmallFleet() ? needed * borrowFactor : options.loanPolicy.computeWanted(buildLoanView(customer, needed));
-		return options.borrow(customer, {
-			needed, wanted, unclaimed: follower.isUp() ? countRemaining(customer) : 0, maxWaitMs: Math.max(0, deadline - clock.now()),
-		});
-	}
-
-	// Borrows from other gateways, one of which claims for this one. Borrows twice, because a search that was already
-	// running may not have counted this request, and again once a claim of the owner may have succeeded.
-	async function borrowFromOwner(waiter: TokenWaiter, deadline: number): Promise<BorrowOutcome> {
-		const {customer, amount} = waiter;
-		for (let round = 1; ; round += 1) {
-			const outcome = await borrowMissing(customer, deadline);
-			const maxRounds = outcome.isOwnerClaiming && countRemaining(customer) >= amount ? maxBorrowRounds : minBorrowRounds;
-			if (tryServe(waiter) || round >= maxRounds || clock.now() >= deadline) {
-				return outcome;
-			}
-
-			if (round >= minBorrowRounds) {
-				await clock.sleep(Math.min(ownerClaimDelayMs, Math.max(0, deadline - clock.now())));
-			}
-		}
+	/** Returns the tokens that a running claim is expected to add. */
+	function countClaiming(customer: string): number {
+		return waitingClaims.has(customer) && follower.isUp() ? Math.min(countRemaining(customer), Math.max(0, demand.countWanted(customer) - account.countFreeTokens(customer))) : 0;
 	}
 
-	async function syncGrants(timeoutMs: number): Promise<void> {
-		if (follower.isUp() && (follower.computeStalenessMs() ?? Number.POSITIVE_INFINITY) > roundIntervalMs) {
-			await Promise.race([follower.catchUp(signal), clock.sleep(timeoutMs)]);
-		}
+	/** Returns true if the log has just been read and has all grants. */
+	function isLogCertain(): boolean {
+		return follower.isUp() && (follower.computeStalenessMs() ?? Number.POSITIVE_INFINITY) <= maxSyncAgeMs && options.isLogComplete() && grants.listMissing().length === 0;
 	}
 
-	// Tokens that a lender has deducted arrive with a late reply or with the answer to a poll.
-	async function waitForOpenLoans(waiter: TokenWaiter, deadline: number): Promise<void> {
-		if (waiter.reservation === undefined && options.hasOpenLoans?.(waiter.customer) && clock.now() < deadline) {
-			await waitWithTimeout(waiter.served, {clock, timeoutMs: deadline - clock.now()});
-		}
+	// Exceeds the budget even if no other gateway has spent any of it.
+	function isBeyondBudget(customer: string, amount: number): boolean {
+		return isLogCertain() && amount > (findRouteTable()?.findCustomer(customer)?.bought ?? 0) - account.get(customer).spent;
 	}
 
-	// Claims only if the log shows unclaimed tokens and no owner reaches it. Otherwise the claim would collide with those of
-	// the owner and delay the tokens of all.
-	async function obtainFromOwner(waiter: TokenWaiter, deadline: number): Promise<{readonly isComplete: boolean}> {
-		const {customer, amount} = waiter;
-		const {isComplete, isOwnerClaiming} = await borrowFromOwner(waiter, deadline);
-		if (waiter.reservation === undefined) {
-			await syncGrants(Math.max(0, deadline - clock.now()));
-			const mayClaim = !isOwnerClaiming && follower.isUp() && countRemaining(customer) >= amount;
-			if (!mayClaim || !await claimAndServe(waiter, deadline - clock.now())) {
-				await waitForOpenLoans(waiter, deadline);
-			}
-		}
-
-		return {isComplete};
+	// True if further searches cannot help: this one has just asked every gateway for what the request lacks, and none had any.
+	function isExhausted({customer, amount}: TokenWaiter, {tokens, isComplete, isJoined}: BorrowOutcome): boolean {
+		return isComplete && !isJoined && tokens === 0 && !loans.hasOpenLoans(customer) && isLogCertain() && countRemaining(customer) < amount;
 	}
 
-	// Claims first, or borrows first while claims are slow. Always borrows last, so that a refusal is based on the latest
-	// answers of the other gateways.
-	async function obtainAsOwner(waiter: TokenWaiter, deadline: number): Promise<{readonly isComplete: boolean}> {
-		const {customer} = waiter;
-		if (isClaimSlow()) {
-			await borrowMissing(customer, deadline);
-			if (tryServe(waiter)) {
-				return {isComplete: true};
-			}
-		}
-
-		if (follower.isUp() && await claimAndServe(waiter, (deadline - clock.now()) * claimWaitShare)) {
-			return {isComplete: true};
-		}
-
-		const {isComplete} = await borrowMissing(customer, deadline);
-		if (!tryServe(waiter)) {
-			await waitForOpenLoans(waiter, deadline);
-		}
-
-		return {isComplete};
-	}
+	const {obtainAsOwner, obtainFromOwner} = createTokenSources({
+		follower, loans, clock, signal, countRemaining, isClaimSlow, isExhausted, tryServe,
+		borrowMissing: borrower.borrowMissing,
+		claimUntil: claims.claimUntil,
+	});
 
 	// Refuses as exhausted only if the log and every gateway have just confirmed it. While a read hangs, the log still counts
 	// as up until the read fails, and tokens that other gateways have released since are unknown.
-	function refuse(customer: string, amount: number, {isComplete, request}: {readonly isComplete: boolean; readonly request?: string}): Failure {
+	function refuse(customer: string, amount: number, {isComplete, isOwnerClaiming = false, request}: SearchResult & {readonly request?: string}): Failure {
 		const bought = findRouteTable()?.findCustomer(customer)?.bought ?? 0;
-		const remaining = countRemaining(customer);
-		const syncAgeMs = follower.computeStalenessMs() ?? Number.POSITIVE_INFINITY;
-		const isCertain = follower.isUp() && syncAgeMs <= maxSyncAgeMs && isComplete && options.isLogComplete() && grants.listMissing().length === 0;
+		const retryAfterMs = estimateRetryAfterMs({
+			isLoanOpen: loans.hasOpenLoans(customer), loanDurationMs: loans.getDurationMs(), isClaiming: isOwnerClaiming || waitingClaims.has(customer), claimDurationMs: writer.getClaimDurationMs(),
+		});
 		events.write('budgetShort', {
-			request, customer, amount, free: account.countFreeTokens(customer), bound: account.countCommittedTokens(customer), bought, elsewhere: grants.sumGranted(customer, key), isStoreUp: follower.isUp(), bookMs: syncAgeMs, isComplete,
+			request, customer, amount, free: account.countFreeTokens(customer), bound: account.countCommittedTokens(customer), bought, elsewhere: grants.sumGranted(customer, key), isStoreUp: follower.isUp(), bookMs: follower.computeStalenessMs() ?? Number.POSITIVE_INFINITY, isComplete, retryAfterMs,
+		});
+		return decideRefusal({
+			customer, amount, bought, remaining: countRemaining(customer), isCertain: isComplete && isLogCertain(), retryAfterMs,
 		});
-		return isCertain && remaining < amount
-			? createFailure('budget-exhausted', `Customer "${customer}" has ${remaining} of ${bought} tokens left and the request may need ${amount}`)
-			: createFailure('budget-busy', `Customer "${customer}" has ${remaining} tokens left here and the request may need ${amount}`, {retryAfterMs: busyRetryAfterMs});
+	}
+
+	async function waitForTokens(customer: string, amount: number, {timeoutMs, request, urgency = 0}: AcquireTokensOptions): Promise<Result<TokenReservation, Failure>> {
+		const waiter = queue.add(customer, {amount, urgency, onLeft: demand.addWaiting(customer, amount)});
+		const deadline = clock.now() + timeoutMs;
+		try {
+			// Tokens that are free already are given out in the order of the queue.
+			const obtained = tryServe(waiter) ? undefined : (owners.isOwner(customer) ? obtainAsOwner(waiter, deadline) : obtainFromOwner(waiter, deadline));
+			const outcome = await Promise.race([waiter.served, ...obtained ? [obtained] : []]);
+			return waiter.reservation ? Ok(waiter.reservation) : Err(refuse(customer, amount, {isComplete: false, ...'isComplete' in outcome && outcome, request}));
+		} finally {
+			waiter.remove();
+			// A request that has left no longer holds back smaller ones.
+			queue.serve(customer);
+		}
 	}
 
 	return {
@@ -229,21 +179,16 @@
 		},
 
 		/** Reserves the worst case of a request from free tokens, by a claim, or by loans from other gateways. */
-		async acquire(customer: string, amount: number, {timeoutMs, request}: AcquireTokensOptions): Promise<Result<TokenReservation, Failure>> {
-			const immediate = reserve(customer, amount);
-			if (immediate) {
-				return Ok(immediate);
+		async acquire(customer: string, amount: number, acquireOptions: AcquireTokensOptions): Promise<Result<TokenReservation, Failure>> {
+			borrower.recordRequest(customer, amount);
+			const immediate = queue.isEmpty(customer) ? reserve(customer, amount) : undefined;
+			if (!immediate && isBeyondBudget(customer, amount)) {
+				return Err(refuse(customer, amount, {isComplete: true, request: acquireOptions.request}));
 			}
 
-			const waiter = queue.add(customer, {amount, onLeft: demand.addWaiting(customer, amount)});
-			const deadline = clock.now() + timeoutMs;
-			try {
-				const obtained = owners.isOwner(customer) ? obtainAsOwner(waiter, deadline) : obtainFromOwner(waiter, deadline);
-				const outcome = await Promise.race([waiter.served, obtained]);
-				return waiter.reservation ? Ok(waiter.reservation) : Err(refuse(customer, amount, {isComplete: 'isComplete' in outcome && outcome.isComplete, request}));
-			} finally {
-				waiter.remove();
-			}
+			const result = immediate ? Ok(immediate) : await waitForTokens(customer, amount, acquireOptions);
+			borrower.borrowAhead(customer);
+			return result;
 		},
 
 		/** Gives tokens that have become free to waiting requests. */
@@ -278,7 +223,7 @@
 		/** Returns the number of borrowed tokens to return to the customer's owner. */
 		computeReturned: (customer: string): number => owners.isOwner(customer) || demand.countWanted(customer) > 0
 			? 0
-			: options.loanPolicy.computeReturned(buildLoanView(customer, 0)),
+			: options.loanPolicy.computeReturned(borrower.buildView(customer, 0)),
 
 		/** Returns the number of free tokens beyond the demand expected here until the next round. */
 		countSpare: (customer: string): number => Math.max(0, account.countFreeTokens(customer) - (demand.findRate(customer) * roundIntervalMs)),
--- a/src/coordination/budgets/loan-calls.ts
+++ b/src/coordination/budgets/loan-calls.ts
@@ -10,6 +10,7 @@
 import {createId, type EventLog} from '../../protocol/mod.js';
 import type {TokenAccount} from '../../state/mod.js';
 import type {Clock} from '../../transport/mod.js';
+import {LoanDurations} from './loan-ahead.js';
 import {CreditedTotals, formatIncarnationKey, normalizeTokens} from './loan-totals.js';
 import type {
 	Lender, RequestLoan, TokenLoan, TokenLoanRequest,
@@ -59,10 +60,14 @@
 	isLate: boolean;
 	isPolled: boolean;
 	isSettled: boolean;
+	/** True while the call runs, so that its reply may arrive. */
+	isCalling: boolean;
 	reply: Promise<CreditedLoan | undefined>;
 };
 
 const pollIntervalMs = 1000;
+/** Time for which a reply is expected, as long as a call lasts. Later polls usually show that the lender is out of reach. */
+const maxExpectedMs = 5000;
 /** Loans of one customer that one lender may leave without a reply before it gets no more requests; each is polled, which uses the link that is slow. */
 const maxOpenLoans = 4;
 
@@ -85,6 +90,7 @@
 	const openLoans = new Set<OpenLoan>();
 	/** Last known incarnation of each lender that states totals. */
 	const incarnations = new Map<string, string>();
+	const durations = new LoanDurations();
 	let lateTokens = 0;
 
 	function creditTotal({lender, ask: {customer}}: OpenLoan, incarnation: string, total: number): number {
@@ -104,6 +110,10 @@
 		const isFirst = !open.isSettled;
 		open.isSettled = true;
 		openLoans.delete(open);
+		if (isFirst) {
+			durations.record(clock.now() - open.openedAt);
+		}
+
 		let tokens = 0;
 		if (reply.incarnation) {
 			incarnations.set(lender.daemon, reply.incarnation);
@@ -142,6 +152,7 @@
 			return settle(open, reply);
 		} catch (error) {
 			open.isLate = true;
+			open.isCalling = false;
 			events.write('loanUnanswered', {peer: lender.daemon, customer: ask.customer, detail: (error as Error).message});
 			return undefined;
 		}
@@ -170,7 +181,7 @@
 
 	function start(lender: Lender, ask: LoanAsk): OpenLoan {
 		const open: OpenLoan = {
-			lender, ask, loan: createId('l'), openedAt: clock.now(), incarnation: lender.incarnation, isLate: false, isPolled: false, isSettled: false, reply: Promise.resolve(undefined),
+			lender, ask, loan: createId('l'), openedAt: clock.now(), incarnation: lender.incarnation, isLate: false, isPolled: false, isSettled: false, isCalling: true, reply: Promise.resolve(undefined),
 		};
 		openLoans.add(open);
 		open.reply = send(open, ask);
@@ -193,8 +204,28 @@
 			return describe(earlier.length < maxOpenLoans ? start(lender, ask) : earlier.at(-1)!);
 		},
 
-		/** Returns true if a lender that may have deducted tokens of the customer has not replied. */
-		hasOpen: (customer: string): boolean => [...openLoans].some(({ask}) => ask.customer === customer),
+		/** Returns true if a lender that may have deducted tokens of the customer is expected to reply. */
+		hasOpen: (customer: string): boolean => [...openLoans].some(({ask, openedAt}) => ask.customer === customer && clock.now() - openedAt < maxExpectedMs),
+
+		/**
+		 * Returns the tokens that running calls are expected to deliver. Owners are asked for the same tokens, so the largest
+		 * of these calls counts.
+		 */
+		countInFlight(customer: string): number {
+			let fromOwners = 0;
+			let fromOthers = 0;
+			for (const {ask, isCalling} of openLoans) {
+				if (isCalling && ask.customer === customer) {
+					fromOwners = ask.mayClaim ? Math.max(fromOwners, ask.needed) : fromOwners;
+					fromOthers += ask.mayClaim ? 0 : ask.needed;
+				}
+			}
+
+			return fromOwners + fromOthers;
+		},
+
+		/** Returns the smoothed duration of recent loans, in milliseconds. */
+		getDurationMs: (): number => durations.getMs(),
 
 		/** Returns the tokens credited after nobody waited for their reply any more. */
 		getLateTokens: (): number => lateTokens,
--- a/src/coordination/budgets/loan-policy.ts
+++ b/src/coordination/budgets/loan-policy.ts
@@ -9,6 +9,8 @@
  * @module
  */
 
+import {computeAheadTarget} from './loan-ahead.js';
+
 /** State of one customer's budget at a gateway that borrows; amounts in tokens. */
 export type LoanView = {
 	/** Tokens that waiting requests lack. */
@@ -21,6 +23,12 @@
 	readonly remaining: number;
 	/** Number of gateways in the fleet. */
 	readonly gateways: number;
+	/** Share of the fleet's rate for the customer that this gateway has; an equal share if undefined. */
+	readonly rateShare?: number;
+	/** Smoothed duration of recent loans, in milliseconds. */
+	readonly loanDurationMs?: number;
+	/** Mean tokens of recent requests; 0 if unknown. */
+	readonly requestTokens?: number;
 };
 
 /** Decides how much a gateway borrows and returns. */
@@ -47,8 +55,6 @@
 
 /** Share of what remains of a budget that all gateways together may keep of loans without demand. */
 const maxIdleShare = 0.05;
-/** Share of what remains of a budget that one gateway may keep for its demand. */
-const maxAheadShare = 0.003;
 /** Idle tokens are returned if they exceed this multiple of what may be kept, so that a loan is not followed by a return. */
 const returnAboveFactor = 2;
 
@@ -66,8 +72,9 @@
 		return view.idle > kept * returnAboveFactor ? view.idle - kept : 0;
 	}
 
-	#computeKept({rate, remaining, gateways}: LoanView): number {
-		const ahead = Math.min(Math.max(0, rate) * borrowAheadMs, remaining * maxAheadShare);
-		return Math.floor(Math.max(ahead, remaining * maxIdleShare / gateways));
+	// At least what is borrowed ahead, so that no such loan is followed by a return.
+	#computeKept(view: LoanView): number {
+		const {remaining, gateways} = view;
+		return Math.floor(Math.max(computeAheadTarget(view), remaining * maxIdleShare / gateways));
 	}
 }
--- a/src/coordination/budgets/token-queue.ts
+++ b/src/coordination/budgets/token-queue.ts
@@ -1,9 +1,11 @@
 /**
- * Requests of one gateway that wait for tokens.
+ * Requests of one gateway that wait for tokens, by customer, ordered by urgency
+ * and then by arrival.
  *
  * @module
  */
 import type {TokenReservation} from '../../state/mod.js';
+import {findQueueIndex, selectServed, type ObtainableTokens} from './wait-order.js';
 
 /** A request that waits for tokens. */
 export type TokenWaiter = {
@@ -19,11 +21,15 @@
 export type CreateTokenQueueOptions = {
 	/** Reserves tokens, or returns undefined if too few are free. */
 	readonly reserve: (customer: string, amount: number) => TokenReservation | undefined;
+	/** Returns the tokens that waiting requests may get. */
+	readonly countObtainable: (customer: string) => ObtainableTokens;
 };
 
 /** Options of {@linkcode TokenQueue.add}. */
 export type AddWaiterOptions = {
 	readonly amount: number;
+	/** Less is more urgent. */
+	readonly urgency: number;
 	/** Called when the request gets its tokens or leaves the queue. */
 	readonly onLeft: () => void;
 };
@@ -31,14 +37,14 @@
 /** Requests that wait for tokens. */
 export type TokenQueue = ReturnType<typeof createTokenQueue>;
 
-type QueuedWaiter = TokenWaiter & {readonly leave: () => void; readonly resolve: (reservation: TokenReservation) => void};
+type QueuedWaiter = TokenWaiter & {readonly urgency: number; readonly leave: () => void; readonly resolve: (reservation: TokenReservation) => void};
 
 /**
  * Creates an empty queue.
  *
  * @example
  * ```ts
- * const waiter = queue.add('city-1', {amount: 1540, onLeft});
+ * const waiter = queue.add('city-1', {amount: 1540, urgency: 0, onLeft});
  * queue.serve('city-1'); // when tokens have become free
  * const reservation = await waiter.served;
  * ```
@@ -46,7 +52,7 @@
  * @param options How tokens are reserved
  * @returns The queue
  */
-export function createTokenQueue({reserve}: CreateTokenQueueOptions) {
+export function createTokenQueue({reserve, countObtainable}: CreateTokenQueueOptions) {
 	const waitersByCustomer = new Map<string, QueuedWaiter[]>();
 
 	function remove(waiter: QueuedWaiter): void {
@@ -66,23 +72,33 @@
 
 	return {
 		/** Adds a request to the queue. */
-		add(customer: string, {amount, onLeft}: AddWaiterOptions): TokenWaiter & {readonly remove: () => void} {
+		add(customer: string, {amount, urgency, onLeft}: AddWaiterOptions): TokenWaiter & {readonly remove: () => void} {
 			let resolve!: (reservation: TokenReservation) => void;
 			const served = new Promise<TokenReservation>(_resolve => {
 				resolve = _resolve;
 			});
 			const waiter = {
-				customer, amount, served, resolve, reservation: undefined, leave: onLeft, remove() {
+				customer, amount, urgency, served, resolve, reservation: undefined, leave: onLeft, remove() {
 					remove(waiter);
 				},
 			};
-			waitersByCustomer.set(customer, [...waitersByCustomer.get(customer) ?? [], waiter]);
+			const waiters: QueuedWaiter[] = waitersByCustomer.get(customer) ?? [];
+			waiters.splice(findQueueIndex(waiters, urgency), 0, waiter);
+			waitersByCustomer.set(customer, waiters);
 			return waiter;
 		},
 
+		/** Returns true if no request waits for tokens of the customer. */
+		isEmpty: (customer: string): boolean => !waitersByCustomer.has(customer),
+
 		/** Gives free tokens to waiting requests. */
 		serve(customer: string): void {
-			for (const waiter of waitersByCustomer.get(customer)?.slice() ?? []) {
+			const waiters = waitersByCustomer.get(customer);
+			if (!waiters) {
+				return;
+			}
+
+			for (const waiter of selectServed(waiters, countObtainable(customer))) {
 				const reservation = reserve(customer, waiter.amount);
 				if (reservation) {
 					waiter.reservation = reservation;
--- a/src/daemon/gateway-tokens.ts
+++ b/src/daemon/gateway-tokens.ts
@@ -84,7 +84,7 @@
 	const budgetManager = createBudgetManager({
 		self, log: options.log, follower: grantFollower, grants: grantRegistry, account, owners, clock, events, signal, findRouteTable,
 		isLogComplete: () => recovery.checkComplete(),
-		borrow: lending.borrow, hasOpenLoans: lending.hasOpenLoans, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy: new UnseenDemandTargetPolicy(),
+		borrow: lending.borrow, loans: lending, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy: new UnseenDemandTargetPolicy(),
 	});
 	const recovery = createGrantRecovery({
 		self, log: options.log, follower: grantFollower, grants: grantRegistry, account, findRouteTable, clock, events,
--- a/tools/harness/token-fleet.ts
+++ b/tools/harness/token-fleet.ts
@@ -181,7 +181,7 @@
 		});
 		const manager = createBudgetManager({
 			self, log: delayedLog, follower, isLogComplete: () => true, grants: grantRegistry, account, owners, findRouteTable: () => table, clock: time, events, signal: stopper.signal,
-			borrow: lending.borrow, hasOpenLoans: lending.hasOpenLoans, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy: new UnseenDemandTargetPolicy(),
+			borrow: lending.borrow, loans: lending, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy: new UnseenDemandTargetPolicy(),
 		});
 		const returns = createLoanReturns({
 			self, account, events, listViews, clock: time,
