Order requests that wait for tokens by the priority of their customer and route

Cause: the queue of waiting requests orders by urgency, but requests did not pass theirs. Change: the gateway's interface passes the priority by which it also admits requests.

--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -107,10 +107,10 @@
 	const requestCounts = new WeakMap<Socket, number>();
 	let isClosing = false;
 
-	async function reserveTokens({metadata, customer}: ResolvedRequest, timeoutMs: number): Promise<Result<TokenReservation | undefined, Failure>> {
-		const {generation} = metadata;
+	async function reserveTokens(resolved: ResolvedRequest, timeoutMs: number): Promise<Result<TokenReservation | undefined, Failure>> {
+		const {metadata: {id, generation}, customer} = resolved;
 		return generation && customer?.bought !== undefined
-			? budgetManager.acquire(customer.id, generation.promptTokens + generation.maxOutputTokens, {timeoutMs: timeoutMs * claimTimeoutShare, request: metadata.id})
+			? budgetManager.acquire(customer.id, generation.promptTokens + generation.maxOutputTokens, {timeoutMs: timeoutMs * claimTimeoutShare, request: id, urgency: getPriority(resolved)})
 			: Ok(undefined);
 	}
 
