Send no requests by records of the upstreams that only this gateway could not renew

Change: gossip states the age of each gateway's records. One whose records are older than the time for which leaving upstreams serve, while most others have recent ones, is not ready and sends nothing; callers may come back after 100 ms, to another gateway. During an outage of the store for most gateways requests are sent as before, also where the settings do not name that time.

--- a/src/coordination/peers/gossip-codec.ts
+++ b/src/coordination/peers/gossip-codec.ts
@@ -70,12 +70,13 @@
  */
 export function encodeEntry(view: PeerView, {sequence, shouldIncludeFreeTokens}: EncodeEntryOptions): PeerEntry {
 	const {
-		daemon, incarnation, address, uses, version, isLeaving, hasRoom, load, free, crashes, parts, domains, limits,
+		daemon, incarnation, address, uses, version, isLeaving, hasRoom, load, viewAgeMs, free, crashes, parts, domains, limits,
 	} = view;
 	const state = toBinary(PeerStateSchema, create(PeerStateSchema, {
 		address, version, isLeaving, hasRoom, tellsFree: shouldIncludeFreeTokens,
 		uses: uses.map(use => encodeUse(use)),
 		...load && {load: encodeLoad(load)},
+		...viewAgeMs !== undefined && {viewAgeMs: Math.round(viewAgeMs)},
 		free: shouldIncludeFreeTokens ? free.map(item => ({...item})) : [],
 		crashes: crashes.map(item => ({...item})),
 		parts: parts.map(part => encodePart(part)),
@@ -91,12 +92,13 @@
 function readEntry(entry: PeerEntryId & {readonly state: Uint8Array}, previousView: PeerView | undefined): PeerView {
 	const {daemon, incarnation} = entry;
 	const {
-		address, uses, version, isLeaving, hasRoom, load, tellsFree, free, crashes, parts, domains, limits,
+		address, uses, version, isLeaving, hasRoom, load, viewAgeMs, tellsFree, free, crashes, parts, domains, limits,
 	} = fromBinary(PeerStateSchema, entry.state);
 	return {
 		daemon, incarnation, address, version, isLeaving, hasRoom,
 		uses: uses.map(use => decodeUse(use)),
 		...load && {load: decodeLoad(load)},
+		...viewAgeMs !== undefined && {viewAgeMs},
 		free: tellsFree ? free.map(({customer, tokens}) => ({customer, tokens})) : previousView?.free ?? [],
 		crashes: crashes.map(({digest, round, crashes: count}) => ({digest, round, crashes: count})),
 		parts: parts.map(part => decodePart(part)),
--- a/src/coordination/upstreams/mod.ts
+++ b/src/coordination/upstreams/mod.ts
@@ -10,6 +10,7 @@
 export * from './limit-admission.js';
 export * from './limit-recorder.js';
 export * from './notice-recorder.js';
+export * from './outdated-view.js';
 export * from './placement-policy.js';
 export * from './prompt-source.js';
 export * from './request-placement.js';
--- a/src/coordination/upstreams/upstream-eligibility.test.ts
+++ b/src/coordination/upstreams/upstream-eligibility.test.ts
@@ -23,14 +23,14 @@
 	const evacuations = createEvacuations();
 	const departures = createUpstreamDepartures();
 	const rests = createUpstreamRests();
-	const state = {isInformed: true};
+	const state = {isInformed: true, isOutdated: false};
 	const fullClock = {...clock, sleep: async () => undefined};
 	const limits = createUpstreamLimits();
 	const sender = {
 		clock: fullClock, processStartedAt: 0, daemon, listGateways: () => gateways,
 	};
 	const eligibility = createUpstreamEligibility({
-		directory, evacuations, departures, rests, random: () => 0, clock: fullClock, isInformed: () => state.isInformed,
+		directory, evacuations, departures, rests, random: () => 0, clock: fullClock, isInformed: () => state.isInformed, isOutdated: () => state.isOutdated,
 		coldAdmission: createColdAdmission({
 			...sender, policy: new OwnedShare(), overage: 1.5, slack: 5,
 		}),
@@ -52,6 +52,19 @@
 	};
 }
 
+test('a request that was placed before the records became outdated is not written after it', () => {
+	// Guards against requests to upstreams that left while this gateway alone could not read the store.
+	const {directory, eligibility, state} = createSingle();
+	directory.put(buildRegistration('u1', 'a'), 0);
+	expect(eligibility.listEligible(service).length).toBe(1);
+	state.isOutdated = true;
+	expect(eligibility.admitSend('u1', service)).toBe(false);
+	expect(eligibility.listEligible(service)).toEqual([]);
+	expect(eligibility.findBlockage(service)?.retryAfterMs).toBe(100);
+	state.isOutdated = false;
+	expect(eligibility.admitSend('u1', service)).toBe(true);
+});
+
 test('a request that was placed before an evacuation is not written after it', () => {
 	// Guards against requests that wait seconds for a connection and reach an evacuated engine.
 	const {directory, evacuations, eligibility} = createSingle();
--- a/src/coordination/upstreams/upstream-eligibility.ts
+++ b/src/coordination/upstreams/upstream-eligibility.ts
@@ -36,6 +36,8 @@
 	 * from other gateways. Without either, upstreams may have become cold unnoticed.
 	 */
 	readonly isInformed: () => boolean;
+	/** Returns true while this gateway's records are too old to send requests by and other gateways have recent ones. */
+	readonly isOutdated?: () => boolean;
 	readonly clock: Clock;
 };
 
@@ -53,6 +55,8 @@
 const evacuatedRetryAfterMs = 1000;
 /** Retry delay for a caller whose service has only upstreams that leave; nobody knows when others start. */
 const leavingRetryAfterMs = 1000;
+/** Retry delay for a caller whose gateway has outdated records: the retry reaches another gateway, and this one is out of rotation by then. */
+const outdatedRetryAfterMs = 100;
 /** Time over which callers are spread that may retry when an upstream has rested. */
 const restSpreadMs = 500;
 /** Lower limit of the retry delay while all upstreams are limited; another gateway may have capacity at once. */
@@ -73,7 +77,7 @@
  */
 export function createUpstreamEligibility(options: CreateUpstreamEligibilityOptions) {
 	const {
-		directory, evacuations, departures, rests, coldAdmission, limitAdmission, isInformed, clock, random,
+		directory, evacuations, departures, rests, coldAdmission, limitAdmission, isInformed, isOutdated = () => false, clock, random,
 	} = options;
 
 	function isEvacuated({upstream}: LiveUpstream): boolean {
@@ -124,7 +128,7 @@
 
 	return {
 		/** Lists the live upstreams of a service that may get a request of this gateway now; `origin` is that of a stream that has begun. */
-		listEligible: (service: GatewayService, origin?: StreamOrigin): LiveUpstream[] => listInService(service, origin).filter(live => isWithinLimits(live, service)),
+		listEligible: (service: GatewayService, origin?: StreamOrigin): LiveUpstream[] => isOutdated() ? [] : listInService(service, origin).filter(live => isWithinLimits(live, service)),
 
 		/**
 		 * Returns true if a request may be sent to an upstream now, and counts it
@@ -133,7 +137,7 @@
 		 */
 		admitSend(id: string, service: GatewayService, origin?: StreamOrigin): boolean {
 			const live = directory.findLive(id, clock.now());
-			if (!live || !isFitFor(live.upstream, origin) || departures.isLeaving(live.upstream) || isEvacuated(live) || !isWithinLimits(live, service)) {
+			if (!live || isOutdated() || !isFitFor(live.upstream, origin) || departures.isLeaving(live.upstream) || isEvacuated(live) || !isWithinLimits(live, service)) {
 				return false;
 			}
 
@@ -153,6 +157,10 @@
 				return undefined;
 			}
 
+			if (isOutdated()) {
+				return {detail: 'The records of the upstreams are outdated; other gateways have recent ones', retryAfterMs: outdatedRetryAfterMs};
+			}
+
 			if (listStaying(service, origin).length === 0) {
 				return {detail: 'All upstreams of the service are leaving', retryAfterMs: leavingRetryAfterMs};
 			}
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -10,7 +10,7 @@
 	CachedPromptSource, NearReceiverPolicy, OwnedShare, SubstitutedShare,
 	countPeerRoom, createAdmission, createBudgetOwners, createColdAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createNoticeRecorder, createPeerCatchUp,
 	createRelayedLog, createRequestForwarder, createRetryAfterEstimator,
-	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, decodePart, fanOut, monitorEventLoop,
+	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, decodePart, fanOut, isViewOutdated, monitorEventLoop,
 	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type ProcessStats,
 } from '../coordination/mod.js';
 import {
@@ -154,11 +154,15 @@
 			gossip.markChanged();
 		},
 	});
+	const isOutdated = () => isViewOutdated({
+		ownAgeMs: state.computeViewAgeMs(), peerAgesMs: peerViews.list().map(({viewAgeMs}) => viewAgeMs ?? Number.POSITIVE_INFINITY), drainMs: settings.upstreamDrain,
+	});
 	const departures = createUpstreamDepartures();
 	const rests = createUpstreamRests();
 	const eligibility = createUpstreamEligibility({
 		directory, evacuations, departures, rests, coldAdmission, limitAdmission, clock, random: Math.random,
 		isInformed: () => state.isDeploymentRecent() || peerViews.list().length > 0,
+		isOutdated,
 	});
 	const upstreamRegistry = createUpstreamRegistry({
 		directory, eligibility, clock, events, failureDomain: settings.failureDomain, getViewAgeMs: state.computeViewAgeMs, sumPeerUse: peerViews.sumUse,
@@ -205,6 +209,7 @@
 			isLeaving: stopWindow.hasBegun(),
 			hasRoom: admission.countRoom() > 0,
 			load: loadControl.getLoad(),
+			viewAgeMs: state.computeViewAgeMs(),
 			crashes: quarantines.requests.listRecent(),
 			parts: quarantines.parts.listRecent(),
 			domains: evacuations.listAnnounced(clock.now()),
@@ -328,7 +333,7 @@
 	const loadControl = createGatewayLoadControl({
 		settings, admission, peerViews, gossip, clock, events, signal,
 		listPeers: gatewayFleet.listPeers,
-		isServing: state.isReady,
+		isServing: () => state.isReady() && !isOutdated(),
 		isStopping: stopWindow.hasBegun,
 		hasDeployment: () => findRouteTable() !== undefined,
 	});
--- a/src/state/peer-views.ts
+++ b/src/state/peer-views.ts
@@ -58,6 +58,8 @@
 	readonly isLeaving: boolean;
 	/** True if it accepts all connections and requests. */
 	readonly hasRoom: boolean;
+	/** Age of its records of the upstreams, in milliseconds; undefined before the first read, and from a gateway of an earlier version. */
+	readonly viewAgeMs?: number;
 	/** Undefined if the gateway does not know its capacity. */
 	readonly load?: GatewayLoad;
 	/** Recently changed records of requests during which upstreams crashed. */
