Keep repeated headers of a response with connection: close

Cause: the close policy and a stop set `connection` with setHeader. Node.js then keeps only the last header of each name in the list given to writeHead, so a caller lost all but one Set-Cookie or Vary header. Change: if a header was set before, the list is added with appendHeader. Measured: the two new cases in caller-server.test.ts failed before (set-cookie a=1 and vary x missing) and pass now.

--- a/src/transport/caller-server.test.ts
+++ b/src/transport/caller-server.test.ts
@@ -137,6 +137,26 @@
 	server.closeAllConnections();
 });
 
+// Guards against an altered response: Node.js keeps one header of each name if some were set before the headers were written.
+test.each(['policy', 'stop'])('a response with connection: close that is due to a %s keeps headers that occur twice', async cause => {
+	const {server, state, responses, socket, received} = await createFixture();
+	if (cause === 'stop') {
+		server.requestConnectionClose();
+	} else {
+		state.shouldClose = true;
+	}
+
+	socket.write(requestText);
+	await expect.poll(() => responses.length).toBe(1);
+	responses[0]!.writeHead(200, ['Set-Cookie', 'a=1', 'Set-Cookie', 'b=2', 'Vary', 'x', 'vary', 'y', 'Content-Length', '2']).end('ok');
+	await expect.poll(() => received.hasEnded).toBe(true);
+	const lines = received.text.toLowerCase().split('\r\n');
+	expect(lines).toEqual(expect.arrayContaining(['connection: close', 'set-cookie: a=1', 'set-cookie: b=2', 'vary: x', 'vary: y', 'content-length: 2']));
+	expect(lines.filter(line => line.startsWith('connection:'))).toEqual(['connection: close']);
+	expect(received.text.endsWith('ok')).toBe(true);
+	server.closeAllConnections();
+});
+
 test('the server counts the bytes of the busier direction of open and closed connections', async () => {
 	const {server, responses, socket, received} = await createFixture();
 	socket.write(requestText);
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -98,11 +98,33 @@
 	return response !== undefined && response.headersSent && response.getHeader('connection') === 'close';
 }
 
-/** @internal Calls a function just before the headers of a response are written. */
+/** @internal Adds alternating header names and values, which replace headers of these names that were set before. */
+function appendHeaders(response: ServerResponse, list: readonly string[]): void {
+	const names = list.filter((_item, index) => index % 2 === 0);
+	for (const name of names.filter(item => response.hasHeader(item))) {
+		response.removeHeader(name);
+	}
+
+	for (const [index, name] of names.entries()) {
+		response.appendHeader(name, list[(2 * index) + 1]!);
+	}
+}
+
+/**
+ * @internal Calls a function just before the headers of a response are written.
+ * If headers were set by then, Node.js keeps only the last of those with the same
+ * name in a list that is written; here the list is appended instead.
+ */
 function watchHeaders(response: ServerResponse, onHeaders: () => void): void {
 	const {writeHead} = response;
 	response.writeHead = ((...parameters: Parameters<typeof writeHead>) => {
 		onHeaders();
+		const list: unknown = parameters.at(-1);
+		if (Array.isArray(list) && !response.headersSent && response.getHeaderNames().length > 0) {
+			appendHeaders(response, list as string[]);
+			parameters.pop();
+		}
+
 		return Reflect.apply<ServerResponse, Parameters<typeof writeHead>, ServerResponse>(writeHead, response, parameters);
 	}) as typeof writeHead;
 }
@@ -153,13 +175,11 @@
 				return;
 			}
 
-			if (shouldClose) {
-				watchHeaders(response, () => {
-					if (shouldClose!() && tracker.canCloseAfter(request, response)) {
-						response.setHeader('connection', 'close');
-					}
-				});
-			}
+			watchHeaders(response, () => {
+				if (shouldClose?.() && tracker.canCloseAfter(request, response)) {
+					response.setHeader('connection', 'close');
+				}
+			});
 
 			// A response that began before the stop has no `connection: close`. The connection is closed as soon as it is
 			// idle, so that the caller does not send its next request to a gateway that is about to exit.
