Don't count unsent bytes of a destroyed connection as sent

Cause: Node.js counts bytes that wait for the system as written, and once the connection is destroyed no longer as waiting. A caller that left while a long response waited raised the used share of the link by bytes that no link had carried, which can take a gateway out of rotation. Change: a connection that had waiting bytes when it was last read keeps the count of that time once it is destroyed.

--- a/src/transport/socket-counters.test.ts
+++ b/src/transport/socket-counters.test.ts
@@ -1,7 +1,10 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {connect as connectHttp2, constants, createServer as createHttp2Server} from 'node:http2';
-import type {AddressInfo, Server} from 'node:net';
+import {
+	connect, createServer as createTcpServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
 import {expect, test} from 'vitest';
 import {startSocketCounters} from './socket-counters.js';
 
@@ -54,3 +57,24 @@
 	server.close();
 	counters.stop();
 });
+
+// Guards against a load that no link carried: a caller that leaves during a long response took a gateway out of rotation.
+test('bytes that wait when their connection is destroyed are not counted as sent', async () => {
+	const counters = startSocketCounters();
+	const writtenBytes = 64_000_000;
+	let accepted: Socket | undefined;
+	const server = createTcpServer(socket => {
+		accepted = socket;
+		socket.write(Buffer.alloc(writtenBytes));
+	});
+	const {port} = new URL(await listen(server));
+	const caller = connect(Number(port), '127.0.0.1').pause();
+	await expect.poll(() => accepted?.writableLength).toBe(writtenBytes);
+	const before = counters.read().sentBytes;
+	accepted!.destroy();
+	await once(accepted!, 'close');
+	expect(counters.read().sentBytes).toBe(before);
+	caller.destroy();
+	server.close();
+	counters.stop();
+});
--- a/src/transport/socket-counters.ts
+++ b/src/transport/socket-counters.ts
@@ -16,9 +16,22 @@
 /** Node.js publishes every TCP connection of the process in one of these, whichever library opened it. */
 const channels = ['net.client.socket', 'net.server.socket'] as const;
 
-/** @internal Bytes that wait in the process for the system to take them have not used the link. */
-function countSentBytes(socket: Socket): number {
-	return Math.max(0, socket.bytesWritten - socket.writableLength);
+/** What is known of an open connection since it was last read. */
+type ConnectionState = {sentBytes: number; hasWaitingBytes: boolean};
+
+/**
+ * @internal Bytes that wait in the process for the system to take them have not
+ * used the link. Node.js counts them as written, and no longer as waiting, once
+ * the connection is destroyed; a connection that had some when it was last read
+ * keeps the number of that time.
+ */
+function updateSentBytes(socket: Socket, state: ConnectionState): number {
+	if (!socket.destroyed || !state.hasWaitingBytes) {
+		state.sentBytes = Math.max(state.sentBytes, socket.bytesWritten - socket.writableLength);
+		state.hasWaitingBytes = socket.writableLength > 0;
+	}
+
+	return state.sentBytes;
 }
 
 /**
@@ -34,15 +47,16 @@
  * @returns The counters
  */
 export function startSocketCounters() {
-	const sockets = new Set<Socket>();
+	const connections = new Map<Socket, ConnectionState>();
 	const closed = {receivedBytes: 0, sentBytes: 0};
 	const onSocket = (message: unknown) => {
 		const {socket} = message as {socket: Socket};
-		sockets.add(socket);
+		const state = {sentBytes: 0, hasWaitingBytes: false};
+		connections.set(socket, state);
 		socket.once('close', () => {
-			if (sockets.delete(socket)) {
+			if (connections.delete(socket)) {
 				closed.receivedBytes += socket.bytesRead;
-				closed.sentBytes += countSentBytes(socket);
+				closed.sentBytes += updateSentBytes(socket, state);
 			}
 		});
 	};
@@ -54,9 +68,9 @@
 	return {
 		read(): SocketBytes {
 			let {receivedBytes, sentBytes} = closed;
-			for (const socket of sockets) {
+			for (const [socket, state] of connections) {
 				receivedBytes += socket.bytesRead;
-				sentBytes += countSentBytes(socket);
+				sentBytes += updateSentBytes(socket, state);
 			}
 
 			return {receivedBytes, sentBytes};
