Accept a 304 response with the length of the unmodified body

Cause: undici expects a body of the length that a 304 names and reports a mismatch once the message is complete, so a conditional request failed although its upstream had answered. Change: this error ends a 304 normally. Measured: the new 304 tests failed with ResponseContentLengthMismatchError before and pass now, with a reused and with a new connection.

--- a/src/transport/upstream-client.test.ts
+++ b/src/transport/upstream-client.test.ts
@@ -171,3 +171,20 @@
 	expect(result?.err && result.val.kind).toBe('unsent');
 	expect(requests.length).toBe(1);
 });
+
+test.each([true, false])('a 304 with the length of the unmodified body is complete, new connection %s', async shouldUseNewConnection => {
+	// Guards against a conditional request that fails although its upstream answered: undici expects a body of that length.
+	const address = await serve(socket => {
+		socket.write('HTTP/1.1 304 Not Modified\r\nContent-Length: 55\r\n\r\n');
+	});
+	await expect(readBody(address, shouldUseNewConnection)).resolves.toBe('');
+});
+
+test('a long body whose chunk lengths are padded to 16 digits is not cut', async () => {
+	// Guards against a stream that breaks after some 65,000 events, because its framing counts as bytes of no response.
+	const chunkCount = 100_000;
+	const address = await serve(socket => {
+		socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${'0000000000000001\r\nx\r\n'.repeat(chunkCount)}0\r\n\r\n`);
+	});
+	await expect(readBody(address, false)).resolves.toHaveLength(chunkCount);
+});
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -7,7 +7,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Socket} from 'node:net';
 import {
-	Agent, Client, buildConnector, type Dispatcher,
+	Agent, Client, buildConnector, errors, type Dispatcher,
 } from 'undici';
 import {
 	Err, Ok, type RawHeaders, type Result,
@@ -64,6 +64,7 @@
 
 /** Lower statuses are informational: the final response follows on the connection. */
 const minFinalStatus = 200;
+const notModifiedStatus = 304;
 /** The upstream is paused while more than this many bytes are buffered for a slow reader. */
 const maxBufferedBytes = 65_536;
 
@@ -203,6 +204,15 @@
 	};
 }
 
+/**
+ * @internal Returns whether an error reports the missing body of a response that
+ * never has one: the `content-length` of a 304 is that of the unmodified body,
+ * which undici expects.
+ */
+function isBodyNotExpected(status: number | undefined, error: Error): boolean {
+	return status === notModifiedStatus && error instanceof errors.ResponseContentLengthMismatchError;
+}
+
 /** @internal Decodes alternating header names and values. */
 function listRawHeaders(raw: unknown): string[] {
 	return Array.isArray(raw) ? raw.map(item => Buffer.from(item as Uint8Array).toString('latin1')) : [];
@@ -236,6 +246,7 @@
 			let controller: Dispatcher.DispatchController | undefined;
 			let queue: ReturnType<typeof createChunkQueue> | undefined;
 			let meter: ConnectionMeter | undefined;
+			let finalStatus: number | undefined;
 			const abortCall = () => {
 				if (controller) {
 					controller.abort(new Error('The call was aborted'));
@@ -273,6 +284,7 @@
 						return;
 					}
 
+					finalStatus = status;
 					meter = meters.getActive();
 					const opened = createChunkQueue(started, cut => limits.openHolder('received', cut));
 					queue = opened;
@@ -293,7 +305,7 @@
 					void endQueue(resetDetector.wasReset(call.address));
 				},
 				onResponseError(_started, error) {
-					queue?.end(error);
+					queue?.end(isBodyNotExpected(finalStatus, error) ? undefined : error);
 					// Without a controller the request was never written, so the upstream cannot have run it.
 					resolve(Err({kind: controller ? 'broken' : 'unsent', detail: error.message}));
 					finish();
