Allow for chunk lengths padded to 16 digits

Cause: such framing takes 20 bytes for each chunk and 16 were allowed for, so a stream of small events was cut after some 66,000 of them. Change: the allowance is 24 bytes for each piece of a body. Measured: 100,000 chunks of one byte were cut after 66,850 before and arrive whole now.

--- a/src/transport/connection-meter.ts
+++ b/src/transport/connection-meter.ts
@@ -15,8 +15,8 @@
 	readonly recordEnd: () => void;
 };
 
-/** Framing of one chunk of a body: its length in hexadecimal digits, two line ends and a margin. */
-const framingBytesPerPiece = 16;
+/** Framing of one chunk of a body: a length of 64 bits in up to 16 hexadecimal digits, as some servers pad it, two line ends and a margin. */
+const framingBytesPerPiece = 24;
 
 /**
  * Creates meters for the connections of a client.
