Count the length of a refusal in bytes

Cause: Content-Length was the number of UTF-16 units. A detail with another character than ASCII, such as a Host header with the byte E9, was cut, and its last bytes preceded the next response on the connection. Change: the body is encoded before it is measured. Measured: the new test failed with an incomplete JSON body before and passes now.

--- a/src/daemon/caller-answer.test.ts
+++ b/src/daemon/caller-answer.test.ts
@@ -1,7 +1,9 @@
-import type {ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import {createServer, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {PassThrough} from 'node:stream';
 import {expect, test} from 'vitest';
-import type {GatewayWire} from '../protocol/mod.js';
+import {createFailure, type GatewayWire} from '../protocol/mod.js';
 import {createCallerAnswer} from './caller-answer.js';
 
 test('writes that wait for a slow reader remove their listeners', async () => {
@@ -20,3 +22,17 @@
 
 	expect(['drain', 'close', 'error'].map(name => response.listenerCount(name))).toEqual([0, 0, 0]);
 });
+
+test('the length of a refusal counts bytes', async () => {
+	// Guards against a refusal that is truncated, and whose end the caller takes for the next response on its connection:
+	// the detail can contain the host name that the caller sent.
+	const detail = 'No route matches host "caf\u00E9"';
+	const server = createServer((_request, response) => {
+		createCallerAnswer(response, {} as GatewayWire).refuse(createFailure('unknown-route', detail));
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const response = await fetch(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+	await expect(response.json()).resolves.toHaveProperty('detail', detail);
+	server.close();
+	server.closeAllConnections();
+});
--- a/src/daemon/caller-answer.ts
+++ b/src/daemon/caller-answer.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import type {CallerAnswer} from '../coordination/mod.js';
@@ -109,7 +110,7 @@
 				return;
 			}
 
-			const body = JSON.stringify(formatProblem(failure));
+			const body = Buffer.from(JSON.stringify(formatProblem(failure)));
 			const retryAfterHeader = failure.retryAfterMs === undefined ? [] : wire.formatRetryAfter(failure.retryAfterMs);
 			response.writeHead(failureTable[failure.type].status, ['Content-Type', 'application/problem+json', 'Content-Length', String(body.length), ...retryAfterHeader]);
 			response.end(body);
