Let a gateway return to rotation although its memory stays high

Cause: a process gives back little memory after a peak. A gateway that left above 0.8 and then stayed at 0.77 at an idle load was still out after an hour (trial with a virtual clock). Change: after 10 s out, memory below the share that counts as overload no longer keeps it out. Result: the new test fails without the change; the tests of the decision and of the virtual failure domain pass.

--- a/src/coordination/load/rotation-decision.test.ts
+++ b/src/coordination/load/rotation-decision.test.ts
@@ -106,6 +106,17 @@
 	expect(decide(listPeers(7), {...idleShares, memoryShare: 0.74})).toBe(true);
 });
 
+// Guards against a gateway that stays out for hours at an idle load because its memory stays just below the limit.
+test('a gateway that is out only for memory below 0.8 returns after ten seconds', () => {
+	const {decide} = createFixture();
+	expect(decide(listPeers(7), {...idleShares, memoryShare: 0.85})).toBe(false);
+	expect(decide(listPeers(7), {...idleShares, memoryShare: 0.77}, 9900)).toBe(false);
+	expect(decide(listPeers(7), {...idleShares, memoryShare: 0.81}, 200)).toBe(false);
+	expect(decide(listPeers(7), {...idleShares, linkShare: 0.6, memoryShare: 0.77})).toBe(false);
+	expect(decide(listPeers(7), {...idleShares, memoryShare: 0.77})).toBe(true);
+	expect(decide(listPeers(7), {...idleShares, memoryShare: 0.79})).toBe(true);
+});
+
 test('a gateway returns once the others have been overloaded for half a second', () => {
 	const {decide, state} = createFixture();
 	expect(decide(listPeers(7))).toBe(false);
--- a/src/coordination/load/rotation-decision.ts
+++ b/src/coordination/load/rotation-decision.ts
@@ -49,6 +49,11 @@
  * an idle gateway holds 0.45 of the smallest memory; with the share of the other resources it would stay out for good.
  */
 const memoryRecoveryShare = 0.75;
+/**
+ * Time after which a gateway takes callers again although memory is not below its recovery share. A process gives back
+ * little of what a peak took; while it is below the share that counts as overload, staying out would serve nobody.
+ */
+const maxMemoryOutMs = 10_000;
 /** Mean share of the others below which they have room for the callers of one more gateway. */
 export const peerRoomShare = 0.6;
 /**
@@ -154,12 +159,18 @@
 		}
 	}
 
+	function mayReturnByLoad(shares: LoadShares): boolean {
+		const outMs = clock.now() - leftAt;
+		const isMemoryOnly = hasRecovered({...shares, memoryShare: 0}) && shares.memoryShare <= overloadShare;
+		return (hasRecovered(shares) && outMs >= minOutMs) || (isMemoryOnly && outMs >= maxMemoryOutMs);
+	}
+
 	function decideReturn({shares, peers}: RotationInput): void {
 		if (!mayBeOut(peers)) {
 			setTaking(true, 'too-few-gateways');
 		} else if (hasNoRoomElsewhere(peers)) {
 			setTaking(true, 'no-room-elsewhere');
-		} else if (hasRecovered(shares) && clock.now() - leftAt >= minOutMs) {
+		} else if (mayReturnByLoad(shares)) {
 			setTaking(true, 'has-room');
 		}
 	}
