Release searches whose first owner does not reply

The race for the reply of the first owner waited on a promise that all searches shared and that never resolves. Each search whose first owner did not reply in time added a reaction to it that was never removed.

The promise now belongs to the search.

--- a/src/coordination/budgets/loan-search.test.ts
+++ b/src/coordination/budgets/loan-search.test.ts
@@ -1,3 +1,6 @@
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import {expect, test} from 'vitest';
 import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
 import type {PeerView} from '../../state/mod.js';
@@ -8,6 +11,9 @@
 const customer = 'c1';
 const decisions = 2000;
 const maxDecisionMs = 0.05;
+const leakSearches = 10_000;
+/** Less than what one promise that waits for another takes. */
+const maxLeftBytes = 50;
 
 function buildView(daemon: string, tokens: number): PeerView {
 	return {
@@ -83,3 +89,36 @@
 
 	expect((performance.now() - startedAt) / decisions).toBeLessThan(maxDecisionMs);
 });
+
+test('searches whose first owner does not reply leave nothing behind', async () => {
+	// Guards against memory that grows with each such search: a promise that outlives them keeps what waits for it.
+	setFlagsFromString('--expose-gc');
+	const collectGarbage = runInNewContext('gc') as () => void;
+	let now = 0;
+	const search = createLoanSearch({
+		calls: {
+			getDurationMs: () => 0,
+			open: ({daemon}) => ({
+				reply: daemon === 'e1' ? Promise.resolve(undefined) : Promise.resolve({tokens: 0, credited: 0, isClaiming: true}),
+				markLate: () => undefined,
+			}),
+		},
+		listViews: () => [buildView('e1', 0), buildView('e2', 0)],
+		listUnresponsive: () => [], listUnheard: () => [], listOwners: () => ['e1', 'e2'], isOwner: () => false,
+		clock: {now: () => now, sleep: async () => undefined},
+	});
+	async function measureHeap(searches: number): Promise<number> {
+		for (let index = 0; index < searches; index += 1) {
+			// Long enough for the owner to be asked first again.
+			now += 5000;
+			await search.run(customer, {needed: 100, wanted: 100, unclaimed: 1000});
+		}
+
+		collectGarbage();
+		return process.memoryUsage().heapUsed;
+	}
+
+	await measureHeap(leakSearches);
+	const before = await measureHeap(leakSearches);
+	expect(await measureHeap(leakSearches) - before).toBeLessThan(leakSearches * maxLeftBytes);
+});
--- a/src/coordination/budgets/loan-search.ts
+++ b/src/coordination/budgets/loan-search.ts
@@ -49,8 +49,6 @@
 /** Searches for tokens. */
 export type TokenSearch = ReturnType<typeof createLoanSearch>;
 
-/** Never resolves. */
-const never = new Promise<never>(() => undefined); // eslint-disable-line no-promise-executor-return
 /** Time for which a gateway that did not reply is asked after the others. */
 const unresponsivePeriodMs = 2000;
 /** Time for which a round waits for replies; the calls may take longer. */
@@ -154,7 +152,8 @@
 			if (next && !replied.has(first.daemon) && missing > 0) {
 				const firstReply = (async () => {
 					await firstAsk;
-					return replied.has(first.daemon) || never;
+					// A promise of this search: one that all searches share would keep what waits for it.
+					return replied.has(first.daemon) || new Promise<never>(() => undefined); // eslint-disable-line no-promise-executor-return
 				})();
 				await Promise.race([firstReply, ask({lender: next, needed: missing}, mayClaim)]);
 			}
