Poll the next incarnation of a lender for a loan that it may have made

A call is addressed by the incarnation that was last heard. If the lender had restarted before gossip showed it, the new incarnation deducted the tokens, and once it was heard, the loan was dropped without a poll. A lost reply then left the tokens deducted until another request reached that lender.

An open loan is now polled at the current address, under its ID, until any incarnation replies. One that has not got the request lends nothing. In the new test the 100 tokens are credited by the first poll; before, none were.

--- /dev/null
+++ b/src/coordination/budgets/loan-calls.test.ts
@@ -0,0 +1,52 @@
+import {expect, test} from 'vitest';
+import {createVirtualTime} from '../../../tools/measure/virtual-clock.js';
+import type {EventLog} from '../../protocol/mod.js';
+import {createTokenAccount} from '../../state/mod.js';
+import {createLoanCalls} from './loan-calls.js';
+import type {Lender, RequestLoan} from './token-loan.js';
+
+const customer = 'c1';
+const events: EventLog = {write: () => undefined, counts: new Map()};
+const ask = {
+	customer, needed: 100, wanted: 100, mayClaim: true,
+};
+const first: Lender = {daemon: 'e2', incarnation: 'i1', address: 'e2:1'};
+const second: Lender = {daemon: 'e2', incarnation: 'i2', address: 'e2:2'};
+
+function createCalls(requestLoan: RequestLoan) {
+	const time = createVirtualTime();
+	const account = createTokenAccount();
+	const lenders = [first];
+	const calls = createLoanCalls({
+		daemon: 'e1', incarnation: 'b1', account, listLenders: () => lenders, onCredited: () => undefined, requestLoan, clock: time, events,
+	});
+	return {
+		time, account, lenders, calls,
+	};
+}
+
+test('a lender that had restarted before gossip showed it delivers the tokens of a lost reply', async () => {
+	// Guards against tokens that the next incarnation has deducted for a call addressed to the last one that was heard, and
+	// that are never polled for.
+	const asked: Array<[address: string, loan: string]> = [];
+	const {account, calls, lenders} = createCalls(async (address, {loan}) => {
+		asked.push([address, loan]);
+		if (asked.length === 1) {
+			throw new Error('The reply was lost');
+		}
+
+		return {
+			tokens: 100, isClaiming: true, incarnation: 'i2', total: 100,
+		};
+	});
+	await calls.open(first, ask).reply;
+	lenders[0] = second;
+	calls.pollOpenLoans();
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	expect(account.countFreeTokens(customer)).toBe(100);
+	expect(asked).toEqual([['e2:1', asked[0]![1]], ['e2:2', asked[0]![1]]]);
+	calls.pollOpenLoans();
+	expect(asked).toHaveLength(2);
+});
--- a/src/coordination/budgets/loan-calls.ts
+++ b/src/coordination/budgets/loan-calls.ts
@@ -50,12 +50,11 @@
 
 /** A loan whose lender has not replied. */
 type OpenLoan = {
-	readonly lender: Lender;
+	/** As last heard: an incarnation that started since the request was sent may have got it. */
+	lender: Lender;
 	readonly ask: LoanAsk;
 	readonly loan: string;
 	readonly openedAt: number;
-	/** Incarnation of the lender; undefined until it has been heard from. */
-	incarnation: string | undefined;
 	/** True once nobody waits for the reply any more. */
 	isLate: boolean;
 	isPolled: boolean;
@@ -169,11 +168,9 @@
 	function pollOpenLoans(): void {
 		const lenders = new Map(options.listLenders().map(lender => [lender.daemon, lender]));
 		for (const open of openLoans) {
-			const incarnation = lenders.get(open.lender.daemon)?.incarnation;
-			open.incarnation ??= incarnation;
-			if (incarnation !== undefined && incarnation !== open.incarnation) {
-				openLoans.delete(open);
-			} else if (open.isLate && !open.isPolled && lenders.has(open.lender.daemon)) {
+			const lender = lenders.get(open.lender.daemon);
+			if (lender && open.isLate && !open.isPolled) {
+				open.lender = lender;
 				void poll(open);
 			}
 		}
@@ -181,7 +178,7 @@
 
 	function start(lender: Lender, ask: LoanAsk): OpenLoan {
 		const open: OpenLoan = {
-			lender, ask, loan: createId('l'), openedAt: clock.now(), incarnation: lender.incarnation, isLate: false, isPolled: false, isSettled: false, isCalling: true, reply: Promise.resolve(undefined),
+			lender, ask, loan: createId('l'), openedAt: clock.now(), isLate: false, isPolled: false, isSettled: false, isCalling: true, reply: Promise.resolve(undefined),
 		};
 		openLoans.add(open);
 		open.reply = send(open, ask);
