Limit the duration that a loan adds to the average

A loan settled by a poll after a partition counted with the whole time, so one partition of ten minutes kept the watermark and the delay before the next owner may claim at their limits for dozens of loans.

A loan now counts with at most the 5 s that a call lasts. In the new test the average after 600 s is 5,000 ms instead of 600,000.

--- a/src/coordination/budgets/loan-calls.test.ts
+++ b/src/coordination/budgets/loan-calls.test.ts
@@ -50,3 +50,25 @@
 	calls.pollOpenLoans();
 	expect(asked).toHaveLength(2);
 });
+
+test('a lender that was out of reach for minutes counts with the time that a call lasts', async () => {
+	// Guards against watermarks and hedge delays that stay at their limits for dozens of loans after a partition.
+	let isUp = false;
+	const {time, calls} = createCalls(async () => {
+		if (!isUp) {
+			throw new Error('The gateway does not answer');
+		}
+
+		return {
+			tokens: 0, isClaiming: true, incarnation: 'i1', total: 0,
+		};
+	});
+	await calls.open(first, ask).reply;
+	await time.runUntil(600_000);
+	isUp = true;
+	calls.pollOpenLoans();
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	expect(calls.getDurationMs()).toBe(5000);
+});
--- a/src/coordination/budgets/loan-calls.ts
+++ b/src/coordination/budgets/loan-calls.ts
@@ -110,7 +110,8 @@
 		open.isSettled = true;
 		openLoans.delete(open);
 		if (isFirst) {
-			durations.record(clock.now() - open.openedAt);
+			// A loan whose lender was out of reach for minutes does not show how long loans take.
+			durations.record(Math.min(maxExpectedMs, clock.now() - open.openedAt));
 		}
 
 		let tokens = 0;
