Do not refuse a request as exhausted while a late loan is expected

A search asks only gateways that advertise tokens. A lender that had deducted its last tokens for a call that was late advertised none, so the search counted as complete without its reply and the request ended with 402 while the tokens were on their way.

Requests that exceed the whole budget still end with 402.

--- a/src/coordination/budgets/budget-manager.test.ts
+++ b/src/coordination/budgets/budget-manager.test.ts
@@ -695,7 +695,11 @@
 });
 
 /** Creates a budget manager whose claims hang, as with an unresponsive store. */
-function createHangingManager({sinceAnswer, tokensElsewhere}: {readonly sinceAnswer: number; readonly tokensElsewhere: boolean}) {
+function createHangingManager({sinceAnswer, tokensElsewhere, grantedElsewhere = 0, hasLateLoans = false}: {readonly sinceAnswer: number; readonly tokensElsewhere: boolean; readonly grantedElsewhere?: number; readonly hasLateLoans?: boolean}) {
+	const grants = createGrantRegistry();
+	grants.put('e2/i1', {
+		role: 'gateway', daemon: 'e2', incarnation: 'i1', address: 'e2', failureDomain: 'd', version: 1, sequence: 1, granted: {[customer]: grantedElsewhere}, hasEnded: false,
+	});
 	let now = 0;
 	const never = new Promise<never>(() => undefined); // eslint-disable-line no-promise-executor-return
 	const account = createTokenAccount();
@@ -708,9 +712,12 @@
 		follower: {
 			getNextOffset: () => 0, getEpoch: () => undefined, isUp: () => true, computeStalenessMs: () => sinceAnswer, hasReadSince: () => false, catchUp: async () => never, applyOwnRecord: () => undefined, recordEpoch: () => undefined, run: async () => never,
 		},
-		grants: createGrantRegistry(),
+		grants,
 		account,
 		findRouteTable: () => buildTable(1, 1000),
+		loans: {
+			hasOpenLoans: () => hasLateLoans, hasLateLoans: () => hasLateLoans, countInFlight: () => 0, getDurationMs: () => 0,
+		},
 		loanPolicy: new ReturnedLoanPolicy(),
 		grantTargetPolicy: new DemandTargetPolicy(),
 		owners: {
@@ -763,6 +770,16 @@
 	expect(reservation.err && reservation.val.type).toBe(type);
 });
 
+test.each([[false, 'budget-exhausted'], [true, 'budget-busy']])('a request that exceeds what the log shows, with a late reply expected: %s, ends with %s', async (hasLateLoans, type) => {
+	// Guards against a final refusal while a lender that has deducted the tokens advertises none, so that the search does not
+	// ask it and counts as complete.
+	const {manager} = createHangingManager({
+		sinceAnswer: 0, tokensElsewhere: false, grantedElsewhere: 600, hasLateLoans,
+	});
+	const reservation = await manager.acquire(customer, 500, {timeoutMs: 200});
+	expect(reservation.err && reservation.val.type).toBe(type);
+});
+
 test('tokens for a burst are claimed before its first request ends', async () => {
 	// Guards against a claim for each request of a burst, because demand is
 	// counted only when the streams end, seconds later.
--- a/src/coordination/budgets/budget-manager.ts
+++ b/src/coordination/budgets/budget-manager.ts
@@ -53,7 +53,9 @@
 const maxSyncAgeMs = 2 * roundIntervalMs;
 /** Timeout of a claim on behalf of another gateway. That gateway waits 300 ms for the answer, most of which the messages may take while both are busy. */
 const claimForPeerTimeoutMs = 100;
-const noLoans: LoanProgress = {hasOpenLoans: () => false, countInFlight: () => 0, getDurationMs: () => 0};
+const noLoans: LoanProgress = {
+	hasOpenLoans: () => false, hasLateLoans: () => false, countInFlight: () => 0, getDurationMs: () => 0,
+};
 
 /**
  * Creates a budget manager; `run` operates it until the signal is aborted.
@@ -161,7 +163,13 @@
 			// Tokens that are free already are given out in the order of the queue.
 			const obtained = tryServe(waiter) ? undefined : (owners.isOwner(customer) ? obtainAsOwner(waiter, deadline) : obtainFromOwner(waiter, deadline));
 			const outcome = await Promise.race([waiter.served, ...obtained ? [obtained] : []]);
-			return waiter.reservation ? Ok(waiter.reservation) : Err(refuse(customer, amount, {isComplete: false, ...'isComplete' in outcome && outcome, request}));
+			if (waiter.reservation) {
+				return Ok(waiter.reservation);
+			}
+
+			const {isComplete, isOwnerClaiming}: SearchResult = 'isComplete' in outcome ? outcome : {isComplete: false};
+			// A lender that has lent all it had advertises nothing, so a search may be complete without its reply.
+			return Err(refuse(customer, amount, {isComplete: isComplete && !loans.hasLateLoans(customer), isOwnerClaiming, request}));
 		} finally {
 			waiter.remove();
 			// A request that has left no longer holds back smaller ones.
--- a/src/coordination/budgets/loan-calls.ts
+++ b/src/coordination/budgets/loan-calls.ts
@@ -205,6 +205,9 @@
 		/** Returns true if a lender that may have deducted tokens of the customer is expected to reply. */
 		hasOpen: (customer: string): boolean => [...openLoans].some(({ask, openedAt}) => ask.customer === customer && clock.now() - openedAt < maxExpectedMs),
 
+		/** Returns true if a lender that may have deducted tokens of the customer did not reply in time but is still expected to. */
+		hasLate: (customer: string): boolean => [...openLoans].some(({ask, isLate, openedAt}) => isLate && ask.customer === customer && clock.now() - openedAt < maxExpectedMs),
+
 		/**
 		 * Returns the tokens that running calls are expected to deliver. Owners are asked for the same tokens, so the largest
 		 * of these calls counts.
--- a/src/coordination/budgets/token-borrower.ts
+++ b/src/coordination/budgets/token-borrower.ts
@@ -17,7 +17,7 @@
 export type BorrowTokens = (customer: string, amounts: BorrowAmounts) => Promise<BorrowOutcome>;
 
 /** State of the loans of a gateway. */
-export type LoanProgress = Pick<TokenLending, 'hasOpenLoans' | 'countInFlight' | 'getDurationMs'>;
+export type LoanProgress = Pick<TokenLending, 'hasOpenLoans' | 'hasLateLoans' | 'countInFlight' | 'getDurationMs'>;
 
 /** Options of {@linkcode createTokenBorrower}. */
 export type CreateTokenBorrowerOptions = {
--- a/src/coordination/budgets/token-lending.ts
+++ b/src/coordination/budgets/token-lending.ts
@@ -49,6 +49,9 @@
 		/** Returns true if a lender that may have deducted tokens of the customer has not replied. */
 		hasOpenLoans: calls.hasOpen,
 
+		/** Returns true if such a lender did not reply in time but is still expected to. */
+		hasLateLoans: calls.hasLate,
+
 		/** Returns the tokens that running calls are expected to deliver. */
 		countInFlight: calls.countInFlight,
 
