--- a/src/coordination/budgets/loan-calls.ts
+++ b/src/coordination/budgets/loan-calls.ts
@@ -50,12 +50,11 @@
 
 /** A loan whose lender has not replied. */
 type OpenLoan = {
-	readonly lender: Lender;
+	/** As last heard: an incarnation that started since the request was sent may have got it. */
+	lender: Lender;
 	readonly ask: LoanAsk;
 	readonly loan: string;
 	readonly openedAt: number;
-	/** Incarnation of the lender; undefined until it has been heard from. */
-	incarnation: string | undefined;
 	/** True once nobody waits for the reply any more. */
 	isLate: boolean;
 	isPolled: boolean;
@@ -111,7 +110,8 @@
 		open.isSettled = true;
 		openLoans.delete(open);
 		if (isFirst) {
-			durations.record(clock.now() - open.openedAt);
+			// A loan whose lender was out of reach for minutes does not show how long loans take.
+			durations.record(Math.min(maxExpectedMs, clock.now() - open.openedAt));
 		}
 
 		let tokens = 0;
@@ -169,11 +169,9 @@
 	function pollOpenLoans(): void {
 		const lenders = new Map(options.listLenders().map(lender => [lender.daemon, lender]));
 		for (const open of openLoans) {
-			const incarnation = lenders.get(open.lender.daemon)?.incarnation;
-			open.incarnation ??= incarnation;
-			if (incarnation !== undefined && incarnation !== open.incarnation) {
-				openLoans.delete(open);
-			} else if (open.isLate && !open.isPolled && lenders.has(open.lender.daemon)) {
+			const lender = lenders.get(open.lender.daemon);
+			if (lender && open.isLate && !open.isPolled) {
+				open.lender = lender;
 				void poll(open);
 			}
 		}
@@ -181,7 +179,7 @@
 
 	function start(lender: Lender, ask: LoanAsk): OpenLoan {
 		const open: OpenLoan = {
-			lender, ask, loan: createId('l'), openedAt: clock.now(), incarnation: lender.incarnation, isLate: false, isPolled: false, isSettled: false, isCalling: true, reply: Promise.resolve(undefined),
+			lender, ask, loan: createId('l'), openedAt: clock.now(), isLate: false, isPolled: false, isSettled: false, isCalling: true, reply: Promise.resolve(undefined),
 		};
 		openLoans.add(open);
 		open.reply = send(open, ask);
@@ -207,6 +205,9 @@
 		/** Returns true if a lender that may have deducted tokens of the customer is expected to reply. */
 		hasOpen: (customer: string): boolean => [...openLoans].some(({ask, openedAt}) => ask.customer === customer && clock.now() - openedAt < maxExpectedMs),
 
+		/** Returns true if a lender that may have deducted tokens of the customer did not reply in time but is still expected to. */
+		hasLate: (customer: string): boolean => [...openLoans].some(({ask, isLate, openedAt}) => isLate && ask.customer === customer && clock.now() - openedAt < maxExpectedMs),
+
 		/**
 		 * Returns the tokens that running calls are expected to deliver. Owners are asked for the same tokens, so the largest
 		 * of these calls counts.
