Count a call for a loan as on its way for 1.5 s at most

Cause: a call to a gateway that is out of reach lasts 5 s, and a large request that counted on it held back smaller ones for which tokens were free. Change: after 1.5 s, the slowest replies seen over a full link, a call no longer counts. Result: the new test fails without the change; 143 tests of the budgets pass.

--- a/src/coordination/budgets/loan-calls.test.ts
+++ b/src/coordination/budgets/loan-calls.test.ts
@@ -72,3 +72,15 @@
 	});
 	expect(calls.getDurationMs()).toBe(5000);
 });
+
+test('a call to a lender that is out of reach is not on its way for longer than a slow reply takes', async () => {
+	// Guards against small requests that are held back for seconds by a large one while tokens for them are free.
+	const {time, calls} = createCalls(async () => new Promise(() => undefined)); // eslint-disable-line no-promise-executor-return
+	calls.open(first, ask);
+	expect(calls.countInFlight(customer)).toBe(100);
+	await time.runUntil(1400);
+	expect(calls.countInFlight(customer)).toBe(100);
+	await time.runUntil(1600);
+	expect(calls.countInFlight(customer)).toBe(0);
+	expect(calls.hasOpen(customer)).toBe(true);
+});
--- a/src/coordination/budgets/loan-calls.ts
+++ b/src/coordination/budgets/loan-calls.ts
@@ -67,6 +67,8 @@
 const pollIntervalMs = 1000;
 /** Time for which a reply is expected, as long as a call lasts. Later polls usually show that the lender is out of reach. */
 const maxExpectedMs = 5000;
+/** Time for which a call counts as on its way. Replies over a full link take up to 1.5 s; a gateway that is out of reach must not hold back smaller requests for longer. */
+const maxInFlightMs = 1500;
 /** Loans of one customer that one lender may leave without a reply before it gets no more requests; each is polled, which uses the link that is slow. */
 const maxOpenLoans = 4;
 
@@ -215,8 +217,8 @@
 		countInFlight(customer: string): number {
 			let fromOwners = 0;
 			let fromOthers = 0;
-			for (const {ask, isCalling} of openLoans) {
-				if (isCalling && ask.customer === customer) {
+			for (const {ask, isCalling, openedAt} of openLoans) {
+				if (isCalling && ask.customer === customer && clock.now() - openedAt < maxInFlightMs) {
 					fromOwners = ask.mayClaim ? Math.max(fromOwners, ask.needed) : fromOwners;
 					fromOthers += ask.mayClaim ? 0 : ask.needed;
 				}
