Rank engines alike at all gateways, and move callers away from a gateway that cannot serve

Change: ranks are not weighted; a gateway that is not serving closes connections after their response once the load balancer has seen two checks without a 200.

--- a/src/coordination/upstreams/stream-placement-policy.ts
+++ b/src/coordination/upstreams/stream-placement-policy.ts
@@ -26,12 +26,6 @@
  * a second, engines read a fifth more with 0 than with 1; docs/design/uneven-engines.md compares larger values.
  */
 const readAgainWeight = 4;
-/**
- * Power by which the speed of an engine raises its chance of the first rank. With 4,
- * one that is slower by half gets hardly any new part: it reads a long prompt for longer than
- * the objective of its caller.
- */
-const speedRankPower = 4;
 /**
  * Difference in cost that callers do not notice. Gateways whose views lack the
  * newest placements of the others would all choose the engine with the lowest
@@ -42,8 +36,6 @@
 const memoryShortCostMs = 1_000_000;
 /** Steps between two events if the shape of the engine is unknown. */
 const defaultStepsPerEvent = 4;
-/** Number of possible scores. */
-const scoreRange = 2 ** 32;
 /** Number of ids whose hash is kept; more than any fleet has, and bounded because ids are never reused. */
 const maxHashedIds = 10_000;
 
@@ -74,12 +66,6 @@
 	return estimateMemoryCostMs(heldShare) + (wouldFillMemory(memory) ? memoryShortCostMs * heldShare : 0);
 }
 
-/** @internal Weighted rendezvous hashing. The slowness is rounded to a power of two, so that gateways that learnt slightly different values rank alike. */
-function weighScore(score: number, slowness: number): number {
-	const weight = slowness === 1 ? 1 : 2 ** (-Math.round(Math.log2(slowness)) * speedRankPower);
-	return -weight / Math.log((score + 0.5) / scoreRange);
-}
-
 /** @internal */
 function sumSharedTokens({generation}: PlacementQuery): number {
 	return listSharedParts(generation?.parts ?? []).reduce((sum, part) => sum + part.tokens, 0);
@@ -161,8 +147,8 @@
 		const keyHash = computeHash(key);
 		const ranks: [number, number] = [-1, -1];
 		const scores: [number, number] = [-1, -1];
-		for (const [index, {id, slowness}] of candidates.entries()) {
-			const score = weighScore(computeScore(keyHash, this.#getHash(id)), slowness);
+		for (const [index, {id}] of candidates.entries()) {
+			const score = computeScore(keyHash, this.#getHash(id));
 			if (score > scores[0]) {
 				[ranks[1], scores[1]] = [ranks[0], scores[0]];
 				[ranks[0], scores[0]] = [index, score];
--- a/src/daemon/gateway-load.ts
+++ b/src/daemon/gateway-load.ts
@@ -85,7 +85,7 @@
 			gossip.markUrgent();
 		},
 	});
-	const closeDecision = createConnectionCloseDecision({shouldMoveCallers: () => isMeasured && shouldMoveCallers(meter.getSmoothed())});
+	const closeDecision = createConnectionCloseDecision({shouldMoveCallers: () => !options.isServing() || (isMeasured && shouldMoveCallers(meter.getSmoothed()))});
 	const startAdmission = createStartAdmission({
 		linkBytesPerSecond: capacity.linkBytesPerSecond, clock, hasDeployment: options.hasDeployment,
 		onChange({isLimited, rejectionShare}) {
