Keep Retry-After within a third of the caller's time after rounding

Cause: the longest time was rounded down to a millisecond, and the header has two decimals: 57 ms for a caller with 172 ms was sent as 0.06, which callers ignore. Change: the longest time is a multiple of 10 ms. Result: for 150 to 2000 ms left, no header exceeds a third.

--- a/src/coordination/load/retry-schedule.ts
+++ b/src/coordination/load/retry-schedule.ts
@@ -36,6 +36,8 @@
 export const minRetryAfterMs = 50;
 /** Callers ignore a retry-after time above this share of their remaining time. */
 export const maxRetryAfterShare = 1 / 3;
+/** The longest time is a multiple of this, because the header has two decimals, and a time that is rounded up there would be ignored. */
+const retryAfterStepMs = 10;
 /** Longest retry-after time while most other gateways have room: the retry probably reaches one of them, and half of the shortest objective (400 ms) is left for the answer. */
 const maxRetryElsewhereMs = 200;
 /** Longest time ahead that the order can reach: a third of the longest timeout (15 s), and one interval. */
@@ -83,7 +85,7 @@
 
 		/** Returns the retry-after time of a refused caller, in milliseconds. */
 		scheduleReturn({remainingMs, mayReturn, endsNeeded}: RefusedRequest): number {
-			const maxMs = Math.max(minRetryAfterMs, remainingMs * maxRetryAfterShare);
+			const maxMs = Math.max(minRetryAfterMs, Math.floor(remainingMs * maxRetryAfterShare / retryAfterStepMs) * retryAfterStepMs);
 			if (!mayReturn) {
 				return minRetryAfterMs;
 			}
