Send requests by recent records where upstreams drain for a short time

Cause: records were outdated above the drain time less 200 ms. With a drain time below 1.4 s, ages between two reads exceed that, and every gateway refuses because the others' records are recent. Change: records up to 1.2 s, which count as recent elsewhere, are never outdated.

--- a/src/coordination/upstreams/outdated-view.test.ts
+++ b/src/coordination/upstreams/outdated-view.test.ts
@@ -24,3 +24,9 @@
 test('requests are sent where the settings do not name the drain time', () => {
 	expect(isViewOutdated({ownAgeMs: 8000, peerAgesMs: [0, 0], drainMs: undefined})).toBe(false);
 });
+
+test('requests are sent by recent records also where upstreams drain for a short time', () => {
+	// Guards against a fleet that refuses requests between two reads, because all gateways have records that are older than the drain time.
+	expect(isViewOutdated({ownAgeMs: 600, peerAgesMs: [0, 300, 600], drainMs: 500})).toBe(false);
+	expect(isViewOutdated({ownAgeMs: 1201, peerAgesMs: [0, 300, 600], drainMs: 500})).toBe(true);
+});
--- a/src/coordination/upstreams/outdated-view.ts
+++ b/src/coordination/upstreams/outdated-view.ts
@@ -40,7 +40,7 @@
  * @returns True if the records are too old and most other gateways have recent ones
  */
 export function isViewOutdated({ownAgeMs = Number.POSITIVE_INFINITY, peerAgesMs, drainMs}: ViewAges): boolean {
-	if (drainMs === undefined || ownAgeMs <= drainMs - transitMs) {
+	if (drainMs === undefined || ownAgeMs <= Math.max(maxRecentAgeMs, drainMs - transitMs)) {
 		return false;
 	}
 
