--- a/src/coordination/upstreams/uneven-engines.test.ts
+++ b/src/coordination/upstreams/uneven-engines.test.ts
@@ -230,3 +230,12 @@
 	registry.trackRequest('e1', {service, generation});
 	expect(find('e1')).toMatchObject({inFlight: 4, heldTokens: 17_220 + 20_000 + (2 * 17_220), momentarySlowness: 2});
 });
+
+// Guards against a cost that is infinite or not a number, by which the first engine of the list gets all requests.
+test('a load with a number that is infinite, negative or empty is ignored', () => {
+	const read = (value: string) => platformWire.readAnswer(200, {'fireflylane-server-load': value}).load;
+	expect(['Infinity,0,128', '0,1e999,128', '-3,0,128', '1,-1,128', '1,2,', '1,,128', '1,2', '0x10,1,128'].map(value => read(value))).toEqual(Array.from({length: 8}));
+	expect([read('3, 1,128'), read('0,0,0,100')]).toEqual([{running: 3, waiting: 1, slots: 128}, {
+		running: 0, waiting: 0, slots: 0, slowness: 1,
+	}]);
+});
