Bound the slowness that engines and gateways state

Cause: a value such as 0.00001 made an engine look free to all gateways, and a gossip entry can state 40 million, which outweighs all other gateways. Change: a slowness counts as 0.25 to 1000; sums count at most 1000 of each view.

--- a/src/coordination/upstreams/engine-speed.ts
+++ b/src/coordination/upstreams/engine-speed.ts
@@ -19,6 +19,11 @@
 const slownessAverageMs = 1000;
 /** Limits of the learnt slowness relative to the other engines. */
 const learntRange = {min: 0.6, max: 8} as const;
+/**
+ * Limits of the slowness at a moment. Work that takes a thousand times as long answers no caller in time, and a value near
+ * zero would make one engine look free to all gateways.
+ */
+const momentaryRange = {min: 0.25, max: 1000} as const;
 /** Limits of the slowness by which a duration is corrected, so that one extreme report does not spoil the learnt speed. */
 const correctionRange = {min: 0.25, max: 8} as const;
 
@@ -86,18 +91,20 @@
 	// Own reports and those of peers describe the same host a fraction of a second apart; their mean is nearer to the present.
 	function estimateMomentary(now: number, peerSlowness: number | undefined): number | undefined {
 		const freshness = computeFreshness(now);
+		const stated = peerSlowness === undefined ? undefined : clamp(peerSlowness, momentaryRange);
 		if (freshness === 0) {
-			return peerSlowness;
+			return stated;
 		}
 
-		return peerSlowness === undefined
+		return stated === undefined
 			? 1 + ((slowness! - 1) * freshness)
-			: ((slowness! * freshness) + peerSlowness) / (1 + freshness);
+			: ((slowness! * freshness) + stated) / (1 + freshness);
 	}
 
 	return {
 		/** Records a slowness that the engine reported, as a multiple of the usual. */
-		recordSlowness(value: number, now: number): void {
+		recordSlowness(reported: number, now: number): void {
+			const value = clamp(reported, momentaryRange);
 			const weight = slowness === undefined ? 1 : 1 - Math.exp((reportedAt - now) / slownessAverageMs);
 			// Reports that arrive at one moment share a weight of 0; each then counts a little, so that none is ignored.
 			slowness = ((slowness ?? value) * (1 - Math.max(smoothingFactor, weight))) + (value * Math.max(smoothingFactor, weight));
--- a/src/coordination/upstreams/uneven-engines.test.ts
+++ b/src/coordination/upstreams/uneven-engines.test.ts
@@ -239,3 +239,12 @@
 		running: 0, waiting: 0, slots: 0, slowness: 1,
 	}]);
 });
+
+// Guards against an engine or another gateway that makes an engine look free or lost for all.
+test('a slowness counts as at least a quarter and at most a thousand times the usual', () => {
+	const speed = createEngineSpeed();
+	expect([0.000_01, 40_000_000].map(value => speed.estimateMomentary(0, value))).toEqual([0.25, 1000]);
+	speed.recordSlowness(0.000_01, 0);
+	expect(speed.estimateMomentary(0, undefined)).toBe(0.25);
+	expect(speed.getReported(0)).toBe(0.25);
+});
--- a/src/state/peer-views.test.ts
+++ b/src/state/peer-views.test.ts
@@ -60,3 +60,13 @@
 		}
 	}));
 });
+
+test('a view counts no slowness above the largest that is believed', () => {
+	// Guards against one gateway whose entry outweighs what all others state of an engine.
+	const views = createPeerViews();
+	const slowness = 40_000_000;
+	views.put(buildView('e1', 'a', [{
+		upstream: 'u', inFlight: 1, waitingTokens: 0, slowness,
+	}]), {sequence: 1, now: 0});
+	expect(views.sumUse('u').slowness).toBe(1000);
+});
--- a/src/state/peer-views.ts
+++ b/src/state/peer-views.ts
@@ -79,6 +79,8 @@
 type UseSum = {inFlight: number; waitingTokens: number; heldTokens: number; statedInFlight: number; slownessPercent: number; slownessCount: number};
 
 const percentPerMultiple = 100;
+/** The largest slowness that counts: the largest that is believed of an engine. The field of the message can hold 40 million. */
+const maxSlowness = 1000;
 
 /** @internal */
 function addUse(sum: UseSum, use: UpstreamUse, sign: 1 | -1): void {
@@ -90,7 +92,7 @@
 	}
 
 	if (use.slowness !== undefined) {
-		sum.slownessPercent += sign * Math.round(use.slowness * percentPerMultiple);
+		sum.slownessPercent += sign * Math.round(Math.min(maxSlowness, use.slowness) * percentPerMultiple);
 		sum.slownessCount += sign;
 	}
 }
