Prefer any engine with memory to one that is short of it

Cause: the cost of a shortage, 1,000,000 ms, was below that of an engine with a slowness of 1000, so the request went to the engine that may crash. Change: the cost is 1e12. Result: the added test failed before.

--- a/src/coordination/upstreams/stream-placement-policy.ts
+++ b/src/coordination/upstreams/stream-placement-policy.ts
@@ -38,8 +38,8 @@
  * cost; within this difference each request has its own order.
  */
 const tieMs = 10;
-/** Cost of an engine whose memory would be filled, beyond any delay that a caller waits for. */
-const memoryShortCostMs = 1_000_000;
+/** Cost of an engine whose memory would be filled, beyond that of any engine with memory: 17,000 tokens at an engine that is 16 times as slow as others on a host with a slowness of 1000 cost 10 million. */
+const memoryShortCostMs = 1e12;
 /** Steps between two events if the shape of the engine is unknown. */
 const defaultStepsPerEvent = 4;
 /** Number of possible scores. */
--- a/src/coordination/upstreams/uneven-engines.test.ts
+++ b/src/coordination/upstreams/uneven-engines.test.ts
@@ -248,3 +248,9 @@
 	expect(speed.estimateMomentary(0, undefined)).toBe(0.25);
 	expect(speed.getReported(0)).toBe(0.25);
 });
+
+// Guards against a crash for lack of memory: an engine that is extremely slow can still take the request.
+test('an engine that is short of memory gets no request because another one is slow', () => {
+	const isSlow = {momentarySlowness: 1000, slowness: 16, failureShare: 0.5};
+	expect(policy.pick(query, [buildCandidate('e1', {heldTokens: 400_000}), buildCandidate('e2', isSlow)]).id).toBe('e2');
+});
