Count no negative work for parts that are longer than their prompt

Cause: nothing compares the parts that a caller states with its prompt. With a prompt of 10 tokens and 17,020 cached ones the engine had -17,010 waiting tokens and looked idle to this gateway. Change: cached tokens are at most the prompt's.

--- a/src/coordination/upstreams/uneven-engines.test.ts
+++ b/src/coordination/upstreams/uneven-engines.test.ts
@@ -240,6 +240,19 @@
 	}]);
 });
 
+// Guards against a caller that makes an engine look idle, so that it gets all requests: nothing compares the parts with the prompt.
+test('parts that are longer than their prompt leave no negative work', () => {
+	const {registry, advance, find} = createGateway();
+	registry.trackRequest('e1', {service, generation}).recordFirstEvent();
+	const short = {...generation, promptTokens: 10};
+	const tracker = registry.trackRequest('e1', {service: {...service, engine: undefined}, generation: short});
+	expect(find('e1').waitingTokens).toBe(0);
+	expect(registry.listCandidates({service, generation: short, excluded: new Set()}).map(({cachedTokens}) => cachedTokens)).toEqual([10, 0]);
+	advance(100);
+	tracker.recordFirstEvent();
+	expect(find('e1').waitingTokens).toBe(0);
+});
+
 // Guards against an engine or another gateway that makes an engine look free or lost for all.
 test('a slowness counts as at least a quarter and at most a thousand times the usual', () => {
 	const speed = createEngineSpeed();
--- a/src/coordination/upstreams/upstream-registry.ts
+++ b/src/coordination/upstreams/upstream-registry.ts
@@ -156,6 +156,11 @@
 		return values[Math.floor(values.length / 2)] ?? 0;
 	}
 
+	// Callers state parts and prompt separately; parts that are longer than their prompt would count as negative work.
+	function countCachedTokens(upstream: string, {parts, promptTokens}: GenerationParameters): number {
+		return Math.min(promptTokens, promptCache.countCachedTokens(upstream, parts));
+	}
+
 	function countReportedRequests({reportedLoad, reportedAt}: UpstreamStats): number {
 		return reportedLoad && clock.now() - reportedAt < reportedLoadTtlMs ? reportedLoad.running + reportedLoad.waiting : 0;
 	}
@@ -200,7 +205,7 @@
 			slots: upstream.slots,
 			inFlight,
 			waitingTokens: stats.waitingTokens + peerUse.waitingTokens,
-			cachedTokens: generation ? promptCache.countCachedTokens(upstream.id, generation.parts) : 0,
+			cachedTokens: generation ? countCachedTokens(upstream.id, generation) : 0,
 			slowness: estimateRelativeSlowness(stats.speed.getMsPerWork(), median) * (now >= warmAt ? 1 : warmUpSlowness),
 			momentarySlowness: stats.speed.estimateMomentary(now, peerUse.slowness),
 			tokensPerEvent: service.engine?.tokensPerEvent,
@@ -237,7 +242,7 @@
 			// Answers that arrive after a restart are of the earlier process.
 			const {speed} = stats;
 			const startedAt = clock.now();
-			const uncachedTokens = generation ? generation.promptTokens - promptCache.countCachedTokens(id, generation.parts) : 0;
+			const uncachedTokens = generation ? generation.promptTokens - countCachedTokens(id, generation) : 0;
 			const peerUse = options.sumPeerUse(id);
 			// Where the shape of engines is unknown, the work is the number of tokens, and only of this gateway.
 			const work = service.engine
