Send requests to an engine that restarted although its predecessor failed

Cause: a restart was noticed only for engines that were not avoided, so the successor got no requests for up to 4 s; and late failures of requests to the earlier process counted for the successor. Change: restarts are noticed before avoided engines are left out, and late results of the earlier process are ignored, as its answers were already. Result: the added test failed before.

--- a/src/coordination/upstreams/uneven-engines.test.ts
+++ b/src/coordination/upstreams/uneven-engines.test.ts
@@ -262,6 +262,20 @@
 	expect(speed.getReported(0)).toBe(0.25);
 });
 
+// Guards against a successor that gets no requests for up to 4 s because its predecessor did not respond.
+test('an engine that restarts under its ID is not avoided for failures of the earlier process', () => {
+	const {registry, register, find} = createGateway();
+	const early = registry.trackRequest('e1', {service, generation});
+	const late = registry.trackRequest('e1', {service, generation});
+	early.recordUnresponsive();
+	expect(find('e1')).toBeUndefined();
+	register('e1', 2000);
+	expect(find('e1')).toBeDefined();
+	late.recordUnresponsive();
+	late.recordFailure();
+	expect(find('e1')).toMatchObject({failureShare: 0});
+});
+
 // Guards against a crash for lack of memory: an engine that is extremely slow can still take the request.
 test('an engine that is short of memory gets no request because another one is slow', () => {
 	const isSlow = {momentarySlowness: 1000, slowness: 16, failureShare: 0.5};
--- a/src/coordination/upstreams/upstream-registry.ts
+++ b/src/coordination/upstreams/upstream-registry.ts
@@ -82,6 +82,8 @@
 	avoidUntil: number;
 };
 
+type KnownUpstream = LiveUpstream & {readonly stats: UpstreamStats};
+
 /** Time for which an upstream is avoided after it did not respond; doubles with each further call that it does not answer. */
 const baseAvoidMs = 500;
 /** Upper limit of the time for which an upstream is avoided; its registration expires after three missed heartbeats. */
@@ -151,8 +153,8 @@
 		return stats;
 	}
 
-	function findMedianMsPerWork(ids: readonly string[]): number {
-		const values = Float64Array.from(ids, id => ensureStats(id).speed.getMsPerWork()).filter(value => value > 0).sort();
+	function findMedianMsPerWork(upstreams: readonly KnownUpstream[]): number {
+		const values = Float64Array.from(upstreams, ({stats}) => stats.speed.getMsPerWork()).filter(value => value > 0).sort();
 		return values[Math.floor(values.length / 2)] ?? 0;
 	}
 
@@ -195,8 +197,7 @@
 		}
 	}
 
-	function buildCandidate({upstream, warmAt, isOnGrace}: LiveUpstream, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>, median: number): PlacementCandidate {
-		const stats = resetIfRestarted(upstream);
+	function buildCandidate({upstream, warmAt, isOnGrace, stats}: KnownUpstream, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>, median: number): PlacementCandidate {
 		const peerUse = options.sumPeerUse(upstream.id);
 		const inFlight = Math.max(stats.inFlight + peerUse.inFlight, countReportedRequests(stats));
 		const now = clock.now();
@@ -226,10 +227,10 @@
 		 */
 		listCandidates({service, generation, excluded, origin}: ListCandidatesOptions): PlacementCandidate[] {
 			const now = clock.now();
-			const live = eligibility.listEligible(service, origin).filter(({upstream}) => !excluded.has(upstream.id));
-			const responsive = live.filter(({upstream}) => ensureStats(upstream.id).avoidUntil <= now);
+			const live = eligibility.listEligible(service, origin).filter(({upstream}) => !excluded.has(upstream.id)).map((item): KnownUpstream => ({...item, stats: resetIfRestarted(item.upstream)}));
+			const responsive = live.filter(({stats}) => stats.avoidUntil <= now);
 			const selected = responsive.length > 0 ? responsive : live;
-			const median = findMedianMsPerWork(selected.map(({upstream}) => upstream.id));
+			const median = findMedianMsPerWork(selected);
 			return selected.map(item => buildCandidate(item, {service, generation}, median));
 		},
 
@@ -239,8 +240,9 @@
 		/** Starts tracking a request at an upstream. The caller must call `end` on the returned tracker. */
 		trackRequest(id: string, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>): UpstreamRequestTracker {
 			const stats = ensureStats(id);
-			// Answers that arrive after a restart are of the earlier process.
+			// What arrives after a restart is of the earlier process, and says nothing about the present one.
 			const {speed} = stats;
+			const isCurrentStart = () => speed === stats.speed;
 			const startedAt = clock.now();
 			const uncachedTokens = generation ? generation.promptTokens - countCachedTokens(id, generation) : 0;
 			const peerUse = options.sumPeerUse(id);
@@ -276,27 +278,34 @@
 
 			return {
 				recordFirstEvent() {
-					stats.unansweredInRow = 0;
-					stats.failureShare = updateAverage(stats.failureShare, 0);
+					if (isCurrentStart()) {
+						stats.unansweredInRow = 0;
+						stats.failureShare = updateAverage(stats.failureShare, 0);
+					}
+
 					speed.recordWork({durationMs: clock.now() - startedAt, work, momentarySlowness: computeMean(startSlowness, speed.estimateMomentary(clock.now(), options.sumPeerUse(id).slowness))});
 					releaseWaitingTokens();
 				},
 				recordLoad(load) {
 					recordSlowness(id, speed, load.slowness);
-					if (speed === stats.speed) {
+					if (isCurrentStart()) {
 						stats.reportedLoad = load;
 						stats.reportedAt = clock.now();
 					}
 				},
 				recordUnresponsive() {
-					stats.unansweredInRow += 1;
-					stats.avoidUntil = clock.now() + Math.min(maxAvoidMs, baseAvoidMs * (2 ** (stats.unansweredInRow - 1)));
+					if (isCurrentStart()) {
+						stats.unansweredInRow += 1;
+						stats.avoidUntil = clock.now() + Math.min(maxAvoidMs, baseAvoidMs * (2 ** (stats.unansweredInRow - 1)));
+					}
 				},
 				recordMoved() {
 					directory.markAddressReused(id);
 				},
 				recordFailure() {
-					stats.failureShare += (1 - stats.failureShare) * smoothingFactor;
+					if (isCurrentStart()) {
+						stats.failureShare += (1 - stats.failureShare) * smoothingFactor;
+					}
 				},
 				end() {
 					releaseWaitingTokens();
