Build the list of candidates with fewer lookups, lists and clock reads

Cause: eligible engines were filtered in five passes; each candidate read the clock three times and stored its statistics again, and was spread into a new object. Change: one pass, one clock reading, one lookup of the statistics per list.

--- a/src/coordination/upstreams/upstream-eligibility.ts
+++ b/src/coordination/upstreams/upstream-eligibility.ts
@@ -104,8 +104,8 @@
 		return remainingColdMs > 0 ? Math.min(remainingColdMs, coldAdmission.computeWaitMs(live.upstream.id, service.coldStart!.rate)) : 0;
 	}
 
-	function isWithinLimits(live: LiveUpstream, service: GatewayService): boolean {
-		return rests.computeWaitMs(live.upstream, clock.now()) === 0 && computeColdWaitMs(live, service) === 0 && limitAdmission.computeWaitMs(live.upstream.id) === 0;
+	function isWithinLimits(live: LiveUpstream, service: GatewayService, now: number): boolean {
+		return rests.computeWaitMs(live.upstream, now) === 0 && computeColdWaitMs(live, service) === 0 && limitAdmission.computeWaitMs(live.upstream.id) === 0;
 	}
 
 	// Callers that are refused in one moment do not all return in the moment in which the rest ends.
@@ -115,7 +115,8 @@
 	}
 
 	function listLive(service: GatewayService, origin: StreamOrigin | undefined): LiveUpstream[] {
-		return directory.listLive(service.id, clock.now()).filter(({upstream}) => isFitFor(upstream, origin));
+		const live = directory.listLive(service.id, clock.now());
+		return origin ? live.filter(({upstream}) => isFitFor(upstream, origin)) : live;
 	}
 
 	function listStaying(service: GatewayService, origin: StreamOrigin | undefined): LiveUpstream[] {
@@ -128,7 +129,10 @@
 
 	return {
 		/** Lists the live upstreams of a service that may get a request of this gateway now; `origin` is that of a stream that has begun. */
-		listEligible: (service: GatewayService, origin?: StreamOrigin): LiveUpstream[] => isOutdated() ? [] : listInService(service, origin).filter(live => isWithinLimits(live, service)),
+		listEligible(service: GatewayService, origin?: StreamOrigin): LiveUpstream[] {
+			const now = clock.now();
+			return isOutdated() ? [] : listLive(service, origin).filter(live => !departures.isLeaving(live.upstream) && !isEvacuated(live) && isWithinLimits(live, service, now));
+		},
 
 		/**
 		 * Returns true if a request may be sent to an upstream now, and counts it
@@ -136,8 +140,9 @@
 		 * is written.
 		 */
 		admitSend(id: string, service: GatewayService, origin?: StreamOrigin): boolean {
-			const live = directory.findLive(id, clock.now());
-			if (!live || isOutdated() || !isFitFor(live.upstream, origin) || departures.isLeaving(live.upstream) || isEvacuated(live) || !isWithinLimits(live, service)) {
+			const now = clock.now();
+			const live = directory.findLive(id, now);
+			if (!live || isOutdated() || !isFitFor(live.upstream, origin) || departures.isLeaving(live.upstream) || isEvacuated(live) || !isWithinLimits(live, service, now)) {
 				return false;
 			}
 
@@ -146,7 +151,7 @@
 			}
 
 			limitAdmission.recordSend(id);
-			rests.recordSend(live.upstream, clock.now());
+			rests.recordSend(live.upstream, now);
 
 			return true;
 		},
--- a/src/coordination/upstreams/upstream-registry.ts
+++ b/src/coordination/upstreams/upstream-registry.ts
@@ -128,7 +128,12 @@
 	const promptCache = createPromptCache();
 
 	function ensureStats(id: string): UpstreamStats {
-		const stats = statsById.get(id) ?? {
+		const known = statsById.get(id);
+		if (known) {
+			return known;
+		}
+
+		const stats: UpstreamStats = {
 			inFlight: 0, waitingTokens: 0, heldTokens: 0, isMemoryShort: false, reportedLoad: undefined, reportedAt: Number.NEGATIVE_INFINITY, speed: createEngineSpeed(), startedAt: directory.get(id)?.startedAt, failureShare: 0, unansweredInRow: 0, avoidUntil: Number.NEGATIVE_INFINITY,
 		};
 		statsById.set(id, stats);
@@ -163,8 +168,8 @@
 		return Math.min(promptTokens, promptCache.countCachedTokens(upstream, parts));
 	}
 
-	function countReportedRequests({reportedLoad, reportedAt}: UpstreamStats): number {
-		return reportedLoad && clock.now() - reportedAt < reportedLoadTtlMs ? reportedLoad.running + reportedLoad.waiting : 0;
+	function countReportedRequests({reportedLoad, reportedAt}: UpstreamStats, now: number): number {
+		return reportedLoad && now - reportedAt < reportedLoadTtlMs ? reportedLoad.running + reportedLoad.waiting : 0;
 	}
 
 	function estimateUpstreamHeldTokens(stats: UpstreamStats, peerUse: PeerUse, allRequests: number): number {
@@ -197,10 +202,9 @@
 		}
 	}
 
-	function buildCandidate({upstream, warmAt, isOnGrace, stats}: KnownUpstream, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>, median: number): PlacementCandidate {
+	function buildCandidate({upstream, warmAt, isOnGrace, stats}: KnownUpstream, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>, {now, median}: {readonly now: number; readonly median: number}): PlacementCandidate {
 		const peerUse = options.sumPeerUse(upstream.id);
-		const inFlight = Math.max(stats.inFlight + peerUse.inFlight, countReportedRequests(stats));
-		const now = clock.now();
+		const inFlight = Math.max(stats.inFlight + peerUse.inFlight, countReportedRequests(stats, now));
 		return {
 			id: upstream.id,
 			slots: upstream.slots,
@@ -227,11 +231,13 @@
 		 */
 		listCandidates({service, generation, excluded, origin}: ListCandidatesOptions): PlacementCandidate[] {
 			const now = clock.now();
-			const live = eligibility.listEligible(service, origin).filter(({upstream}) => !excluded.has(upstream.id)).map((item): KnownUpstream => ({...item, stats: resetIfRestarted(item.upstream)}));
+			const live = eligibility.listEligible(service, origin).filter(({upstream}) => !excluded.has(upstream.id)).map(({upstream, warmAt, isOnGrace}): KnownUpstream => ({
+				upstream, warmAt, isOnGrace, stats: resetIfRestarted(upstream),
+			}));
 			const responsive = live.filter(({stats}) => stats.avoidUntil <= now);
 			const selected = responsive.length > 0 ? responsive : live;
 			const median = findMedianMsPerWork(selected);
-			return selected.map(item => buildCandidate(item, {service, generation}, median));
+			return selected.map(item => buildCandidate(item, {service, generation}, {now, median}));
 		},
 
 		get: (id: string): UpstreamRegistration | undefined => directory.get(id),
@@ -249,7 +255,7 @@
 			// Where the shape of engines is unknown, the work is the number of tokens, and only of this gateway.
 			const work = service.engine
 				? estimateFirstEventMs({
-					queuedTokens: stats.waitingTokens + peerUse.waitingTokens, uncachedTokens, runningRequests: Math.max(stats.inFlight + peerUse.inFlight, countReportedRequests(stats)), slowness: 1, stepsPerEvent: service.engine.tokensPerEvent,
+					queuedTokens: stats.waitingTokens + peerUse.waitingTokens, uncachedTokens, runningRequests: Math.max(stats.inFlight + peerUse.inFlight, countReportedRequests(stats, startedAt)), slowness: 1, stepsPerEvent: service.engine.tokensPerEvent,
 				})
 				: baseRequestTokens + stats.waitingTokens + uncachedTokens;
 			const startSlowness = speed.estimateMomentary(startedAt, peerUse.slowness);
