--- a/src/coordination/upstreams/uneven-engines.test.ts
+++ b/src/coordination/upstreams/uneven-engines.test.ts
@@ -230,3 +230,54 @@
 	registry.trackRequest('e1', {service, generation});
 	expect(find('e1')).toMatchObject({inFlight: 4, heldTokens: 17_220 + 20_000 + (2 * 17_220), momentarySlowness: 2});
 });
+
+// Guards against a cost that is infinite or not a number, by which the first engine of the list gets all requests.
+test('a load with a number that is infinite, negative or empty is ignored', () => {
+	const read = (value: string) => platformWire.readAnswer(200, {'fireflylane-server-load': value}).load;
+	expect(['Infinity,0,128', '0,1e999,128', '-3,0,128', '1,-1,128', '1,2,', '1,,128', '1,2', '0x10,1,128'].map(value => read(value))).toEqual(Array.from({length: 8}));
+	expect([read('3, 1,128'), read('0,0,0,100')]).toEqual([{running: 3, waiting: 1, slots: 128}, {
+		running: 0, waiting: 0, slots: 0, slowness: 1,
+	}]);
+});
+
+// Guards against a caller that makes an engine look idle, so that it gets all requests: nothing compares the parts with the prompt.
+test('parts that are longer than their prompt leave no negative work', () => {
+	const {registry, advance, find} = createGateway();
+	registry.trackRequest('e1', {service, generation}).recordFirstEvent();
+	const short = {...generation, promptTokens: 10};
+	const tracker = registry.trackRequest('e1', {service: {...service, engine: undefined}, generation: short});
+	expect(find('e1').waitingTokens).toBe(0);
+	expect(registry.listCandidates({service, generation: short, excluded: new Set()}).map(({cachedTokens}) => cachedTokens)).toEqual([10, 0]);
+	advance(100);
+	tracker.recordFirstEvent();
+	expect(find('e1').waitingTokens).toBe(0);
+});
+
+// Guards against an engine or another gateway that makes an engine look free or lost for all.
+test('a slowness counts as at least a quarter and at most a thousand times the usual', () => {
+	const speed = createEngineSpeed();
+	expect([0.000_01, 40_000_000].map(value => speed.estimateMomentary(0, value))).toEqual([0.25, 1000]);
+	speed.recordSlowness(0.000_01, 0);
+	expect(speed.estimateMomentary(0, undefined)).toBe(0.25);
+	expect(speed.getReported(0)).toBe(0.25);
+});
+
+// Guards against a successor that gets no requests for up to 4 s because its predecessor did not respond.
+test('an engine that restarts under its ID is not avoided for failures of the earlier process', () => {
+	const {registry, register, find} = createGateway();
+	const early = registry.trackRequest('e1', {service, generation});
+	const late = registry.trackRequest('e1', {service, generation});
+	early.recordUnresponsive();
+	expect(find('e1')).toBeUndefined();
+	register('e1', 2000);
+	expect(find('e1')).toBeDefined();
+	late.recordUnresponsive();
+	late.recordFailure();
+	expect(find('e1')).toMatchObject({failureShare: 0});
+});
+
+// Guards against a crash for lack of memory: an engine that is extremely slow can still take the request.
+test('an engine that is short of memory gets no request because another one is slow', () => {
+	const isSlow = {momentarySlowness: 1000, slowness: 16, failureShare: 0.5};
+	expect(policy.pick(query, [buildCandidate('e1', {heldTokens: 400_000}), buildCandidate('e2', isSlow)]).id).toBe('e2');
+});
--- a/src/coordination/upstreams/upstream-registry.ts
+++ b/src/coordination/upstreams/upstream-registry.ts
@@ -82,6 +82,8 @@
 	avoidUntil: number;
 };
 
+type KnownUpstream = LiveUpstream & {readonly stats: UpstreamStats};
+
 /** Time for which an upstream is avoided after it did not respond; doubles with each further call that it does not answer. */
 const baseAvoidMs = 500;
 /** Upper limit of the time for which an upstream is avoided; its registration expires after three missed heartbeats. */
@@ -126,7 +128,12 @@
 	const promptCache = createPromptCache();
 
 	function ensureStats(id: string): UpstreamStats {
-		const stats = statsById.get(id) ?? {
+		const known = statsById.get(id);
+		if (known) {
+			return known;
+		}
+
+		const stats: UpstreamStats = {
 			inFlight: 0, waitingTokens: 0, heldTokens: 0, isMemoryShort: false, reportedLoad: undefined, reportedAt: Number.NEGATIVE_INFINITY, speed: createEngineSpeed(), startedAt: directory.get(id)?.startedAt, failureShare: 0, unansweredInRow: 0, avoidUntil: Number.NEGATIVE_INFINITY,
 		};
 		statsById.set(id, stats);
@@ -151,13 +158,18 @@
 		return stats;
 	}
 
-	function findMedianMsPerWork(ids: readonly string[]): number {
-		const values = Float64Array.from(ids, id => ensureStats(id).speed.getMsPerWork()).filter(value => value > 0).sort();
+	function findMedianMsPerWork(upstreams: readonly KnownUpstream[]): number {
+		const values = Float64Array.from(upstreams, ({stats}) => stats.speed.getMsPerWork()).filter(value => value > 0).sort();
 		return values[Math.floor(values.length / 2)] ?? 0;
 	}
 
-	function countReportedRequests({reportedLoad, reportedAt}: UpstreamStats): number {
-		return reportedLoad && clock.now() - reportedAt < reportedLoadTtlMs ? reportedLoad.running + reportedLoad.waiting : 0;
+	// Callers state parts and prompt separately; parts that are longer than their prompt would count as negative work.
+	function countCachedTokens(upstream: string, {parts, promptTokens}: GenerationParameters): number {
+		return Math.min(promptTokens, promptCache.countCachedTokens(upstream, parts));
+	}
+
+	function countReportedRequests({reportedLoad, reportedAt}: UpstreamStats, now: number): number {
+		return reportedLoad && now - reportedAt < reportedLoadTtlMs ? reportedLoad.running + reportedLoad.waiting : 0;
 	}
 
 	function estimateUpstreamHeldTokens(stats: UpstreamStats, peerUse: PeerUse, allRequests: number): number {
@@ -190,17 +202,15 @@
 		}
 	}
 
-	function buildCandidate({upstream, warmAt, isOnGrace}: LiveUpstream, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>, median: number): PlacementCandidate {
-		const stats = resetIfRestarted(upstream);
+	function buildCandidate({upstream, warmAt, isOnGrace, stats}: KnownUpstream, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>, {now, median}: {readonly now: number; readonly median: number}): PlacementCandidate {
 		const peerUse = options.sumPeerUse(upstream.id);
-		const inFlight = Math.max(stats.inFlight + peerUse.inFlight, countReportedRequests(stats));
-		const now = clock.now();
+		const inFlight = Math.max(stats.inFlight + peerUse.inFlight, countReportedRequests(stats, now));
 		return {
 			id: upstream.id,
 			slots: upstream.slots,
 			inFlight,
 			waitingTokens: stats.waitingTokens + peerUse.waitingTokens,
-			cachedTokens: generation ? promptCache.countCachedTokens(upstream.id, generation.parts) : 0,
+			cachedTokens: generation ? countCachedTokens(upstream.id, generation) : 0,
 			slowness: estimateRelativeSlowness(stats.speed.getMsPerWork(), median) * (now >= warmAt ? 1 : warmUpSlowness),
 			momentarySlowness: stats.speed.estimateMomentary(now, peerUse.slowness),
 			tokensPerEvent: service.engine?.tokensPerEvent,
@@ -221,11 +231,13 @@
 		 */
 		listCandidates({service, generation, excluded, origin}: ListCandidatesOptions): PlacementCandidate[] {
 			const now = clock.now();
-			const live = eligibility.listEligible(service, origin).filter(({upstream}) => !excluded.has(upstream.id));
-			const responsive = live.filter(({upstream}) => ensureStats(upstream.id).avoidUntil <= now);
+			const live = eligibility.listEligible(service, origin).filter(({upstream}) => !excluded.has(upstream.id)).map(({upstream, warmAt, isOnGrace}): KnownUpstream => ({
+				upstream, warmAt, isOnGrace, stats: resetIfRestarted(upstream),
+			}));
+			const responsive = live.filter(({stats}) => stats.avoidUntil <= now);
 			const selected = responsive.length > 0 ? responsive : live;
-			const median = findMedianMsPerWork(selected.map(({upstream}) => upstream.id));
-			return selected.map(item => buildCandidate(item, {service, generation}, median));
+			const median = findMedianMsPerWork(selected);
+			return selected.map(item => buildCandidate(item, {service, generation}, {now, median}));
 		},
 
 		get: (id: string): UpstreamRegistration | undefined => directory.get(id),
@@ -234,15 +246,16 @@
 		/** Starts tracking a request at an upstream. The caller must call `end` on the returned tracker. */
 		trackRequest(id: string, {service, generation}: Pick<ListCandidatesOptions, 'service' | 'generation'>): UpstreamRequestTracker {
 			const stats = ensureStats(id);
-			// Answers that arrive after a restart are of the earlier process.
+			// What arrives after a restart is of the earlier process, and says nothing about the present one.
 			const {speed} = stats;
+			const isCurrentStart = () => speed === stats.speed;
 			const startedAt = clock.now();
-			const uncachedTokens = generation ? generation.promptTokens - promptCache.countCachedTokens(id, generation.parts) : 0;
+			const uncachedTokens = generation ? generation.promptTokens - countCachedTokens(id, generation) : 0;
 			const peerUse = options.sumPeerUse(id);
 			// Where the shape of engines is unknown, the work is the number of tokens, and only of this gateway.
 			const work = service.engine
 				? estimateFirstEventMs({
-					queuedTokens: stats.waitingTokens + peerUse.waitingTokens, uncachedTokens, runningRequests: Math.max(stats.inFlight + peerUse.inFlight, countReportedRequests(stats)), slowness: 1, stepsPerEvent: service.engine.tokensPerEvent,
+					queuedTokens: stats.waitingTokens + peerUse.waitingTokens, uncachedTokens, runningRequests: Math.max(stats.inFlight + peerUse.inFlight, countReportedRequests(stats, startedAt)), slowness: 1, stepsPerEvent: service.engine.tokensPerEvent,
 				})
 				: baseRequestTokens + stats.waitingTokens + uncachedTokens;
 			const startSlowness = speed.estimateMomentary(startedAt, peerUse.slowness);
@@ -271,27 +284,34 @@
 
 			return {
 				recordFirstEvent() {
-					stats.unansweredInRow = 0;
-					stats.failureShare = updateAverage(stats.failureShare, 0);
+					if (isCurrentStart()) {
+						stats.unansweredInRow = 0;
+						stats.failureShare = updateAverage(stats.failureShare, 0);
+					}
+
 					speed.recordWork({durationMs: clock.now() - startedAt, work, momentarySlowness: computeMean(startSlowness, speed.estimateMomentary(clock.now(), options.sumPeerUse(id).slowness))});
 					releaseWaitingTokens();
 				},
 				recordLoad(load) {
 					recordSlowness(id, speed, load.slowness);
-					if (speed === stats.speed) {
+					if (isCurrentStart()) {
 						stats.reportedLoad = load;
 						stats.reportedAt = clock.now();
 					}
 				},
 				recordUnresponsive() {
-					stats.unansweredInRow += 1;
-					stats.avoidUntil = clock.now() + Math.min(maxAvoidMs, baseAvoidMs * (2 ** (stats.unansweredInRow - 1)));
+					if (isCurrentStart()) {
+						stats.unansweredInRow += 1;
+						stats.avoidUntil = clock.now() + Math.min(maxAvoidMs, baseAvoidMs * (2 ** (stats.unansweredInRow - 1)));
+					}
 				},
 				recordMoved() {
 					directory.markAddressReused(id);
 				},
 				recordFailure() {
-					stats.failureShare += (1 - stats.failureShare) * smoothingFactor;
+					if (isCurrentStart()) {
+						stats.failureShare += (1 - stats.failureShare) * smoothingFactor;
+					}
 				},
 				end() {
 					releaseWaitingTokens();
