--- a/src/coordination/load/fair-shares.ts
+++ b/src/coordination/load/fair-shares.ts
@@ -65,9 +65,9 @@
 const targetUsedShare = 0.95;
 /** Largest correction of what was admitted; a limit changes by a factor of 0.85 at a time, twice a second. */
 const maxScale = 2;
-/** Urgencies that are told apart. Deployments use three; less urgent ones count as the last. */
+/** Number of urgencies that are distinguished. Deployments use three; less urgent ones count as the last. */
 const maxUrgencies = 8;
-/** Customers of one urgency that are told apart; a deployment has 24. The one with the least demand is dropped first. */
+/** Number of customers of one urgency that are distinguished; a deployment has 24. The one with the least demand is dropped first. */
 const maxCustomers = 64;
 /** If the tracked customers have less than this share of their urgency's demand, the customers are too many to compare, and the urgency is limited as a whole. */
 const minTrackedShare = 0.5;
--- a/src/coordination/load/retry-schedule.ts
+++ b/src/coordination/load/retry-schedule.ts
@@ -2,7 +2,7 @@
  * Schedules when refused callers may return.
  *
  * Load: a gateway that is full refuses hundreds of callers within a second. If
- * all are told the same time they return together and are refused again, and
+ * all get the same time they return together and are refused again, and
  * each has only two attempts. Refused callers are therefore given times in
  * order, spaced by the rate at which requests end here.
  *
--- a/src/coordination/load/rotation-decision.ts
+++ b/src/coordination/load/rotation-decision.ts
@@ -38,8 +38,8 @@
 export type RotationDecision = ReturnType<typeof createRotationDecision>;
 
 /**
- * Used share above which a gateway sheds callers. The busiest gateways of a measured day used 0.62 of their link on average
- * without harm; above 0.8, bursts of long prompts fill the link for as long as calls to the store and to peers may take.
+ * Used share above which a gateway sheds callers. Above it, bursts of long prompts fill the link for as long as calls to the
+ * store and to peers may take.
  */
 export const overloadShare = 0.8;
 /** Used share below which a gateway takes callers again: room for a third of its capacity before it is overloaded once more. */
--- a/src/coordination/load/route-times.ts
+++ b/src/coordination/load/route-times.ts
@@ -32,7 +32,7 @@
 const minEnds = 16;
 /** Older ends say nothing about the present; also bounds how long a route without admissions is refused. */
 const endMaxAgeMs = 5000;
-/** Routes that are told apart; deployments have fewer than 20. */
+/** Number of routes that are distinguished; deployments have fewer than 20. */
 const maxRoutes = 64;
 
 /**
