Place streams by expected delay only where settings ask for it, and decide rotation by link and memory

Change: shouldPlaceByDelay, default false, switches the newer placement on; the share of the processor is still measured and told, but only link and memory take a gateway out. The test of the readiness uses memory in place of the processor, and one more holds the new rule. Result: 283 tests of upstreams, load, requests and settings pass with the test that was adapted.

--- a/src/coordination/upstreams/request-placement.ts
+++ b/src/coordination/upstreams/request-placement.ts
@@ -22,6 +22,8 @@
 	readonly partQuarantine: Pick<PartQuarantine, 'isSuspected'>;
 	/** Chooses from where an upstream fetches the cached part of a prompt. */
 	readonly promptSourcePolicy: PromptSourcePolicy;
+	/** True if streams of services whose engines state their slowness are placed by expected delay and memory; default false. */
+	readonly shouldPlaceByDelay?: boolean;
 };
 
 /** The upstream for a request, and the address of the one from which it fetches the cached part of the prompt. */
@@ -43,7 +45,7 @@
  * @returns The choice
  */
 export function createRequestPlacement({
-	registry, quarantine, partQuarantine, promptSourcePolicy,
+	registry, quarantine, partQuarantine, promptSourcePolicy, shouldPlaceByDelay = false,
 }: CreateRequestPlacementOptions) {
 	const suspectPolicy: PlacementPolicy = new LeastRunningPolicy();
 	const promptPolicy: PlacementPolicy = new PromptPlacementPolicy();
@@ -54,7 +56,7 @@
 	const unevenServices = new Set<string>();
 
 	function findPromptPolicy({service}: ForwardRequest, candidates: readonly PlacementCandidate[]): PlacementPolicy {
-		if (!unevenServices.has(service.id) && candidates.some(({momentarySlowness}) => momentarySlowness !== undefined)) {
+		if (shouldPlaceByDelay && !unevenServices.has(service.id) && candidates.some(({momentarySlowness}) => momentarySlowness !== undefined)) {
 			unevenServices.add(service.id);
 		}
 
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -314,6 +314,7 @@
 		traffic,
 		streamRecorder: streams.recorder,
 		promptSourcePolicy: new CachedPromptSource(),
+		shouldPlaceByDelay: settings.shouldPlaceByDelay,
 		quarantine: quarantines.requests,
 		partQuarantine: quarantines.parts,
 		crashDetector: createCrashDetector({
--- a/src/daemon/gateway-load.ts
+++ b/src/daemon/gateway-load.ts
@@ -78,6 +78,8 @@
 			};
 		},
 	});
+	// The processor is left to the lag of the event loop: the time that a process counts is not what a host with a usage cap grants.
+	const getDecisiveShares = (): LoadShares => ({...meter.getSmoothed(), processorShare: 0});
 	const rotation = createRotationDecision({
 		daemon: settings.id, failureDomain, clock,
 		onChange(change) {
@@ -85,7 +87,7 @@
 			gossip.markUrgent();
 		},
 	});
-	const closeDecision = createConnectionCloseDecision({shouldMoveCallers: () => !options.isServing() || (isMeasured && shouldMoveCallers(meter.getSmoothed()))});
+	const closeDecision = createConnectionCloseDecision({shouldMoveCallers: () => !options.isServing() || (isMeasured && shouldMoveCallers(getDecisiveShares()))});
 	const startAdmission = createStartAdmission({
 		linkBytesPerSecond: capacity.linkBytesPerSecond, clock, hasDeployment: options.hasDeployment,
 		onChange({isLimited, rejectionShare}) {
@@ -151,7 +153,7 @@
 		callerBytes = bytes;
 		reportUnreadable();
 		const members = options.listPeers().filter(peer => peer.failureDomain === failureDomain).map(({daemon}) => daemon);
-		rotation.update({shares: meter.getSmoothed(), peers: listDomainPeers({failureDomain, members, views: peerViews.list()})});
+		rotation.update({shares: getDecisiveShares(), peers: listDomainPeers({failureDomain, members, views: peerViews.list()})});
 		announceIfBusy();
 		updateCloseDecision();
 	}
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -48,6 +48,8 @@
 	upstreamHeartbeat: z.number().positive(),
 	/** True if the whole fleet starts for the first time; a process that is restarted must not have it. */
 	isFirstStart: z.boolean().default(false),
+	/** True if streams of services whose engines state their slowness are placed by expected delay and memory, and not by cached prompts first. */
+	shouldPlaceByDelay: z.boolean().default(false),
 	/** Time for which an upstream that leaves still serves, in milliseconds. */
 	upstreamDrain: z.number().positive().optional(),
 	/** Time after which a stopping process is killed, in milliseconds. */
