--- a/src/coordination/upstreams/uneven-engines.test.ts
+++ b/src/coordination/upstreams/uneven-engines.test.ts
@@ -2,7 +2,6 @@
 import {expect, test} from 'vitest';
 import {simulateEngines, type SimulateEnginesOptions} from '../../../tools/harness/engine-model.js';
 import {createUnlimitedEligibility} from '../../../tools/harness/unlimited-upstreams.js';
-import {platformWire} from '../../../platform/wire.js';
 import type {EventName, GatewayService, GenerationParameters} from '../../protocol/mod.js';
 import {createUpstreamDirectory, type PeerUse} from '../../state/mod.js';
 import {
@@ -118,15 +117,13 @@
 });
 
 // Guards against values that make an engine look free or lost for good.
-test('unreadable, zero and huge fourth values are ignored and logged once, absent ones are not logged', () => {
-	const read = (value: string) => platformWire.readAnswer(200, {'fireflylane-server-load': `3,1,128${value}`}).load!;
-	expect(['', ',', ', '].map(value => read(value).slowness)).toEqual([undefined, undefined, undefined]);
-	expect([',0', ',-5', ',abc', ',1e3', ',NaN', ',Infinity', ',100001', ',999999999999'].map(value => read(value).slowness)).toEqual(Array.from({length: 8}, () => 'malformed'));
-	expect([',100', ',250', ', 62.5', ',100000', ',150,7'].map(value => read(value).slowness)).toEqual([1, 2.5, 0.625, 1000, 1.5]);
+test('unreadable slowness is ignored and logged once, absent slowness is not logged', () => {
 	const {registry, written, find} = createGateway();
 	const tracker = registry.trackRequest('e1', {service, generation});
-	for (const value of [',0', ',abc', ',100001', '']) {
-		tracker.recordLoad(read(value));
+	for (const slowness of ['malformed', 'malformed', 'malformed', undefined] as const) {
+		tracker.recordLoad({
+			running: 3, waiting: 1, slots: 128, ...slowness && {slowness},
+		});
 	}
 
 	expect(written).toEqual(['upstreamSlownessUnreadable']);
@@ -231,15 +228,6 @@
 	expect(find('e1')).toMatchObject({inFlight: 4, heldTokens: 17_220 + 20_000 + (2 * 17_220), momentarySlowness: 2});
 });
 
-// Guards against a cost that is infinite or not a number, by which the first engine of the list gets all requests.
-test('a load with a number that is infinite, negative or empty is ignored', () => {
-	const read = (value: string) => platformWire.readAnswer(200, {'fireflylane-server-load': value}).load;
-	expect(['Infinity,0,128', '0,1e999,128', '-3,0,128', '1,-1,128', '1,2,', '1,,128', '1,2', '0x10,1,128'].map(value => read(value))).toEqual(Array.from({length: 8}));
-	expect([read('3, 1,128'), read('0,0,0,100')]).toEqual([{running: 3, waiting: 1, slots: 128}, {
-		running: 0, waiting: 0, slots: 0, slowness: 1,
-	}]);
-});
-
 // Guards against a caller that makes an engine look idle, so that it gets all requests: nothing compares the parts with the prompt.
 test('parts that are longer than their prompt leave no negative work', () => {
 	const {registry, advance, find} = createGateway();
