Answer a request that meets an unexpected error, and count requests without a whole answer

Callers saw their connection closed without an answer (FL1409). An exception in one exchange, such as the Invalid URL of a registration whose address is no address, went up to the handler of the exchange, which closed the connection. It said neither that the request had not run nor that it may have, and the tokens that were reserved stayed reserved.

An exception in the call to an upstream now ends that call like any other failure: the request goes on elsewhere where it may, as not sent if it was not written and as possibly run if it was. Any other exception is answered with 503 (unexpected-error) if nothing was forwarded and with 502 (outcome-unknown) if something was. The reservation is settled in each case; if the outcome is unknown, to its whole amount. Headers of an answer whose head cannot be written are dropped before a failure is sent in its place.

FL1425 and fireflylane_unanswered_total name each request that ended without a whole answer, by cause: the error of one exchange, an answer that was cut, the end of a stop; callers who left are only counted.

Six tests fail on the code before: the four of the forwarder throw, the two of the interface get no answer.

--- a/src/coordination/requests/forward-types.ts
+++ b/src/coordination/requests/forward-types.ts
@@ -13,10 +13,14 @@
 export type CallerAnswer = {
 	/** Returns true once the status has been sent. From then on the answer can only be continued or aborted. */
 	readonly hasStarted: () => boolean;
+	/** Returns true once the whole answer has been passed on for writing. */
+	readonly hasEnded: () => boolean;
 	readonly start: (status: number, headers: RawHeaders) => void;
 	/** Writes data. Returns a promise to wait for if the caller reads too slowly (backpressure). */
 	readonly write: (bytes: Uint8Array) => Promise<void> | undefined;
 	readonly end: (bytes?: Uint8Array) => void;
+	/** Returns true if the gateway has closed the connection before the whole answer was written. */
+	readonly wasCut: () => boolean;
 	/** Closes the connection in such a way that the answer cannot appear complete. */
 	readonly abort: () => void;
 	/** Answers with a failure of the gateway itself. */
--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -17,6 +17,8 @@
 /** How an upstream responds to the next call. */
 type UpstreamResponse =
 	| {readonly fails: CallFailure['kind']}
+	/** The call throws, before the request is written or while its answer is read. */
+	| {readonly throws: 'before' | 'after'}
 	| {readonly status: number; readonly headers?: Record<string, string>; readonly chunks: readonly string[]; readonly isReset?: boolean; readonly hangs?: boolean};
 
 const wire: GatewayWire = {
@@ -67,7 +69,7 @@
 		status: 0, body: '', isCut: false, hasEnded: false, refused: undefined as Failure | undefined,
 	};
 
-	async function * readChunks(response: Exclude<UpstreamResponse, {fails: unknown}>, signal: AbortSignal): AsyncIterableIterator<Uint8Array> {
+	async function * readChunks(response: Extract<UpstreamResponse, {status: number}>, signal: AbortSignal): AsyncIterableIterator<Uint8Array> {
 		for (const chunk of response.chunks) {
 			yield Buffer.from(chunk);
 		}
@@ -116,6 +118,14 @@
 			async call(call) {
 				calls.push(call);
 				const response = responses.shift() ?? {fails: 'broken'};
+				if ('throws' in response) {
+					if (response.throws === 'after') {
+						call.shouldStillSend();
+					}
+
+					throw new TypeError('Invalid URL');
+				}
+
 				if ('fails' in response) {
 					return Err({kind: response.fails, detail: response.fails});
 				}
@@ -146,6 +156,8 @@
 			startedAt: clock.now(), deadline: clock.now() + deadline, signal: callerGone.signal,
 			answer: {
 				hasStarted: () => received.status > 0,
+				hasEnded: () => received.hasEnded,
+				wasCut: () => received.isCut,
 				start(status) {
 					received.status = status;
 				},
@@ -189,6 +201,35 @@
 	expect(report.sends).toBe(1);
 });
 
+test.each([
+	['before', 'overloaded', 'no'],
+	['after', 'outcome-unknown', 'unknown'],
+] as const)('a non-idempotent request whose call throws %s it is written gets a true answer', async (throws, type, ran) => {
+	// Guards against a connection that is closed without an answer when one call meets an unexpected error.
+	const fixture = createFixture([{throws}, {throws}, {throws}]);
+	const report = await fixture.forward({kind: 'once', attempts: 1});
+	expect([fixture.received.refused?.type, fixture.received.refused?.ran]).toEqual([type, ran]);
+	expect(report.mayHaveRun).toBe(ran === 'unknown');
+});
+
+test('a request whose placement throws is refused as not run', async () => {
+	// Guards against a connection that is closed without an answer when one exchange meets an unexpected error.
+	const fixture = createFixture([]);
+	fixture.directory.listLive = () => {
+		throw new TypeError('The directory is broken');
+	};
+
+	const report = await fixture.forward({kind: 'once'});
+	expect([fixture.received.refused?.type, fixture.received.refused?.ran]).toEqual(['unexpected-error', 'no']);
+	expect(report.result).toBe('refused');
+});
+
+test('an idempotent request whose call throws is answered by another upstream', async () => {
+	const fixture = createFixture([{throws: 'after'}, {status: 200, chunks: ['ok']}]);
+	const report = await fixture.forward({kind: 'idempotent'});
+	expect([fixture.received.body, report.result]).toEqual(['ok', 'served']);
+});
+
 test('a non-idempotent request that the upstream states it did not run is refused as not run', async () => {
 	const fixture = createFixture([{status: 503, headers: {'not-run': '1'}, chunks: []}]);
 	const report = await fixture.forward({kind: 'once', attempts: 1});
--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -41,7 +41,7 @@
 export type RequestForwarder = ReturnType<typeof createRequestForwarder>;
 
 /** Why no upstream answered a request, and when its caller may retry if it has not run, in milliseconds. */
-type UnansweredReason = {readonly detail: string; readonly retryAfterMs: number; readonly type?: 'overloaded' | 'stream-unresumable' | 'prompt-quarantined'};
+type UnansweredReason = {readonly detail: string; readonly retryAfterMs: number; readonly type?: 'overloaded' | 'stream-unresumable' | 'prompt-quarantined' | 'unexpected-error'};
 
 /** Retry-after time for callers when every upstream is overloaded or unavailable. */
 const overloadedRetryAfterMs = 500;
@@ -153,6 +153,17 @@
 		return buildReport(state, failure.ran === 'no' ? 'refused' : 'failed', detail);
 	}
 
+	// What went wrong outside of a call to an upstream ends the request with what is known of it.
+	function finishUnexpected(state: ForwardingState, error: unknown): ForwardReport {
+		const {request} = state;
+		const {message, stack} = error as Error;
+		const detail = `Unexpected error: ${message}`;
+		events.write('requestFailed', {request: request.id, detail: stack ?? message});
+		return request.answer.hasEnded()
+			? buildReport(state, 'served', detail)
+			: finishUnanswered(state, {detail, retryAfterMs: overloadedRetryAfterMs, type: 'unexpected-error'});
+	}
+
 	async function forwardUntilAnswered(state: ForwardingState): Promise<ForwardReport> {
 		const {
 			request, relay, progress, tried,
@@ -221,6 +232,8 @@
 			const state = createState(request);
 			try {
 				return await forwardUntilAnswered(state);
+			} catch (error) {
+				return finishUnexpected(state, error);
 			} finally {
 				state.relay.close();
 			}
--- a/src/coordination/requests/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type {
-	AnswerMetadata, GatewayWire, Result, UpstreamRegistration,
+	AnswerMetadata, EventLog, GatewayWire, Result, UpstreamRegistration,
 } from '../../protocol/mod.js';
 import type {StreamOrigin} from '../../state/mod.js';
 import {
@@ -40,6 +40,7 @@
 	readonly partQuarantine: Pick<PartQuarantine, 'trackRun' | 'admitSend'>;
 	readonly crashDetector: CrashDetector;
 	readonly streamRecorder: Pick<StreamRecorder, 'recordEvents'>;
+	readonly events: EventLog;
 	readonly clock: Clock;
 };
 
@@ -97,6 +98,15 @@
 	readonly wasAborted: boolean;
 };
 
+/** How a call ended with an exception. */
+type UnexpectedCallEnd = {
+	readonly error: unknown;
+	/** Undefined if the exception came before the call's end. */
+	readonly called: Result<UpstreamResponse, CallFailure> | undefined;
+	/** The request was about to be written, or has been. */
+	readonly wasWritten: boolean;
+};
+
 const firstRedirectStatus = 300;
 
 /** @internal The end of an answer without a length is the end of its connection. */
@@ -124,7 +134,7 @@
  */
 export function createUpstreamSender(options: CreateUpstreamSenderOptions) {
 	const {
-		wire, client, registry, eligibility, limitRecorder, noticeRecorder, traffic, quarantine, partQuarantine, crashDetector, streamRecorder, clock,
+		wire, client, registry, eligibility, limitRecorder, noticeRecorder, traffic, quarantine, partQuarantine, crashDetector, streamRecorder, events, clock,
 	} = options;
 
 	// An upstream that registered again with another version since the request was written may have run it with either.
@@ -196,6 +206,22 @@
 		});
 	}
 
+	// An upstream that got the request may run it, whatever went wrong with its answer here.
+	function breakCall({request, progress}: ForwardingState, {error, called, wasWritten}: UnexpectedCallEnd): SendOutcome {
+		const {message, stack} = error as Error;
+		events.write('requestFailed', {request: request.id, detail: stack ?? message});
+		if (called?.ok) {
+			called.val.abandon();
+		}
+
+		if (!wasWritten) {
+			return {kind: 'not-run', detail: `Unexpected error: ${message}`, reached: 'none'};
+		}
+
+		progress.mayHaveRun = true;
+		return {kind: 'broken', detail: `Unexpected error: ${message}`, wasConnectionLost: false};
+	}
+
 	// Ending the call to an unresponsive upstream only helps if another one may continue the stream.
 	function canRetryElsewhere({request, relay, tried, origin}: ForwardingState): boolean {
 		return relay.canRetry() && (origin === undefined || eligibility.listEligible(request.service, origin).some(({upstream}) => !tried.has(upstream.id)));
@@ -224,11 +250,14 @@
 			const stallTimeout = createStallTimeout({objective: request.route.objective, canRetry: () => canRetryElsewhere(state), clock});
 			const remaining = request.deadline - clock.now();
 			let isWithheld = false;
+			let wasWritten = false;
+			let called: Result<UpstreamResponse, CallFailure> | undefined;
+			let outcome: SendOutcome | undefined;
 			let sentAt = clock.now();
 			let registered: ReceiveOptions['registered'] = upstream;
 			const timeLimit = createTimeoutSignal(remaining, [request.signal, stallTimeout.signal]);
 			try {
-				const called = await client.call({
+				called = await client.call({
 					address: upstream.address,
 					method: request.method,
 					path: request.path,
@@ -242,7 +271,8 @@
 						isWithheld = !hasTimeLeft(request.deadline, clock.now()) || !eligibility.admitSend(id, request.service, state.origin) || !partQuarantine.admitSend(request.parts);
 						sentAt = clock.now();
 						registered = registry.get(id) ?? upstream;
-						return !isWithheld;
+						wasWritten = !isWithheld;
+						return wasWritten;
 					},
 				});
 				const onProgress = (bytes: number) => {
@@ -251,7 +281,7 @@
 					traffic.record('answer', {bytes, failureDomain: upstream.failureDomain});
 				};
 
-				const outcome = called.ok
+				outcome = called.ok
 					? await receive(state, called.val, {
 						upstream: id, sentAt, registered, tracker, onProgress,
 					})
@@ -282,6 +312,8 @@
 				}
 
 				return outcome;
+			} catch (error) {
+				return outcome ?? breakCall(state, {error, called, wasWritten});
 			} finally {
 				stallTimeout.clear();
 				timeLimit.clear();
--- a/src/daemon/caller-answer.ts
+++ b/src/daemon/caller-answer.ts
@@ -23,6 +23,15 @@
 	}
 }
 
+/** @internal Drops the headers of an upstream's answer whose head could not be written. */
+function dropUpstreamHeaders(response: ServerResponse): void {
+	for (const name of response.getHeaderNames()) {
+		if (name !== 'connection') {
+			response.removeHeader(name);
+		}
+	}
+}
+
 /** @internal Closes the connection. Responses to HTTP/1.0 end with their connection, so that only a reset shows that one is truncated. */
 function truncate(response: ServerResponse): void {
 	const {socket, httpVersion} = response.req;
@@ -49,18 +58,22 @@
 export function createCallerAnswer(response: ServerResponse, wire: GatewayWire, limits?: Pick<ByteLimits, 'openHolder'>): CallerAnswer {
 	let holder: ByteHolder | undefined;
 	let unsentBytes = 0;
+	let wasCut = false;
 
 	function countUnsent(change: number): void {
 		unsentBytes += change;
 		holder?.set(unsentBytes);
 	}
 
+	function cut(): void {
+		wasCut ||= !response.writableFinished && !response.destroyed;
+		truncate(response);
+	}
+
 	// The connection is observed as well: a response that waits for an earlier one on its connection is not closed with it.
 	function openHolder(openOne: ByteLimits['openHolder']): ByteHolder {
 		const {socket} = response.req;
-		const opened = openOne('unsent', () => {
-			truncate(response);
-		});
+		const opened = openOne('unsent', cut);
 		const close = () => {
 			opened.close();
 			socket.off('close', close);
@@ -81,6 +94,7 @@
 
 	return {
 		hasStarted: () => response.headersSent,
+		hasEnded: () => response.writableEnded,
 		start(status, headers) {
 			response.writeHead(status, [...headers]);
 			response.flushHeaders();
@@ -102,14 +116,14 @@
 			recordWrite(bytes?.length ?? 0);
 			response.end(bytes);
 		},
-		abort() {
-			truncate(response);
-		},
+		wasCut: () => wasCut,
+		abort: cut,
 		refuse(failure: Failure) {
 			if (response.headersSent || response.destroyed) {
 				return;
 			}
 
+			dropUpstreamHeaders(response);
 			const body = Buffer.from(JSON.stringify(formatProblem(failure)));
 			const retryAfterHeader = failure.retryAfterMs === undefined ? [] : wire.formatRetryAfter(failure.retryAfterMs);
 			response.writeHead(failureTable[failure.type].status, ['Content-Type', 'application/problem+json', 'Content-Length', String(body.length), ...retryAfterHeader]);
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -376,6 +376,7 @@
 			streamRecorder: streams.recorder,
 			load: loadControl,
 			callerServerStatistics: callerServer.getStatistics(),
+			unanswered: callerInterface.countUnanswered(),
 			readinessResponses,
 		}),
 	});
--- a/src/daemon/gateway-interface.test.ts
+++ b/src/daemon/gateway-interface.test.ts
@@ -41,8 +41,14 @@
 	},
 };
 
+type StartGatewayOptions = {
+	readonly forwarder?: Pick<RequestForwarder, 'forward'>;
+	/** Throws if the gateway meets an unexpected error before the request is forwarded. */
+	readonly admit?: () => void;
+};
+
 /** Starts a gateway whose token reservations stay pending until `deliverTokens` is called. */
-async function startGateway() {
+async function startGateway({forwarder, admit = () => undefined}: StartGatewayOptions = {}) {
 	const clock = createSystemClock();
 	const settled: number[] = [];
 	const reservation: TokenReservation = {customer: 'c', amount: 110, isSettled: false};
@@ -59,9 +65,14 @@
 			settled.push(used);
 		},
 	} as unknown as BudgetManager;
-	const admission = {admit: () => Ok(() => undefined)} as unknown as Admission;
+	const admission = {
+		admit() {
+			admit();
+			return Ok(() => undefined);
+		},
+	} as unknown as Admission;
 	const callerInterface = createGatewayInterface({
-		wire, findRouteTable: () => createRouteTable(deployment), syncViews: async () => undefined, budgetManager, admission, quarantine: {admit: () => Ok(undefined)}, partQuarantine: {admit: () => Ok(undefined), tryTrial: async () => false}, forwarder: undefined as unknown as RequestForwarder, streamResolver: undefined as unknown as StreamResolver,
+		wire, findRouteTable: () => createRouteTable(deployment), syncViews: async () => undefined, budgetManager, admission, quarantine: {admit: () => Ok(undefined)}, partQuarantine: {admit: () => Ok(undefined), tryTrial: async () => false}, forwarder: forwarder as RequestForwarder, streamResolver: undefined as unknown as StreamResolver,
 		metrics: createMetrics(), clock, events, stopWindow: createStopWindow({noticeMs: 1, clock}), computeStopRetryAfterMs: () => 100,
 	});
 	const server = await startCallerServer({host: '127.0.0.1', port: 0}, callerInterface.serve);
@@ -81,3 +92,33 @@
 	expect(settled).toEqual([0]);
 	server.closeAllConnections();
 });
+
+// Guards against a connection that is closed without an answer, and against tokens that stay reserved.
+test('a request whose forwarding throws gets an unknown outcome and its tokens are settled', async () => {
+	const {server, settled, deliverTokens} = await startGateway({
+		forwarder: {
+			async forward() {
+				throw new TypeError('Invalid URL');
+			},
+		},
+	});
+	deliverTokens();
+	const answer = await fetch(server.url, {method: 'POST', body: ''});
+	expect(answer.status).toBe(502);
+	expect(await answer.json()).toMatchObject({type: 'urn:fireflylane:outcome-unknown', ran: 'unknown'});
+	expect(settled).toEqual([110]);
+	server.closeAllConnections();
+});
+
+// Guards against a connection that is closed without an answer.
+test('a request that meets an unexpected error before it is forwarded is refused as not run', async () => {
+	const {server} = await startGateway({
+		admit() {
+			throw new TypeError('The admission is broken');
+		},
+	});
+	const answer = await fetch(server.url, {method: 'POST', body: ''});
+	expect([answer.status, answer.headers.has('retry-after')]).toEqual([503, true]);
+	expect(await answer.json()).toMatchObject({ran: 'no'});
+	server.closeAllConnections();
+});
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -66,8 +66,35 @@
 	resolved?: ResolvedRequest;
 	/** Digest shared by all repeats of the request; set once the body has been read. */
 	digest?: string;
+	/** Set once the request is passed on, so that an upstream may run it. */
+	isForwarded: boolean;
+	/** Set once an unexpected error has ended the exchange. */
+	hasFailed: boolean;
 };
 
+/** A request that is ready to be forwarded. */
+type ReservedRequest = {
+	readonly resolved: ResolvedRequest;
+	readonly body: Uint8Array;
+	readonly digest: string;
+	/** What began the stream that the caller resumes; undefined for a new request. */
+	readonly origin: StreamOrigin | undefined;
+	/** Undefined if the request needs no tokens. */
+	readonly reservation: TokenReservation | undefined;
+	/** When the request was admitted, and when its final answer is due, in milliseconds of the monotonic clock. */
+	readonly startedAt: number;
+	readonly deadline: number;
+	/** Time that the reservation took, in milliseconds. */
+	readonly reserveMs: number;
+};
+
+/**
+ * Why a request ended without a whole answer: its caller left, the gateway
+ * closed its connections at the end of a stop, an unexpected error ended the
+ * exchange, or the answer was cut because it could not be completed.
+ */
+type UnansweredCause = 'caller-left' | 'gateway-closing' | 'unexpected-error' | 'answer-cut';
+
 /** The interface for callers of a gateway. */
 export type GatewayInterface = ReturnType<typeof createGatewayInterface>;
 
@@ -79,6 +106,19 @@
 const gatewayClosing = 'This gateway is shutting down';
 const requestTimedOut = 'The request timed out';
 
+/** @internal */
+function findUnansweredCause({hasFailed, wasCut, isClosing}: {readonly hasFailed: boolean; readonly wasCut: boolean; readonly isClosing: boolean}): UnansweredCause {
+	if (hasFailed) {
+		return 'unexpected-error';
+	}
+
+	if (wasCut) {
+		return 'answer-cut';
+	}
+
+	return isClosing ? 'gateway-closing' : 'caller-left';
+}
+
 /** @internal Counts the tokens that a request used: its prompt once if it may have run, and the delivered output. */
 function computeUsedTokens(request: ForwardRequest, report: ForwardReport): number {
 	const {generation, service} = request;
@@ -107,6 +147,7 @@
 	} = options;
 	const runningRequests = new Set<IncomingMessage>();
 	const requestCounts = new WeakMap<Socket, number>();
+	const unanswered = new Map<UnansweredCause, number>();
 	let isClosing = false;
 
 	async function reserveTokens(resolved: ResolvedRequest, timeoutMs: number): Promise<Result<TokenReservation | undefined, Failure>> {
@@ -301,54 +342,104 @@
 				return;
 			}
 
+			await serveReserved(request, {
+				resolved, body: body.val, digest, origin: origin?.val, reservation: reservation.val, startedAt, deadline, reserveMs,
+			}, context);
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+
+	function buildForwardRequest(request: IncomingMessage, {resolved, body, digest, origin, startedAt, deadline}: ReservedRequest, {abortController, answer}: RequestContext): ForwardRequest {
+		const {metadata, route, service, customer, parts} = resolved;
+		const finalService = origin ? findRouteTable()?.findService(origin.service) ?? service : service;
+		return {
+			id: metadata.id,
+			digest,
+			route,
+			service: finalService,
+			parts: finalService === service ? parts : listPartKeys(finalService.id, metadata.generation),
+			customer: customer?.id,
+			priority: getPriority(resolved),
+			method: request.method ?? 'GET',
+			path: request.url ?? '/',
+			rawHeaders: request.rawHeaders,
+			body: body.length > 0 ? body : undefined,
+			generation: metadata.generation,
+			lastEventId: metadata.lastEventId,
+			resumes: metadata.resumes,
+			origin,
+			startedAt,
+			deadline,
+			signal: abortController.signal,
+			answer,
+		};
+	}
+
+	// An exception before the request is forwarded uses no tokens; one after that may have used all that were reserved.
+	async function serveReserved(request: IncomingMessage, reserved: ReservedRequest, context: RequestContext): Promise<void> {
+		const {resolved, reservation, reserveMs} = reserved;
+		const {abortController, arrival, unreadMs} = context;
+		let used = 0;
+		try {
 			// Guards against work for callers who have disconnected: a gateway that is seconds behind would forward every
 			// queued request, and upstreams would run abandoned requests while callers who still wait are delayed.
 			await readPendingInput();
 			if (abortController.signal.aborted) {
-				if (reservation.val) {
-					budgetManager.settle(reservation.val, 0);
-				}
-
-				refuseUnsent(context, metadata.id);
+				refuseUnsent(context, resolved.metadata.id);
 				return;
 			}
 
-			const finalService = origin ? findRouteTable()?.findService(origin.val.service) ?? service : service;
-			const forwardRequest: ForwardRequest = {
-				id: metadata.id,
-				digest,
-				route,
-				service: finalService,
-				parts: finalService === service ? parts : listPartKeys(finalService.id, metadata.generation),
-				customer: customer?.id,
-				priority: getPriority(resolved),
-				method: request.method ?? 'GET',
-				path: request.url ?? '/',
-				rawHeaders: request.rawHeaders,
-				body: body.val.length > 0 ? body.val : undefined,
-				generation: metadata.generation,
-				lastEventId: metadata.lastEventId,
-				resumes: metadata.resumes,
-				origin: origin?.val,
-				startedAt,
-				deadline,
-				signal: abortController.signal,
-				answer,
-			};
+			const forwardRequest = buildForwardRequest(request, reserved, context);
+			context.isForwarded = true;
+			used = reservation?.amount ?? 0;
 			const report = await forwarder.forward(forwardRequest);
-			if (reservation.val) {
-				budgetManager.settle(reservation.val, computeUsedTokens(forwardRequest, report));
-			}
-
+			used = computeUsedTokens(forwardRequest, report);
 			recordOutcome(forwardRequest, report, {reserveMs, arrival, unreadMs});
 		} finally {
-			clearTimeout(timer);
+			if (reservation) {
+				budgetManager.settle(reservation, used);
+			}
+		}
+	}
+
+	// Only this exchange ends, and its caller learns whether the request may have run.
+	function failExchange({answer, isForwarded}: RequestContext, error: unknown): void {
+		if (answer.hasEnded()) {
+			return;
+		}
+
+		if (answer.hasStarted()) {
+			answer.abort();
+			return;
+		}
+
+		const detail = `The gateway met an unexpected error: ${(error as Error).message}`;
+		answer.refuse(isForwarded
+			? createFailure('outcome-unknown', detail, {ran: 'unknown'})
+			: createFailure('unexpected-error', detail, {retryAfterMs: notReadyRetryAfterMs}));
+	}
+
+	function recordUnanswered(request: IncomingMessage, response: ServerResponse, {answer, isForwarded, hasFailed, unreadMs}: RequestContext): void {
+		if (response.writableFinished) {
+			return;
+		}
+
+		const cause = findUnansweredCause({hasFailed, wasCut: answer.wasCut(), isClosing});
+		unanswered.set(cause, (unanswered.get(cause) ?? 0) + 1);
+		if (cause !== 'caller-left') {
+			events.write('requestUnanswered', {
+				request: wire.readRequestId(request.headers), cause, wasForwarded: isForwarded, hasStarted: response.headersSent, unreadMs: Math.round(unreadMs),
+			});
 		}
 	}
 
 	return {
 		countRunning: () => runningRequests.size,
 
+		/** Returns the number of requests that ended without a whole answer since the start, by cause. */
+		countUnanswered: (): ReadonlyMap<string, number> => unanswered,
+
 		/** Returns the number of running requests and the IDs of some of them, as log fields. */
 		describeRunning: () => ({running: runningRequests.size, requests: [...runningRequests].slice(0, maxLoggedRequests).map(({headers}) => wire.readRequestId(headers)).join(' ')}),
 
@@ -376,7 +467,7 @@
 
 			request.socket.on('end', abortRequest);
 			const context: RequestContext = {
-				answer, abortController, arrival: describeArrival(request), unreadMs, arrivedAt: clock.now() - unreadMs,
+				answer, abortController, arrival: describeArrival(request), unreadMs, arrivedAt: clock.now() - unreadMs, isForwarded: false, hasFailed: false,
 			};
 			runningRequests.add(request);
 			try {
@@ -389,11 +480,12 @@
 					await serveWithAdmission(request, resolved.val, context);
 				}
 			} catch (error) {
-				// The caller disconnected while its body was read, or the gateway has a bug; only this request is aborted.
 				events.write('requestFailed', {request: wire.readRequestId(request.headers), detail: (error as Error).stack ?? String(error)});
-				answer.abort();
+				context.hasFailed = true;
+				failExchange(context, error);
 			} finally {
 				await waitUntilSent(request, response);
+				recordUnanswered(request, response, context);
 				request.socket.off('end', abortRequest);
 				runningRequests.delete(request);
 			}
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -35,6 +35,8 @@
 	readonly load: Pick<GatewayLoadControl, 'listShares' | 'listNotReadyReasons'>;
 	/** Connections and requests of this gateway's callers. */
 	readonly callerServerStatistics: CallerServerStatistics;
+	/** Number of requests that ended without a whole answer, by cause. */
+	readonly unanswered: ReadonlyMap<string, number>;
 	/** Number of answered readiness checks. */
 	readonly readinessResponses: number;
 };
@@ -45,7 +47,7 @@
  * @example
  * ```ts
  * response.end(formatGatewayMetrics({
- * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, byteLimits, streamRecorder, load, callerServerStatistics, readinessResponses: 2,
+ * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, byteLimits, streamRecorder, load, callerServerStatistics, unanswered: new Map(), readinessResponses: 2,
  * }));
  * ```
  *
@@ -54,7 +56,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, runningRequests, deploymentVersion, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, byteLimits, streamRecorder, load, callerServerStatistics, readinessResponses,
+		metrics, events, runningRequests, deploymentVersion, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, byteLimits, streamRecorder, load, callerServerStatistics, unanswered, readinessResponses,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${runningRequests}`,
@@ -102,6 +104,10 @@
 		lines.push(`fireflylane_responses_cut_total{limit="${limit}"} ${count}`);
 	}
 
+	for (const [cause, count] of unanswered) {
+		lines.push(`fireflylane_unanswered_total{cause="${cause}"} ${count}`);
+	}
+
 	for (const [event, count] of events.counts) {
 		lines.push(`fireflylane_events_total{event="${event}"} ${count}`);
 	}
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -59,6 +59,7 @@
 	upstreamLost: {number: 1407, text: 'upstream does not respond'},
 	requestEnded: {number: 1408, text: 'request ended'},
 	requestFailed: {number: 1409, text: 'request failed with an unexpected error'},
+	requestUnanswered: {number: 1425, text: 'request ended without a whole answer'},
 	requestSuspected: {number: 1412, text: 'request suspected of crashing upstreams'},
 	partSuspected: {number: 1417, text: 'part of a prompt suspected of crashing upstreams'},
 	loopStalled: {number: 1413, text: 'event loop stalled'},
--- a/src/protocol/failures.ts
+++ b/src/protocol/failures.ts
@@ -97,6 +97,9 @@
 	'answer-gone': {
 		status: 410, title: 'The request ran and its answer is no longer kept', retryable: false, exitCode: 7,
 	},
+	'unexpected-error': {
+		status: 503, title: 'An unexpected error ended the request before it ran', retryable: true, exitCode: 1,
+	},
 	leaving: {
 		status: 503, title: 'The daemon is stopping', retryable: true, exitCode: 6,
 	},
