Run the platform tests on the bundle that the deploy file starts

The tests that start gateways and relays as processes ran the separate modules, with the default options of Node.js, while users run the bundle with those of deploy/system.toml. The fleet of the tests now starts what the deploy file names and fails if that is not built; npm test builds it.

--- a/tools/harness/process.ts
+++ b/tools/harness/process.ts
@@ -26,6 +26,10 @@
 	/** Sends SIGTERM, waits for the exit and returns the exit code. */
 	readonly stop: () => Promise<number>;
 	readonly hasExited: () => boolean;
+	/** Waits for the exit and returns the exit code. */
+	readonly waitUntilExit: () => Promise<number>;
+	/** Closes the pipes to which the process writes, as a log collector that ends. */
+	readonly closeOutput: () => void;
 };
 
 /** Options of {@linkcode startProcess}. */
@@ -33,6 +37,8 @@
 	/** Path of the program, relative to the build folder. */
 	readonly file: string;
 	readonly args?: readonly string[];
+	/** Options of Node.js; default none. */
+	readonly nodeOptions?: readonly string[];
 	readonly environment?: Readonly<Record<string, string>>;
 	/** Maps modules to their replacements, both as paths relative to the build folder; default none. */
 	readonly replacedModules?: Readonly<Record<string, string>>;
@@ -80,7 +86,7 @@
 export async function startProcess(name: string, options: StartProcessOptions): Promise<FleetProcess> {
 	const file = fileURLToPath(new URL(options.file, buildFolder));
 	const importArguments = options.replacedModules ? ['--import', fileURLToPath(new URL('tools/prove/replace.js', buildFolder))] : [];
-	const child = spawn(process.execPath, [...importArguments, file, ...options.args ?? []], {
+	const child = spawn(process.execPath, [...options.nodeOptions ?? [], ...importArguments, file, ...options.args ?? []], {
 		stdio: ['ignore', 'pipe', 'pipe'],
 		// Ctrl-C in a terminal signals the whole process group. A group of its own lets the starting process stop the fleet in order.
 		detached: true,
@@ -106,6 +112,14 @@
 		ready,
 		readLog,
 		hasExited: () => child.exitCode !== null || child.signalCode !== null,
+		async waitUntilExit() {
+			const [code] = await exit;
+			return code ?? -1;
+		},
+		closeOutput() {
+			child.stdout.destroy();
+			child.stderr.destroy();
+		},
 		async kill() {
 			child.kill('SIGKILL');
 			await exit;
--- a/tools/measure/contention.ts
+++ b/tools/measure/contention.ts
@@ -87,7 +87,7 @@
 }
 
 async function measureSize(gateways: number) {
-	const fleet = await startPlatformFleet({gateways, customers});
+	const fleet = await startPlatformFleet({gateways, customers, usesModules: true});
 	try {
 		await wait(settleDurationMs);
 		const idle = await measureUsage(fleet, async () => wait(idleDurationMs));
