Go on when the output of a daemon can no longer be written

Callers of a gateway whose log reader ended lost all that was under way on its connections: the next line failed with EPIPE, the error event of standard output had no listener, and the process exited. The line that says so could not be written either, so that nothing showed why; a full disk behind a log file does the same.

An error of standard output or standard error now loses the lines and nothing else, in all daemons. The test closes the reading ends of a gateway that runs as the deploy file starts it; before, it got no answer and the gateway was gone, now all requests are answered.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -91,6 +91,13 @@
 	});
 }
 
+/** Lets the daemon go on when what it writes can no longer be read or stored, such as after the end of a log collector. */
+export function installOutputHandlers(): void {
+	for (const output of [process.stdout, process.stderr]) {
+		output.on('error', () => undefined);
+	}
+}
+
 /** @internal */
 function formatIssues(file: string, issues: readonly SettingsIssue[]): string[] {
 	return issues.map(issue => `${file}:${issue.line}: ${issue.path}: ${issue.message}`);
@@ -144,6 +151,7 @@
 	}
 
 	const events = createEventLog(settings.val.id);
+	installOutputHandlers();
 	installExceptionHandler(events);
 	try {
 		const daemon = await (options.start ?? startDaemon)(settings.val);
--- a/src/daemon/run-gateway-or-relay.ts
+++ b/src/daemon/run-gateway-or-relay.ts
@@ -11,7 +11,7 @@
 import type {RunningDaemon} from './core.js';
 import {startGatewayDaemon} from './gateway-daemon.js';
 import type {GatewayAdapter} from './gateway-state.js';
-import {installExceptionHandler, installSignalHandlers} from './main.js';
+import {installExceptionHandler, installOutputHandlers, installSignalHandlers} from './main.js';
 import {startRelayDaemon} from './relay-daemon.js';
 
 /** Options of {@linkcode runGatewayOrRelay}. */
@@ -93,6 +93,7 @@
 	}
 
 	const events = createLineLog({daemon: settings.id, sink: process.stdout});
+	installOutputHandlers();
 	installExceptionHandler(events);
 	const {daemon, reload} = await startByRole(settings, options.createAdapter(settings), events);
 	installSignalHandlers(daemon, events);
