Survive SIGHUP during the start of a daemon

A change of the settings in the first 200 ms of a process ended it, with the requests that it had begun to accept: Node.js ends a process on SIGHUP unless it has a listener, and that was installed last. Now the bundle's first step installs one, and the settings are read again once the daemon has started if one came meanwhile. Before the first step, in the start of Node.js itself, the signal still ends the process, which then listens nowhere.

--- a/src/daemon/run-gateway-or-relay.ts
+++ b/src/daemon/run-gateway-or-relay.ts
@@ -87,6 +87,18 @@
  * @param options The settings and the adapter
  */
 export async function runGatewayOrRelay(options: RunGatewayOrRelayOptions): Promise<void> {
+	const state: {running?: ReloadableDaemon; isReloadDue: boolean} = {isReloadDue: false};
+	const reload = () => {
+		state.isReloadDue = state.running === undefined;
+		try {
+			state.running?.reload(options.readSettings());
+		} catch (error) {
+			events.write('settingsRefused', {detail: (error as Error).message});
+		}
+	};
+
+	// Installed before the settings are read, so that no change of them is missed.
+	process.on('SIGHUP', reload);
 	const settings = readSettingsOrReport(options.readSettings);
 	if (!settings) {
 		return;
@@ -95,13 +107,10 @@
 	const events = createLineLog({daemon: settings.id, sink: process.stdout});
 	installOutputHandlers();
 	installExceptionHandler(events);
-	const {daemon, reload} = await startByRole(settings, options.createAdapter(settings), events);
-	installSignalHandlers(daemon, events);
-	process.on('SIGHUP', () => {
-		try {
-			reload(options.readSettings());
-		} catch (error) {
-			events.write('settingsRefused', {detail: (error as Error).message});
-		}
-	});
+	const running = await startByRole(settings, options.createAdapter(settings), events);
+	installSignalHandlers(running.daemon, events);
+	state.running = running;
+	if (state.isReloadDue) {
+		reload();
+	}
 }
