Answer the running requests before an uncaught exception ends a gateway

The class is an unexpected error whose scope is one exchange and whose effect is all of them.

The process still ends, since its state may be inconsistent, and still with exit code 1. Before that it refuses new requests with 503, finishes the running ones within the time of a stop, and records nothing in the log: what it would record of its tokens may be wrong, and the log treats it like a gateway that was killed. The test throws in a running gateway: before, its connections were reset; now three bookings and three streams are answered whole.

--- a/src/daemon/core.ts
+++ b/src/daemon/core.ts
@@ -20,6 +20,11 @@
 	readonly addresses: Readonly<Record<string, string>>;
 	/** Stops gracefully: accepts no new requests, finishes the running ones, and records grants and receipts in the log. */
 	readonly stop: () => Promise<void>;
+	/**
+	 * Finishes the running requests after an unexpected error and accepts no others. Records nothing in the log, since what
+	 * would be recorded may be wrong.
+	 */
+	readonly stopAfterFailure?: () => Promise<void>;
 	/** Logs the running requests that an immediate exit aborts. */
 	readonly logAbortedRequests: () => void;
 	/** Resolves when another process has joined under this daemon's name. */
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -114,6 +114,7 @@
 	});
 	const logs = {deployment: withRelays(adapter.logs.deployment), upstreams: withRelays(adapter.logs.upstreams), grants: withRelays(adapter.logs.grants)};
 	const stopWindow = createStopWindow({noticeMs: stopNoticeMs, clock});
+	let hasFailed = false;
 
 	const state = createGatewayState({
 		adapter: {...adapter, logs}, self, upstreamHeartbeatMs: settings.upstreamHeartbeat, isFirstStart: settings.isFirstStart, clock, events,
@@ -452,7 +453,10 @@
 			}
 
 			stopWindow.finish();
-			await tokens.release(stopReserveMs / 2);
+			if (!hasFailed) {
+				await tokens.release(stopReserveMs / 2);
+			}
+
 			abortController.abort();
 			callerInterface.markClosing();
 			callerServer.closeAllConnections();
@@ -464,6 +468,16 @@
 			await adapter.close();
 			events.write('daemonStopped');
 		},
+		async stopAfterFailure() {
+			hasFailed = true;
+			stopWindow.begin(computeStopDurationMs());
+			stopWindow.refuseAll();
+			gossip.markChanged();
+			callerServer.requestConnectionClose();
+			if (!await waitUntilIdle(() => callerInterface.countRunning() + callerServer.listRelayed().length, {timeoutMs: stopWindow.computeRemainingMs(), clock})) {
+				events.write('requestCut', callerInterface.describeRunning());
+			}
+		},
 		logAbortedRequests() {
 			events.write('requestCut', callerInterface.describeRunning());
 		},
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -80,14 +80,37 @@
 	void daemon.superseded.then(stop); // eslint-disable-line promise/prefer-await-to-then
 }
 
+/** Options of {@linkcode installExceptionHandler}. */
+export type InstallExceptionHandlerOptions = {
+	/** Returns the daemon once it has started; default none. */
+	readonly findDaemon?: () => Pick<RunningDaemon, 'stopAfterFailure' | 'logAbortedRequests'> | undefined;
+};
+
 /**
  * Logs an uncaught exception and exits: the state of the process may be
- * inconsistent, and its host starts a new one.
+ * inconsistent, and its host starts a new one. A daemon that has started first
+ * finishes its running requests, whose callers could not repeat them.
  */
-export function installExceptionHandler(events: EventLog): void {
+export function installExceptionHandler(events: EventLog, {findDaemon}: InstallExceptionHandlerOptions = {}): void {
+	let isStopping = false;
+	const exit = () => {
+		process.exit(failureTable.internal.exitCode); // eslint-disable-line unicorn/no-process-exit
+	};
+
+	const stop = async (daemon: ReturnType<NonNullable<typeof findDaemon>>) => {
+		try {
+			await daemon?.stopAfterFailure?.();
+		} finally {
+			exit();
+		}
+	};
+
 	process.on('uncaughtException', error => {
 		events.write('daemonFailed', {error: error.stack ?? error.message});
-		process.exit(failureTable.internal.exitCode);
+		if (!isStopping) {
+			isStopping = true;
+			void stop(findDaemon?.());
+		}
 	});
 }
 
--- a/src/daemon/run-gateway-or-relay.ts
+++ b/src/daemon/run-gateway-or-relay.ts
@@ -106,7 +106,7 @@
 
 	const events = createLineLog({daemon: settings.id, sink: process.stdout});
 	installOutputHandlers();
-	installExceptionHandler(events);
+	installExceptionHandler(events, {findDaemon: () => state.running?.daemon});
 	const running = await startByRole(settings, options.createAdapter(settings), events);
 	installSignalHandlers(running.daemon, events);
 	state.running = running;
--- a/src/daemon/stop-window.ts
+++ b/src/daemon/stop-window.ts
@@ -35,6 +35,7 @@
  * @returns The stop window
  */
 export function createStopWindow({noticeMs, clock}: CreateStopWindowOptions) {
+	let isRefusing = false;
 	let period: {readonly startedAt: number; readonly endsAt: number} | undefined;
 
 	return {
@@ -44,6 +45,11 @@
 			period ??= {startedAt: now, endsAt: now + maxDurationMs};
 		},
 
+		/** Accepts no more work, also during the notice period. */
+		refuseAll(): void {
+			isRefusing = true;
+		},
+
 		/** Ends the stop early: no more work is accepted. */
 		finish(): void {
 			period &&= {...period, endsAt: Math.min(period.endsAt, clock.now())};
@@ -60,7 +66,7 @@
 		/** Returns true if work with the given timeout may be started. */
 		hasTimeFor(timeoutMs: number): boolean {
 			const now = clock.now();
-			return !period || now - period.startedAt < noticeMs || timeoutMs <= period.endsAt - now;
+			return !isRefusing && (!period || now - period.startedAt < noticeMs || timeoutMs <= period.endsAt - now);
 		},
 	};
 }
