End only the call that meets an exception in the upstream client

Callers saw: a gateway's process ended with all that was under way on its connections after one engine answered without a length, more than 64 KB of which waited for a slow caller, and its connection ended or was reset. A whole answer with a length was cut if its connection ended behind it.

Cause: a slow reader paused undici's parser, which asserts in the handlers of the socket's end, error and close that it is not paused. For an answer with a length it drops what the paused parser has not parsed yet. new Client throws for an address that is none.

Change: a gate on the socket holds the bytes and the end of the stream back, and the parser is never paused. Every callback, dispatch and new Client are guarded: an exception ends that call, as unsent if nothing was written, else as broken.

--- a/src/transport/connection-meter.ts
+++ b/src/transport/connection-meter.ts
@@ -6,6 +6,7 @@
  */
 import type {Socket} from 'node:net';
 import {maxUnusableBytes, type ByteLimits} from './byte-limits.js';
+import {createReadGate, type ReadGate} from './read-gate.js';
 
 /** Counts what a connection delivers. */
 export type ConnectionMeter = {
@@ -13,6 +14,8 @@
 	readonly recordBody: (bytes: number) => void;
 	/** Records that a response has ended; later bytes are part of another one or of none. */
 	readonly recordEnd: () => void;
+	/** Stops the reading of the connection while the reader of a response is slow. */
+	readonly gate: ReadGate;
 };
 
 /** Framing of one chunk of a body: a length of 64 bits in up to 16 hexadecimal digits, as some servers pad it, two line ends and a margin. */
@@ -53,6 +56,7 @@
 				recordEnd() {
 					accountedBytes = countParsed();
 				},
+				gate: createReadGate(socket),
 			};
 			// Runs before the listener of the HTTP client, which parses what has arrived.
 			socket.on('readable', () => {
--- a/src/transport/upstream-client.test.ts
+++ b/src/transport/upstream-client.test.ts
@@ -4,6 +4,7 @@
 import {
 	afterEach, expect, test,
 } from 'vitest';
+import {createByteLimits} from './byte-limits.js';
 import {createUpstreamClient, type UpstreamCall, type UpstreamClient} from './mod.js';
 
 const closers: Array<() => void> = [];
@@ -188,3 +189,138 @@
 	});
 	await expect(readBody(address, false)).resolves.toHaveLength(chunkCount);
 });
+
+/** Reads a body with a pause after each chunk, and returns how many bytes arrived and how the body ended. */
+async function readSlowly(address: string, shouldUseNewConnection: boolean) {
+	const client = createUpstreamClient({connectTimeoutMs: 500, maxConnections: 1});
+	closers.push(() => {
+		void client.close();
+	});
+	const response = await client.call(buildCall(address, shouldUseNewConnection));
+	let bytes = 0;
+	let failure = '';
+	await wait(150);
+	try {
+		for await (const chunk of response.unwrap().chunks) {
+			bytes += chunk.length;
+			await wait(20);
+		}
+	} catch (error) {
+		failure = String(error);
+	}
+
+	return {bytes, failure};
+}
+
+// Guards against a process that ends: undici asserts that the parser of a response without a length is not paused when the
+// connection ends or breaks, and it was paused for a slow reader.
+test.each([true, false])('a slow reader of a response without length survives its end and its reset, new connection %s', async shouldUseNewConnection => {
+	for (const size of [70_000, 200_000]) {
+		const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+		const whole = await serve(socket => {
+			socket.end(head + 'x'.repeat(size));
+		});
+		expect(await readSlowly(whole, shouldUseNewConnection)).toMatchObject({bytes: size, failure: ''});
+		const reset = await serve(socket => {
+			socket.write(head + 'x'.repeat(size));
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 100);
+		});
+		const {failure} = await readSlowly(reset, shouldUseNewConnection);
+		expect(failure).toContain('reset');
+	}
+});
+
+test.each([true, false])('a whole response to a slow reader is whole if its connection ends after it, new connection %s', async shouldUseNewConnection => {
+	// Guards against an answer that is cut although all of its bytes have arrived.
+	const address = await serve(socket => {
+		socket.end(`HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n${'x'.repeat(200_000)}`);
+	});
+	expect(await readSlowly(address, shouldUseNewConnection)).toMatchObject({bytes: 200_000, failure: ''});
+});
+
+test('a connection that carried a response to a slow reader carries the next one', async () => {
+	// Guards against a connection that is never read again because its reading was stopped when the response ended.
+	// With the memory of their objects, the chunks exceed the bound at which reading stops, and arrive in one piece.
+	const chunkCount = 1000;
+	const server = createServer(socket => {
+		socket.on('data', () => {
+			socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(chunkCount)}0\r\n\r\n`);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	closers.push(() => server.close());
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const client = createUpstreamClient({connectTimeoutMs: 500, maxConnections: 1});
+	closers.push(() => {
+		void client.close();
+	});
+	const unread = await client.call(buildCall(address, false));
+	await wait(50);
+	const next = await client.call(buildCall(address, false));
+	expect(await readText(next)).toHaveLength(chunkCount);
+	expect(await readText(unread)).toHaveLength(chunkCount);
+});
+
+test.each([true, false])('a call to an address that is none is unsent, new connection %s', async shouldUseNewConnection => {
+	// Guards against a call that rejects, so that its request gets no answer and its tokens stay reserved.
+	const client = createUpstreamClient({connectTimeoutMs: 500, maxConnections: 2});
+	for (const address of ['127.0.0.1:65536', '127.0.0.1:port', '', 'a b', '[', '127.0.0.1:1/path']) {
+		const result = await client.call(buildCall(address, shouldUseNewConnection));
+		expect([address, result.err && result.val.kind]).toEqual([address, 'unsent']);
+	}
+
+	await client.close();
+});
+
+test.each([true, false])('an exception in a callback ends its call only, new connection %s', async shouldUseNewConnection => {
+	// Guards against a process that ends because of one response.
+	const address = await serve(socket => {
+		socket.write(completeResponse);
+	});
+	let exceptions = 0;
+	const limits = createByteLimits();
+	const client = createUpstreamClient({
+		connectTimeoutMs: 500, maxConnections: 1, limits: {
+			...limits, openHolder(...args) {
+				exceptions += 1;
+				if (exceptions === 1) {
+					throw new RangeError('test');
+				}
+
+				return limits.openHolder(...args);
+			},
+		},
+	});
+	const notSent = await client.call({
+		...buildCall(address, shouldUseNewConnection), shouldStillSend() {
+			throw new RangeError('test');
+		},
+	});
+	expect(notSent.err && notSent.val.kind).toBe('unsent');
+	const broken = await client.call(buildCall(address, shouldUseNewConnection));
+	expect(broken.err && broken.val).toEqual({kind: 'broken', detail: 'test'});
+	expect(await readText(await client.call(buildCall(address, shouldUseNewConnection)))).toBe('ok');
+	await client.close();
+});
+
+test('bytes that a limit refuses and that throw end their response only', async () => {
+	// Guards against a reader that waits for ever because the callback for its bytes failed.
+	const address = await serve(socket => {
+		socket.write(completeResponse);
+	});
+	const client = createUpstreamClient({
+		connectTimeoutMs: 500, maxConnections: 1, limits: {
+			...createByteLimits(), openHolder: () => ({
+				set() {
+					throw new RangeError('test');
+				},
+				close: () => undefined,
+			}),
+		},
+	});
+	await expect(readText(await client.call(buildCall(address, true)))).rejects.toThrow('test');
+	await client.close();
+});
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -14,6 +14,7 @@
 } from '../protocol/mod.js';
 import {createByteLimits, type ByteHolder, type ByteLimits} from './byte-limits.js';
 import {createConnectionMeters, type ConnectionMeter} from './connection-meter.js';
+import type {ReadGate} from './read-gate.js';
 
 /** A request to one upstream. */
 export type UpstreamCall = {
@@ -72,7 +73,7 @@
 const chunkObjectBytes = 128;
 
 /** @internal Buffers the chunks of a body between undici, which pushes them, and their reader. */
-function createChunkQueue(controller: Dispatcher.DispatchController, openHolder: (cut: (detail: string) => void) => ByteHolder) {
+function createChunkQueue({controller, gate}: {readonly controller: Dispatcher.DispatchController; readonly gate: ReadGate | undefined}, openHolder: (cut: (detail: string) => void) => ByteHolder) {
 	const chunks: Uint8Array[] = [];
 	let bufferedBytes = 0;
 	let hasEnded = false;
@@ -115,7 +116,7 @@
 			chunks.push(chunk);
 			countBytes(chunk.length + chunkObjectBytes);
 			if (bufferedBytes > maxBufferedBytes) {
-				controller.pause();
+				gate?.stop();
 			}
 
 			wake();
@@ -123,6 +124,7 @@
 		end(error?: Error): void {
 			hasEnded = true;
 			failure ??= error;
+			gate?.resume();
 			wake();
 		},
 		discard,
@@ -132,8 +134,8 @@
 					const chunk = chunks.shift();
 					if (chunk) {
 						countBytes(-chunk.length - chunkObjectBytes);
-						if (controller.paused && bufferedBytes <= maxBufferedBytes) {
-							controller.resume();
+						if (!hasEnded && bufferedBytes <= maxBufferedBytes) {
+							gate?.resume();
 						}
 
 						yield chunk;
@@ -218,6 +220,37 @@
 	return Array.isArray(raw) ? raw.map(item => Buffer.from(item as Uint8Array).toString('latin1')) : [];
 }
 
+/** @internal */
+function normalizeException(exception: unknown): Error {
+	return exception instanceof Error ? exception : new Error(String(exception));
+}
+
+/** @internal Runs a task, whose exception is handled instead of thrown. */
+function runGuarded(task: () => void, onException: (exception: unknown) => void): void {
+	try {
+		task();
+	} catch (error) {
+		onException(error);
+	}
+}
+
+/**
+ * @internal Guards the callbacks of a call, so that an exception ends that call
+ * only. undici calls some of them in event handlers of the socket, where an
+ * exception would end the process.
+ */
+function guardHandler(handler: Dispatcher.DispatchHandler, onException: (exception: unknown, controller: Dispatcher.DispatchController) => void): Dispatcher.DispatchHandler {
+	const guard = (callback: unknown) => (controller: Dispatcher.DispatchController, ...args: unknown[]) => {
+		runGuarded(() => {
+			(callback as (...args: unknown[]) => void).call(handler, controller, ...args);
+		}, exception => {
+			onException(exception, controller);
+		});
+	};
+
+	return Object.fromEntries(Object.entries(handler).map(([name, callback]) => [name, guard(callback)]));
+}
+
 /**
  * Creates an HTTP client for upstreams.
  *
@@ -262,10 +295,25 @@
 				onClosed();
 			};
 
+			// Without a controller the request was never written, so the upstream cannot have run it.
+			const fail = (detail: string) => {
+				resolve(Err({kind: controller ? 'broken' : 'unsent', detail}));
+				finish();
+			};
+
+			const failByException = (exception: unknown, started = controller) => {
+				const error = normalizeException(exception);
+				fail(error.message);
+				queue?.discard(error.message);
+				started?.abort(error);
+			};
+
 			const endQueue = async (pendingVerdict: Promise<boolean>) => {
 				const wasReset = await pendingVerdict;
-				queue?.end(wasReset ? new Error('The connection was reset during a response without content-length') : undefined);
-				finish();
+				runGuarded(() => {
+					queue?.end(wasReset ? new Error('The connection was reset during a response without content-length') : undefined);
+					finish();
+				}, failByException);
 			};
 
 			const handler: Dispatcher.DispatchHandler = {
@@ -286,7 +334,7 @@
 
 					finalStatus = status;
 					meter = meters.getActive();
-					const opened = createChunkQueue(started, cut => limits.openHolder('received', cut));
+					const opened = createChunkQueue({controller: started, gate: meter?.gate}, cut => limits.openHolder('received', cut));
 					queue = opened;
 					resolve(Ok({
 						status, headers, rawHeaders: listRawHeaders(started.rawHeaders), chunks: opened.read(),
@@ -306,18 +354,27 @@
 				},
 				onResponseError(_started, error) {
 					queue?.end(isBodyNotExpected(finalStatus, error) ? undefined : error);
-					// Without a controller the request was never written, so the upstream cannot have run it.
-					resolve(Err({kind: controller ? 'broken' : 'unsent', detail: error.message}));
-					finish();
+					fail(error.message);
 				},
 			};
-			call.signal.addEventListener('abort', abortCall);
-			dispatcher.dispatch({
-				origin: `http://${call.address}`, method: call.method, path: call.path, headers: call.headers, body: call.body, reset: call.shouldUseNewConnection,
-			}, handler);
+			runGuarded(() => {
+				call.signal.addEventListener('abort', abortCall);
+				dispatcher.dispatch({
+					origin: `http://${call.address}`, method: call.method, path: call.path, headers: call.headers, body: call.body, reset: call.shouldUseNewConnection,
+				}, guardHandler(handler, failByException));
+			}, failByException);
 		});
 	}
 
+	/** Opens a client for one call; undici throws if the address, which the upstream has registered, is none. */
+	function openClient(call: UpstreamCall): Result<Client, CallFailure> {
+		try {
+			return Ok(new Client(`http://${call.address}`, clientOptions));
+		} catch (error) {
+			return Err({kind: 'unsent', detail: normalizeException(error).message});
+		}
+	}
+
 	return {
 		async call(call) {
 			if (!call.shouldUseNewConnection) {
@@ -327,7 +384,12 @@
 			// An upstream can close a reused connection while the request is being written, or send a late response to an
 			// earlier request on it. In both cases the outcome is unknown and the request may not be repeated, so such a call
 			// gets its own connection.
-			const client = new Client(`http://${call.address}`, clientOptions);
+			const opened = openClient(call);
+			if (opened.err) {
+				return opened;
+			}
+
+			const client = opened.val;
 			return dispatch(client, call, () => {
 				void client.destroy();
 			});
