Give a silent call up only once its retry is reserved

Callers saw resumable streams cut while their engine was at work: an engine that is short of memory preempts a request for seconds, the gateway ended the call after three objectives of silence, and found only then that the attempts of the route or the retry budget were used up.

Cause: createStallTimeout asked canRetryElsewhere, which looked at the eligible upstreams of a stream that had begun and at nothing else. Before the first event it did not look for another upstream at all. It asked once for each silence, so a stream that had nowhere to go at that moment stayed at an upstream that was gone, however long it lasted.

Change: retry-reservation.ts decides before the call is given up. It wants an attempt beside that of the running call, an upstream that was not tried and may get the request, what the quarantines ask, as much time as the route's objective until the deadline or the end of a stop, and a retry of the budget, which it withdraws for the next call. While one is missing, silence ends nothing, and the question is asked again every 250 ms. A retry that is not used is given back to the budget it came from, never above the maximum. A retry that reached no upstream is kept for the next call. The budget is looked up for each retry, so that a long request does not go on with the budget of a smaller fleet.

The stand-in client of request-forwarder.test.ts now asks shouldStillSend before it answers, as the real one does; no expectation changed.

--- a/src/coordination/load/retry-budget.ts
+++ b/src/coordination/load/retry-budget.ts
@@ -19,6 +19,8 @@
 	readonly deposit: () => void;
 	/** Takes one retry from the budget; returns false if none is left. */
 	readonly tryWithdraw: () => boolean;
+	/** Gives back one retry that was withdrawn and not used. */
+	readonly repay: () => void;
 };
 
 const defaultBurst = 10;
@@ -50,5 +52,8 @@
 			balance -= 1;
 			return true;
 		},
+		repay() {
+			balance = Math.min(burst, balance + 1);
+		},
 	};
 }
--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {setTimeout as wait} from 'node:timers/promises';
 import {expect, test} from 'vitest';
 import {createUnlimitedEligibility} from '../../../tools/harness/unlimited-upstreams.js';
 import {
@@ -9,7 +10,7 @@
 } from '../../state/mod.js';
 import {createSystemClock, type CallFailure, type UpstreamCall} from '../../transport/mod.js';
 import {
-	CachedPromptSource, createPartQuarantine, createQuarantine, createRequestForwarder, createRetryBudget, createTrafficCounter, createUpstreamRegistry, type ForwardRequest,
+	CachedPromptSource, createPartQuarantine, createQuarantine, createRequestForwarder, createRetryBudget, createTrafficCounter, createUpstreamRegistry, type ForwardRequest, type RetryBudget,
 } from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
@@ -19,7 +20,7 @@
 	| {readonly fails: CallFailure['kind']}
 	/** The call throws, before the request is written or while its answer is read. */
 	| {readonly throws: 'before' | 'after'}
-	| {readonly status: number; readonly headers?: Record<string, string>; readonly chunks: readonly string[]; readonly isReset?: boolean; readonly hangs?: boolean};
+	| {readonly status: number; readonly headers?: Record<string, string>; readonly chunks: readonly string[]; readonly isReset?: boolean; readonly hangs?: boolean; /** Silence before the last chunk, in milliseconds. */ readonly silentMs?: number};
 
 const wire: GatewayWire = {
 	readinessPath: '/ready',
@@ -42,9 +43,21 @@
 	readonly versions?: Readonly<Record<string, string | undefined>>;
 	/** Whether every answer says that all upstreams rest for 3 s. */
 	readonly areAllAtRest?: boolean;
+	/** Time until the gateway stops; by default it does not. */
+	readonly stopRemainingMs?: number;
 };
 
-function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}, areAllAtRest = false}: FixtureOptions = {}) {
+/** Empties a retry budget and returns what was left in it. */
+function countLeft(retries: RetryBudget): number {
+	let count = 0;
+	while (retries.tryWithdraw()) {
+		count += 1;
+	}
+
+	return count;
+}
+
+function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}, areAllAtRest = false, stopRemainingMs = Number.POSITIVE_INFINITY}: FixtureOptions = {}) {
 	const clock = createSystemClock();
 	const directory = createUpstreamDirectory();
 	for (const id of ['u1', 'u2', 'u3']) {
@@ -70,7 +83,11 @@
 	};
 
 	async function * readChunks(response: Extract<UpstreamResponse, {status: number}>, signal: AbortSignal): AsyncIterableIterator<Uint8Array> {
-		for (const chunk of response.chunks) {
+		for (const [index, chunk] of response.chunks.entries()) {
+			if (response.silentMs !== undefined && index > 0 && index === response.chunks.length - 1) {
+				await wait(response.silentMs, undefined, {signal});
+			}
+
 			yield Buffer.from(chunk);
 		}
 
@@ -111,6 +128,7 @@
 		traffic: createTrafficCounter('d'),
 		promptSourcePolicy: new CachedPromptSource(),
 		findRetryBudget: () => retries,
+		computeStopRemainingMs: () => stopRemainingMs,
 		quarantine,
 		partQuarantine,
 		crashDetector: {hasCrashed: async ({id}) => crashed.has(id)},
@@ -126,6 +144,14 @@
 					throw new TypeError('Invalid URL');
 				}
 
+				if ('fails' in response && response.fails === 'unsent') {
+					return Err({kind: 'unsent', detail: 'unsent'});
+				}
+
+				if (!call.shouldStillSend()) {
+					return Err({kind: 'unsent', detail: 'withheld'});
+				}
+
 				if ('fails' in response) {
 					return Err({kind: response.fails, detail: response.fails});
 				}
@@ -475,6 +501,88 @@
 	expect(performance.now() - startedAt).toBeGreaterThan(1700);
 });
 
+/** A stream whose upstream is silent after its first event for longer than the stall timeout, and goes on. */
+function createSilent(first: number, {silentMs = 1600} = {}): UpstreamResponse {
+	return {
+		status: 200, headers: streamHeaders, chunks: [`id: ${first}\ndata: a\n\n`, `id: ${first + 1}\ndata: a\n\n`], silentMs,
+	};
+}
+
+test('a stream whose upstreams are silent in both of its attempts ends whole', async () => {
+	// Guards against a stream that is cut because its last attempt is given up: an engine that is short of memory preempts a
+	// request for seconds and then goes on.
+	const fixture = createFixture([createSilent(1), createSilent(2), createSilent(3)]);
+	const report = await fixture.forward({isResumable: true, objective: 100, attempts: 2});
+	expect(fixture.calls.length).toBe(2);
+	expect([report.result, report.events, fixture.received.hasEnded]).toEqual(['served', 3, true]);
+	expect(countLeft(fixture.retries)).toBe(9);
+});
+
+test('a stream whose upstream is silent while the retry budget is empty ends whole', async () => {
+	const fixture = createFixture([createSilent(1), createSilent(2)]);
+	countLeft(fixture.retries);
+	const report = await fixture.forward({isResumable: true, objective: 100, attempts: 3});
+	expect(fixture.calls.length).toBe(1);
+	expect([report.result, report.events]).toEqual(['served', 2]);
+});
+
+test('a stream whose upstream is silent goes on elsewhere once the retry budget has been filled', async () => {
+	// Guards against a stream that is never given up because the budget was empty at the end of the stall timeout.
+	const fixture = createFixture([{...firstHalf, isReset: false, hangs: true}, secondHalf]);
+	countLeft(fixture.retries);
+	const pending = fixture.forward({isResumable: true, objective: 100, attempts: 2});
+	await wait(1500);
+	expect(fixture.calls.length).toBe(1);
+	for (let count = 0; count < 6; count += 1) {
+		fixture.retries.deposit();
+	}
+
+	const report = await pending;
+	expect(report.result).toBe('served');
+	expect(fixture.calls.length).toBe(2);
+	expect(countLeft(fixture.retries)).toBe(0);
+});
+
+test('a stream whose upstream is silent near the deadline is not given up', async () => {
+	const fixture = createFixture([createSilent(1, {silentMs: 1950}), createSilent(2)]);
+	const report = await fixture.forward({isResumable: true, objective: 600, attempts: 3}, 2300);
+	expect(fixture.calls.length).toBe(1);
+	expect(report.result).toBe('served');
+});
+
+test('a stream whose upstream is silent is not given up shortly before the gateway stops', async () => {
+	const fixture = createFixture([createSilent(1), createSilent(2)], {stopRemainingMs: 90});
+	const report = await fixture.forward({isResumable: true, objective: 100, attempts: 3});
+	expect(fixture.calls.length).toBe(1);
+	expect(report.result).toBe('served');
+});
+
+test('a request whose upstream is silent before its first event is answered by it if no other upstream may get it', async () => {
+	const fixture = createFixture([{
+		status: 200, headers: bufferedHeaders, chunks: ['', 'whole'], silentMs: 1600,
+	}, {fails: 'broken'}]);
+	const pending = fixture.forward({kind: 'idempotent', objective: 100, attempts: 3});
+	const [{address}] = fixture.calls as [UpstreamCall];
+	for (const id of ['u1', 'u2', 'u3'].filter(id => id !== address)) {
+		fixture.directory.put({...fixture.directory.get(id)!, isDraining: true}, 1);
+	}
+
+	const report = await pending;
+	expect([report.result, fixture.received.body]).toEqual(['served', 'whole']);
+});
+
+test.each([
+	['a request that is not idempotent', {kind: 'once'}],
+	['a stream that may not be resumed', {kind: 'stream', isResumable: false}],
+] as const)('%s is not given up while its upstream is silent, also before its first event', async (_, route) => {
+	const fixture = createFixture([{
+		status: 200, headers: route.kind === 'stream' ? streamHeaders : bufferedHeaders, chunks: ['', 'id: 1\ndata: a\n\n'], silentMs: 1600,
+	}, secondHalf]);
+	const report = await fixture.forward({...route, objective: 100, attempts: 3});
+	expect(fixture.calls.length).toBe(1);
+	expect(report.result).toBe('served');
+});
+
 test('attempts and the retry budget limit how often a request is sent', async () => {
 	const fixture = createFixture(Array.from({length: 9}, () => ({status: 500, chunks: ['x']})));
 	await fixture.forward({kind: 'idempotent', attempts: 2});
--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -13,13 +13,14 @@
 import type {PartQuarantine} from '../quarantine/part-quarantine.js';
 import type {PlacementCandidate} from '../upstreams/placement-policy.js';
 import type {Quarantine} from '../quarantine/quarantine.js';
-import {hasTimeLeft} from '../load/remaining-time.js';
+import {hasTimeLeft, minRemainingMs} from '../load/remaining-time.js';
 import {createRequestPlacement, type CreateRequestPlacementOptions} from '../upstreams/request-placement.js';
 import type {RetryBudget} from '../load/retry-budget.js';
 import {versionGoneRetryAfterMs} from '../streams/stream-resolver.js';
 import type {UpstreamEligibility} from '../upstreams/upstream-eligibility.js';
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
 import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
+import {createRetryReservation, type ReachedUpstream} from './retry-reservation.js';
 import {
 	createUpstreamSender, type CreateUpstreamSenderOptions, type ForwardingState, type ForwardProgress, type SendOutcome,
 } from './upstream-sender.js';
@@ -33,6 +34,8 @@
 	readonly quarantine: Pick<Quarantine, 'trackRun' | 'isSuspected' | 'mayRetry'>;
 	readonly partQuarantine: Pick<PartQuarantine, 'trackRun' | 'isSuspected' | 'mayRetry' | 'admit' | 'admitSend'>;
 	readonly events: EventLog;
+	/** Returns the time until a stop of the gateway cuts its answers; infinite by default. */
+	readonly computeStopRemainingMs?: () => number;
 	/** Limits of the process on held bytes; by default each request has limits of its own. */
 	readonly limits?: ByteLimits;
 };
@@ -59,7 +62,7 @@
  */
 export function createRequestForwarder(options: CreateRequestForwarderOptions) {
 	const {
-		wire, registry, eligibility, findRetryBudget, quarantine, partQuarantine, clock, events, limits,
+		wire, registry, eligibility, findRetryBudget, quarantine, partQuarantine, clock, events, limits, computeStopRemainingMs = () => Number.POSITIVE_INFINITY,
 	} = options;
 	const requestPlacement = createRequestPlacement(options);
 	const sender = createUpstreamSender(options);
@@ -72,9 +75,23 @@
 		const progress: ForwardProgress = {
 			sends: 0, mayHaveRun: false, upstream: undefined, softwareVersion: undefined, firstMs: undefined, waitingTokens: undefined, cachedTokens: undefined, isOnGrace: undefined, viewMs: undefined,
 		};
-		return {
-			request, relay: createRelay(request), progress, tried: new Set(), origin: request.origin,
+		const relay = createRelay(request);
+		const tried = new Set<string>();
+		const {service, generation, route} = request;
+		const state: ForwardingState = {
+			request, relay, progress, tried, origin: request.origin,
+			retries: createRetryReservation({
+				attempts: route.attempts, findBudget: () => findRetryBudget(service.id),
+				mayRetry: () => mayRetryElsewhere(request, relay),
+				hasCandidate: () => registry.listCandidates({
+					service, generation, excluded: tried, origin: state.origin,
+				}).length > 0,
+				computeRemainingMs: () => Math.min(request.deadline - clock.now(), computeStopRemainingMs()),
+				// An answer later than the objective is no better than that of the silent upstream.
+				minRemainingMs: Math.max(minRemainingMs, route.objective),
+			}),
 		};
+		return state;
 	}
 
 	function recordCandidate(progress: ForwardProgress, {id, waitingTokens, cachedTokens, isOnGrace}: PlacementCandidate): void {
@@ -86,7 +103,7 @@
 		progress.viewMs = registry.getViewAgeMs();
 	}
 
-	function findReached(outcome: SendOutcome): 'none' | 'other' | 'chosen' {
+	function findReached(outcome: SendOutcome): ReachedUpstream {
 		return outcome.kind === 'not-run' ? outcome.reached : 'chosen';
 	}
 
@@ -166,14 +183,12 @@
 
 	async function forwardUntilAnswered(state: ForwardingState): Promise<ForwardReport> {
 		const {
-			request, relay, progress, tried,
+			request, relay, progress, tried, retries,
 		} = state;
-		const retryBudget = findRetryBudget(request.service.id);
-		let deliveries = 0;
 		let deliverFailure: (() => void) | undefined;
 		let detail = '';
 		let held: UnansweredReason | undefined;
-		retryBudget.deposit();
+		findRetryBudget(request.service.id).deposit();
 		for (;;) {
 			held = describeHeld(request);
 			if (held) {
@@ -181,8 +196,7 @@
 			}
 
 			const placement = requestPlacement.pick(request, tried, state.origin);
-			const isFirst = deliveries === 0;
-			if (placement === undefined || !hasTimeLeft(request.deadline, clock.now()) || progress.sends >= request.route.attempts || !(isFirst || retryBudget.tryWithdraw())) {
+			if (placement === undefined || !hasTimeLeft(request.deadline, clock.now()) || !retries.tryBegin()) {
 				break;
 			}
 
@@ -190,11 +204,8 @@
 			tried.add(id);
 			recordCandidate(progress, placement.candidate);
 			const outcome = await sender.send(state, placement);
-			// The route limits how many upstreams may run a request, so a refused connection or another upstream at the address
-			// does not count as a send. The retry budget limits deliveries, which include those to another upstream at the address.
-			const reached = findReached(outcome);
-			progress.sends += reached === 'chosen' ? 1 : 0;
-			deliveries += reached === 'none' ? 0 : 1;
+			retries.finish(findReached(outcome));
+			progress.sends = retries.countSends();
 			if (request.signal.aborted && outcome.kind !== 'complete') {
 				detail = String((request.signal.reason as Error).message);
 				break;
@@ -235,6 +246,7 @@
 			} catch (error) {
 				return finishUnexpected(state, error);
 			} finally {
+				state.retries.release();
 				state.relay.close();
 			}
 		},
--- /dev/null
+++ b/src/coordination/requests/retry-reservation.test.ts
@@ -0,0 +1,133 @@
+import {expect, test} from 'vitest';
+import {createRetryBudget} from '../load/mod.js';
+import {createRetryReservation, type CreateRetryReservationOptions} from './retry-reservation.js';
+
+type Reached = 'none' | 'other' | 'chosen';
+
+function createFixture(options: Partial<CreateRetryReservationOptions> = {}) {
+	const budget = createRetryBudget({ratio: 0, burst: 2});
+	const conditions = {mayRetry: true, hasCandidate: true, remainingMs: 1000};
+	const reservation = createRetryReservation({
+		attempts: 2, findBudget: () => budget, minRemainingMs: 300,
+		mayRetry: () => conditions.mayRetry,
+		hasCandidate: () => conditions.hasCandidate,
+		computeRemainingMs: () => conditions.remainingMs,
+		...options,
+	});
+	return {
+		budget, conditions, reservation,
+		call(...outcomes: Reached[]) {
+			return outcomes.map(reached => {
+				const mayBegin = reservation.tryBegin();
+				reservation.finish(reached);
+				return mayBegin;
+			});
+		},
+		/** Empties the budget and returns what was left in it. */
+		empty() {
+			let count = 0;
+			while (budget.tryWithdraw()) {
+				count += 1;
+			}
+
+			return count;
+		},
+	};
+}
+
+const written = {wasWritten: true};
+
+// Guards against answers that are cut because a silent upstream was given up although the request could go nowhere else.
+test.each([
+	['the answer or a quarantine forbids a retry', {mayRetry: false}],
+	['no other upstream may get the request', {hasCandidate: false}],
+	['too little time is left', {remainingMs: 299}],
+])('no retry is reserved while %s, and one is when that has changed', (_, change) => {
+	const {conditions, reservation, empty} = createFixture();
+	const before = {...conditions};
+	reservation.tryBegin();
+	Object.assign(conditions, change);
+	expect(reservation.tryReserve(written)).toBe(false);
+	Object.assign(conditions, before);
+	expect(reservation.tryReserve(written)).toBe(true);
+	expect(empty()).toBe(1);
+});
+
+test('no retry is reserved if the running call is the last attempt', () => {
+	const {reservation, call} = createFixture({attempts: 2});
+	call('chosen');
+	reservation.tryBegin();
+	expect(reservation.tryReserve(written)).toBe(false);
+});
+
+test('a call that was not written uses neither an attempt nor the retry budget', () => {
+	// Guards against requests that wait for a connection to an upstream that is gone until their time is over.
+	const {reservation, empty} = createFixture({attempts: 1});
+	empty();
+	reservation.tryBegin();
+	expect(reservation.tryReserve({wasWritten: false})).toBe(true);
+	reservation.finish('none');
+	expect(reservation.tryBegin()).toBe(true);
+});
+
+test('no retry is reserved while the budget is empty, and one is when it has been filled', () => {
+	const budget = createRetryBudget({ratio: 1, burst: 1});
+	budget.tryWithdraw();
+	const {reservation} = createFixture({findBudget: () => budget});
+	reservation.tryBegin();
+	expect(reservation.tryReserve(written)).toBe(false);
+	budget.deposit();
+	expect(reservation.tryReserve(written)).toBe(true);
+	expect(budget.tryWithdraw()).toBe(false);
+});
+
+test('a reserved retry is used by the next call and by no other', () => {
+	const {reservation, empty} = createFixture({attempts: 9});
+	reservation.tryBegin();
+	expect([reservation.tryReserve(written), reservation.tryReserve(written)]).toEqual([true, true]);
+	expect(empty()).toBe(1);
+	reservation.finish('chosen');
+	expect(reservation.tryBegin()).toBe(true);
+	reservation.finish('chosen');
+	expect(reservation.tryBegin()).toBe(false);
+	reservation.release();
+	expect(empty()).toBe(0);
+});
+
+test('a reserved retry that is not used is given back, once', () => {
+	// Guards against a retry budget that runs dry, or grows, with calls that end by themselves after all.
+	const {reservation, empty} = createFixture();
+	reservation.tryBegin();
+	reservation.tryReserve(written);
+	reservation.finish('chosen');
+	reservation.release();
+	reservation.release();
+	expect(empty()).toBe(2);
+});
+
+test('a retry that reached no upstream is kept for the next call', () => {
+	// Guards against a stream that is cut because the connection of its retry was refused and the budget is empty.
+	const {reservation, call, empty} = createFixture({attempts: 2});
+	expect(call('chosen', 'none', 'none')).toEqual([true, true, true]);
+	expect(empty()).toBe(1);
+	expect(call('chosen', 'chosen')).toEqual([true, false]);
+	reservation.release();
+	expect(empty()).toBe(0);
+});
+
+test('another upstream at the address uses up the retry budget and no attempt', () => {
+	const {call} = createFixture({attempts: 1});
+	expect(call('other', 'other', 'other', 'other')).toEqual([true, true, true, false]);
+});
+
+test('a retry is withdrawn from the budget in force and given back to the one it came from', () => {
+	// Guards against requests that go on using the budget of a smaller fleet.
+	const [first, second] = [createRetryBudget({ratio: 0, burst: 1}), createRetryBudget({ratio: 0, burst: 1})];
+	let inForce = first;
+	const {reservation} = createFixture({attempts: 3, findBudget: () => inForce});
+	reservation.tryBegin();
+	expect(reservation.tryReserve(written)).toBe(true);
+	inForce = second;
+	reservation.release();
+	expect([first.tryWithdraw(), second.tryWithdraw()]).toEqual([true, true]);
+});
--- /dev/null
+++ b/src/coordination/requests/retry-reservation.ts
@@ -0,0 +1,111 @@
+/**
+ * Decides before a call to an upstream is given up whether the request can go on
+ * at another one, and reserves the retry.
+ *
+ * @module
+ */
+import type {RetryBudget} from '../load/retry-budget.js';
+
+/** Options of {@linkcode createRetryReservation}. */
+export type CreateRetryReservationOptions = {
+	/** Maximum number of upstreams that may run the request. */
+	readonly attempts: number;
+	/** Returns the retry budget of the service; another one after the size of the fleet has changed. */
+	readonly findBudget: () => RetryBudget;
+	/** Returns true if another upstream may continue or replace the answer so far. */
+	readonly mayRetry: () => boolean;
+	/** Returns true if an upstream that was not tried yet may get the request now. */
+	readonly hasCandidate: () => boolean;
+	/** Returns the time in which a retry would have to be answered, in milliseconds. */
+	readonly computeRemainingMs: () => number;
+	/** Time that a retry needs at least to be worth giving up a call. */
+	readonly minRemainingMs: number;
+};
+
+/** Attempts and retries of one request. */
+export type RetryReservation = ReturnType<typeof createRetryReservation>;
+
+/** What a call reached: no upstream, another one at the address, or the chosen one. */
+export type ReachedUpstream = 'none' | 'other' | 'chosen';
+
+/**
+ * Creates the reservation of a request that was not sent yet.
+ *
+ * The route limits how many upstreams may run a request, so a refused connection
+ * or another upstream at the address uses up no attempt. The retry budget limits
+ * deliveries, which include those to another upstream at the address.
+ *
+ * @example
+ * ```ts
+ * while (reservation.tryBegin()) {
+ * 	reservation.finish(await send());
+ * }
+ *
+ * reservation.release();
+ * ```
+ *
+ * @param options The limits on retries and the conditions of a retry
+ * @returns The reservation
+ */
+export function createRetryReservation(options: CreateRetryReservationOptions) {
+	const {
+		attempts, findBudget, mayRetry, hasCandidate, computeRemainingMs, minRemainingMs,
+	} = options;
+	let sends = 0;
+	let deliveries = 0;
+	/** Budget from which a retry is withdrawn for the next call. */
+	let reservedFrom: RetryBudget | undefined;
+	/** Budget from which the retry of the running call was withdrawn. */
+	let usedFrom: RetryBudget | undefined;
+
+	function tryWithdraw(): boolean {
+		if (reservedFrom === undefined) {
+			const budget = findBudget();
+			reservedFrom = budget.tryWithdraw() ? budget : undefined;
+		}
+
+		return reservedFrom !== undefined;
+	}
+
+	return {
+		/** Begins a call, with the reserved retry if there is one; returns false if no attempt or retry is left. */
+		tryBegin(): boolean {
+			if (sends >= attempts || (deliveries > 0 && !tryWithdraw())) {
+				return false;
+			}
+
+			usedFrom = reservedFrom;
+			reservedFrom = undefined;
+			return true;
+		},
+
+		/** Records the end of the call. A retry that reached no upstream is kept for the next call. */
+		finish(reached: ReachedUpstream): void {
+			sends += reached === 'chosen' ? 1 : 0;
+			deliveries += reached === 'none' ? 0 : 1;
+			if (reached === 'none') {
+				reservedFrom ??= usedFrom;
+			}
+
+			usedFrom = undefined;
+		},
+
+		/**
+		 * Reserves the retry that follows the running call if that is given up now;
+		 * returns false if there can be none. A call that was not written uses neither
+		 * an attempt nor a retry.
+		 */
+		tryReserve({wasWritten}: {readonly wasWritten: boolean}): boolean {
+			const isPossible = sends + (wasWritten ? 1 : 0) < attempts && computeRemainingMs() >= minRemainingMs && mayRetry() && hasCandidate();
+			return isPossible && (!wasWritten || tryWithdraw());
+		},
+
+		countSends: (): number => sends,
+
+		/** Gives back a retry that was not used. */
+		release(): void {
+			reservedFrom?.repay();
+			reservedFrom = undefined;
+		},
+	};
+}
--- a/src/coordination/requests/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -26,13 +26,14 @@
 import type {UpstreamRegistry, UpstreamRequestTracker} from '../upstreams/upstream-registry.js';
 import {computeUrgency} from '../upstreams/urgency.js';
 import type {ForwardReport, ForwardRequest} from './forward-types.js';
+import type {ReachedUpstream, RetryReservation} from './retry-reservation.js';
 
 /** Options of {@linkcode createUpstreamSender}. */
 export type CreateUpstreamSenderOptions = {
 	readonly wire: GatewayWire;
 	readonly client: UpstreamClient;
 	readonly registry: Pick<UpstreamRegistry, 'get' | 'trackRequest'>;
-	readonly eligibility: Pick<UpstreamEligibility, 'admitSend' | 'listEligible'>;
+	readonly eligibility: Pick<UpstreamEligibility, 'admitSend'>;
 	readonly limitRecorder: Pick<LimitRecorder, 'recordAnswer'>;
 	readonly noticeRecorder: Pick<NoticeRecorder, 'recordAnswer'>;
 	readonly traffic: Pick<TrafficCounter, 'record'>;
@@ -47,7 +48,7 @@
 /** Outcome of sending a request to one upstream. */
 export type SendOutcome =
 	/** `reached` is the upstream that received the request: none, another one at the same address, or the chosen one. */
-	| {readonly kind: 'not-run'; readonly detail: string; readonly reached: 'none' | 'other' | 'chosen'}
+	| {readonly kind: 'not-run'; readonly detail: string; readonly reached: ReachedUpstream}
 	| RelayOutcome;
 
 /** Fields of the report that are filled in while the request is being forwarded. */
@@ -60,6 +61,7 @@
 	readonly progress: ForwardProgress;
 	/** Ids of the upstreams that were chosen so far. */
 	readonly tried: Set<string>;
+	readonly retries: RetryReservation;
 	/** Set once the stream has begun. */
 	origin: StreamOrigin | undefined;
 };
@@ -222,11 +224,6 @@
 		return {kind: 'broken', detail: `Unexpected error: ${message}`, wasConnectionLost: false};
 	}
 
-	// Ending the call to an unresponsive upstream only helps if another one may continue the stream.
-	function canRetryElsewhere({request, relay, tried, origin}: ForwardingState): boolean {
-		return relay.canRetry() && (origin === undefined || eligibility.listEligible(request.service, origin).some(({upstream}) => !tried.has(upstream.id)));
-	}
-
 	// The process of the upstream may have ended with the connection that delimits the answer, even if the answer seems complete.
 	async function hasCrashedDuring(outcome: SendOutcome, {upstream, called, wasAborted}: CallSummary): Promise<boolean> {
 		const mayHaveCrashed = outcome.kind === 'complete'
@@ -247,7 +244,7 @@
 			const tracker = registry.trackRequest(id, request);
 			const partRun = partQuarantine.trackRun(request.parts);
 			const trackedRun = quarantine.trackRun(request.digest, {request: request.id, parts: formatPartIds(request.parts)});
-			const stallTimeout = createStallTimeout({objective: request.route.objective, canRetry: () => canRetryElsewhere(state), clock});
+			const stallTimeout = createStallTimeout({objective: request.route.objective, tryReserveRetry: () => state.retries.tryReserve({wasWritten}), clock});
 			const remaining = request.deadline - clock.now();
 			let isWithheld = false;
 			let wasWritten = false;
--- /dev/null
+++ b/src/coordination/streams/stall-timeout.test.ts
@@ -0,0 +1,45 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {expect, test} from 'vitest';
+import {createSystemClock} from '../../transport/mod.js';
+import {createStallTimeout} from './mod.js';
+
+const clock = createSystemClock();
+
+test('a call that makes no progress is ended once a retry is reserved, also if that takes several questions', async () => {
+	// Guards against a stream that stays at an upstream that no longer answers, because no other one was free at the moment of the
+	// only question.
+	let questions = 0;
+	const timeout = createStallTimeout({
+		objective: 100, clock, tryReserveRetry() {
+			questions += 1;
+			return questions === 3;
+		},
+	});
+	await wait(1300);
+	expect([questions, timeout.signal.aborted]).toEqual([1, false]);
+	await expect.poll(() => timeout.signal.aborted, {timeout: 1500}).toBe(true);
+	await wait(400);
+	expect(questions).toBe(3);
+	timeout.clear();
+});
+
+test('a call that makes progress again is not asked for until it is silent for the whole timeout again', async () => {
+	// Guards against a call that is ended right after an event because its upstream was silent before.
+	let questions = 0;
+	const timeout = createStallTimeout({
+		objective: 100, clock, tryReserveRetry() {
+			questions += 1;
+			return false;
+		},
+	});
+	await wait(1300);
+	timeout.recordProgress();
+	const before = questions;
+	await wait(1000);
+	expect(questions).toBe(before);
+	await expect.poll(() => questions, {timeout: 1500}).toBeGreaterThan(before);
+	timeout.clear();
+	const after = questions;
+	await wait(400);
+	expect(questions).toBe(after);
+});
--- a/src/coordination/streams/stall-timeout.ts
+++ b/src/coordination/streams/stall-timeout.ts
@@ -1,6 +1,6 @@
 /**
- * Ends a call to an upstream that makes no progress while the request can be
- * retried at another one.
+ * Ends a call to an upstream that makes no progress once a retry at another one
+ * is reserved.
  *
  * @module
  */
@@ -10,8 +10,8 @@
 export type CreateStallTimeoutOptions = {
 	/** Latency objective of the route, in milliseconds. */
 	readonly objective: number;
-	/** Returns true if the request can still be retried at another upstream. */
-	readonly canRetry: () => boolean;
+	/** Reserves a retry at another upstream; returns false while there can be none. */
+	readonly tryReserveRetry: () => boolean;
 	readonly clock: Clock;
 };
 
@@ -22,37 +22,38 @@
 const stallTimeoutObjectives = 3;
 /** Lower limit of the stall timeout. */
 const minStallTimeoutMs = 1200;
+/** Time after which a retry is asked for again: an upstream or the retry budget may have become free. */
+const retryCheckIntervalMs = 250;
 
 /**
  * Starts the timeout of one call. The caller must call `clear` when the call ends.
  *
+ * While no retry can be reserved, silence ends nothing: an engine that is short
+ * of memory preempts a request for seconds and then goes on.
+ *
  * @example
  * ```ts
- * const stallTimeout = createStallTimeout({objective: 800, canRetry: () => true, clock});
+ * const stallTimeout = createStallTimeout({objective: 800, tryReserveRetry: () => true, clock});
  * stallTimeout.recordProgress();
  * stallTimeout.clear();
  * ```
  *
- * @param options The objective, the clock and whether the request can be retried
+ * @param options The objective, the clock and the reservation of a retry
  * @returns The timeout, whose signal aborts the call
  */
-export function createStallTimeout({objective, clock, canRetry}: CreateStallTimeoutOptions) {
+export function createStallTimeout({objective, clock, tryReserveRetry}: CreateStallTimeoutOptions) {
 	const timeoutMs = Math.max(minStallTimeoutMs, objective * stallTimeoutObjectives);
 	const controller = new AbortController();
-	const abort = () => {
-		if (canRetry()) {
-			controller.abort(new Error(`The upstream made no progress for ${timeoutMs} ms`));
-		}
-	};
-
 	let lastProgressAt = clock.now();
 	// The timer is rescheduled only when it fires, because a stream makes progress dozens of times a second.
 	const checkProgress = () => {
 		const remainingMs = lastProgressAt + timeoutMs - clock.now();
 		if (remainingMs > 0) {
 			timer = setTimeout(checkProgress, remainingMs);
+		} else if (tryReserveRetry()) {
+			controller.abort(new Error(`The upstream made no progress for ${timeoutMs} ms`));
 		} else {
-			abort();
+			timer = setTimeout(checkProgress, retryCheckIntervalMs);
 		}
 	};
 
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -324,6 +324,7 @@
 			probe: async address => probeAddress(address, {timeoutMs: probeTimeoutMs}),
 		}),
 		findRetryBudget: retryBudgets.find,
+		computeStopRemainingMs: stopWindow.computeRemainingMs,
 	});
 	const admission = createAdmission({
 		clock,
