Count a stream whose caller left as such

Callers saw nothing.

Cause: the forwarder aborts the answer of a caller who left, while the connection is still half open, and the abort was recorded as a cut. The order of both is recorded now.

Evidence: the new test failed with answer-cut before, and passes.

--- a/src/daemon/gateway-interface.test.ts
+++ b/src/daemon/gateway-interface.test.ts
@@ -1,7 +1,9 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
 import {expect, test} from 'vitest';
 import {
-	type Admission, type BudgetManager, type RequestForwarder, type StreamResolver, createMetrics,
+	type Admission, type BudgetManager, type ForwardReport, type RequestForwarder, type StreamResolver, createMetrics,
 } from '../coordination/mod.js';
 import {
 	Ok, type Deployment, type EventLog, type GatewayWire,
@@ -76,7 +78,9 @@
 		metrics: createMetrics(), clock, events, stopWindow: createStopWindow({noticeMs: 1, clock}), computeStopRetryAfterMs: () => 100,
 	});
 	const server = await startCallerServer({host: '127.0.0.1', port: 0}, callerInterface.serve);
-	return {server, settled, deliverTokens};
+	return {
+		server, settled, deliverTokens, countUnanswered: callerInterface.countUnanswered,
+	};
 }
 
 // Guards against a request that is held past its timeout because its tokens do not arrive: each peer that is asked for
@@ -110,6 +114,31 @@
 	server.closeAllConnections();
 });
 
+// Guards against callers who left in the middle of a stream and are reported as answers that the gateway has cut.
+test('a stream that is cut because its caller left counts as one whose caller left', async () => {
+	const {server, deliverTokens, countUnanswered} = await startGateway({
+		forwarder: {
+			async forward({answer, signal}) {
+				answer.start(200, []);
+				await answer.write(new TextEncoder().encode('data: 1\n\n'));
+				await once(signal, 'abort');
+				answer.abort();
+				return {
+					result: 'cut', events: 1, sends: 1, mayHaveRun: true, upstream: 'u',
+				} as unknown as ForwardReport;
+			},
+		},
+	});
+	deliverTokens();
+	const {port} = new URL(server.url);
+	const socket = connect(Number(port), '127.0.0.1');
+	socket.write('POST / HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 0\r\n\r\n');
+	await once(socket, 'data');
+	socket.end();
+	await expect.poll(() => [...countUnanswered()]).toEqual([['caller-left', 1]]);
+	server.closeAllConnections();
+});
+
 // Guards against a connection that is closed without an answer.
 test('a request that meets an unexpected error before it is forwarded is refused as not run', async () => {
 	const {server} = await startGateway({
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -70,6 +70,8 @@
 	isForwarded: boolean;
 	/** Set once an unexpected error has ended the exchange. */
 	hasFailed: boolean;
+	/** Set once the caller has left, unless the gateway closed the connection. */
+	hasCallerLeft: boolean;
 };
 
 /** A request that is ready to be forwarded. */
@@ -107,11 +109,16 @@
 const requestTimedOut = 'The request timed out';
 
 /** @internal */
-function findUnansweredCause({hasFailed, wasCut, isClosing}: {readonly hasFailed: boolean; readonly wasCut: boolean; readonly isClosing: boolean}): UnansweredCause {
+function findUnansweredCause({hasFailed, hasCallerLeft, wasCut, isClosing}: Readonly<Record<'hasFailed' | 'hasCallerLeft' | 'wasCut' | 'isClosing', boolean>>): UnansweredCause {
 	if (hasFailed) {
 		return 'unexpected-error';
 	}
 
+	// An answer whose caller has left is cut as well.
+	if (hasCallerLeft) {
+		return 'caller-left';
+	}
+
 	if (wasCut) {
 		return 'answer-cut';
 	}
@@ -420,12 +427,14 @@
 			: createFailure('unexpected-error', detail, {retryAfterMs: notReadyRetryAfterMs}));
 	}
 
-	function recordUnanswered(request: IncomingMessage, response: ServerResponse, {answer, isForwarded, hasFailed, unreadMs}: RequestContext): void {
+	function recordUnanswered(request: IncomingMessage, response: ServerResponse, {answer, isForwarded, hasFailed, hasCallerLeft, unreadMs}: RequestContext): void {
 		if (response.writableFinished) {
 			return;
 		}
 
-		const cause = findUnansweredCause({hasFailed, wasCut: answer.wasCut(), isClosing});
+		const cause = findUnansweredCause({
+			hasFailed, hasCallerLeft, wasCut: answer.wasCut(), isClosing,
+		});
 		unanswered.set(cause, (unanswered.get(cause) ?? 0) + 1);
 		if (cause !== 'caller-left') {
 			events.write('requestUnanswered', {
@@ -452,23 +461,24 @@
 		async serve(request: IncomingMessage, response: ServerResponse, {unreadMs}: ReceivedRequest): Promise<void> {
 			const answer = createCallerAnswer(response, wire, byteLimits);
 			const abortController = new AbortController();
+			const context: RequestContext = {
+				answer, abortController, arrival: describeArrival(request), unreadMs, arrivedAt: clock.now() - unreadMs, isForwarded: false, hasFailed: false, hasCallerLeft: false,
+			};
+			const abortRequest = () => {
+				context.hasCallerLeft ||= !isClosing && !answer.wasCut();
+				abortController.abort(new Error(isClosing ? gatewayClosing : callerDisconnected));
+			};
+
 			response.on('close', () => {
 				if (!response.writableFinished) {
-					abortController.abort(new Error(isClosing ? gatewayClosing : callerDisconnected));
+					abortRequest();
 				}
 			});
 			response.on('error', error => {
 				events.write('callerLost', {detail: error.message});
 			});
 			// The end of the caller's side of the socket is seen some event loop iterations before the response closes.
-			const abortRequest = () => {
-				abortController.abort(new Error(isClosing ? gatewayClosing : callerDisconnected));
-			};
-
 			request.socket.on('end', abortRequest);
-			const context: RequestContext = {
-				answer, abortController, arrival: describeArrival(request), unreadMs, arrivedAt: clock.now() - unreadMs, isForwarded: false, hasFailed: false,
-			};
 			runningRequests.add(request);
 			try {
 				await syncViews(unreadMs);
