Run a pipelined request that may not be repeated only in its turn

Callers who sent two generations on one connection without waiting saw the connection close without an answer to the second, although an engine had run it to its end.

Cause: Node.js hands pipelined requests over beside each other, and both were forwarded at once. If the answer to the first is cut, because its engine has ended, the connection closes and the answer to the second, which waits behind it, is discarded. RFC 9112, 9.3.2, allows to process pipelined requests in parallel only if their methods are safe.

Change: a request of a route that may not be repeated waits until the answers to the earlier ones of its connection are sent. Its time limit goes on, so one that waits for longer is refused as not run, and one whose connection has closed does not run. Repeatable requests still run beside each other.

--- a/src/daemon/gateway-interface.test.ts
+++ b/src/daemon/gateway-interface.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
@@ -139,6 +140,48 @@
 	server.closeAllConnections();
 });
 
+// Guards against a booking that runs and whose answer is discarded, because an earlier answer on its connection is cut.
+test('a pipelined request that may not be repeated is not forwarded before the answers to the earlier ones are sent', async () => {
+	const forwarded: string[] = [];
+	let cutsFirst = false;
+	const {server, deliverTokens} = await startGateway({
+		forwarder: {
+			async forward({answer, path}) {
+				forwarded.push(path);
+				answer.start(200, ['Content-Length', '6']);
+				await wait(50);
+				if (cutsFirst) {
+					answer.abort();
+				} else {
+					answer.end(Buffer.from(path.padEnd(6, '.')));
+				}
+
+				return {
+					result: 'served', events: 1, sends: 1, mayHaveRun: true, upstream: 'u',
+				} as unknown as ForwardReport;
+			},
+		},
+	});
+	deliverTokens();
+	const formatPost = (path: string) => `POST ${path} HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 0\r\n\r\n`;
+	const {port} = new URL(server.url);
+	const socket = connect(Number(port), '127.0.0.1');
+	let text = '';
+	socket.on('data', data => {
+		text += String(data);
+	});
+	socket.write(formatPost('/one') + formatPost('/two'));
+	await wait(20);
+	expect(forwarded).toEqual(['/one']);
+	await expect.poll(() => text).toMatch(/\/one\.\..*\/two\.\./su);
+	cutsFirst = true;
+	socket.write(formatPost('/three') + formatPost('/four'));
+	await once(socket, 'close');
+	await wait(20);
+	expect(forwarded).toEqual(['/one', '/two', '/three']);
+	server.closeAllConnections();
+});
+
 // Guards against a connection that is closed without an answer.
 test('a request that meets an unexpected error before it is forwarded is refused as not run', async () => {
 	const {server} = await startGateway({
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -106,6 +106,7 @@
 const maxLoggedRequests = 20;
 const callerDisconnected = 'The caller disconnected';
 const gatewayClosing = 'This gateway is shutting down';
+const connectionClosed = 'The connection closed with an earlier answer';
 const requestTimedOut = 'The request timed out';
 
 /** @internal */
@@ -154,6 +155,7 @@
 	} = options;
 	const runningRequests = new Set<IncomingMessage>();
 	const requestCounts = new WeakMap<Socket, number>();
+	const latestResponses = new WeakMap<Socket, ServerResponse>();
 	const unanswered = new Map<UnansweredCause, number>();
 	let isClosing = false;
 
@@ -210,6 +212,22 @@
 		return elapsed === undefined ? undefined : {stoppingMs: Math.round(elapsed), onConnection};
 	}
 
+	/**
+	 * Waits until the answers to the earlier requests of a pipelining caller are sent, if the request may not be repeated: were
+	 * one of them cut, the connection would close with it, and an answer to this one could not be sent any more.
+	 */
+	async function waitForTurn(request: IncomingMessage, previousResponse: ServerResponse | undefined, {abortController, resolved}: RequestContext): Promise<void> {
+		const {kind, isResumable} = resolved!.route;
+		if (!previousResponse || kind === 'idempotent' || isResumable) {
+			return;
+		}
+
+		await waitUntilSent(request, previousResponse);
+		if (request.socket.destroyed) {
+			abortController.abort(new Error(connectionClosed));
+		}
+	}
+
 	function recordOutcome(request: ForwardRequest, report: ForwardReport, {reserveMs, arrival, unreadMs}: Pick<RequestContext, 'arrival' | 'unreadMs'> & {readonly reserveMs: number}): void {
 		const {route, customer, startedAt} = request;
 		events.write('requestEnded', {
@@ -480,6 +498,8 @@
 			// The end of the caller's side of the socket is seen some event loop iterations before the response closes.
 			request.socket.on('end', abortRequest);
 			runningRequests.add(request);
+			const previousResponse = latestResponses.get(request.socket);
+			latestResponses.set(request.socket, response);
 			try {
 				await syncViews(unreadMs);
 				const resolved = resolveRequest(request, {wire, table: findRouteTable()});
@@ -487,6 +507,7 @@
 					refuse(context, wire.readRequestId(request.headers), resolved.val);
 				} else {
 					context.resolved = resolved.val;
+					await waitForTurn(request, previousResponse, context);
 					await serveWithAdmission(request, resolved.val, context);
 				}
 			} catch (error) {
