Refuse registrations of upstreams to which no request can be sent

Callers whose request was placed at such an entry got a failure, or a closed connection: the entry's port was a word or above 65535, or its key held a character that no header can hold, and the request failed with an exception of the HTTP client.

--- a/src/protocol/deployment.ts
+++ b/src/protocol/deployment.ts
@@ -4,8 +4,28 @@
  *
  * @module
  */
+import {isIPv4, isIPv6} from 'node:net';
 import * as z from 'zod';
 
+/** IP address and port, an IPv6 address in brackets. Only one form of a port: two addresses of one process must be equal. */
+const upstreamAddressPattern = /^(?:(?<host4>[\d.]+)|\[(?<host6>[\da-f:.]+)]):(?<port>[1-9]\d{0,4})$/i;
+/** The ID of an upstream is sent in a header, which holds no control characters, and a log record has at most 255 bytes for it. */
+const upstreamIdPattern = /^[\u0021-\u007E]{1,255}$/;
+const maxPort = 65_535;
+/** Each running request has a connection of its own, and an address has no more ports. */
+const maxSlots = 65_536;
+/** Warm-ups take seconds. One of more than a day is a time in another unit, and would keep the upstream cold for good. */
+const maxWarmUpMs = 24 * 60 * 60 * 1000;
+/** Names are written to log lines and to gossip, whose datagrams hold about 1300 bytes. */
+const maxNameLength = 255;
+const nameSchema = z.string().min(1).max(maxNameLength);
+
+/** @internal */
+function isUpstreamAddress(text: string): boolean {
+	const {host4, host6, port} = upstreamAddressPattern.exec(text)?.groups ?? {};
+	return (isIPv4(host4 ?? '') || isIPv6(host6 ?? '')) && Number(port) <= maxPort;
+}
+
 /**
  * Whether a request can be repeated: an `idempotent` request may run more than
  * once, a `once` request must not, and a `stream` may be resumed only if its
@@ -105,17 +125,17 @@
 /** Schema of the registration that an upstream writes for itself. */
 export const upstreamRegistrationSchema = z.object({
 	/** Unique to one start of the upstream. */
-	id: z.string(),
-	service: z.string(),
+	id: z.string().regex(upstreamIdPattern, 'Not 1 to 255 printable ASCII characters'),
+	service: nameSchema,
 	/** IP address and port. */
-	address: z.string(),
-	failureDomain: z.string(),
-	slots: z.number().int().positive(),
+	address: z.string().refine(isUpstreamAddress, 'Not an IP address and a port from 1 to 65535'),
+	failureDomain: nameSchema,
+	slots: z.number().int().positive().max(maxSlots),
 	isDraining: z.boolean(),
 	/** Time after its start during which the upstream is slow, in milliseconds. */
-	warmUp: z.number().nonnegative(),
+	warmUp: z.number().nonnegative().max(maxWarmUpMs),
 	/** Version of the upstream's software; undefined if it does not say. */
-	softwareVersion: z.string().min(1).optional(),
+	softwareVersion: nameSchema.optional(),
 	/** When it started, in milliseconds of Unix time by its own clock; undefined if it does not say. */
 	startedAt: z.number().int().optional(),
 	/** Increases with each renewal; undefined if it does not say. */
