Treat answers of the store that cannot be read as an outage

The follower also counts a read that throws as failed, whatever the log behind it.

The new test of the follower ends with an unhandled RangeError without the change.

--- a/src/coordination/store/keyed-follower.test.ts
+++ b/src/coordination/store/keyed-follower.test.ts
@@ -253,3 +253,46 @@
 	expect(keys).toContain('c');
 	expect(keys).toContain('d');
 });
+
+test('a read that throws counts as failed, and the log is still followed', async () => {
+	// Guards against a process that ends, or stops following a log, because of one answer.
+	const time = createVirtualTime();
+	const abortController = new AbortController();
+	let reads = 0;
+	const delivered: string[] = [];
+	const follower = createKeyedFollower({
+		log: {
+			name: 'log',
+			async readNewest() {
+				await time.sleep(callMs);
+				reads += 1;
+				if (reads < 3) {
+					throw new RangeError('Offset is outside the bounds');
+				}
+
+				return Ok({records: [{key: 'k', value: 'v', offset: 0}], end: 1});
+			},
+			async read() {
+				await time.sleep(callMs);
+				reads += 1;
+				if (reads < 6) {
+					throw new SyntaxError('Unexpected end of JSON input');
+				}
+
+				return Ok({records: reads === 6 ? [{key: 'l', value: 'v', offset: 1}] : [], end: 2});
+			},
+			append: async () => ({kind: 'refused', failure: createFailure('log-unavailable', 'Not used')}),
+		},
+		clock: time, events, longPollMs: 0, readIntervalMs: 100, readTimeoutMs,
+		onRecord({key}) {
+			delivered.push(key);
+		},
+	});
+	const running = follower.run(abortController.signal);
+	await time.runUntil(3000);
+	abortController.abort();
+	await time.runUntil(4000);
+	await running;
+	expect(delivered).toEqual(['k', 'l']);
+	expect(follower.isUp()).toBe(true);
+});
--- a/src/coordination/store/keyed-follower.ts
+++ b/src/coordination/store/keyed-follower.ts
@@ -253,13 +253,24 @@
 		return false;
 	}
 
-	async function readNext(longPollMs: number, signal: AbortSignal): Promise<boolean> {
+	async function readDirectly(longPollMs: number, signal: AbortSignal): Promise<boolean> {
 		const untilDropsMs = dropsDueAt === undefined ? Number.POSITIVE_INFINITY : dropsDueAt - clock.now();
 		return nextOffset === undefined || untilDropsMs <= 0
 			? readNewest()
 			: readFrom(nextOffset, Math.min(longPollMs, Math.ceil(untilDropsMs)), signal);
 	}
 
+	// An exception here would end the process or, if it were only caught around the loop, the following of this log.
+	async function readNext(longPollMs: number, signal: AbortSignal): Promise<boolean> {
+		const sentAt = clock.now();
+		try {
+			return await readDirectly(longPollMs, signal);
+		} catch (error) {
+			recordFailure(sentAt, createFailure('log-unavailable', `A read failed: ${(error as Error).message}`));
+			return false;
+		}
+	}
+
 	// A read on an unresponsive connection can hang for seconds while new reads would be answered. Without a timeout,
 	// requests would be handled on a stale view, and a log that has recovered would still count as unavailable. The
 	// hanging read is not cancelled, since its answer may still arrive first.
