Let an odd entry of the log name no upstream, and take none out of service

Three faults with entries of another writer among those of the upstreams. One that replaced an upstream's own was skipped, and requests still went to the upstream, of which the log then told neither a drain nor a new address. One for a service that no deployment names, or under another key, with the address of an upstream took that address: the upstream got no more requests until it wrote an entry that differs from its last, which a healthy one does not do. One that was written again and again made a line each time, with the beginning of a JSON document for its reason.

Cause: an unreadable record was skipped whatever was known of its key, and any registration counted as proof that an earlier process at its address had ended.

--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -12,7 +12,15 @@
 // Tests, in virtual time, which upstreams a gateway considers available while its path to the store fails. An upstream
 // serves for two seconds after the store has recorded that it leaves; no request may reach it later.
 
-const events: EventLog = {write: () => undefined, counts: new Map()};
+const unreadable: Array<Record<string, unknown>> = [];
+const events: EventLog = {
+	write(name, fields = {}) {
+		if (name === 'recordUnreadable') {
+			unreadable.push(fields);
+		}
+	},
+	counts: new Map(),
+};
 const service: GatewayService = {id: 's', connectionLimit: 10};
 /** Timeout of a call on an unresponsive path to the store. */
 const unresponsiveCallTimeoutMs = 1000;
@@ -102,7 +110,7 @@
 	}
 
 	return {
-		time, add, putDeploymentRecord, logs, state,
+		time, add, put, putDeploymentRecord, logs, state,
 		/** Partitions the gateway from the store on all paths, or ends the partition. */
 		setPartitioned(value: boolean) {
 			isPartitioned = value;
@@ -388,3 +396,48 @@
 	expect(state.evacuations.listEvacuated()).toEqual([]);
 	stop();
 });
+
+test('an odd entry in place of an upstream\'s own names no upstream, and the upstream returns with its next entry', async () => {
+	// Guards against requests to an upstream of which the log says nothing that can be read, and against the loss of the others.
+	const fixture = createFixture(['u1', 'u2']);
+	const {time, add, put, listCandidates, stop} = fixture;
+	await time.runUntil(1000);
+	put('u1', '{');
+	put('u3', 'odd');
+	await time.runUntil(2000);
+	expect(listCandidates()).toEqual(['u2']);
+	add('u1');
+	await time.runUntil(3000);
+	expect(listCandidates()).toEqual(['u2', 'u1']);
+	stop();
+});
+
+test('an odd entry in a backup of the log does not replace a later one', async () => {
+	const fixture = createFixture(['u1', 'u2']);
+	const {time, add, put, listCandidates, stop} = fixture;
+	put('u1', '{');
+	await time.runUntil(1000);
+	add('u1');
+	await time.runUntil(2000);
+	restoreLogs(fixture, {upstreams: 3, deployment: 0});
+	await time.runUntil(2700);
+	expect(listCandidates()).toEqual(['u2', 'u1']);
+	stop();
+});
+
+test('an odd entry that is written again and again is reported once', async () => {
+	// Guards against a log that another writer fills.
+	unreadable.length = 0;
+	const {time, put, stop} = createFixture(['u1']);
+	for (let written = 0; written < 20; written += 1) {
+		put('odd', '{');
+		await time.runUntil(1000 + (written * 500));
+	}
+
+	expect(unreadable.map(({key}) => key)).toEqual(['odd']);
+	put('odd', 'odd');
+	await time.runUntil(12_000);
+	expect(unreadable.length).toBe(2);
+	expect(unreadable.every(({detail}) => typeof detail === 'string' && detail.length <= 200)).toBe(true);
+	stop();
+});
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import * as z from 'zod';
 import {
 	createKeyedFollower, createExpiryGrace, formatHolderKey, isQuarantineKey, isRecoveryKey, type HolderIdentity, type KeyedFollower, type RecordOrigin,
 } from '../coordination/mod.js';
@@ -87,6 +88,16 @@
 /** Maximum length of the reason why a record is unreadable, in characters; it may quote the record. */
 const maxDetailLength = 200;
 
+/** Maximum number of keys whose unreadable records are remembered as reported. */
+const maxReportedRecords = 1000;
+
+/** @internal The message of a schema's error is a JSON document whose beginning does not show the reason. */
+function describeError(error: unknown): string {
+	return error instanceof z.ZodError
+		? error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; ')
+		: (error as Error).message;
+}
+
 /** @internal Returns the tokens bought by each customer for whom they differ from the previous deployment. */
 function listChangedPurchases({customers = []}: Deployment, previous: RouteTable | undefined): Record<string, number> {
 	const changed = customers.filter(({id, bought}) => bought !== undefined && bought !== previous?.findCustomer(id)?.bought);
@@ -132,23 +143,40 @@
 export function createGatewayState(options: CreateGatewayStateOptions) {
 	const {adapter, clock, events} = options;
 	const ownKey = formatHolderKey(options.self);
-	const directory = createUpstreamDirectory();
+	const directory = createUpstreamDirectory({isServiceNamed: service => routeTable?.findService(service) !== undefined});
 	const versionHistory = createValueHistory({isComplete: options.isFirstStart});
 	const routeHistory = createValueHistory({isComplete: options.isFirstStart});
 	const evacuations = createEvacuations();
 	const grantRegistry = createGrantRegistry();
 	const account = createTokenAccount();
 	const expiryGrace = createExpiryGrace({heartbeatIntervalMs: options.upstreamHeartbeatMs});
+	/** Why the last record of a key was unreadable. */
+	const reportedDetails = new Map<string, string>();
 	let routeTable: RouteTable | undefined;
 	let deploymentRecord = '';
 	let pendingSync: Promise<unknown> | undefined;
 
+	// A writer that goes on writing the same odd record must not fill the log with lines.
+	function reportUnreadable({key, offset}: StoredRecord, detail: string): void {
+		if (reportedDetails.get(key) === detail) {
+			return;
+		}
+
+		events.write('recordUnreadable', {key, offset, detail});
+		reportedDetails.delete(key);
+		reportedDetails.set(key, detail);
+		if (reportedDetails.size > maxReportedRecords) {
+			reportedDetails.delete(reportedDetails.keys().next().value!);
+		}
+	}
+
 	// Reports and skips a record that cannot be read, so that it does not block the records after it.
 	function applyOrSkip(record: StoredRecord, apply: () => void): void {
 		try {
 			apply();
+			reportedDetails.delete(record.key);
 		} catch (error) {
-			events.write('recordUnreadable', {key: record.key, offset: record.offset, detail: (error as Error).message.slice(0, maxDetailLength)});
+			reportUnreadable(record, describeError(error).slice(0, maxDetailLength));
 		}
 	}
 
@@ -162,28 +190,42 @@
 		const bought = listChangedPurchases(deployment, routeTable);
 		routeTable = createRouteTable(deployment);
 		deploymentRecord = text;
+		directory.takeAddresses();
 		routeHistory.replace(listRouteTargets(deployment), clock.now());
 		options.onDeployment(deployment);
 		events.write('deploymentAdopted', {version: deployment.version, source, bought: JSON.stringify(bought)});
 	}
 
-	function removeUpstream(key: string, offset: number): void {
+	function removeUpstream(key: string, offset: number, graceEndsAt?: number): void {
 		const known = directory.get(key);
 		const now = clock.now();
-		directory.drop(key, expiryGrace.findGraceEnd(now));
+		directory.drop(key, graceEndsAt);
 		versionHistory.drop(key, now);
 		events.write('upstreamGone', {
 			upstream: key, service: known?.service, wasDraining: known?.isDraining, offset, sinceReadMs: upstreamFollower.computeStalenessMs(), graceMs: directory.computeRemainingGraceMs(key, now),
 		});
 	}
 
+	// The log keeps one entry of each key, and an odd one names no upstream. One from a backup may be older than what is known.
+	function readRegistration(key: string, value: string, {offset, mayBeOlder}: {readonly offset: number; readonly mayBeOlder: boolean}): UpstreamRegistration {
+		try {
+			return adapter.decodeUpstream(key, value);
+		} catch (error) {
+			if (directory.get(key) && !mayBeOlder) {
+				removeUpstream(key, offset);
+			}
+
+			throw error;
+		}
+	}
+
 	function applyUpstreamRecord({key, value, offset}: StoredRecord, {mayBeOlder}: RecordOrigin): void {
 		if (value === undefined) {
-			removeUpstream(key, offset);
+			removeUpstream(key, offset, expiryGrace.findGraceEnd(clock.now()));
 			return;
 		}
 
-		const registration = adapter.decodeUpstream(key, value);
+		const registration = readRegistration(key, value, {offset, mayBeOlder});
 		if (mayBeOlder && directory.mayBeOutdated(registration)) {
 			return;
 		}
--- a/src/state/upstream-directory.test.ts
+++ b/src/state/upstream-directory.test.ts
@@ -75,3 +75,41 @@
 	expect(directory.mayBeOutdated({...entry, sequence: 6})).toBe(false);
 	expect(directory.mayBeOutdated({...entry, id: 'u2'})).toBe(false);
 });
+
+test('a registration for a service that is not named takes no address until the deployment names the service', () => {
+	// Guards against another writer's entry that puts an upstream out of service.
+	const named = new Set(['s']);
+	const directory = createUpstreamDirectory({isServiceNamed: service => named.has(service)});
+	directory.put(entry, 0);
+	directory.put({...entry, id: 'odd', service: 'unknown'}, 1);
+	directory.takeAddresses();
+	expect(directory.listLive('s', 2).map(({upstream}) => upstream.id)).toEqual(['u1']);
+	named.add('unknown');
+	directory.takeAddresses();
+	expect(directory.listLive('s', 2)).toEqual([]);
+	expect(directory.listLive('unknown', 2).map(({upstream}) => upstream.id)).toEqual(['odd']);
+});
+
+test('registrations that are put before the deployment is known take their addresses in order', () => {
+	const named = new Set<string>();
+	const directory = createUpstreamDirectory({isServiceNamed: service => named.has(service)});
+	directory.put(entry, 0);
+	directory.put({...entry, id: 'u2'}, 1);
+	named.add('s');
+	directory.takeAddresses();
+	directory.takeAddresses();
+	expect(directory.listLive('s', 2).map(({upstream}) => upstream.id)).toEqual(['u2']);
+});
+
+test('an upstream is live again if the one that took its address is not there', () => {
+	// Guards against another writer's entry that puts an upstream out of service for good: an upstream whose entry does not
+	// change is not written again.
+	const directory = createUpstreamDirectory();
+	directory.put(entry, 0);
+	directory.put({...entry, id: 'odd'}, 1);
+	expect(directory.listLive('s', 2).map(({upstream}) => upstream.id)).toEqual(['odd']);
+	directory.markAddressReused('odd');
+	expect(directory.listLive('s', 3).map(({upstream}) => upstream.id)).toEqual(['u1']);
+	directory.markAddressReused('u1');
+	expect(directory.listLive('s', 4)).toEqual([]);
+});
--- a/src/state/upstream-directory.ts
+++ b/src/state/upstream-directory.ts
@@ -5,7 +5,15 @@
  */
 import type {UpstreamRegistration} from '../protocol/mod.js';
 
-type Registration = {upstream: UpstreamRegistration; graceEndsAt?: number; warmAt: number; isAddressReused?: boolean};
+type Registration = {
+	upstream: UpstreamRegistration;
+	graceEndsAt?: number;
+	warmAt: number;
+	/** The upstream that has registered its address since or, as '', one that answered at it; undefined if there is none. */
+	addressTakenBy?: string;
+	/** True if its own address has been taken from earlier registrations. */
+	hasTakenAddress: boolean;
+};
 
 /** An upstream that accepts requests. */
 export type LiveUpstream = {
@@ -19,6 +27,12 @@
 /** Maximum number of removed upstreams that are remembered; the oldest one is evicted first. */
 const maxRemovedSequences = 1000;
 
+/** Options of {@linkcode createUpstreamDirectory}. */
+export type CreateUpstreamDirectoryOptions = {
+	/** Returns true if the deployment names a service; by default it names all. */
+	readonly isServiceNamed?: (service: string) => boolean;
+};
+
 /** Directory of registered upstreams. */
 export type UpstreamDirectory = ReturnType<typeof createUpstreamDirectory>;
 
@@ -32,9 +46,10 @@
  * directory.listLive('beds', 10);
  * ```
  *
+ * @param options The services that the deployment names
  * @returns The directory
  */
-export function createUpstreamDirectory() {
+export function createUpstreamDirectory({isServiceNamed = () => true}: CreateUpstreamDirectoryOptions = {}) {
 	const registrations = new Map<string, Registration>();
 	/** Sequence numbers of the last registrations of upstreams that were removed, the oldest first. */
 	const removedSequences = new Map<string, number | undefined>();
@@ -42,21 +57,27 @@
 	const idByAddress = new Map<string, string>();
 
 	function isLive(registration: Registration, now: number): boolean {
-		return !registration.upstream.isDraining && !registration.isAddressReused && (registration.graceEndsAt === undefined || now < registration.graceEndsAt);
+		return !registration.upstream.isDraining && registration.addressTakenBy === undefined && (registration.graceEndsAt === undefined || now < registration.graceEndsAt);
 	}
 
 	function buildLiveUpstream({upstream, warmAt, graceEndsAt}: Registration): LiveUpstream {
 		return {upstream, warmAt, isOnGrace: graceEndsAt !== undefined};
 	}
 
-	// Only one process listens at an address, so an earlier registration is of a process that has ended.
-	function recordAddress({id, address}: UpstreamRegistration): void {
+	// Only one process listens at an address, so an earlier registration is of a process that has ended. A registration for
+	// a service that the deployment does not name may come from any writer: it must not put an upstream out of service.
+	function takeAddress({id, service, address}: UpstreamRegistration): boolean {
+		if (!isServiceNamed(service)) {
+			return false;
+		}
+
 		const previous = registrations.get(idByAddress.get(address) ?? id);
 		if (previous && previous.upstream.id !== id && previous.upstream.address === address) {
-			previous.isAddressReused = true;
+			previous.addressTakenBy = id;
 		}
 
 		idByAddress.set(address, id);
+		return true;
 	}
 
 	function removeAddress(id: string): void {
@@ -84,11 +105,18 @@
 	return {
 		/** Stores a registration. Registrations must be put in the order in which they were written. */
 		put(upstream: UpstreamRegistration, now: number): void {
-			recordAddress(upstream);
+			const hasTakenAddress = takeAddress(upstream);
 			const previous = registrations.get(upstream.id);
 			// Draining is final: an older registration that is read late must not make the upstream live again.
 			const isDraining = upstream.isDraining || previous?.upstream.isDraining === true;
-			registrations.set(upstream.id, {upstream: {...upstream, isDraining}, warmAt: now + upstream.warmUp});
+			registrations.set(upstream.id, {upstream: {...upstream, isDraining}, warmAt: now + upstream.warmUp, hasTakenAddress});
+		},
+
+		/** Takes the addresses of registrations whose services the deployment names only now. */
+		takeAddresses(): void {
+			for (const registration of registrations.values()) {
+				registration.hasTakenAddress ||= takeAddress(registration.upstream);
+			}
 		},
 
 		/**
@@ -126,11 +154,20 @@
 		 * for three heartbeats. Without this mark, rendezvous hashing would send
 		 * every request with the same prompt to the same stale registration, where
 		 * it is refused.
+		 *
+		 * An upstream whose address this one had taken may still be there.
 		 */
 		markAddressReused(id: string): void {
 			const registration = registrations.get(id);
-			if (registration) {
-				registration.isAddressReused = true;
+			if (!registration) {
+				return;
+			}
+
+			registration.addressTakenBy = '';
+			for (const other of registrations.values()) {
+				if (other.addressTakenBy === id) {
+					delete other.addressTakenBy;
+				}
 			}
 		},
 
