Wait for an upstream if the one a call was given up for is taken

Callers would see an answer cut although its engine was at work: several streams whose engines are silent see the same free upstream, all calls are given up, and the upstream's limit admits one of them just before the write. The others found no upstream left and were cut.

Cause: the last place at an upstream counts only when a request is written, some milliseconds after the decision, and a withheld upstream stayed excluded for the rest of the request.

Change: a request whose call was given up after it was written waits for an upstream, asked for every 100 ms, while as much time is left as the decision itself wants. Upstreams that did not receive the request are eligible again. Other requests are refused as soon as before.

--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -571,6 +571,21 @@
 	expect([report.result, fixture.received.body]).toEqual(['served', 'whole']);
 });
 
+test('a stream that was given up waits for an upstream if none takes it any more, as long as one may answer in time', async () => {
+	// Guards against a stream that is cut because others took the last place at the upstream to which it was to go.
+	const stalled: UpstreamResponse = {...firstHalf, isReset: false, hangs: true};
+	const fixture = createFixture([stalled, {fails: 'unsent'}, {fails: 'unsent'}, secondHalf]);
+	const report = await fixture.forward({isResumable: true, objective: 100, attempts: 2});
+	expect([report.result, report.events, report.sends]).toEqual(['served', 2, 2]);
+	expect(countLeft(fixture.retries)).toBe(9);
+
+	const unanswered = createFixture([stalled, ...Array.from({length: 99}, () => ({fails: 'unsent'} as const))]);
+	const startedAt = performance.now();
+	expect(await unanswered.forward({isResumable: true, objective: 400, attempts: 2}, 2200)).toMatchObject({result: 'cut', sends: 1});
+	expect(performance.now() - startedAt).toBeGreaterThan(1600);
+	expect(countLeft(unanswered.retries)).toBe(10);
+});
+
 test.each([
 	['a request that is not idempotent', {kind: 'once'}],
 	['a stream that may not be resumed', {kind: 'stream', isResumable: false}],
--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -14,7 +14,7 @@
 import type {PlacementCandidate} from '../upstreams/placement-policy.js';
 import type {Quarantine} from '../quarantine/quarantine.js';
 import {hasTimeLeft, minRemainingMs} from '../load/remaining-time.js';
-import {createRequestPlacement, type CreateRequestPlacementOptions} from '../upstreams/request-placement.js';
+import {createRequestPlacement, type CreateRequestPlacementOptions, type Placement} from '../upstreams/request-placement.js';
 import type {RetryBudget} from '../load/retry-budget.js';
 import {versionGoneRetryAfterMs} from '../streams/stream-resolver.js';
 import type {UpstreamEligibility} from '../upstreams/upstream-eligibility.js';
@@ -48,6 +48,8 @@
 
 /** Retry-after time for callers when every upstream is overloaded or unavailable. */
 const overloadedRetryAfterMs = 500;
+/** Time after which a request that waits for an upstream looks for one again. */
+const placementCheckIntervalMs = 100;
 
 /**
  * Creates a request forwarder.
@@ -79,7 +81,7 @@
 		const tried = new Set<string>();
 		const {service, generation, route} = request;
 		const state: ForwardingState = {
-			request, relay, progress, tried, origin: request.origin,
+			request, relay, progress, tried, unreached: new Set(), origin: request.origin,
 			retries: createRetryReservation({
 				attempts: route.attempts, findBudget: () => findRetryBudget(service.id),
 				mayRetry: () => mayRetryElsewhere(request, relay),
@@ -181,9 +183,24 @@
 			: finishUnanswered(state, {detail, retryAfterMs: overloadedRetryAfterMs, type: 'unexpected-error'});
 	}
 
+	/** Waits for an upstream if the call before was given up for one that is no longer free. */
+	async function waitForPlacement({request, tried, unreached, retries, origin}: ForwardingState): Promise<Placement | undefined> {
+		let placement: Placement | undefined;
+		while (placement === undefined && retries.shouldWait() && !request.signal.aborted) {
+			await clock.sleep(placementCheckIntervalMs, request.signal);
+			for (const id of unreached) {
+				tried.delete(id);
+			}
+
+			placement = requestPlacement.pick(request, tried, origin);
+		}
+
+		return placement;
+	}
+
 	async function forwardUntilAnswered(state: ForwardingState): Promise<ForwardReport> {
 		const {
-			request, relay, progress, tried, retries,
+			request, relay, progress, tried, unreached, retries,
 		} = state;
 		let deliverFailure: (() => void) | undefined;
 		let detail = '';
@@ -195,7 +212,12 @@
 				break;
 			}
 
-			const placement = requestPlacement.pick(request, tried, state.origin);
+			const placement = requestPlacement.pick(request, tried, state.origin) ?? await waitForPlacement(state);
+			if (request.signal.aborted) {
+				detail = String((request.signal.reason as Error).message);
+				break;
+			}
+
 			if (placement === undefined || !hasTimeLeft(request.deadline, clock.now()) || !retries.tryBegin()) {
 				break;
 			}
@@ -204,7 +226,12 @@
 			tried.add(id);
 			recordCandidate(progress, placement.candidate);
 			const outcome = await sender.send(state, placement);
-			retries.finish(findReached(outcome));
+			const reached = findReached(outcome);
+			retries.finish(reached);
+			if (reached === 'none') {
+				unreached.add(id);
+			}
+
 			progress.sends = retries.countSends();
 			if (request.signal.aborted && outcome.kind !== 'complete') {
 				detail = String((request.signal.reason as Error).message);
--- a/src/coordination/requests/retry-reservation.test.ts
+++ b/src/coordination/requests/retry-reservation.test.ts
@@ -131,3 +131,21 @@
 	reservation.release();
 	expect([first.tryWithdraw(), second.tryWithdraw()]).toEqual([true, true]);
 });
+
+test('a request waits for an upstream only if its call was given up, until a retry has reached one or too little time is left', () => {
+	// Guards against requests that are held although they could be refused at once.
+	const {conditions, reservation, call} = createFixture({attempts: 3});
+	call('chosen');
+	expect(reservation.shouldWait()).toBe(false);
+	reservation.tryBegin();
+	reservation.tryReserve(written);
+	reservation.finish('chosen');
+	expect(reservation.shouldWait()).toBe(true);
+	call('none');
+	expect(reservation.shouldWait()).toBe(true);
+	conditions.remainingMs = 299;
+	expect(reservation.shouldWait()).toBe(false);
+	conditions.remainingMs = 300;
+	call('chosen');
+	expect(reservation.shouldWait()).toBe(false);
+});
--- a/src/coordination/requests/retry-reservation.ts
+++ b/src/coordination/requests/retry-reservation.ts
@@ -57,6 +57,12 @@
 	let reservedFrom: RetryBudget | undefined;
 	/** Budget from which the retry of the running call was withdrawn. */
 	let usedFrom: RetryBudget | undefined;
+	/** The running call is given up after it was written. */
+	let isGivingUp = false;
+	/** The last call that reached an upstream was given up. */
+	let wasGivenUp = false;
+
+	const hasTime = (): boolean => computeRemainingMs() >= minRemainingMs;
 
 	function tryWithdraw(): boolean {
 		if (reservedFrom === undefined) {
@@ -88,6 +94,8 @@
 			}
 
 			usedFrom = undefined;
+			wasGivenUp = isGivingUp || (wasGivenUp && reached === 'none');
+			isGivingUp = false;
 		},
 
 		/**
@@ -96,10 +104,19 @@
 		 * an attempt nor a retry.
 		 */
 		tryReserve({wasWritten}: {readonly wasWritten: boolean}): boolean {
-			const isPossible = sends + (wasWritten ? 1 : 0) < attempts && computeRemainingMs() >= minRemainingMs && mayRetry() && hasCandidate();
-			return isPossible && (!wasWritten || tryWithdraw());
+			const isPossible = sends + (wasWritten ? 1 : 0) < attempts && hasTime() && mayRetry() && hasCandidate();
+			const isReserved = isPossible && (!wasWritten || tryWithdraw());
+			isGivingUp ||= isReserved && wasWritten;
+			return isReserved;
 		},
 
+		/**
+		 * Returns true if the request should wait for an upstream although none may get
+		 * it now: its call was given up for another upstream, whose place was taken by
+		 * other requests since.
+		 */
+		shouldWait: (): boolean => wasGivenUp && hasTime(),
+
 		countSends: (): number => sends,
 
 		/** Gives back a retry that was not used. */
--- a/src/coordination/requests/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -61,6 +61,8 @@
 	readonly progress: ForwardProgress;
 	/** Ids of the upstreams that were chosen so far. */
 	readonly tried: Set<string>;
+	/** Ids of those that did not receive the request. */
+	readonly unreached: Set<string>;
 	readonly retries: RetryReservation;
 	/** Set once the stream has begun. */
 	origin: StreamOrigin | undefined;
