Reset no connections to a gateway that is heard from

A gateway that hands connections over reset those without a byte of an answer once the other gateway had accepted no connection within 200 ms twice in a row. Callers of a gateway whose event loop was busy lost requests that its engines were at work on, also those that may not be repeated.

Cause: running exchanges were ended in the hope that their callers find another gateway, on a sign that a busy gateway gives as well as a frozen one.

Change: the reset also wants that no gossip of that gateway arrived since the timeout before; a frozen or cut-off one sends none. It is decided again at each further timeout, so a gateway that freezes later is found too.

Evidence: the new case of peer-breaker.test.ts failed before (reset at the second timeout); the peer-breaker, hand-over-decision, gateway-load, peer-views and connection-relay tests: 35 passed. The fixture of gateway-load.test.ts got the new look-up; no expectation changed. No process test holds a gateway busy for two timeouts with relayed connections.

--- a/src/coordination/load/peer-breaker.test.ts
+++ b/src/coordination/load/peer-breaker.test.ts
@@ -4,10 +4,11 @@
 const address = '10.0.0.2:7341';
 
 function createFixture() {
-	const state = {now: 0};
+	const state = {now: 0, heardAt: undefined as number | undefined};
 	const unresponsive: string[] = [];
 	const breaker = createPeerBreaker({
 		clock: {now: () => state.now},
+		findHeardAt: () => state.heardAt,
 		onUnresponsive(name) {
 			unresponsive.push(name);
 		},
@@ -81,3 +82,22 @@
 
 	expect(unresponsive).toEqual([]);
 });
+
+test('a gateway that does not accept connections in time but is heard from is not unresponsive until it is silent', () => {
+	// Guards against running requests that are cut at a gateway whose event loop is busy, in the hope that another one answers them.
+	const {state, breaker, unresponsive} = createFixture();
+	for (let count = 0; count < 3; count += 1) {
+		breaker.recordFailure({address, isTimeout: true});
+		state.heardAt = state.now + 600;
+		state.now += 10_000;
+		breaker.recordSelected(address);
+	}
+
+	expect(unresponsive).toEqual([]);
+	breaker.recordFailure({address, isTimeout: true});
+	expect(unresponsive).toEqual([]);
+	state.now += 10_000;
+	breaker.recordSelected(address);
+	breaker.recordFailure({address, isTimeout: true});
+	expect(unresponsive).toEqual([address]);
+});
--- a/src/coordination/load/peer-breaker.ts
+++ b/src/coordination/load/peer-breaker.ts
@@ -12,7 +12,12 @@
 /** Options of {@linkcode createPeerBreaker}. */
 export type CreatePeerBreakerOptions = {
 	readonly clock: Pick<Clock, 'now'>;
-	/** Called when connections to a gateway were not accepted in time several times in a row, with nothing accepted between. */
+	/** Returns when a gateway was last heard from; undefined if it has not been recently. */
+	readonly findHeardAt?: (address: string) => number | undefined;
+	/**
+	 * Called when connections to a gateway were not accepted in time several times
+	 * in a row, with nothing accepted between and nothing heard since the last but one.
+	 */
 	readonly onUnresponsive?: (address: string) => void;
 };
 
@@ -26,7 +31,7 @@
 /** Keeps connections from gateways that do not accept them. */
 export type PeerBreaker = ReturnType<typeof createPeerBreaker>;
 
-type PeerState = {failures: number; timeouts: number; probesAt: number; isProbing: boolean};
+type PeerState = {failures: number; timeouts: number; lastTimeoutAt: number; isReported: boolean; probesAt: number; isProbing: boolean};
 
 /** Time without connections after the first failure; doubled with each further one. */
 const minOpenMs = 500;
@@ -48,7 +53,7 @@
  * @param options The clock and the callback
  * @returns The breaker
  */
-export function createPeerBreaker({clock, onUnresponsive}: CreatePeerBreakerOptions) {
+export function createPeerBreaker({clock, findHeardAt, onUnresponsive}: CreatePeerBreakerOptions) {
 	/** Gateways that have not accepted a connection since their last failure. */
 	const states = new Map<string, PeerState>();
 
@@ -79,7 +84,7 @@
 		/** Records a failure. Those of connections that were opened beside each other count once. */
 		recordFailure({address, isTimeout}: PeerFailure): void {
 			const state = states.get(address) ?? {
-				failures: 0, timeouts: 0, probesAt: Number.NEGATIVE_INFINITY, isProbing: true,
+				failures: 0, timeouts: 0, lastTimeoutAt: Number.NEGATIVE_INFINITY, isReported: false, probesAt: Number.NEGATIVE_INFINITY, isProbing: true,
 			};
 			states.set(address, state);
 			if (!state.isProbing) {
@@ -89,8 +94,18 @@
 			state.isProbing = false;
 			state.failures += 1;
 			state.timeouts = isTimeout ? state.timeouts + 1 : 0;
-			state.probesAt = clock.now() + Math.min(maxOpenMs, minOpenMs * (2 ** (state.failures - 1)));
-			if (state.timeouts === unresponsiveTimeouts) {
+			const now = clock.now();
+			state.probesAt = now + Math.min(maxOpenMs, minOpenMs * (2 ** (state.failures - 1)));
+			if (!isTimeout) {
+				state.isReported = false;
+				return;
+			}
+
+			// A gateway that sends gossip runs, and so may the requests on its connections, however late it accepts new ones.
+			const isSilent = (findHeardAt?.(address) ?? Number.NEGATIVE_INFINITY) <= state.lastTimeoutAt;
+			state.lastTimeoutAt = now;
+			if (state.timeouts >= unresponsiveTimeouts && isSilent && !state.isReported) {
+				state.isReported = true;
 				onUnresponsive?.(address);
 			}
 		},
--- a/src/daemon/gateway-hand-over.ts
+++ b/src/daemon/gateway-hand-over.ts
@@ -15,7 +15,7 @@
 export type CreateGatewayHandOverOptions = {
 	readonly settings: Pick<GatewaySettings, 'failureDomain'>;
 	readonly admission: Pick<Admission, 'countRoom' | 'getLimit' | 'isLagging'>;
-	readonly peerViews: Pick<PeerViews, 'list'>;
+	readonly peerViews: Pick<PeerViews, 'findReceivedAt' | 'list'>;
 	readonly isStopping: () => boolean;
 	/** Version of the deployment in force; 0 before the first. */
 	readonly getDeploymentVersion: () => number;
@@ -47,16 +47,27 @@
 export function createGatewayHandOver(options: CreateGatewayHandOverOptions): GatewayHandOver {
 	const {settings, admission, peerViews, clock, events} = options;
 	let callerServer: HandOverServer | undefined;
+	/** Gateways by the address that they offered; one that is busy may offer it no longer. */
+	const daemons = new Map<string, string>();
 
 	// A gateway with an older deployment would serve a request as the caller's gateway no longer may.
 	function listCandidates(): HandOverCandidate[] {
-		return peerViews.list().flatMap(({isLeaving, version, load}) => load?.handOver && !isLeaving && version >= options.getDeploymentVersion()
-			? [{...load.handOver, failureDomain: load.failureDomain}]
-			: []);
+		return peerViews.list().flatMap(({daemon, isLeaving, version, load}) => {
+			if (!load?.handOver || isLeaving || version < options.getDeploymentVersion()) {
+				return [];
+			}
+
+			daemons.set(load.handOver.address, daemon);
+			return [{...load.handOver, failureDomain: load.failureDomain}];
+		});
 	}
 
 	const breaker = createPeerBreaker({
 		clock,
+		findHeardAt(address) {
+			const daemon = daemons.get(address);
+			return daemon === undefined ? undefined : peerViews.findReceivedAt(daemon);
+		},
 		// Its callers can try again now; later they would have no time left.
 		onUnresponsive(address) {
 			events.write('handOverPeerUnresponsive', {address, reset: callerServer?.resetUnansweredRelays(address) ?? 0});
--- a/src/daemon/gateway-load.test.ts
+++ b/src/daemon/gateway-load.test.ts
@@ -26,6 +26,7 @@
 			countRoom: () => Number.isFinite(state.limit) ? 0 : state.limit, getLimit: () => state.limit, isLagging: () => false, isOverloaded: () => Number.isFinite(state.limit),
 		},
 		peerViews: {
+			findReceivedAt: () => undefined,
 			list: () => [{
 				daemon: 'gw-1', incarnation: 'i', address: '', free: [], uses: [], version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [], load,
 			}],
--- a/src/daemon/gateway-load.ts
+++ b/src/daemon/gateway-load.ts
@@ -19,7 +19,7 @@
 export type CreateGatewayLoadControlOptions = {
 	readonly settings: Pick<GatewaySettings, 'id' | 'failureDomain' | 'capacity'>;
 	readonly admission: Pick<Admission, 'countRoom' | 'getLimit' | 'isLagging' | 'isOverloaded'>;
-	readonly peerViews: Pick<PeerViews, 'list'>;
+	readonly peerViews: Pick<PeerViews, 'findReceivedAt' | 'list'>;
 	readonly gossip: Pick<Gossip, 'markUrgent'>;
 	/** Lists the other gateways that the log records. */
 	readonly listPeers: () => GossipPeer[];
--- a/src/state/peer-views.ts
+++ b/src/state/peer-views.ts
@@ -184,6 +184,9 @@
 		list: (): PeerView[] => [...receivedViews.values()].map(({view}) => view),
 		has: (daemon: string): boolean => receivedViews.has(daemon),
 
+		/** Returns when the latest view of a gateway was received; undefined if there is none. */
+		findReceivedAt: (daemon: string): number | undefined => receivedViews.get(daemon)?.at,
+
 		/** Returns the sum of all other gateways' requests at an upstream. */
 		sumUse: (upstream: string): PeerUse => buildPeerUse(upstream, useByUpstream.get(upstream)),
 
