Announce the idle timeout of the deployment, and close later than that

A caller that respects Keep-Alive could send a request just as the gateway closed its connection, and got a reset instead of an answer.

Cause: the gateway keeps an idle connection for a second longer than the deployment says, so that requests of callers who know that timeout do not cross the close. Node.js announces the time that it keeps a connection, so Keep-Alive named the second as well and the margin was nil.

Change: Keep-Alive names the timeout of the deployment. Once the answers on a connection are sent, its own timeout is set to a second more.

Evidence: the new test failed, as timeout=2 was announced for 1000 ms, and passes.

--- a/src/transport/caller-server.test.ts
+++ b/src/transport/caller-server.test.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {once} from 'node:events';
-import {setImmediate as nextTurn} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as wait} from 'node:timers/promises';
 import {expect, test} from 'vitest';
 import {startCallerServer} from './caller-server.js';
 
@@ -84,6 +84,27 @@
 	server.closeAllConnections();
 });
 
+// Guards against requests that cross the close of an idle connection: a caller uses it until the time announced has passed.
+test('an idle connection stays open for longer than its caller is told', async () => {
+	const {server, responses, socket, received} = await createFixture();
+	server.setLimits({
+		headerBytes: 1000, bodyBytes: 1000, headerTimeout: 5000, idleTimeout: 1000,
+	});
+	socket.write(requestText);
+	await expect.poll(() => responses.length).toBe(1);
+	complete(responses[0]!, 'first');
+	await expect.poll(() => received.text).toContain('first');
+	expect(received.text).toMatch(/^keep-alive: timeout=1\r$/imu);
+	await wait(1200);
+	expect(received.hasEnded).toBe(false);
+	socket.write(requestText);
+	await expect.poll(() => responses.length).toBe(2);
+	complete(responses[1]!, 'second');
+	await expect.poll(() => received.text).toContain('second');
+	await expect.poll(() => received.hasEnded, {timeout: 4000}).toBe(true);
+	server.closeAllConnections();
+});
+
 // Guards against the loss of requests that a caller sent before it received a response with `connection: close`.
 test('the close policy does not close the connection of a caller who pipelines', async () => {
 	const {server, state, responses, socket, received} = await createFixture();
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -89,8 +89,8 @@
 };
 
 /**
- * Added to the idle timeout of a deployment. Callers reuse a connection until it has been idle for that timeout; a server
- * that closes it only later does not interrupt a request.
+ * Added to the idle timeout of a deployment. Callers reuse a connection until it has been idle for that timeout, which
+ * `Keep-Alive` tells them; a server that closes it only later does not interrupt a request.
  */
 const idleTimeoutMarginMs = 1000;
 const timeoutCheckIntervalMs = 1000;
@@ -180,6 +180,7 @@
 	const readDelay = createReadDelayEstimator({clock: createSystemClock(), tickIntervalMs});
 	const ticks = setInterval(readDelay.recordTick, tickIntervalMs).unref();
 	server.on('connection', readDelay.recordAccept);
+	let closesIdleAfterMs = server.keepAliveTimeout;
 	let shouldCloseAfterResponse = false;
 	let isDraining = false;
 	let requestCount = 0;
@@ -218,6 +219,11 @@
 			// A response that began before the stop has no `connection: close`. The connection is closed as soon as it is
 			// idle, so that the caller does not send its next request to a gateway that is about to exit.
 			response.on('close', () => {
+				// Node.js has set the announced timeout; it removes this one with the next request.
+				if (tracker.isIdle(request.socket)) {
+					request.socket.setTimeout(closesIdleAfterMs);
+				}
+
 				if (isDraining) {
 					setImmediate(tracker.closeIfIdle, request.socket);
 				}
@@ -230,7 +236,8 @@
 		url,
 		setLimits(limits) {
 			server.headersTimeout = limits.headerTimeout;
-			server.keepAliveTimeout = limits.idleTimeout + idleTimeoutMarginMs;
+			server.keepAliveTimeout = limits.idleTimeout;
+			closesIdleAfterMs = limits.idleTimeout + idleTimeoutMarginMs;
 		},
 		requestConnectionClose() {
 			shouldCloseAfterResponse = true;
--- a/src/transport/connection-tracker.ts
+++ b/src/transport/connection-tracker.ts
@@ -131,6 +131,9 @@
 			return state !== undefined && complete && !state.hasPipelined && state.latestResponse === response;
 		},
 
+		/** Returns whether all responses on a connection have been sent. */
+		isIdle: (socket: Socket): boolean => connections.get(socket)?.latestResponse === undefined,
+
 		closeIfIdle,
 
 		/** Closes all idle connections. */
