Use an upstream again that drained and started again under its ID

Callers saw: refusals or slow answers, as an engine that drained and then started again under its ID got no requests any more.

Cause: "draining" was kept for the ID, not for one start of it. In the same way the sequence of a new start, which counts anew, was compared with that of the earlier one after the log was restored.

Change: starts are compared by the time that the registration names. A later start clears draining and is never outdated by its sequence; a registration of an earlier start changes nothing.

Not covered: an upstream whose clock went back by more than it was down registers a start that seems earlier, and is ignored until its old registration is removed.

--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -190,7 +190,10 @@
 
 		const known = directory.get(key);
 		const wasOnGrace = directory.computeRemainingGraceMs(key, clock.now()) > 0;
-		directory.put(registration, clock.now());
+		if (!directory.put(registration, clock.now())) {
+			return;
+		}
+
 		versionHistory.put(key, {key: registration.service, value: registration.softwareVersion}, clock.now());
 		if (known?.isDraining !== registration.isDraining || wasOnGrace) {
 			events.write('upstreamListed', {
--- a/src/state/upstream-directory.test.ts
+++ b/src/state/upstream-directory.test.ts
@@ -15,6 +15,37 @@
 	expect(directory.listLive('s', 2)).toEqual([]);
 });
 
+test('an upstream that drained becomes live again with a later start only', () => {
+	// Guards against an engine that starts again under its ID after it has drained and gets no requests any more.
+	const directory = createUpstreamDirectory();
+	directory.put({...entry, startedAt: 1000, isDraining: true}, 0);
+	directory.put({...entry, startedAt: 1000}, 1);
+	expect(directory.listLive('s', 2)).toEqual([]);
+	directory.put({...entry, startedAt: 2000}, 3);
+	expect(directory.listLive('s', 4).length).toBe(1);
+});
+
+test('a registration of an earlier start changes nothing', () => {
+	// Guards against the version and address of a process that has ended, and against its draining.
+	const directory = createUpstreamDirectory();
+	directory.put({...entry, startedAt: 2000, softwareVersion: 'v2'}, 0);
+	expect(directory.put({
+		...entry, startedAt: 1000, softwareVersion: 'v1', isDraining: true,
+	}, 1)).toBe(false);
+	expect(directory.findLive('u1', 2)?.upstream).toMatchObject({startedAt: 2000, softwareVersion: 'v2'});
+});
+
+test('a registration of a later start is not outdated although its sequence counts anew', () => {
+	// Guards against an engine that started again before the log was restored and is skipped until its sequence has caught up.
+	const directory = createUpstreamDirectory();
+	directory.put({...entry, startedAt: 1000, sequence: 90}, 0);
+	expect(directory.mayBeOutdated({...entry, startedAt: 2000, sequence: 1})).toBe(false);
+	expect(directory.mayBeOutdated({...entry, startedAt: 500, sequence: 99})).toBe(true);
+	directory.drop('u1');
+	expect(directory.mayBeOutdated({...entry, startedAt: 2000, sequence: 1})).toBe(false);
+	expect(directory.mayBeOutdated({...entry, startedAt: 1000, sequence: 90})).toBe(true);
+});
+
 test('an upstream whose registration expired while the store was unavailable stays live until the grace period ends', () => {
 	// Guards against refusing all callers after the store was unavailable: all
 	// registrations expire meanwhile and are renewed a second later.
--- a/src/state/upstream-directory.ts
+++ b/src/state/upstream-directory.ts
@@ -16,8 +16,16 @@
 	readonly isOnGrace: boolean;
 };
 
+/** What remains of a registration that was removed. */
+type RemovedRegistration = Pick<UpstreamRegistration, 'sequence' | 'startedAt'>;
+
 /** Maximum number of removed upstreams that are remembered; the oldest one is evicted first. */
-const maxRemovedSequences = 1000;
+const maxRemoved = 1000;
+
+/** @internal Positive if the left start is later than the right one, 0 if they are the same or cannot be told apart. */
+function compareStarts(left: Pick<UpstreamRegistration, 'startedAt'>, right: Pick<UpstreamRegistration, 'startedAt'>): number {
+	return left.startedAt === undefined || right.startedAt === undefined ? 0 : left.startedAt - right.startedAt;
+}
 
 /** Directory of registered upstreams. */
 export type UpstreamDirectory = ReturnType<typeof createUpstreamDirectory>;
@@ -36,8 +44,8 @@
  */
 export function createUpstreamDirectory() {
 	const registrations = new Map<string, Registration>();
-	/** Sequence numbers of the last registrations of upstreams that were removed, the oldest first. */
-	const removedSequences = new Map<string, number | undefined>();
+	/** The last registrations of upstreams that were removed, the oldest first. */
+	const removed = new Map<string, RemovedRegistration>();
 	/** ID of the upstream that was the last to register each address. */
 	const idByAddress = new Map<string, string>();
 
@@ -71,38 +79,50 @@
 		if (registration) {
 			removeAddress(id);
 			registrations.delete(id);
-			removedSequences.delete(id);
-			removedSequences.set(id, registration.upstream.sequence);
+			const {sequence, startedAt} = registration.upstream;
+			removed.delete(id);
+			removed.set(id, {sequence, startedAt});
 		}
 
-		const [oldest] = removedSequences.keys();
-		if (oldest !== undefined && removedSequences.size > maxRemovedSequences) {
-			removedSequences.delete(oldest);
+		const [oldest] = removed.keys();
+		if (oldest !== undefined && removed.size > maxRemoved) {
+			removed.delete(oldest);
 		}
 	}
 
 	return {
-		/** Stores a registration. Registrations must be put in the order in which they were written. */
-		put(upstream: UpstreamRegistration, now: number): void {
-			recordAddress(upstream);
+		/**
+		 * Stores a registration; returns false if it is of an earlier start than the
+		 * known one and was ignored. Registrations must be put in the order in which
+		 * they were written.
+		 */
+		put(upstream: UpstreamRegistration, now: number): boolean {
 			const previous = registrations.get(upstream.id);
-			// Draining is final: an older registration that is read late must not make the upstream live again.
-			const isDraining = upstream.isDraining || previous?.upstream.isDraining === true;
+			const order = previous ? compareStarts(upstream, previous.upstream) : 1;
+			if (order < 0) {
+				return false;
+			}
+
+			recordAddress(upstream);
+			// Draining is final for one start: an older registration of it that is read late must not make the upstream live again.
+			const isDraining = upstream.isDraining || (order === 0 && previous?.upstream.isDraining === true);
 			registrations.set(upstream.id, {upstream: {...upstream, isDraining}, warmAt: now + upstream.warmUp});
+			return true;
 		},
 
 		/**
 		 * Returns true if a registration from a backup of the log may be older than
 		 * what is known of its upstream, which may have left since.
 		 */
-		mayBeOutdated({id, sequence, isDraining}: Pick<UpstreamRegistration, 'id' | 'sequence' | 'isDraining'>): boolean {
-			const known = registrations.get(id);
-			if (isDraining || (!known && !removedSequences.has(id))) {
+		mayBeOutdated(upstream: Pick<UpstreamRegistration, 'id' | 'sequence' | 'isDraining' | 'startedAt'>): boolean {
+			const known = registrations.get(upstream.id)?.upstream ?? removed.get(upstream.id);
+			if (upstream.isDraining || !known) {
 				return false;
 			}
 
-			const knownSequence = known ? known.upstream.sequence : removedSequences.get(id);
-			return sequence === undefined || knownSequence === undefined || sequence <= knownSequence;
+			// The sequence counts anew from each start.
+			const order = compareStarts(upstream, known);
+			return order < 0 || (order === 0 && (upstream.sequence === undefined || known.sequence === undefined || upstream.sequence <= known.sequence));
 		},
 
 		/**
