Continue streams only at the start of an upstream whose version is known

Callers saw: streams that hold events of two software versions, in one answer or over their tries, after an engine had started again under its ID and address with another version.

Cause: the version of an upstream was taken from its registration, however old that was. Until the new registration was read (longer while the store is down, or a gateway stood still or had just started), streams of the old version went on at the new process, and streams that the new process began were recorded with the old version.

Ruled out: a record of a stream that is old. Without an engine that starts again under its ID no stream of two versions was seen.

Change: start-checker.ts decides which start of an upstream answered. A start that was registered before a request was written and that runs at any time after has answered it. This is known from a registration that was written later, or from the upstream's report, which names its start. - Events of a continued stream are passed on only after that; otherwise the answer is abandoned, and the start is not used for streams until a later one has registered (FL1720). - The record of a stream names the start that is believed to have begun it. Before the stream goes on elsewhere, that start is checked: by its registrations, its report, or a new read of the store. Streams that begin cause no probes. - A gateway that the store did not answer without interruption, and whose upstream is gone, refuses rather than infers. - An upstream without report is believed until a connection to it is lost or refused, and again once it has registered since. One that names no start is believed as before.

Existing tests: fixtures of the forwarder, the resolver, the wire and the property test get the new dependency, which confirms every start there; no expectation changed.

--- a/src/coordination/peers/gossip-codec.ts
+++ b/src/coordination/peers/gossip-codec.ts
@@ -10,6 +10,7 @@
 import type {
 	PartAnnouncement, PeerEntryId, PeerView, PlacedPrompt,
 } from '../../state/mod.js';
+import {decodeOrigin, encodeOrigin} from '../streams/origin-codec.js';
 import type {StreamAnnouncement} from '../streams/stream-recorder.js';
 import {
 	decodeLoad, decodeUse, encodeLoad, encodeUse,
@@ -162,7 +163,7 @@
 export function encodeStream({stream, origin, lifetimeMs, source}: StreamAnnouncement): Uint8Array {
 	return toBinary(PeerNewsSchema, create(PeerNewsSchema, {
 		streams: [{
-			stream, origin: {...origin}, lifetimeMs, source,
+			stream, origin: encodeOrigin(origin), lifetimeMs, source,
 		}],
 	}));
 }
@@ -181,7 +182,7 @@
 export function listStreams({streams}: PeerNews): StreamAnnouncement[] {
 	return streams.flatMap(({stream, origin, lifetimeMs, source}) => origin
 		? [{
-			stream, origin: {service: origin.service, softwareVersion: origin.softwareVersion}, lifetimeMs, source,
+			stream, origin: decodeOrigin(origin), lifetimeMs, source,
 		}]
 		: []);
 }
--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -9,7 +9,7 @@
 } from '../../state/mod.js';
 import {createSystemClock, type CallFailure, type UpstreamCall} from '../../transport/mod.js';
 import {
-	CachedPromptSource, createPartQuarantine, createQuarantine, createRequestForwarder, createRetryBudget, createTrafficCounter, createUpstreamRegistry, type ForwardRequest,
+	CachedPromptSource, createPartQuarantine, createQuarantine, createRequestForwarder, createRetryBudget, createTrafficCounter, createUpstreamRegistry, type CreateRequestForwarderOptions, type ForwardRequest,
 } from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
@@ -23,6 +23,8 @@
 
 const wire: GatewayWire = {
 	readinessPath: '/ready',
+	reportPath: '/report',
+	readReportedStart: () => undefined,
 	readRequest: () => Ok({}),
 	buildForwardHeaders: (_raw, metadata) => [metadata.lastEventId ?? '', metadata.upstream],
 	readRequestId: () => undefined,
@@ -42,9 +44,11 @@
 	readonly versions?: Readonly<Record<string, string | undefined>>;
 	/** Whether every answer says that all upstreams rest for 3 s. */
 	readonly areAllAtRest?: boolean;
+	/** What is found of the starts of upstreams; by default that every registration holds. */
+	readonly startChecker?: Partial<CreateRequestForwarderOptions['startChecker']>;
 };
 
-function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}, areAllAtRest = false}: FixtureOptions = {}) {
+function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}, areAllAtRest = false, startChecker}: FixtureOptions = {}) {
 	const clock = createSystemClock();
 	const directory = createUpstreamDirectory();
 	for (const id of ['u1', 'u2', 'u3']) {
@@ -103,6 +107,9 @@
 				}
 			},
 		},
+		startChecker: {
+			isOfVersion: async () => true, checkOrigin: async origin => ({origin, isUnread: false}), recordLost: () => undefined, ...startChecker,
+		},
 		streamRecorder: {
 			recordEvents(stream, origin) {
 				recorded.push({stream, ...origin});
@@ -459,6 +466,47 @@
 	expect(fixture.received.refused).toMatchObject({type: 'stream-unresumable', ran: 'no', retryAfterMs: 2000});
 });
 
+test('an answer of a process whose version is not known is not passed on, and the stream goes on elsewhere', async () => {
+	// Guards against events of an upstream that started again with another version and has not registered.
+	const sentTo: string[] = [];
+	const fixture = createFixture([{...secondHalf, chunks: ['id: 2\ndata: other\n\n']}, secondHalf], {
+		startChecker: {
+			async isOfVersion({registered: {id}}) {
+				sentTo.push(id);
+				return sentTo.length > 1;
+			},
+		},
+	});
+	const report = await fixture.forward({isResumable: true}, 5000, {resumes: 'r0', origin: {service: 's', softwareVersion: 'v1'}, lastEventId: '1'});
+	expect(report.result).toBe('served');
+	expect(new Set(sentTo).size).toBe(2);
+	expect(fixture.received.body).toBe('id: 2\ndata: b\n\n');
+});
+
+test('a stream whose version turns out unknown when it breaks is cut and recorded so', async () => {
+	// Guards against a stream that goes on with the version of an earlier start.
+	const fixture = createFixture([firstHalf, secondHalf], {
+		startChecker: {checkOrigin: async ({service}) => ({origin: {service, softwareVersion: undefined}, isUnread: false})},
+	});
+	await fixture.forward({isResumable: true});
+	expect(fixture.calls.length).toBe(1);
+	expect(fixture.received).toMatchObject({body: 'id: 1\ndata: a\n\n', isCut: true});
+	expect(fixture.recorded.map(({softwareVersion}) => softwareVersion)).toEqual(['v1', undefined]);
+});
+
+test('a lost or refused connection to an upstream is recorded before the stream goes on elsewhere', async () => {
+	const lost: string[] = [];
+	const fixture = createFixture([firstHalf, {fails: 'unsent'}, secondHalf], {
+		startChecker: {
+			recordLost(id) {
+				lost.push(id);
+			},
+		},
+	});
+	await fixture.forward({isResumable: true});
+	expect(lost).toEqual(fixture.calls.slice(0, 2).map(({address}) => address));
+});
+
 test('the origin of a stream is recorded before its first event is sent to the caller, and only if it may be resumed', async () => {
 	for (const isResumable of [true, false]) {
 		const fixture = createFixture([{...firstHalf, isReset: false}]);
--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -73,7 +73,7 @@
 			sends: 0, mayHaveRun: false, upstream: undefined, softwareVersion: undefined, firstMs: undefined, waitingTokens: undefined, cachedTokens: undefined, isOnGrace: undefined, viewMs: undefined,
 		};
 		return {
-			request, relay: createRelay(request), progress, tried: new Set(), origin: request.origin,
+			request, relay: createRelay(request), progress, tried: new Set(), origin: request.origin, begunAt: undefined,
 		};
 	}
 
@@ -215,6 +215,8 @@
 			if (outcome.kind !== 'not-run' && !mayRetryElsewhere(request, relay)) {
 				break;
 			}
+
+			await sender.checkOrigin(state);
 		}
 
 		if (deliverFailure && !request.answer.hasStarted()) {
--- a/src/coordination/requests/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -6,7 +6,7 @@
 import type {
 	AnswerMetadata, EventLog, GatewayWire, Result, UpstreamRegistration,
 } from '../../protocol/mod.js';
-import type {StreamOrigin} from '../../state/mod.js';
+import {findKnownStart, type StreamOrigin} from '../../state/mod.js';
 import {
 	createTimeoutSignal, type CallFailure, type Clock, type UpstreamResponse, type UpstreamClient,
 } from '../../transport/mod.js';
@@ -19,6 +19,7 @@
 import type {Quarantine} from '../quarantine/quarantine.js';
 import {hasTimeLeft} from '../load/remaining-time.js';
 import type {Placement} from '../upstreams/request-placement.js';
+import type {StartChecker} from '../streams/start-checker.js';
 import {createStallTimeout} from '../streams/stall-timeout.js';
 import type {StreamRecorder} from '../streams/stream-recorder.js';
 import type {TrafficCounter} from '../load/traffic-counter.js';
@@ -40,6 +41,7 @@
 	readonly partQuarantine: Pick<PartQuarantine, 'trackRun' | 'admitSend'>;
 	readonly crashDetector: CrashDetector;
 	readonly streamRecorder: Pick<StreamRecorder, 'recordEvents'>;
+	readonly startChecker: Pick<StartChecker, 'isOfVersion' | 'checkOrigin' | 'recordLost'>;
 	readonly events: EventLog;
 	readonly clock: Clock;
 };
@@ -62,6 +64,8 @@
 	readonly tried: Set<string>;
 	/** Set once the stream has begun. */
 	origin: StreamOrigin | undefined;
+	/** When the request was written that began the stream, in milliseconds of the clock; undefined if it began earlier. */
+	begunAt: number | undefined;
 };
 
 /** Options for receiving an upstream's answer. */
@@ -70,7 +74,7 @@
 	/** When the request was written, in milliseconds of the clock. */
 	readonly sentAt: number;
 	/** Registration of the upstream at that time. */
-	readonly registered: Pick<UpstreamRegistration, 'softwareVersion' | 'startedAt'>;
+	readonly registered: UpstreamRegistration;
 	readonly tracker: UpstreamRequestTracker;
 	readonly onProgress: (bytes: number) => void;
 };
@@ -134,14 +138,17 @@
  */
 export function createUpstreamSender(options: CreateUpstreamSenderOptions) {
 	const {
-		wire, client, registry, eligibility, limitRecorder, noticeRecorder, traffic, quarantine, partQuarantine, crashDetector, streamRecorder, events, clock,
+		wire, client, registry, eligibility, limitRecorder, noticeRecorder, traffic, quarantine, partQuarantine, crashDetector, streamRecorder, startChecker, events, clock,
 	} = options;
 
 	// An upstream that registered again with another version since the request was written may have run it with either.
-	function createOrigin({request}: ForwardingState, {upstream, registered: {softwareVersion}}: Pick<ReceiveOptions, 'upstream' | 'registered'>): StreamOrigin {
+	function createOrigin({request}: ForwardingState, {upstream, registered}: Pick<ReceiveOptions, 'upstream' | 'registered'>): StreamOrigin {
+		const {softwareVersion} = registered;
 		const registration = registry.get(upstream);
 		const isUnchanged = registration === undefined || registration.softwareVersion === softwareVersion;
-		return {service: request.service.id, softwareVersion: isUnchanged ? softwareVersion : undefined};
+		return isUnchanged && softwareVersion !== undefined
+			? {service: request.service.id, softwareVersion, start: findKnownStart(registered)}
+			: {service: request.service.id, softwareVersion: undefined};
 	}
 
 	// A caller names the attempt that received the first event, however often it has resumed the stream since.
@@ -152,6 +159,14 @@
 		}
 	}
 
+	// What a connection's end says of the upstream's start must be known before the stream goes on elsewhere.
+	function recordLostConnection(outcome: SendOutcome, {upstream, wasAborted}: Pick<CallSummary, 'upstream' | 'wasAborted'>): void {
+		const wasLost = outcome.kind === 'broken' ? outcome.wasConnectionLost : outcome.kind === 'not-run' && outcome.reached === 'none';
+		if (wasLost && !wasAborted) {
+			startChecker.recordLost(upstream.id);
+		}
+	}
+
 	async function receive(state: ForwardingState, answer: UpstreamResponse, options: ReceiveOptions): Promise<SendOutcome> {
 		const {request, relay, progress} = state;
 		const {
@@ -193,6 +208,11 @@
 			return {kind: 'broken', detail: 'The answer lacks the upstream signature or has a content encoding', wasConnectionLost: false};
 		}
 
+		if (state.origin !== undefined && answer.status < 300 && !await startChecker.isOfVersion({registered, sentAt, origin: state.origin})) {
+			answer.abandon();
+			return {kind: 'broken', detail: 'The upstream may have started again with another software version', wasConnectionLost: false};
+		}
+
 		return relay.relay(answer, {
 			onProgress,
 			onFirstEvent() {
@@ -200,7 +220,11 @@
 				tracker.recordFirstEvent();
 			},
 			onStreamBegin() {
-				state.origin ??= createOrigin(state, options);
+				if (state.origin === undefined) {
+					state.origin = createOrigin(state, options);
+					state.begunAt = sentAt;
+				}
+
 				recordStream(request, state.origin);
 			},
 		});
@@ -236,6 +260,22 @@
 	}
 
 	return {
+		/**
+		 * Checks the version with which this gateway recorded a stream, before the
+		 * stream goes on at another upstream.
+		 */
+		async checkOrigin(state: ForwardingState): Promise<void> {
+			if (state.origin === undefined || state.begunAt === undefined) {
+				return;
+			}
+
+			const {origin, isUnread} = await startChecker.checkOrigin(state.origin, state.begunAt);
+			state.origin = origin;
+			if (!isUnread) {
+				recordStream(state.request, origin);
+			}
+		},
+
 		/** Sends a request to one upstream. */
 		async send(state: ForwardingState, {candidate: {id}, fetchFrom}: Placement): Promise<SendOutcome> {
 			const {request, relay} = state;
@@ -302,6 +342,7 @@
 					tracker.recordFailure();
 				}
 
+				recordLostConnection(outcome, {upstream, wasAborted: timeLimit.signal.aborted});
 				// The quarantines must know of the crash before the request is sent to another upstream.
 				if (await hasCrashedDuring(outcome, {upstream, called, wasAborted: timeLimit.signal.aborted})) {
 					trackedRun.recordCrash(id);
--- a/src/coordination/streams/stream-query-client.ts
+++ b/src/coordination/streams/stream-query-client.ts
@@ -7,6 +7,7 @@
 	Err, Ok, createFailure, type FindStreamReply,
 } from '../../protocol/mod.js';
 import type {FleetClient} from '../../transport/mod.js';
+import {decodeOrigin} from './origin-codec.js';
 import type {CreateStreamResolverOptions, StreamAnswer} from './stream-resolver.js';
 
 /** Options of {@linkcode createStreamQueryClient}. */
@@ -21,9 +22,9 @@
 /** @internal */
 function readStreamAnswer({origin, ageMs, only}: FindStreamReply): StreamAnswer {
 	return {
-		record: origin && {origin: {service: origin.service, softwareVersion: origin.softwareVersion}, ageMs},
+		record: origin && {origin: decodeOrigin(origin), ageMs},
 		only: only?.origin && {
-			origin: {service: only.origin.service, softwareVersion: only.origin.softwareVersion}, sinceAgeMs: only.sinceAgeMs, viewAgeMs: only.viewAgeMs,
+			origin: decodeOrigin(only.origin), sinceAgeMs: only.sinceAgeMs, viewAgeMs: only.viewAgeMs,
 		},
 	};
 }
--- a/src/coordination/streams/stream-resolver.test.ts
+++ b/src/coordination/streams/stream-resolver.test.ts
@@ -44,6 +44,7 @@
 	const versionHistory = createValueHistory();
 	const routeHistory = createValueHistory();
 	const resolver = createStreamResolver({
+		startChecker: {checkOrigin: async origin => ({origin, isUnread: false})},
 		recorder, listPeers, versionHistory, routeHistory, formatRouteKey: ({host, prefix}) => host + prefix, hasUpstream: () => state.hasUpstream, computeLifetimeMs: () => lifetimeMs, clock, events,
 		async queryPeer({daemon}) {
 			queried.push(daemon);
--- a/src/coordination/streams/stream-resolver.ts
+++ b/src/coordination/streams/stream-resolver.ts
@@ -15,6 +15,7 @@
 } from '../../state/mod.js';
 import type {Clock} from '../../transport/mod.js';
 import type {GossipPeer} from '../peers/gossip-receivers.js';
+import type {StartChecker} from './start-checker.js';
 import type {StreamRecorder} from './stream-recorder.js';
 import {queriedCount, selectWitnesses} from './stream-witnesses.js';
 
@@ -46,6 +47,7 @@
 /** Options of {@linkcode createStreamResolver}. */
 export type CreateStreamResolverOptions = FindOnlyOriginOptions & {
 	readonly recorder: Pick<StreamRecorder, 'get'>;
+	readonly startChecker: Pick<StartChecker, 'checkOrigin'>;
 	/** Lists the other gateways that are presumed to be up. */
 	readonly listPeers: () => readonly GossipPeer[];
 	/** Queries another gateway; fails if it does not answer in time. */
@@ -107,7 +109,7 @@
  */
 export function createStreamResolver(options: CreateStreamResolverOptions) {
 	const {
-		recorder, listPeers, queryPeer, formatRouteKey, hasUpstream, readViews, computeLifetimeMs, clock, events,
+		recorder, startChecker, listPeers, queryPeer, formatRouteKey, hasUpstream, readViews, computeLifetimeMs, clock, events,
 	} = options;
 
 	function findRecorded(stream: string): Finding | undefined {
@@ -211,19 +213,27 @@
 			: Err(createFailure('stream-unresumable', `No live upstream of version "${origin.softwareVersion}" is registered for service "${origin.service}"`, {retryAfterMs: versionGoneRetryAfterMs}));
 	}
 
+	// A recorded version is that of the registration that the recording gateway had read, which may be of an earlier start.
+	async function acceptRecorded(resumed: ResumedStream, finding: Finding): Promise<Result<StreamOrigin, Failure>> {
+		const {origin, isUnread} = await startChecker.checkOrigin(finding.origin, clock.now() - finding.ageMs);
+		return isUnread
+			? Err(createFailure('stream-unresumable', 'The upstream that began the stream may have started again, and neither it nor the store says so', {retryAfterMs: unansweredRetryAfterMs}))
+			: accept(resumed, {...finding, origin});
+	}
+
 	return {
 		/** Finds the origin of a stream; fails if it is unknown, if the route no longer leads to its service, or if its version has no upstream. */
 		async resolve(resumed: ResumedStream): Promise<Result<StreamOrigin, Failure>> {
 			const {stream, route} = resumed;
 			const recorded = stream === undefined ? undefined : findRecorded(stream);
 			if (recorded) {
-				return accept(resumed, recorded);
+				return acceptRecorded(resumed, recorded);
 			}
 
 			const shouldQuery = stream !== undefined || !findInferred(route, []);
 			const {finding, histories, unanswered} = shouldQuery ? await queryWitnesses(resumed) : {finding: undefined, histories: [], unanswered: []};
 			if (finding) {
-				return accept(resumed, finding);
+				return acceptRecorded(resumed, finding);
 			}
 
 			const inferred = await inferOrigin(route, histories);
--- a/src/coordination/streams/stream-versions.test.ts
+++ b/src/coordination/streams/stream-versions.test.ts
@@ -204,6 +204,7 @@
 		}
 
 		const resolver = createStreamResolver({
+			startChecker: {checkOrigin: async origin => ({origin, isUnread: false})},
 			recorder, listPeers, queryPeer, versionHistory, routeHistory, formatRouteKey: () => 'h/', hasUpstream: () => true, readViews: read, computeLifetimeMs: () => lifetimeMs, clock: time, events,
 		});
 		routeHistory.put('h/ s', {key: 'h/', value: 's'}, Number.NEGATIVE_INFINITY);
--- a/src/coordination/upstreams/mod.ts
+++ b/src/coordination/upstreams/mod.ts
@@ -20,6 +20,7 @@
 export * from './share-policy.js';
 export * from './stream-cost.js';
 export * from './stream-placement-policy.js';
+export * from './start-report-client.js';
 export * from './upstream-eligibility.js';
 export * from './upstream-registry.js';
 export * from './urgency.js';
--- a/src/coordination/upstreams/upstream-eligibility.ts
+++ b/src/coordination/upstreams/upstream-eligibility.ts
@@ -11,7 +11,7 @@
  */
 import type {GatewayService} from '../../protocol/mod.js';
 import {
-	isFitFor, type Evacuations, type LiveUpstream, type StreamOrigin, type UpstreamDepartures, type UpstreamDirectory, type UpstreamRests,
+	isFitFor, type Evacuations, type LiveUpstream, type StreamOrigin, type UpstreamDepartures, type UpstreamDirectory, type UpstreamRests, type UpstreamStarts,
 } from '../../state/mod.js';
 import type {Clock} from '../../transport/mod.js';
 import type {ColdAdmission} from './cold-admission.js';
@@ -25,6 +25,8 @@
 	readonly departures: Pick<UpstreamDepartures, 'isLeaving'>;
 	/** The upstreams that asked this gateway for a rest. */
 	readonly rests: Pick<UpstreamRests, 'computeWaitMs' | 'recordSend'>;
+	/** What is known of the starts of upstreams; by default every registration is believed. */
+	readonly starts?: Pick<UpstreamStarts, 'mayMatch'>;
 	/** Returns a random number between 0 and 1. */
 	readonly random: () => number;
 	/** Limits requests to cold upstreams. */
@@ -77,7 +79,7 @@
  */
 export function createUpstreamEligibility(options: CreateUpstreamEligibilityOptions) {
 	const {
-		directory, evacuations, departures, rests, coldAdmission, limitAdmission, isInformed, isOutdated = () => false, clock, random,
+		directory, evacuations, departures, rests, starts = {mayMatch: () => true}, coldAdmission, limitAdmission, isInformed, isOutdated = () => false, clock, random,
 	} = options;
 
 	function isEvacuated({upstream}: LiveUpstream): boolean {
@@ -114,9 +116,13 @@
 		return waitMs > 0 ? waitMs + (random() * restSpreadMs) : 0;
 	}
 
+	// What began a stream may only be continued by a process whose version is known.
+	function mayRun({upstream}: LiveUpstream, origin: StreamOrigin | undefined): boolean {
+		return origin === undefined || (isFitFor(upstream, origin) && starts.mayMatch(upstream));
+	}
+
 	function listLive(service: GatewayService, origin: StreamOrigin | undefined): LiveUpstream[] {
-		const live = directory.listLive(service.id, clock.now());
-		return origin ? live.filter(({upstream}) => isFitFor(upstream, origin)) : live;
+		return directory.listLive(service.id, clock.now()).filter(live => mayRun(live, origin));
 	}
 
 	function listStaying(service: GatewayService, origin: StreamOrigin | undefined): LiveUpstream[] {
@@ -142,7 +148,7 @@
 		admitSend(id: string, service: GatewayService, origin?: StreamOrigin): boolean {
 			const now = clock.now();
 			const live = directory.findLive(id, now);
-			if (!live || isOutdated() || !isFitFor(live.upstream, origin) || departures.isLeaving(live.upstream) || isEvacuated(live) || !isWithinLimits(live, service, now)) {
+			if (!live || isOutdated() || !mayRun(live, origin) || departures.isLeaving(live.upstream) || isEvacuated(live) || !isWithinLimits(live, service, now)) {
 				return false;
 			}
 
--- a/src/daemon/byte-limits.test.ts
+++ b/src/daemon/byte-limits.test.ts
@@ -40,6 +40,8 @@
 
 const wire: GatewayWire = {
 	readinessPath: '/ready',
+	reportPath: '/report',
+	readReportedStart: () => undefined,
 	readRequest: () => Ok({}),
 	buildForwardHeaders: (_raw, {lastEventId}) => lastEventId === undefined ? [] : ['last-event-id', lastEventId],
 	readRequestId: () => undefined,
@@ -92,6 +94,7 @@
 		}),
 		limitRecorder: {recordAnswer: () => undefined},
 		noticeRecorder: {recordAnswer: () => undefined},
+		startChecker: {isOfVersion: async () => true, checkOrigin: async origin => ({origin, isUnread: false}), recordLost: () => undefined},
 		streamRecorder: {recordEvents: () => undefined},
 		traffic: createTrafficCounter('d'),
 		promptSourcePolicy: new CachedPromptSource(),
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -9,7 +9,7 @@
 import {
 	CachedPromptSource, NearReceiverPolicy, OwnedShare, SubstitutedShare,
 	countPeerRoom, createAdmission, createBudgetOwners, createColdAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createNoticeRecorder, createPeerCatchUp,
-	createRelayedLog, createRequestForwarder, createRetryAfterEstimator,
+	createRelayedLog, createRequestForwarder, createRetryAfterEstimator, createStartReportClient,
 	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, decodePart, fanOut, isViewOutdated, monitorEventLoop,
 	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type ProcessStats,
 } from '../coordination/mod.js';
@@ -135,7 +135,7 @@
 		},
 	});
 	const {
-		account, grantRegistry, directory, evacuations, findRouteTable,
+		account, grantRegistry, directory, starts, evacuations, findRouteTable,
 	} = state;
 	const peerViews = createPeerViews();
 	const gatewayFleet = createGatewayFleet({
@@ -162,7 +162,7 @@
 	const departures = createUpstreamDepartures();
 	const rests = createUpstreamRests();
 	const eligibility = createUpstreamEligibility({
-		directory, evacuations, departures, rests, coldAdmission, limitAdmission, clock, random: Math.random,
+		directory, evacuations, departures, rests, starts, coldAdmission, limitAdmission, clock, random: Math.random,
 		isInformed: () => state.isDeploymentRecent() || peerViews.list().length > 0,
 		isOutdated,
 	});
@@ -286,9 +286,11 @@
 			streams.recorder.merge(announcement);
 		},
 	});
+	const byteLimits = createByteLimits({events, maxHeldBytes: computeMaxHeldBytes(settings.capacity?.memoryBytes)});
+	const upstreamClient = createUpstreamClient({connectTimeoutMs, maxConnections: maxUpstreamConnections, limits: byteLimits});
 	const streamFleet = createFleetClient(settings.fleetKey);
 	const streams = createGatewayStreams({
-		daemon: self.daemon, state, fleet: streamFleet, listPeers: gatewayFleet.listPeers, gossip, clock, events, signal,
+		daemon: self.daemon, state, fleet: streamFleet, fetchStart: createStartReportClient({client: upstreamClient, wire: adapter.wire}), listPeers: gatewayFleet.listPeers, gossip, clock, events, signal,
 	});
 	const listPresumedUpPeers = () => gatewayFleet.listPeers().map(({daemon}) => daemon).filter(daemon => gossip.isPresumedUp(daemon));
 	const owners = createBudgetOwners({clock, daemon: self.daemon, listPeers: listPresumedUpPeers});
@@ -303,10 +305,9 @@
 		countGateways: () => grantRegistry.listRunning().filter(({role}) => role === 'gateway').length,
 		getLimits: () => ({share: settings.retryShare, slack: settings.retrySlack}),
 	});
-	const byteLimits = createByteLimits({events, maxHeldBytes: computeMaxHeldBytes(settings.capacity?.memoryBytes)});
 	const forwarder = createRequestForwarder({
 		wire: adapter.wire, clock, events, limits: byteLimits,
-		client: createUpstreamClient({connectTimeoutMs, maxConnections: maxUpstreamConnections, limits: byteLimits}),
+		client: upstreamClient,
 		registry: upstreamRegistry,
 		eligibility,
 		limitRecorder,
@@ -315,6 +316,7 @@
 		}),
 		traffic,
 		streamRecorder: streams.recorder,
+		startChecker: streams.startChecker,
 		promptSourcePolicy: new CachedPromptSource(),
 		shouldPlaceByDelay: settings.shouldPlaceByDelay,
 		quarantine: quarantines.requests,
--- a/src/daemon/gateway-interface.test.ts
+++ b/src/daemon/gateway-interface.test.ts
@@ -17,6 +17,8 @@
 
 const wire: GatewayWire = {
 	readinessPath: '/ready',
+	reportPath: '/report',
+	readReportedStart: () => undefined,
 	readRequest: () => Ok({
 		id: 'r1', key: 'k', generation: {
 			model: 'm', promptTokens: 100, maxOutputTokens: 10, parts: [],
--- a/src/daemon/gateway-peer-interface.ts
+++ b/src/daemon/gateway-peer-interface.ts
@@ -5,7 +5,7 @@
  */
 import type {ServiceImpl} from '@connectrpc/connect';
 import {
-	encodePart, type CatchUpAnswer, type CatchUpQuery, type GrantQuery, type GrantReport, type Repayment, type StreamAnswer, type StreamQuery, type TokenLoan, type TokenLoanRequest,
+	encodeOrigin, encodePart, type CatchUpAnswer, type CatchUpQuery, type GrantQuery, type GrantReport, type Repayment, type StreamAnswer, type StreamQuery, type TokenLoan, type TokenLoanRequest,
 } from '../coordination/mod.js';
 import type {Gateway} from '../protocol/mod.js';
 
@@ -45,8 +45,8 @@
 		async findStream({stream, route}) {
 			const {record, only} = await options.findStream({stream: stream === '' ? undefined : stream, routeKey: route === '' ? undefined : route});
 			return {
-				...record && {origin: {...record.origin}, ageMs: record.ageMs},
-				...only && {only: {...only, origin: {...only.origin}}},
+				...record && {origin: encodeOrigin(record.origin), ageMs: record.ageMs},
+				...only && {only: {...only, origin: encodeOrigin(only.origin)}},
 			};
 		},
 		reportGrants({epoch, known}) {
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -11,7 +11,7 @@
 	Deployment, EventLog, GatewayWire, KeyedLog, LogEpoch, Route, StoredRecord, UpstreamRegistration,
 } from '../protocol/mod.js';
 import {
-	createEvacuations, createGrantRegistry, createRouteTable, createTokenAccount, createUpstreamDirectory, createValueHistory, holderRecordSchema, type DomainState, type HeldValue, type HolderRecord, type RouteTable,
+	createEvacuations, createGrantRegistry, createRouteTable, createTokenAccount, createUpstreamDirectory, createUpstreamStarts, createValueHistory, findKnownStart, holderRecordSchema, type DomainState, type HeldValue, type HolderRecord, type RouteTable,
 } from '../state/mod.js';
 import {waitWithTimeout, type Clock} from '../transport/mod.js';
 
@@ -133,12 +133,15 @@
 	const {adapter, clock, events} = options;
 	const ownKey = formatHolderKey(options.self);
 	const directory = createUpstreamDirectory();
+	const starts = createUpstreamStarts();
 	const versionHistory = createValueHistory({isComplete: options.isFirstStart});
 	const routeHistory = createValueHistory({isComplete: options.isFirstStart});
 	const evacuations = createEvacuations();
 	const grantRegistry = createGrantRegistry();
 	const account = createTokenAccount();
 	const expiryGrace = createExpiryGrace({heartbeatIntervalMs: options.upstreamHeartbeatMs});
+	/** Since when the registrations of upstreams have been read without interruption; undefined before the first read. */
+	let followedSince: number | undefined;
 	let routeTable: RouteTable | undefined;
 	let deploymentRecord = '';
 	let pendingSync: Promise<unknown> | undefined;
@@ -177,7 +180,21 @@
 		});
 	}
 
+	// Records that the last read did not show were written after that read was sent.
+	function recordStart(registration: UpstreamRegistration, {mayBeOlder}: RecordOrigin): void {
+		const start = findKnownStart(registration);
+		const sinceReadMs = upstreamFollower.computeStalenessMs();
+		if (start !== undefined) {
+			starts.recordVersion(start, registration.softwareVersion);
+		}
+
+		if (start !== undefined && sinceReadMs !== undefined && !mayBeOlder) {
+			starts.recordAlive(start, clock.now() - sinceReadMs - 1);
+		}
+	}
+
 	function applyUpstreamRecord({key, value, offset}: StoredRecord, {mayBeOlder}: RecordOrigin): void {
+		followedSince ??= clock.now();
 		if (value === undefined) {
 			removeUpstream(key, offset);
 			return;
@@ -188,6 +205,7 @@
 			return;
 		}
 
+		recordStart(registration, {mayBeOlder});
 		const known = directory.get(key);
 		const wasOnGrace = directory.computeRemainingGraceMs(key, clock.now()) > 0;
 		if (!directory.put(registration, clock.now())) {
@@ -278,8 +296,13 @@
 	});
 	const upstreamFollower: KeyedFollower = createKeyedFollower({
 		log: adapter.logs.upstreams, clock, events, longPollMs: 0, readIntervalMs: upstreamReadIntervalMs, readTimeoutMs, onRecord: skipUnreadable(applyUpstreamRecord),
-		listKnownKeys: directory.listIds, onRecovery: expiryGrace.recordOutage, onRestore: shareEpoch,
+		listKnownKeys: directory.listIds,
+		onRecovery(outage) {
+			followedSince = outage.recoveredAt;
+			expiryGrace.recordOutage(outage);
+		}, onRestore: shareEpoch,
 		onGap() {
+			followedSince = clock.now();
 			versionHistory.restart(clock.now());
 		},
 	});
@@ -322,7 +345,7 @@
 	}
 
 	return {
-		directory, evacuations, grantRegistry, account, grantFollower, versionHistory, routeHistory,
+		directory, starts, evacuations, grantRegistry, account, grantFollower, versionHistory, routeHistory,
 		/** Returns the age of the upstreams' data, in whole milliseconds; undefined before the first read. */
 		computeViewAgeMs: () => upstreamFollower.computeStalenessMs(),
 		/** Returns the age of the older one of the deployment's and the upstreams' data, in milliseconds; infinite before the first read. */
@@ -367,6 +390,9 @@
 			return outcomes?.every(Boolean) ?? false;
 		},
 
+		/** Returns true if the registrations of upstreams were read without interruption since a time, in milliseconds of the clock. */
+		hasFollowedSince: (time: number): boolean => followedSince !== undefined && followedSince <= time,
+
 		/** Returns true if requests can be served. */
 		isReady: () => routeTable !== undefined && directory.hasLive(clock.now()),
 
--- a/src/daemon/gateway-streams.ts
+++ b/src/daemon/gateway-streams.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {
-	createStreamQueryClient, createStreamRecorder, createStreamResolver, type Gossip, type GossipPeer, type StreamAnswer, type StreamQuery,
+	createStartChecker, createStreamQueryClient, createStreamRecorder, createStreamResolver, type CreateStartCheckerOptions, type Gossip, type GossipPeer, type StreamAnswer, type StreamQuery,
 } from '../coordination/mod.js';
 import type {EventLog} from '../protocol/mod.js';
 import {findOnlyOrigin, isFitFor} from '../state/mod.js';
@@ -16,9 +16,11 @@
 export type CreateGatewayStreamsOptions = {
 	/** This gateway's name. */
 	readonly daemon: string;
-	readonly state: Pick<GatewayState, 'directory' | 'findRouteTable' | 'versionHistory' | 'routeHistory' | 'readViews' | 'computeViewsAgeMs'>;
+	readonly state: Pick<GatewayState, 'directory' | 'starts' | 'hasFollowedSince' | 'findRouteTable' | 'versionHistory' | 'routeHistory' | 'readViews' | 'computeViewsAgeMs'>;
 	/** Connections to other gateways that carry no other calls, since one that does not answer at once is abandoned. */
 	readonly fleet: FleetClient;
+	/** Asks the process at an address for its start. */
+	readonly fetchStart: CreateStartCheckerOptions['fetchStart'];
 	readonly listPeers: () => readonly GossipPeer[];
 	readonly gossip: Pick<Gossip, 'announceStream' | 'isPresumedUp'>;
 	readonly clock: Clock;
@@ -68,20 +70,23 @@
 		return wasRead && only ? {origin: only.origin, sinceAgeMs: clock.now() - only.since, viewAgeMs: state.computeViewsAgeMs()} : undefined;
 	}
 
+	const readViews = async () => state.readViews(signal);
+	const startChecker = createStartChecker({
+		starts: state.starts, directory: state.directory, fetchStart: options.fetchStart, readViews, hasFollowedSince: state.hasFollowedSince, clock, events,
+	});
 	const resolver = createStreamResolver({
-		recorder, listPeers, queryPeer, routeHistory, versionHistory, formatRouteKey, computeLifetimeMs, clock, events,
-		hasUpstream: origin => state.directory.listLive(origin.service, clock.now()).some(({upstream}) => isFitFor(upstream, origin)),
-		readViews: async () => state.readViews(signal),
+		recorder, startChecker, readViews, listPeers, queryPeer, routeHistory, versionHistory, formatRouteKey, computeLifetimeMs, clock, events,
+		hasUpstream: origin => state.directory.listLive(origin.service, clock.now()).some(({upstream}) => isFitFor(upstream, origin) && state.starts.mayMatch(upstream)),
 	});
 
 	return {
-		recorder, resolver,
+		recorder, resolver, startChecker,
 
 		/** Answers the query of another gateway. */
 		async findStream({stream, routeKey}: StreamQuery): Promise<StreamAnswer> {
 			const record = stream === undefined ? undefined : recorder.get(stream);
 			return record
-				? {record: {origin: record.origin, ageMs: clock.now() - record.recordedAt}, only: undefined}
+				? {record: {origin: startChecker.describeOrigin(record.origin, record.recordedAt), ageMs: clock.now() - record.recordedAt}, only: undefined}
 				: {record: undefined, only: routeKey === undefined ? undefined : await describeOnly(routeKey)};
 		},
 	};
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -99,6 +99,7 @@
 	upstreamMemoryShort: {number: 1717, text: 'requests at an upstream may fill its memory'},
 	upstreamMemoryFree: {number: 1718, text: 'requests at an upstream no longer fill its memory'},
 	upstreamSpeedReset: {number: 1719, text: 'upstream restarted: what was learnt of it is discarded'},
+	upstreamReplaced: {number: 1720, text: 'upstream started again since it wrote the registration that was read'},
 	linesDropped: {number: 1801, text: 'log lines dropped'},
 	peerRefused: {number: 1601, text: 'peer without the fleet key refused'},
 	operatorRefused: {number: 1602, text: 'operator without a key refused'},
--- a/src/protocol/gateway-wire.ts
+++ b/src/protocol/gateway-wire.ts
@@ -95,6 +95,10 @@
 	readonly buildAnswerHeaders: (raw: RawHeaders) => string[];
 	/** Returns the name and value of the header that tells a caller when to retry. */
 	readonly formatRetryAfter: (milliseconds: number) => readonly [string, string];
+	/** Path at which an upstream reports its start. */
+	readonly reportPath: string;
+	/** Reads the start that an upstream reports, in milliseconds of Unix time by its own clock; undefined if the report names none. */
+	readonly readReportedStart: (text: string) => number | undefined;
 	/** Path at which the load balancer checks whether this daemon accepts connections. */
 	readonly readinessPath: string;
 };
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -28,4 +28,5 @@
 export * from './upstream-directory.js';
 export * from './upstream-limits.js';
 export * from './upstream-rests.js';
+export * from './upstream-starts.js';
 export * from './value-history.js';
--- a/src/state/stream-origin.ts
+++ b/src/state/stream-origin.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type {UpstreamRegistration} from '../protocol/mod.js';
+import type {KnownStart} from './upstream-starts.js';
 
 /** Which upstreams may continue a stream that has begun. */
 export type StreamOrigin = {
@@ -12,6 +13,8 @@
 	readonly service: string;
 	/** Version of that upstream's software; undefined if unknown, so that no upstream may continue the stream. */
 	readonly softwareVersion: string | undefined;
+	/** Start whose registration names the version; undefined once it is certain that no later start began the stream. */
+	readonly start?: KnownStart | undefined;
 };
 
 /**
--- a/src/state/stream-records.test.ts
+++ b/src/state/stream-records.test.ts
@@ -35,6 +35,17 @@
 	expect(records.get('a', 1)?.origin).toEqual({service: 's', softwareVersion: undefined});
 });
 
+test('an account whose version is certain goes before one that names a start', () => {
+	// Guards against a check that is made again for each resume, and against its loss when an earlier account arrives late.
+	const {records} = createRecords();
+	const start = {id: 'u1', startedAt: 1000};
+	records.put('a', buildRecord({origin: {service: 's', softwareVersion: 'v1', start}}));
+	expect(records.get('a', 1)?.origin.start).toEqual(start);
+	records.put('a', buildRecord());
+	records.put('a', buildRecord({origin: {service: 's', softwareVersion: 'v1', start}}));
+	expect(records.get('a', 1)?.origin).toEqual({service: 's', softwareVersion: 'v1'});
+});
+
 test('the oldest record is evicted when there is no room, and reported only if it has not expired', () => {
 	const {records, evicted} = createRecords(2);
 	records.put('a', buildRecord());
--- a/src/state/stream-records.ts
+++ b/src/state/stream-records.ts
@@ -47,7 +47,11 @@
 	// Accounts that contradict each other leave no version that is certain.
 	function mergeOrigins(known: StreamOrigin, told: StreamOrigin): StreamOrigin {
 		const isSame = known.service === told.service && known.softwareVersion === told.softwareVersion;
-		return isSame ? known : {service: known.service, softwareVersion: undefined};
+		if (isSame) {
+			return known.start === undefined ? known : told;
+		}
+
+		return {service: known.service, softwareVersion: undefined};
 	}
 
 	function get(stream: string, now: number): StreamRecord | undefined {
