--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -10,7 +10,7 @@
 } from '../../state/mod.js';
 import {createSystemClock, type CallFailure, type UpstreamCall} from '../../transport/mod.js';
 import {
-	CachedPromptSource, createPartQuarantine, createQuarantine, createRequestForwarder, createRetryBudget, createTrafficCounter, createUpstreamRegistry, type ForwardRequest, type RetryBudget,
+	CachedPromptSource, createPartQuarantine, createQuarantine, createRequestForwarder, createRetryBudget, createTrafficCounter, createUpstreamRegistry, type CreateRequestForwarderOptions, type ForwardRequest, type RetryBudget,
 } from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
@@ -24,6 +24,8 @@
 
 const wire: GatewayWire = {
 	readinessPath: '/ready',
+	reportPath: '/report',
+	readReportedStart: () => undefined,
 	readRequest: () => Ok({}),
 	buildForwardHeaders: (_raw, metadata) => [metadata.lastEventId ?? '', metadata.upstream],
 	readRequestId: () => undefined,
@@ -45,6 +47,8 @@
 	readonly areAllAtRest?: boolean;
 	/** Time until the gateway stops; by default it does not. */
 	readonly stopRemainingMs?: number;
+	/** What is found of the starts of upstreams; by default that every registration holds. */
+	readonly startChecker?: Partial<CreateRequestForwarderOptions['startChecker']>;
 };
 
 /** Empties a retry budget and returns what was left in it. */
@@ -57,7 +61,7 @@
 	return count;
 }
 
-function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}, areAllAtRest = false, stopRemainingMs = Number.POSITIVE_INFINITY}: FixtureOptions = {}) {
+function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}, areAllAtRest = false, stopRemainingMs = Number.POSITIVE_INFINITY, startChecker}: FixtureOptions = {}) {
 	const clock = createSystemClock();
 	const directory = createUpstreamDirectory();
 	for (const id of ['u1', 'u2', 'u3']) {
@@ -120,6 +124,9 @@
 				}
 			},
 		},
+		startChecker: {
+			isOfVersion: async () => true, checkOrigin: async origin => ({origin, isUnread: false}), recordLost: () => undefined, ...startChecker,
+		},
 		streamRecorder: {
 			recordEvents(stream, origin) {
 				recorded.push({stream, ...origin});
@@ -485,6 +492,47 @@
 	expect(fixture.received.refused).toMatchObject({type: 'stream-unresumable', ran: 'no', retryAfterMs: 2000});
 });
 
+test('an answer of a process whose version is not known is not passed on, and the stream goes on elsewhere', async () => {
+	// Guards against events of an upstream that started again with another version and has not registered.
+	const sentTo: string[] = [];
+	const fixture = createFixture([{...secondHalf, chunks: ['id: 2\ndata: other\n\n']}, secondHalf], {
+		startChecker: {
+			async isOfVersion({registered: {id}}) {
+				sentTo.push(id);
+				return sentTo.length > 1;
+			},
+		},
+	});
+	const report = await fixture.forward({isResumable: true}, 5000, {resumes: 'r0', origin: {service: 's', softwareVersion: 'v1'}, lastEventId: '1'});
+	expect(report.result).toBe('served');
+	expect(new Set(sentTo).size).toBe(2);
+	expect(fixture.received.body).toBe('id: 2\ndata: b\n\n');
+});
+
+test('a stream whose version turns out unknown when it breaks is cut and recorded so', async () => {
+	// Guards against a stream that goes on with the version of an earlier start.
+	const fixture = createFixture([firstHalf, secondHalf], {
+		startChecker: {checkOrigin: async ({service}) => ({origin: {service, softwareVersion: undefined}, isUnread: false})},
+	});
+	await fixture.forward({isResumable: true});
+	expect(fixture.calls.length).toBe(1);
+	expect(fixture.received).toMatchObject({body: 'id: 1\ndata: a\n\n', isCut: true});
+	expect(fixture.recorded.map(({softwareVersion}) => softwareVersion)).toEqual(['v1', undefined]);
+});
+
+test('a lost or refused connection to an upstream is recorded before the stream goes on elsewhere', async () => {
+	const lost: string[] = [];
+	const fixture = createFixture([firstHalf, {fails: 'unsent'}, secondHalf], {
+		startChecker: {
+			recordLost(id) {
+				lost.push(id);
+			},
+		},
+	});
+	await fixture.forward({isResumable: true});
+	expect(lost).toEqual(fixture.calls.slice(0, 2).map(({address}) => address));
+});
+
 test('the origin of a stream is recorded before its first event is sent to the caller, and only if it may be resumed', async () => {
 	for (const isResumable of [true, false]) {
 		const fixture = createFixture([{...firstHalf, isReset: false}]);
--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -81,7 +81,7 @@
 		const tried = new Set<string>();
 		const {service, generation, route} = request;
 		const state: ForwardingState = {
-			request, relay, progress, tried, unreached: new Set(), origin: request.origin,
+			request, relay, progress, tried, unreached: new Set(), origin: request.origin, begunAt: undefined,
 			retries: createRetryReservation({
 				attempts: route.attempts, findBudget: () => findRetryBudget(service.id),
 				mayRetry: () => mayRetryElsewhere(request, relay),
@@ -253,6 +253,8 @@
 			if (outcome.kind !== 'not-run' && !mayRetryElsewhere(request, relay)) {
 				break;
 			}
+
+			await sender.checkOrigin(state);
 		}
 
 		if (deliverFailure && !request.answer.hasStarted()) {
