Settle doubts about upstreams before a stream goes on there

Callers saw: after the check of starts, streams that were cut although other upstreams of their version served.

Cause: all of them went on at the least loaded engine, the one that had started again, at the same time. Its answers were abandoned, and that was the last attempt of their route. That a connection to it had been lost before was only looked at after the answer.

Change: before a stream goes on, each upstream to which a connection was lost since its start was last known is asked for its report, one for all streams that wait. One that reports another start, or none, is excluded from that stream.

--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -108,7 +108,7 @@
 			},
 		},
 		startChecker: {
-			isOfVersion: async () => true, checkOrigin: async origin => ({origin, isUnread: false}), recordLost: () => undefined, ...startChecker,
+			isOfVersion: async () => true, checkOrigin: async origin => ({origin, isUnread: false}), settleDoubt: async () => true, recordLost: () => undefined, ...startChecker,
 		},
 		streamRecorder: {
 			recordEvents(stream, origin) {
--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -171,7 +171,8 @@
 		const retryBudget = findRetryBudget(request.service.id);
 		let deliveries = 0;
 		let deliverFailure: (() => void) | undefined;
-		let detail = '';
+		// Holds if upstreams were excluded and none was sent to.
+		let detail = 'The processes of its upstreams may have ended';
 		let held: UnansweredReason | undefined;
 		retryBudget.deposit();
 		for (;;) {
@@ -180,6 +181,10 @@
 				break;
 			}
 
+			if (state.origin !== undefined) {
+				await sender.excludeDoubtful(state);
+			}
+
 			const placement = requestPlacement.pick(request, tried, state.origin);
 			const isFirst = deliveries === 0;
 			if (placement === undefined || !hasTimeLeft(request.deadline, clock.now()) || progress.sends >= request.route.attempts || !(isFirst || retryBudget.tryWithdraw())) {
--- a/src/coordination/requests/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -41,7 +41,7 @@
 	readonly partQuarantine: Pick<PartQuarantine, 'trackRun' | 'admitSend'>;
 	readonly crashDetector: CrashDetector;
 	readonly streamRecorder: Pick<StreamRecorder, 'recordEvents'>;
-	readonly startChecker: Pick<StartChecker, 'isOfVersion' | 'checkOrigin' | 'recordLost'>;
+	readonly startChecker: Pick<StartChecker, 'isOfVersion' | 'checkOrigin' | 'settleDoubt' | 'recordLost'>;
 	readonly events: EventLog;
 	readonly clock: Clock;
 };
@@ -276,6 +276,19 @@
 			}
 		},
 
+		/**
+		 * Excludes the upstreams whose process may have ended, so that a stream that
+		 * goes on does not spend its last attempt at one that has started again.
+		 */
+		async excludeDoubtful({request, origin, tried}: ForwardingState): Promise<void> {
+			const eligible = origin === undefined ? [] : eligibility.listEligible(request.service, origin).filter(({upstream}) => !tried.has(upstream.id));
+			await Promise.all(eligible.map(async ({upstream}) => {
+				if (!await startChecker.settleDoubt(upstream)) {
+					tried.add(upstream.id);
+				}
+			}));
+		},
+
 		/** Sends a request to one upstream. */
 		async send(state: ForwardingState, {candidate: {id}, fetchFrom}: Placement): Promise<SendOutcome> {
 			const {request, relay} = state;
--- a/src/coordination/streams/start-checker.test.ts
+++ b/src/coordination/streams/start-checker.test.ts
@@ -93,6 +93,21 @@
 	expect(await isOfVersion()).toBe(false);
 });
 
+test('a lost connection is settled by a report before a stream goes on at that upstream', async () => {
+	// Guards against all streams of a crashed engine that go on at another one which started again, and lose their last attempt there.
+	const settle = async (options: FixtureOptions): Promise<boolean> => {
+		const {checker} = createFixture(options);
+		expect(await checker.settleDoubt(registered)).toBe(true);
+		checker.recordLost('u1');
+		return checker.settleDoubt(registered);
+	};
+
+	expect(await settle({reported: {kind: 'read', startedAt: 1000}})).toBe(true);
+	expect(await settle({reported: {kind: 'read', startedAt: 2000}})).toBe(false);
+	expect(await settle({reported: {kind: 'absent'}})).toBe(false);
+	expect(await settle({reported: {kind: 'unanswered'}})).toBe(false);
+});
+
 test('an upstream without reports continues streams until a connection to it was lost, and again once it has registered since', async () => {
 	// Guards against refusing every resume where engines offer no report, and against guessing after a crash.
 	const {isOfVersion, checker, starts, state} = createFixture({reported: {kind: 'absent'}});
--- a/src/coordination/streams/start-checker.ts
+++ b/src/coordination/streams/start-checker.ts
@@ -223,6 +223,24 @@
 			};
 		},
 
+		/**
+		 * Asks an upstream for its start if a connection to it was lost since that was
+		 * known. Returns false if no stream may go on there now.
+		 */
+		async settleDoubt(upstream: Pick<UpstreamRegistration, 'id' | 'address' | 'startedAt'>): Promise<boolean> {
+			const start = findKnownStart(upstream);
+			if (start === undefined || !starts.isInDoubt(start)) {
+				return true;
+			}
+
+			const reported = await queryShared(upstream, starts.getDoubtedAt(start.id));
+			if (reported.kind === 'read' && reported.startedAt !== start.startedAt) {
+				recordReplaced(start, reported.startedAt);
+			}
+
+			return reported.kind === 'read' && starts.mayMatch(upstream);
+		},
+
 		/** Records that a connection to an upstream was lost or refused. */
 		recordLost(id: string): void {
 			starts.recordDoubt(id, clock.now());
--- a/src/daemon/byte-limits.test.ts
+++ b/src/daemon/byte-limits.test.ts
@@ -94,7 +94,9 @@
 		}),
 		limitRecorder: {recordAnswer: () => undefined},
 		noticeRecorder: {recordAnswer: () => undefined},
-		startChecker: {isOfVersion: async () => true, checkOrigin: async origin => ({origin, isUnread: false}), recordLost: () => undefined},
+		startChecker: {
+			isOfVersion: async () => true, checkOrigin: async origin => ({origin, isUnread: false}), settleDoubt: async () => true, recordLost: () => undefined,
+		},
 		streamRecorder: {recordEvents: () => undefined},
 		traffic: createTrafficCounter('d'),
 		promptSourcePolicy: new CachedPromptSource(),
--- a/src/state/upstream-starts.ts
+++ b/src/state/upstream-starts.ts
@@ -86,7 +86,7 @@
 	// A process that was known to run after a connection to it was lost has not ended with that connection.
 	function isInDoubt(start: KnownStart): boolean {
 		const doubtedAt = histories.get(start.id)?.doubtedAt ?? Number.NEGATIVE_INFINITY;
-		return doubtedAt > Number.NEGATIVE_INFINITY && findAliveAt(start) <= doubtedAt;
+		return doubtedAt > Number.NEGATIVE_INFINITY && findAliveAt(start) < doubtedAt;
 	}
 
 	const isReplaced = ({id, startedAt}: KnownStart): boolean => histories.get(id)?.replaced.has(startedAt) ?? false;
@@ -133,6 +133,8 @@
 		wasAlive: (start: KnownStart, since: number): boolean => findAliveAt(start) >= since,
 
 		isInDoubt,
+		/** Returns when a connection to an upstream was last lost or refused. */
+		getDoubtedAt: (id: string): number => histories.get(id)?.doubtedAt ?? Number.NEGATIVE_INFINITY,
 		isReplaced,
 
 		/**
