--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -203,7 +203,8 @@
 			request, relay, progress, tried, unreached, retries,
 		} = state;
 		let deliverFailure: (() => void) | undefined;
-		let detail = '';
+		// Holds if upstreams were excluded and none was sent to.
+		let detail = 'The processes of its upstreams may have ended';
 		let held: UnansweredReason | undefined;
 		findRetryBudget(request.service.id).deposit();
 		for (;;) {
@@ -212,6 +213,10 @@
 				break;
 			}
 
+			if (state.origin !== undefined) {
+				await sender.excludeDoubtful(state);
+			}
+
 			const placement = requestPlacement.pick(request, tried, state.origin) ?? await waitForPlacement(state);
 			if (request.signal.aborted) {
 				detail = String((request.signal.reason as Error).message);
