Keep the attempt of a given-up call when an upstream rejects its retry

A stream whose silent call had been given up was cut if the upstream that was to continue it had no room and rejected the request: the rejection used up the last attempt, or the retry budget had no further retry, while the first engine could have gone on.

Cause: a rejection counts as an attempt, although the attempts of a route limit how many upstreams run a request, and only a missing upstream, not a missing retry, was waited for.

Change: after a call that was given up, a rejection uses up no attempt, and the request waits for a retry as for an upstream. Each rejection still takes a retry from the budget, and a rejecting upstream is not asked again, so their number is bounded. Other requests are as before.

--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -586,6 +586,33 @@
 	expect(countLeft(unanswered.retries)).toBe(10);
 });
 
+test('a stream that was given up goes on although other upstreams reject it first', async () => {
+	// Guards against a stream that is cut because the upstream for which its call was given up had no room: it did not run there.
+	const rejection: UpstreamResponse = {status: 503, headers: {'not-run': '1'}, chunks: []};
+	const stalled: UpstreamResponse = {...firstHalf, isReset: false, hangs: true};
+	const fixture = createFixture([stalled, rejection, secondHalf]);
+	expect(await fixture.forward({isResumable: true, objective: 100, attempts: 2})).toMatchObject({result: 'served', events: 2});
+	expect(countLeft(fixture.retries)).toBe(8);
+
+	const waiting = createFixture([stalled, rejection, secondHalf]);
+	while (countLeft(waiting.retries) > 0) {
+		// Exhausts the retry budget.
+	}
+
+	for (let count = 0; count < 5; count += 1) {
+		waiting.retries.deposit();
+	}
+
+	const pending = waiting.forward({isResumable: true, objective: 100, attempts: 2});
+	await wait(1700);
+	expect(waiting.calls.length).toBe(2);
+	for (let count = 0; count < 5; count += 1) {
+		waiting.retries.deposit();
+	}
+
+	expect(await pending).toMatchObject({result: 'served', events: 2});
+});
+
 test.each([
 	['a request that is not idempotent', {kind: 'once'}],
 	['a stream that may not be resumed', {kind: 'stream', isResumable: false}],
--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -183,8 +183,14 @@
 			: finishUnanswered(state, {detail, retryAfterMs: overloadedRetryAfterMs, type: 'unexpected-error'});
 	}
 
-	/** Waits for an upstream if the call before was given up for one that is no longer free. */
-	async function waitForPlacement({request, tried, unreached, retries, origin}: ForwardingState): Promise<Placement | undefined> {
+	function tryBeginCall({request, tried, retries, origin}: ForwardingState): Placement | undefined {
+		const placement = requestPlacement.pick(request, tried, origin);
+		return placement !== undefined && hasTimeLeft(request.deadline, clock.now()) && retries.tryBegin() ? placement : undefined;
+	}
+
+	// The call before was given up for an upstream or a retry that is no longer free.
+	async function waitForPlacement(state: ForwardingState): Promise<Placement | undefined> {
+		const {request, tried, unreached, retries} = state;
 		let placement: Placement | undefined;
 		while (placement === undefined && retries.shouldWait() && !request.signal.aborted) {
 			await clock.sleep(placementCheckIntervalMs, request.signal);
@@ -192,7 +198,7 @@
 				tried.delete(id);
 			}
 
-			placement = requestPlacement.pick(request, tried, origin);
+			placement = request.signal.aborted ? undefined : tryBeginCall(state);
 		}
 
 		return placement;
@@ -212,13 +218,13 @@
 				break;
 			}
 
-			const placement = requestPlacement.pick(request, tried, state.origin) ?? await waitForPlacement(state);
+			const placement = tryBeginCall(state) ?? await waitForPlacement(state);
 			if (request.signal.aborted) {
 				detail = String((request.signal.reason as Error).message);
 				break;
 			}
 
-			if (placement === undefined || !hasTimeLeft(request.deadline, clock.now()) || !retries.tryBegin()) {
+			if (placement === undefined) {
 				break;
 			}
 
@@ -227,12 +233,12 @@
 			recordCandidate(progress, placement.candidate);
 			const outcome = await sender.send(state, placement);
 			const reached = findReached(outcome);
-			retries.finish(reached);
+			retries.finish(reached, {wasRejected: outcome.kind === 'not-run'});
 			if (reached === 'none') {
 				unreached.add(id);
 			}
 
-			progress.sends = retries.countSends();
+			progress.sends += reached === 'chosen' ? 1 : 0;
 			if (request.signal.aborted && outcome.kind !== 'complete') {
 				detail = String((request.signal.reason as Error).message);
 				break;
--- a/src/coordination/requests/retry-reservation.ts
+++ b/src/coordination/requests/retry-reservation.ts
@@ -38,7 +38,7 @@
  * @example
  * ```ts
  * while (reservation.tryBegin()) {
- * 	reservation.finish(await send());
+ * 	reservation.finish(await send(), {wasRejected: false});
  * }
  *
  * reservation.release();
@@ -59,7 +59,7 @@
 	let usedFrom: RetryBudget | undefined;
 	/** The running call is given up after it was written. */
 	let isGivingUp = false;
-	/** The last call that reached an upstream was given up. */
+	/** The last call that an upstream ran was given up. */
 	let wasGivenUp = false;
 
 	const hasTime = (): boolean => computeRemainingMs() >= minRemainingMs;
@@ -85,16 +85,21 @@
 			return true;
 		},
 
-		/** Records the end of the call. A retry that reached no upstream is kept for the next call. */
-		finish(reached: ReachedUpstream): void {
-			sends += reached === 'chosen' ? 1 : 0;
+		/**
+		 * Records the end of the call. A retry that reached no upstream is kept for the
+		 * next call. After a call that was given up, an upstream that did not run the
+		 * request uses up no attempt, as nothing else could answer it.
+		 */
+		finish(reached: ReachedUpstream, {wasRejected}: {readonly wasRejected: boolean}): void {
+			const isStillGivenUp = wasGivenUp && (wasRejected || reached !== 'chosen');
+			sends += reached === 'chosen' && !isStillGivenUp ? 1 : 0;
 			deliveries += reached === 'none' ? 0 : 1;
 			if (reached === 'none') {
 				reservedFrom ??= usedFrom;
 			}
 
 			usedFrom = undefined;
-			wasGivenUp = isGivingUp || (wasGivenUp && reached === 'none');
+			wasGivenUp = isGivingUp || isStillGivenUp;
 			isGivingUp = false;
 		},
 
@@ -117,8 +122,6 @@
 		 */
 		shouldWait: (): boolean => wasGivenUp && hasTime(),
 
-		countSends: (): number => sends,
-
 		/** Gives back a retry that was not used. */
 		release(): void {
 			reservedFrom?.repay();
