Keep gateways running whatever addresses and counts others have told

A process ended, with all that was under way, in three cases. A holder's record with an address that is no address made the datagram socket or the client of the fleet throw, in a task whose exception nothing handles. A quarantine record whose count is above 32 bits was taken into the gossip of every gateway that had read it, and the message could not be encoded. An exception in a handler of gossip ended the process as well. Versions, offsets, epochs and sequence numbers of a message that are not finite held for good, since no later one exceeds them.

Cause: what another process wrote was used as it came, in tasks that run for as long as the process.

--- a/src/coordination/peers/gossip-codec.ts
+++ b/src/coordination/peers/gossip-codec.ts
@@ -5,16 +5,19 @@
  */
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 import {
-	Err, Ok, PeerEntrySchema, PeerNewsSchema, PeerStateSchema, createFailure, type Failure, type PartRecord, type PeerEntry, type PeerNews, type Result,
+	Err, Ok, PeerEntrySchema, PeerNewsSchema, PeerStateSchema, createFailure, type Failure, type PartRecord, type PeerEntry, type PeerNews, type PeerState, type Result,
 } from '../../protocol/mod.js';
 import type {
 	PartAnnouncement, PeerEntryId, PeerView, PlacedPrompt,
 } from '../../state/mod.js';
 import type {StreamAnnouncement} from '../streams/stream-recorder.js';
 import {
-	decodeLoad, decodeUse, encodeLoad, encodeUse,
+	decodeLoad, decodeUse, encodeLoad, encodeUse, toUint32,
 } from './load-codec.js';
 
+/** Longest life of an announced stream: callers take one up again within seconds. */
+const maxStreamLifetimeMs = 24 * 60 * 60 * 1000;
+
 /** Options of {@linkcode encodeEntry}. */
 export type EncodeEntryOptions = {
 	readonly sequence: number;
@@ -35,7 +38,7 @@
  */
 export function encodePart({digest, round, trials, crashes}: PartAnnouncement) {
 	return {
-		digest, round, trials, upstreams: crashes.map(({upstream}) => upstream), agesMs: crashes.map(({ageMs}) => ageMs),
+		digest, round: toUint32(round), trials: toUint32(trials), upstreams: crashes.map(({upstream}) => toUint32(upstream)), agesMs: crashes.map(({ageMs}) => toUint32(ageMs)),
 	};
 }
 
@@ -76,9 +79,9 @@
 		address, version, isLeaving, hasRoom, tellsFree: shouldIncludeFreeTokens,
 		uses: uses.map(use => encodeUse(use)),
 		...load && {load: encodeLoad(load)},
-		...viewAgeMs !== undefined && {viewAgeMs: Math.round(viewAgeMs)},
+		...viewAgeMs !== undefined && {viewAgeMs: toUint32(viewAgeMs)},
 		free: shouldIncludeFreeTokens ? free.map(item => ({...item})) : [],
-		crashes: crashes.map(item => ({...item})),
+		crashes: crashes.map(({digest, round, crashes: count}) => ({digest, round: toUint32(round), crashes: toUint32(count)})),
 		parts: parts.map(part => encodePart(part)),
 		domains: domains.map(item => ({...item})),
 		limits: limits.map(item => ({...item})),
@@ -88,12 +91,32 @@
 	});
 }
 
+/** @internal */
+const isWhole = (value: number | undefined): boolean => value === undefined || Number.isSafeInteger(value);
+
+/** @internal */
+const isAmount = (value: number | undefined): boolean => value === undefined || (Number.isFinite(value) && value >= 0);
+
+// A message may state any number. An offset or a version that nothing exceeds would hold for good, and amounts that are
+// not finite would make sums unusable.
+/** @internal */
+function checkEntry(sequence: number, {version, free, domains, limits}: PeerState): void {
+	const hasNumbers = isAmount(sequence) && Number.isSafeInteger(version) && free.every(({tokens}) => isAmount(tokens))
+		&& domains.every(({offset, epoch}) => isWhole(offset) && isWhole(epoch))
+		&& limits.every(({requestsPerSecond, ageMs}) => isAmount(requestsPerSecond) && isAmount(ageMs));
+	if (!hasNumbers) {
+		throw new RangeError('A number is out of its range');
+	}
+}
+
 /** @internal */
 function readEntry(entry: PeerEntryId & {readonly state: Uint8Array}, previousView: PeerView | undefined): PeerView {
 	const {daemon, incarnation} = entry;
+	const state = fromBinary(PeerStateSchema, entry.state);
+	checkEntry(entry.sequence, state);
 	const {
 		address, uses, version, isLeaving, hasRoom, load, viewAgeMs, tellsFree, free, crashes, parts, domains, limits,
-	} = fromBinary(PeerStateSchema, entry.state);
+	} = state;
 	return {
 		daemon, incarnation, address, version, isLeaving, hasRoom,
 		uses: uses.map(use => decodeUse(use)),
@@ -144,7 +167,7 @@
 export function encodeGossip(entries: readonly PeerEntry[], prompts: readonly PlacedPrompt[]): Uint8Array {
 	return toBinary(PeerNewsSchema, create(PeerNewsSchema, {
 		entries: [...entries],
-		prompts: prompts.map(({upstream, memory, parts}) => ({upstream, memory, parts: parts.map(part => ({...part}))})),
+		prompts: prompts.map(({upstream, memory, parts}) => ({upstream, memory, parts: parts.map(({id, tokens}) => ({id, tokens: toUint32(tokens)}))})),
 	}));
 }
 
@@ -176,16 +199,31 @@
  * ```
  *
  * @param message The decoded message
- * @returns The announced streams, without those that name no origin
+ * @returns The announced streams, without those that name no origin or an unusable lifetime
  */
 export function listStreams({streams}: PeerNews): StreamAnnouncement[] {
-	return streams.flatMap(({stream, origin, lifetimeMs, source}) => origin
+	return streams.flatMap(({stream, origin, lifetimeMs, source}) => origin && isAmount(lifetimeMs) && lifetimeMs <= maxStreamLifetimeMs
 		? [{
 			stream, origin: {service: origin.service, softwareVersion: origin.softwareVersion}, lifetimeMs, source,
 		}]
 		: []);
 }
 
+/**
+ * Lists the placed prompts that a message announces.
+ *
+ * @example
+ * ```ts
+ * listPrompts(message).map(({upstream}) => upstream);
+ * ```
+ *
+ * @param message The decoded message
+ * @returns The prompts, without those whose memory is no amount of tokens
+ */
+export function listPrompts({prompts}: Pick<PeerNews, 'prompts'>): PlacedPrompt[] {
+	return prompts.filter(({memory}) => isAmount(memory));
+}
+
 /**
  * Decodes one gossip message.
  *
--- a/src/coordination/peers/gossip.test.ts
+++ b/src/coordination/peers/gossip.test.ts
@@ -202,3 +202,45 @@
 	expect(earlier.ok && listStreams(earlier.val)).toEqual([]);
 	stopper.abort();
 });
+
+test('gossip goes on when a message cannot be sent or handled', async () => {
+	// Guards against a process that ends because of what a peer or the log has told.
+	const time = createVirtualTime();
+	const stopper = new AbortController();
+	const lines: string[] = [];
+	let sent = 0;
+	const gossip = createGossip({
+		clock: time, daemon: 'g0', views: createPeerViews(),
+		events: {
+			write(name) {
+				lines.push(name);
+			},
+			counts: new Map(),
+		},
+		receiverPolicy: new UniformReceiverPolicy({fanOut, failureDomain: 'd', random: () => 0}),
+		listPeers: () => [],
+		getOwnView: (): PeerView => ({
+			daemon: 'g0', incarnation: 'i', address: 'g0:1', version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [], free: [], uses: [],
+		}),
+		send() {
+			sent += 1;
+			if (sent < 3) {
+				throw new RangeError('Port should be > 0 and < 65536');
+			}
+		},
+		onView: () => undefined,
+		onStream: () => undefined,
+		onPrompt() {
+			throw new TypeError('test');
+		},
+	});
+	const running = gossip.run(stopper.signal);
+	gossip.handleMessage(encodeGossip([], [{upstream: 'u', memory: 1, parts: []}]));
+	gossip.handleMessage(new Uint8Array([255, 255, 255]));
+	await time.runUntil(10_000);
+	stopper.abort();
+	await time.runUntil(20_000);
+	await running;
+	expect(sent).toBeGreaterThan(3);
+	expect(lines.toSorted()).toEqual(['peerNewsLost', 'peerNewsLost', 'peerNewsUnreadable', 'peerNewsUnreadable']);
+});
--- a/src/coordination/peers/gossip.ts
+++ b/src/coordination/peers/gossip.ts
@@ -11,12 +11,12 @@
  *
  * @module
  */
-import type {EventLog, PeerEntry} from '../../protocol/mod.js';
+import type {EventLog, PeerEntry, PeerNews} from '../../protocol/mod.js';
 import type {PeerView, PeerViews, PlacedPrompt} from '../../state/mod.js';
 import type {Clock} from '../../transport/mod.js';
 import type {StreamAnnouncement} from '../streams/stream-recorder.js';
 import {
-	decodeEntry, decodeGossip, encodeEntry, encodeGossip, encodeStream, listStreams,
+	decodeEntry, decodeGossip, encodeEntry, encodeGossip, encodeStream, listPrompts, listStreams,
 } from './gossip-codec.js';
 import {computeGossipRate, type GossipRate} from './gossip-rate.js';
 import type {GossipPeer, ReceiverPolicy} from './gossip-receivers.js';
@@ -164,6 +164,29 @@
 		}
 	}
 
+	function deliver(news: PeerNews): void {
+		for (const entry of news.entries) {
+			handleEntry(entry);
+		}
+
+		for (const prompt of listPrompts(news)) {
+			options.onPrompt(prompt);
+		}
+
+		for (const announcement of listStreams(news)) {
+			options.onStream(announcement);
+		}
+	}
+
+	// Whatever a peer or the log has told is part of the message. What cannot be sent must not end the process.
+	function trySendMessage(): void {
+		try {
+			sendMessage();
+		} catch (error) {
+			events.write('peerNewsLost', {detail: (error as Error).message});
+		}
+	}
+
 	return {
 		/** Handles a message received from another gateway. */
 		handleMessage(message: Uint8Array): void {
@@ -173,16 +196,10 @@
 				return;
 			}
 
-			for (const entry of decoded.val.entries) {
-				handleEntry(entry);
-			}
-
-			for (const prompt of decoded.val.prompts) {
-				options.onPrompt(prompt);
-			}
-
-			for (const announcement of listStreams(decoded.val)) {
-				options.onStream(announcement);
+			try {
+				deliver(decoded.val);
+			} catch (error) {
+				events.write('peerNewsUnreadable', {detail: (error as Error).message});
 			}
 		},
 
@@ -229,7 +246,7 @@
 			while (!signal.aborted) {
 				rate = computeGossipRate(options.listPeers().length + 1);
 				dropUnresponsive(clock.now() - dueAt);
-				sendMessage();
+				trySendMessage();
 				const pauseMs = pendingEntries.size > 0 ? rate.backlogIntervalMs : rate.datagramIntervalMs;
 				dueAt = clock.now() + pauseMs;
 				await clock.sleep(pauseMs, signal);
--- a/src/coordination/peers/load-codec.ts
+++ b/src/coordination/peers/load-codec.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type {PeerState} from '../../protocol/mod.js';
+import {isDaemonAddress, type PeerState} from '../../protocol/mod.js';
 import type {GatewayLoad, UpstreamUse} from '../../state/mod.js';
 
 type LoadMessage = NonNullable<PeerState['load']>;
@@ -15,24 +15,24 @@
 /** The largest number of the message's fields. A larger one would make the whole entry unsendable. */
 const maxUint32 = 0xFF_FF_FF_FF;
 
-/** Host and port, the host of an IPv6 address in brackets. */
-const addressPattern = /^(?:[\w.-]+|\[[\da-f:]+]):(?<port>\d{1,5})$/;
-const maxPort = 65_535;
-
-/** @internal */
-function isAddress(text: string): boolean {
-	const port = Number(addressPattern.exec(text)?.groups?.port);
-	return port > 0 && port <= maxPort;
-}
-
-/** @internal */
-function toUint32(value: number): number {
-	return Math.min(maxUint32, Math.max(0, Math.round(value)));
+/**
+ * Converts a number to one that a field of a message can hold.
+ *
+ * @example
+ * ```ts
+ * toUint32(1e300); // 4_294_967_295
+ * ```
+ *
+ * @param value Any number
+ * @returns The nearest whole number from 0 to 4,294,967,295; 0 for NaN
+ */
+export function toUint32(value: number): number {
+	return value > 0 ? Math.min(maxUint32, Math.round(value)) : 0;
 }
 
 /** @internal */
 function toPercent(share: number): number {
-	return Math.max(0, Math.round(share * percentPerShare));
+	return toUint32(share * percentPerShare);
 }
 
 /**
@@ -67,7 +67,7 @@
 export function decodeLoad({processorPercent, linkPercent, memoryPercent, takesConnections, failureDomain, handOverAddress, spareMillicores}: Omit<LoadMessage, '$typeName' | '$unknown'>): GatewayLoad {
 	return {
 		processorShare: processorPercent / percentPerShare, linkShare: linkPercent / percentPerShare, memoryShare: memoryPercent / percentPerShare, takesConnections, failureDomain,
-		...isAddress(handOverAddress) && {handOver: {address: handOverAddress, spareMillicores}},
+		...isDaemonAddress(handOverAddress) && {handOver: {address: handOverAddress, spareMillicores}},
 	};
 }
 
@@ -84,7 +84,7 @@
  */
 export function encodeUse({upstream, inFlight, waitingTokens, heldTokens, slowness}: UpstreamUse) {
 	return {
-		upstream, inFlight, waitingTokens: toUint32(waitingTokens), heldTokens: toUint32(heldTokens ?? 0), slownessPercent: toPercent(slowness ?? 0),
+		upstream, inFlight: toUint32(inFlight), waitingTokens: toUint32(waitingTokens), heldTokens: toUint32(heldTokens ?? 0), slownessPercent: toPercent(slowness ?? 0),
 	};
 }
 
--- a/src/coordination/quarantine/logged-crashes.ts
+++ b/src/coordination/quarantine/logged-crashes.ts
@@ -45,7 +45,12 @@
 	abstract encodeTrial(digest: string): string;
 }
 
-const requestSchema = z.object({round: z.number().int().nonnegative(), crashes: z.number().int().nonnegative()});
+/** Counts rise by one with each crash, and messages hold them in 32 bits: one above half of that leaves no room to rise. */
+const countSchema = z.number().int().nonnegative().max(0x7F_FF_FF_FF);
+/** Starts are named by hashes of 32 bits. */
+const startSchema = z.number().int().nonnegative().max(0xFF_FF_FF_FF);
+
+const requestSchema = z.object({round: countSchema, crashes: countSchema});
 
 /** Requests during which upstreams crashed. Their trials are not claimed in the log. */
 export class LoggedRequests extends LoggedCrashes {
@@ -91,13 +96,16 @@
 	}
 }
 
+/** A part is held back after fewer crashes, and gateways record at most 16. */
+const maxLoggedCrashes = 64;
+
 // `round` and `crashes` are also read by gateways of a version that does not know parts.
 const partSchema = z.object({
-	round: z.number().int().nonnegative(),
-	crashes: z.number().int().nonnegative(),
-	trials: z.number().int().nonnegative(),
+	round: countSchema,
+	crashes: countSchema,
+	trials: countSchema,
 	/** The crashed starts of upstreams, each with the age of the crash in milliseconds when it is written. */
-	upstreams: z.array(z.tuple([z.number().int().nonnegative(), z.number().nonnegative()])),
+	upstreams: z.array(z.tuple([startSchema, z.number().nonnegative()])).max(maxLoggedCrashes),
 });
 
 /** Parts of prompts during whose answers upstreams crashed. */
--- a/src/daemon/gateway-fleet.ts
+++ b/src/daemon/gateway-fleet.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {GossipPeer, HolderIdentity} from '../coordination/mod.js';
+import {isDaemonAddress} from '../protocol/mod.js';
 import type {GrantRegistry, HolderRecord} from '../state/mod.js';
 
 /** Options of {@linkcode createGatewayFleet}. */
@@ -42,12 +43,12 @@
 		listRelays(): string[] {
 			const rank = (holder: HolderRecord) => (holder.role === 'relay' ? 0 : 2) + (holder.failureDomain === self.failureDomain ? 0 : 1);
 			const holders = grantRegistry.listRunning().filter(({daemon}) => daemon !== self.daemon).sort((left, right) => rank(left) - rank(right));
-			return [...holders.map(({address}) => address), ...seeds.filter(address => address !== self.address)];
+			return [...holders.map(({address}) => address), ...seeds.filter(address => address !== self.address)].filter(address => isDaemonAddress(address));
 		},
 
 		/** Lists the other gateways. */
 		listPeers: (): GossipPeer[] => grantRegistry.listRunning()
-			.flatMap(({role, daemon, address, newsAddress, failureDomain}) => role === 'gateway' && daemon !== self.daemon && newsAddress !== undefined
+			.flatMap(({role, daemon, address, newsAddress, failureDomain}) => role === 'gateway' && daemon !== self.daemon && newsAddress !== undefined && isDaemonAddress(address) && isDaemonAddress(newsAddress)
 				? [{
 					daemon, address, newsAddress, failureDomain,
 				}]
--- a/src/protocol/mod.ts
+++ b/src/protocol/mod.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+export * from './addresses.js';
 export * from './changes.js';
 export * from './chat.js';
 export * from './deployment.js';
--- a/src/transport/datagram-socket.test.ts
+++ b/src/transport/datagram-socket.test.ts
@@ -53,3 +53,15 @@
 		socket.send(new Uint8Array([1]), ['127.0.0.1:9']);
 	}).not.toThrow();
 });
+
+test('a message to an address that is no address is lost, and the others are delivered', async () => {
+	// Guards against a process that ends because of an address that another process wrote.
+	const sender = await openCountingSocket('key');
+	const receiver = await openCountingSocket('key');
+	sender.socket.send(new TextEncoder().encode('news'), ['', 'h', '127.0.0.1:0', '127.0.0.1:65536', '127.0.0.1:port', receiver.socket.address]);
+	await wait(100);
+	expect(receiver.messages).toEqual(['news']);
+	expect(sender.counts.lost).toBeGreaterThanOrEqual(4);
+	sender.socket.close();
+	receiver.socket.close();
+});
--- a/src/transport/datagram-socket.ts
+++ b/src/transport/datagram-socket.ts
@@ -74,6 +74,21 @@
 			onUnauthenticated();
 		}
 	});
+
+	// `send` throws on a port that is out of range.
+	function sendTo(datagram: Uint8Array, address: string): void {
+		const [peerHost, peerPort] = address.split(':');
+		try {
+			socket.send(datagram, Number(peerPort), peerHost, error => {
+				if (error) {
+					onSendError(error);
+				}
+			});
+		} catch (error) {
+			onSendError(error as Error);
+		}
+	}
+
 	let isClosed = false;
 	const localAddress = socket.address();
 	return {
@@ -81,13 +96,8 @@
 		send(message, addresses) {
 			const datagram = Buffer.concat([computeMac(fleetKey, message), message]);
 			for (const address of addresses) {
-				const [peerHost, peerPort] = address.split(':');
 				if (!isClosed) {
-					socket.send(datagram, Number(peerPort), peerHost, error => {
-						if (error) {
-							onSendError(error);
-						}
-					});
+					sendTo(datagram, address);
 				}
 			}
 		},
--- a/src/transport/fleet-client.test.ts
+++ b/src/transport/fleet-client.test.ts
@@ -5,6 +5,7 @@
 import process from 'node:process';
 import {pathToFileURL} from 'node:url';
 import {afterEach, expect, test} from 'vitest';
+import {createFleetClient} from './mod.js';
 
 const closers: Array<() => void> = [];
 /** Several times what a run takes. A process in an endless loop also fills its memory, so it is killed after this time. */
@@ -97,3 +98,15 @@
 	});
 	expect(await callInProcess(address, {concurrency: 1, rounds: 200})).toBe('ended 200');
 });
+
+test.each(['', 'h', 'h:0', 'h:65536', 'h:port', 'a b:1', 'h:1/path', 'u@h:1', '[::1', '\u0000:1'])('a call to "%s" fails as one to a host that is gone', async address => {
+	// Guards against a process that ends because of an address that another process wrote.
+	const fleet = createFleetClient('key-of-the-fleet-000');
+	const connection = fleet.connect(address);
+	await expect(connection.relay.readNewest({log: 'grants'}, {timeoutMs: 1000})).rejects.toThrow();
+	expect(() => {
+		connection.abandon();
+		fleet.connect(address).abandon();
+		fleet.close();
+	}).not.toThrow();
+});
--- a/src/transport/fleet-client.ts
+++ b/src/transport/fleet-client.ts
@@ -7,7 +7,7 @@
 import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
 import {Http2SessionManager, createConnectTransport} from '@connectrpc/connect-node';
 import {
-	Gateway, Peer, Relay, Upstream,
+	isDaemonAddress, Gateway, Peer, Relay, Upstream,
 } from '../protocol/mod.js';
 import {fleetKeyHeader} from './fleet-server.js';
 
@@ -29,6 +29,11 @@
 };
 
 const idleTimeoutMs = 300_000;
+/**
+ * Stands for an address that another process wrote and that is no address: calls to it
+ * fail, as those to a host that is gone do. No connection can be opened to port 0.
+ */
+const unreachableAddress = '127.0.0.1:0';
 
 /** @internal */
 function createKeyInterceptor(fleetKey: string): Interceptor {
@@ -54,7 +59,7 @@
 
 /** @internal */
 function openConnection(address: string, fleetKey: string, removeFromPool: () => void): PeerConnection {
-	const baseUrl = `http://${address}`;
+	const baseUrl = `http://${isDaemonAddress(address) ? address : unreachableAddress}`;
 	// A network device between two hosts can drop the state of a connection, which then never responds again while new
 	// connections work. Heartbeats and missing frames of running streams detect that, and the connection is abandoned.
 	// The pings of Connect stay disabled: one that fires on an abandoned connection terminates the process.
