--- a/src/coordination/streams/stall-timeout.ts
+++ b/src/coordination/streams/stall-timeout.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type {Clock} from '../../transport/mod.js';
+import {computeTimerMs, type Clock} from '../../transport/mod.js';
 
 /** Options of {@linkcode createStallTimeout}. */
 export type CreateStallTimeoutOptions = {
@@ -50,13 +50,13 @@
 	const checkProgress = () => {
 		const remainingMs = lastProgressAt + timeoutMs - clock.now();
 		if (remainingMs > 0) {
-			timer = setTimeout(checkProgress, remainingMs);
+			timer = setTimeout(checkProgress, computeTimerMs(remainingMs));
 		} else {
 			abort();
 		}
 	};
 
-	let timer = setTimeout(checkProgress, timeoutMs);
+	let timer = setTimeout(checkProgress, computeTimerMs(timeoutMs));
 	return {
 		signal: controller.signal,
 		recordProgress() {
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -328,7 +328,7 @@
 	const admission = createAdmission({
 		clock,
 		countPeers: () => countPeerRoom(peerViews.list()),
-		findShortestObjective: () => Math.min(...findRouteTable()?.deployment.routes.map(({objective}) => objective) ?? []),
+		findShortestObjective: () => findRouteTable()?.shortestObjective ?? Number.POSITIVE_INFINITY,
 		onChange(change) {
 			events.write('admissionChanged', change);
 		},
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -14,7 +14,7 @@
 } from '../protocol/mod.js';
 import type {RouteTable, StreamOrigin, TokenReservation} from '../state/mod.js';
 import {
-	readPendingInput, readBody, waitUnlessAborted, waitUntilSent, type ByteLimits, type Clock, type ReceivedRequest,
+	computeTimerMs, readPendingInput, readBody, waitUnlessAborted, waitUntilSent, type ByteLimits, type Clock, type ReceivedRequest,
 } from '../transport/mod.js';
 import {createCallerAnswer} from './caller-answer.js';
 import {computeRequestDigest} from './request-digest.js';
@@ -291,7 +291,7 @@
 		const timeoutMs = deadline - startedAt;
 		const timer = setTimeout(() => {
 			abortController.abort(new Error(requestTimedOut));
-		}, timeoutMs);
+		}, computeTimerMs(timeoutMs));
 		try {
 			const maxBodyBytes = findRouteTable()!.deployment.limits.bodyBytes;
 			const body = await waitUnlessAborted(readBody(request, maxBodyBytes), abortController.signal);
--- a/src/state/route-table.ts
+++ b/src/state/route-table.ts
@@ -42,9 +42,16 @@
 	const customers = new Map<string, GatewayCustomer>(deployment.customers?.map(customer => [customer.id, customer]));
 	const customersByKey = new Map<string, GatewayCustomer>(deployment.customers?.flatMap(customer => customer.keys.map(key => [key, customer] as const)));
 
+	let shortestObjective = Number.POSITIVE_INFINITY;
+	for (const {objective} of deployment.routes) {
+		shortestObjective = Math.min(shortestObjective, objective);
+	}
+
 	return {
 		deployment,
 		version: deployment.version,
+		/** The shortest latency objective of all routes, in milliseconds; infinite if there are no routes. */
+		shortestObjective,
 		/** True if callers need keys on routes that are not open. */
 		shouldRequireKeys: deployment.customers !== undefined,
 		/** Returns the host's route with the longest prefix of the path. */
--- a/src/transport/abort-signals.ts
+++ b/src/transport/abort-signals.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import {computeTimerMs} from './clock.js';
+
 /** An abort signal for a call; `clear` must be called when the call has ended. */
 export type ClearableSignal = {
 	readonly signal: AbortSignal;
@@ -40,7 +42,7 @@
 		controller.abort(new Error(`The call was aborted or exceeded its timeout of ${Math.round(timeoutMs)} ms`));
 	};
 
-	const timer = setTimeout(abort, Math.max(1, timeoutMs));
+	const timer = setTimeout(abort, computeTimerMs(Math.max(1, timeoutMs)));
 	for (const signal of signals) {
 		if (signal.aborted) {
 			abort();
--- a/src/transport/clock.ts
+++ b/src/transport/clock.ts
@@ -11,6 +11,24 @@
 	readonly sleep: (durationMs: number, signal?: AbortSignal) => Promise<void>;
 };
 
+/** The longest delay that a timer of Node.js can wait; it fires after 1 ms if the delay is longer. */
+const maxTimerMs = 2_147_483_647;
+
+/**
+ * Limits a delay to what a timer can wait, which is 24 days.
+ *
+ * @example
+ * ```ts
+ * computeTimerMs(1e12); // 2_147_483_647
+ * ```
+ *
+ * @param delayMs The delay in milliseconds
+ * @returns The delay, or the longest possible one
+ */
+export function computeTimerMs(delayMs: number): number {
+	return Math.min(maxTimerMs, delayMs);
+}
+
 /** Shared abort reason; without one, every `abort` call would construct an error. */
 const waitFinished = new Error('The wait has finished');
 
@@ -59,7 +77,7 @@
 					resolve();
 				};
 
-				const timer = setTimeout(end, durationMs);
+				const timer = setTimeout(end, computeTimerMs(durationMs));
 				signal?.addEventListener('abort', end);
 			});
 		},
