--- a/src/coordination/streams/stall-timeout.test.ts
+++ b/src/coordination/streams/stall-timeout.test.ts
@@ -43,3 +43,21 @@
 	await wait(400);
 	expect(questions).toBe(after);
 });
+
+test('a stall timeout longer than a timer can wait is not checked at once, again and again', async () => {
+	let reads = 0;
+	const stallTimeout = createStallTimeout({
+		objective: 1e13, tryReserveRetry: () => true,
+		clock: {
+			...clock,
+			now() {
+				reads += 1;
+				return clock.now();
+			},
+		},
+	});
+	await wait(50);
+	stallTimeout.clear();
+	expect(reads).toBe(1);
+	expect(stallTimeout.signal.aborted).toBe(false);
+});
--- a/src/coordination/streams/stall-timeout.ts
+++ b/src/coordination/streams/stall-timeout.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type {Clock} from '../../transport/mod.js';
+import {computeTimerMs, type Clock} from '../../transport/mod.js';
 
 /** Options of {@linkcode createStallTimeout}. */
 export type CreateStallTimeoutOptions = {
@@ -49,7 +49,7 @@
 	const checkProgress = () => {
 		const remainingMs = lastProgressAt + timeoutMs - clock.now();
 		if (remainingMs > 0) {
-			timer = setTimeout(checkProgress, remainingMs);
+			timer = setTimeout(checkProgress, computeTimerMs(remainingMs));
 		} else if (tryReserveRetry()) {
 			controller.abort(new Error(`The upstream made no progress for ${timeoutMs} ms`));
 		} else {
@@ -57,7 +57,7 @@
 		}
 	};
 
-	let timer = setTimeout(checkProgress, timeoutMs);
+	let timer = setTimeout(checkProgress, computeTimerMs(timeoutMs));
 	return {
 		signal: controller.signal,
 		recordProgress() {
