Let streams go on after all gateways were killed if one version only has served

What the gateways had seen was kept in their memory only.

The services to which each resumable route has led, and the software versions of each service, are now recorded in the log by one elected gateway whenever one is new, as one record of all that is known. A record counts as complete if a gateway of the fleet's first start wrote it or read one that is. A gateway that has just started takes an origin that is the only one by the log, by its own reading and by a new read of both logs; any second service or version, or one that is not named, leaves the stream refused as before. Records are dropped when the log was restored, and written again.

What it does not cover: a version whose every engine registers and leaves while no gateway can write to the log, if all gateways are killed then.

--- a/src/coordination/streams/mod.ts
+++ b/src/coordination/streams/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from './answer-relay.js';
 export * from './event-splitter.js';
+export * from './origin-recorder.js';
 export * from './stall-timeout.js';
 export * from './origin-codec.js';
 export * from './start-checker.js';
--- a/src/coordination/streams/stream-resolver.ts
+++ b/src/coordination/streams/stream-resolver.ts
@@ -53,6 +53,8 @@
 	/** Queries another gateway; fails if it does not answer in time. */
 	readonly queryPeer: (peer: GossipPeer, query: StreamQuery) => Promise<Result<StreamAnswer, Failure>>;
 	readonly formatRouteKey: (route: Route) => string;
+	/** Returns the only origin that the streams of a route have ever had by the log; by default none is known. */
+	readonly findRecordedOnly?: (routeKey: string) => StreamOrigin | undefined;
 	/** Returns true if an upstream that may continue streams of an origin gets requests. */
 	readonly hasUpstream: (origin: StreamOrigin) => boolean;
 	/** Reads the deployment and the registrations of upstreams; false if they could not be read. */
@@ -117,6 +119,8 @@
 		return record && {origin: record.origin, source: record.source, ageMs: clock.now() - record.recordedAt};
 	}
 
+	const isSameOrigin = (left: StreamOrigin, right: StreamOrigin | undefined) => left.service === right?.service && left.softwareVersion === right.softwareVersion;
+
 	const findOwnOnly = (route: Route): OnlyOrigin | undefined => findOnlyOrigin(formatRouteKey(route), options);
 
 	async function queryWitnesses({request, stream, route}: ResumedStream): Promise<WitnessAnswers> {
@@ -151,21 +155,24 @@
 	// Gateways that have not heard of it may begin streams at an upstream for some time after its registration is gone.
 	const computeHistoryMs = () => computeLifetimeMs() * 2;
 
-	// A gateway that has just started relies on one that saw the same origin until after that start.
-	function findEvidence({origin, since}: OnlyOrigin, histories: readonly PeerHistory[]): string | undefined {
+	// A gateway that has just started relies on the log, or on one that saw the same origin until after that start.
+	function findEvidence(route: Route, {origin, since}: OnlyOrigin, histories: readonly PeerHistory[]): string | undefined {
 		const minSince = clock.now() - computeHistoryMs();
 		if (since <= minSince) {
 			return 'only version';
 		}
 
-		const isSame = (other: StreamOrigin) => other.service === origin.service && other.softwareVersion === origin.softwareVersion;
-		const history = histories.find(other => isSame(other.origin) && other.since <= minSince && other.until >= since);
+		if (isSameOrigin(origin, options.findRecordedOnly?.(formatRouteKey(route)))) {
+			return 'only version, log';
+		}
+
+		const history = histories.find(other => isSameOrigin(origin, other.origin) && other.since <= minSince && other.until >= since);
 		return history && `only version, ${history.source}`;
 	}
 
 	function findInferred(route: Route, histories: readonly PeerHistory[]): Finding | undefined {
 		const only = findOwnOnly(route);
-		const source = only && findEvidence(only, histories);
+		const source = only && findEvidence(route, only, histories);
 		return only && source !== undefined ? {origin: only.origin, source, ageMs: Math.min(clock.now() - only.since, computeHistoryMs())} : undefined;
 	}
 
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -127,6 +127,9 @@
 		onQuarantineRecord(record) {
 			quarantines.applyRecord(record);
 		},
+		onOriginsRecord(record) {
+			streams.applyOriginsRecord(record);
+		},
 		onRecoveryRecord(record) {
 			tokens.recovery.applyRecord(record);
 		},
@@ -290,7 +293,7 @@
 	const upstreamClient = createUpstreamClient({connectTimeoutMs, maxConnections: maxUpstreamConnections, limits: byteLimits});
 	const streamFleet = createFleetClient(settings.fleetKey);
 	const streams = createGatewayStreams({
-		daemon: self.daemon, state, fleet: streamFleet, fetchStart: createStartReportClient({client: upstreamClient, wire: adapter.wire}), listPeers: gatewayFleet.listPeers, gossip, clock, events, signal,
+		daemon: self.daemon, state, fleet: streamFleet, fetchStart: createStartReportClient({client: upstreamClient, wire: adapter.wire}), listPeers: gatewayFleet.listPeers, gossip, log: logs.grants, clock, events, signal,
 	});
 	const listPresumedUpPeers = () => gatewayFleet.listPeers().map(({daemon}) => daemon).filter(daemon => gossip.isPresumedUp(daemon));
 	const owners = createBudgetOwners({clock, daemon: self.daemon, listPeers: listPresumedUpPeers});
@@ -420,6 +423,7 @@
 	void reportTraffic();
 	loadControl.run();
 	quarantines.run();
+	streams.run();
 	const pressure = createGatewayPressure({
 		admission, loadControl, callerServer, clock, events, countRunning: callerInterface.countRunning,
 	});
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -82,7 +82,7 @@
 		onDeployment: () => undefined,
 		onOwnRecord: () => undefined,
 		onQuarantineRecord: () => undefined,
-		onRecoveryRecord: () => undefined,
+		onRecoveryRecord: () => undefined, onOriginsRecord: () => undefined,
 		onGrantsRestored: () => undefined,
 	});
 	const registry = createUpstreamRegistry({
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -6,13 +6,13 @@
  */
 import * as z from 'zod';
 import {
-	createKeyedFollower, createExpiryGrace, formatHolderKey, isQuarantineKey, isRecoveryKey, type HolderIdentity, type KeyedFollower, type RecordOrigin,
+	createKeyedFollower, createExpiryGrace, formatHolderKey, isOriginsKey, isQuarantineKey, isRecoveryKey, type HolderIdentity, type KeyedFollower, type RecordOrigin,
 } from '../coordination/mod.js';
 import type {
 	Deployment, EventLog, GatewayWire, KeyedLog, LogEpoch, Route, StoredRecord, UpstreamRegistration,
 } from '../protocol/mod.js';
 import {
-	createEvacuations, createGrantRegistry, createRouteTable, createTokenAccount, createUpstreamDirectory, createUpstreamStarts, createValueHistory, findKnownStart, holderRecordSchema, type DomainState, type HeldValue, type HolderRecord, type RouteTable,
+	createEvacuations, createGrantRegistry, createRecordedOrigins, createRouteTable, createTokenAccount, createUpstreamDirectory, createUpstreamStarts, createValueHistory, findKnownStart, holderRecordSchema, type DomainState, type HeldValue, type HolderRecord, type RouteTable,
 } from '../state/mod.js';
 import {waitWithTimeout, type Clock} from '../transport/mod.js';
 
@@ -53,6 +53,8 @@
 	readonly onOwnRecord: (record: HolderRecord) => void;
 	/** Called with each record of a quarantined request; throws if the record is invalid. */
 	readonly onQuarantineRecord: (record: StoredRecord) => void;
+	/** Called with each record of the origins that streams can have had; throws if the record is invalid. */
+	readonly onOriginsRecord: (record: StoredRecord) => void;
 	/** Called with each record that ends a recovery of the grants; throws if the record is invalid. */
 	readonly onRecoveryRecord: (record: StoredRecord) => void;
 	/** Called when the log of grants was restored from a backup. */
@@ -147,6 +149,7 @@
 	const starts = createUpstreamStarts();
 	const versionHistory = createValueHistory({isComplete: options.isFirstStart});
 	const routeHistory = createValueHistory({isComplete: options.isFirstStart});
+	const recordedOrigins = createRecordedOrigins({isFirstStart: options.isFirstStart});
 	const evacuations = createEvacuations();
 	const grantRegistry = createGrantRegistry();
 	const account = createTokenAccount();
@@ -183,6 +186,14 @@
 		}
 	}
 
+	function observeRoutes({routes}: Deployment): void {
+		for (const route of routes.filter(({isResumable}) => isResumable)) {
+			for (const {service} of route.targets.filter(({weight}) => weight > 0)) {
+				recordedOrigins.observeRoute(formatRouteKey(route), service);
+			}
+		}
+	}
+
 	// Records arrive from the log and from peers in any order; the version in force never decreases.
 	function adoptDeployment(text: string, source: string): void {
 		const deployment = adapter.decodeDeployment(text);
@@ -195,6 +206,7 @@
 		deploymentRecord = text;
 		directory.takeAddresses();
 		routeHistory.replace(listRouteTargets(deployment), clock.now());
+		observeRoutes(deployment);
 		options.onDeployment(deployment);
 		events.write('deploymentAdopted', {version: deployment.version, source, bought: JSON.stringify(bought)});
 	}
@@ -242,6 +254,7 @@
 		}
 
 		versionHistory.put(key, {key: registration.service, value: registration.softwareVersion}, clock.now());
+		recordedOrigins.observeVersion(registration.service, registration.softwareVersion);
 		if (known?.isDraining !== registration.isDraining || wasOnGrace) {
 			events.write('upstreamListed', {
 				upstream: key, service: registration.service, softwareVersion: registration.softwareVersion, isDraining: registration.isDraining, offset, sinceReadMs: upstreamFollower.computeStalenessMs(),
@@ -264,6 +277,11 @@
 
 	function applyGrantRecord(stored: StoredRecord): void {
 		const {key, value} = stored;
+		if (isOriginsKey(key)) {
+			options.onOriginsRecord(stored);
+			return;
+		}
+
 		if (isQuarantineKey(key)) {
 			options.onQuarantineRecord(stored);
 			return;
@@ -341,6 +359,7 @@
 		log: adapter.logs.grants, clock, events, longPollMs: 0, readIntervalMs: grantReadIntervalMs, onRecord: skipUnreadable(applyGrantRecord),
 		onRestore(epoch) {
 			grantRegistry.dropLogged();
+			recordedOrigins.dropLogged();
 			options.onGrantsRestored();
 			shareEpoch(epoch);
 		},
@@ -374,7 +393,7 @@
 	}
 
 	return {
-		directory, starts, evacuations, grantRegistry, account, grantFollower, versionHistory, routeHistory,
+		directory, starts, evacuations, grantRegistry, account, grantFollower, versionHistory, routeHistory, recordedOrigins,
 		/** Returns the age of the upstreams' data, in whole milliseconds; undefined before the first read. */
 		computeViewAgeMs: () => upstreamFollower.computeStalenessMs(),
 		/** Returns the age of the older one of the deployment's and the upstreams' data, in milliseconds; infinite before the first read. */
--- a/src/daemon/gateway-streams.ts
+++ b/src/daemon/gateway-streams.ts
@@ -5,9 +5,9 @@
  * @module
  */
 import {
-	createStartChecker, createStreamQueryClient, createStreamRecorder, createStreamResolver, type CreateStartCheckerOptions, type Gossip, type GossipPeer, type StreamAnswer, type StreamQuery,
+	createOriginRecorder, createStartChecker, createStreamQueryClient, createStreamRecorder, createStreamResolver, type CreateStartCheckerOptions, type Gossip, type GossipPeer, type StreamAnswer, type StreamQuery,
 } from '../coordination/mod.js';
-import type {EventLog} from '../protocol/mod.js';
+import type {EventLog, KeyedLog} from '../protocol/mod.js';
 import {findOnlyOrigin, isFitFor} from '../state/mod.js';
 import type {Clock, FleetClient} from '../transport/mod.js';
 import {formatRouteKey, type GatewayState} from './gateway-state.js';
@@ -16,12 +16,14 @@
 export type CreateGatewayStreamsOptions = {
 	/** This gateway's name. */
 	readonly daemon: string;
-	readonly state: Pick<GatewayState, 'directory' | 'starts' | 'hasFollowedSince' | 'findRouteTable' | 'versionHistory' | 'routeHistory' | 'readViews' | 'computeViewsAgeMs'>;
+	readonly state: Pick<GatewayState, 'directory' | 'recordedOrigins' | 'grantFollower' | 'starts' | 'hasFollowedSince' | 'findRouteTable' | 'versionHistory' | 'routeHistory' | 'readViews' | 'computeViewsAgeMs'>;
 	/** Connections to other gateways that carry no other calls, since one that does not answer at once is abandoned. */
 	readonly fleet: FleetClient;
 	/** Asks the process at an address for its start. */
 	readonly fetchStart: CreateStartCheckerOptions['fetchStart'];
 	readonly listPeers: () => readonly GossipPeer[];
+	/** Log in which the origins that streams can have had are recorded. */
+	readonly log: KeyedLog;
 	readonly gossip: Pick<Gossip, 'announceStream' | 'isPresumedUp'>;
 	readonly clock: Clock;
 	readonly events: EventLog;
@@ -49,7 +51,7 @@
 	const {
 		daemon, state, fleet, gossip, clock, events, signal,
 	} = options;
-	const {routeHistory, versionHistory} = state;
+	const {routeHistory, versionHistory, recordedOrigins} = state;
 	const listPeers = () => options.listPeers().filter(peer => gossip.isPresumedUp(peer.daemon));
 
 	function computeLifetimeMs(): number {
@@ -75,12 +77,22 @@
 		starts: state.starts, directory: state.directory, fetchStart: options.fetchStart, readViews, hasFollowedSince: state.hasFollowedSince, clock, events,
 	});
 	const resolver = createStreamResolver({
+		findRecordedOnly: recordedOrigins.findOnly,
 		recorder, startChecker, readViews, listPeers, queryPeer, routeHistory, versionHistory, formatRouteKey, computeLifetimeMs, clock, events,
 		hasUpstream: origin => state.directory.listLive(origin.service, clock.now()).some(({upstream}) => isFitFor(upstream, origin) && state.starts.mayMatch(upstream)),
 	});
 
+	const originRecorder = createOriginRecorder({
+		log: options.log, recorded: recordedOrigins, hasReadLog: () => state.grantFollower.getNextOffset() !== undefined, daemon, listPeers: () => listPeers().map(peer => peer.daemon), clock, events,
+	});
+
 	return {
 		recorder, resolver, startChecker,
+		applyOriginsRecord: originRecorder.applyRecord,
+
+		run(): void {
+			void originRecorder.run(signal);
+		},
 
 		/** Answers the query of another gateway. */
 		async findStream({stream, routeKey}: StreamQuery): Promise<StreamAnswer> {
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -17,6 +17,7 @@
 export * from './placement.js';
 export * from './prompt-cache.js';
 export * from './receipt-queue.js';
+export * from './recorded-origins.js';
 export * from './request-table.js';
 export * from './route-table.js';
 export * from './run-registry.js';
