Read the body of a pipelined request before it waits for its turn

Callers who closed their connection had their first request run on, up to its time limit, if a pipelined request with a body of more than about 64 KB waited behind it and may not be repeated.

Cause: the wait for the earlier answers came before the body was read. An unread body stops the reading of the whole connection, and the close with it.

The body is now read first, within its limit, then the request waits, and only then it is admitted. The timeout of the request holds during the wait too: a request whose turn comes later is refused when it ends.

Before the change the test with a body of 500 kB saw 'The request timed out' as the reason of the abort where 'The caller disconnected' is expected.

--- a/src/daemon/gateway-interface.test.ts
+++ b/src/daemon/gateway-interface.test.ts
@@ -42,7 +42,7 @@
 	services: [{id: 's', connectionLimit: 10}],
 	customers: [{id: 'c', keys: ['k'], bought: 1000}],
 	limits: {
-		headerBytes: 1000, bodyBytes: 1000, headerTimeout: 1000, idleTimeout: 1000,
+		headerBytes: 1000, bodyBytes: 1_000_000, headerTimeout: 1000, idleTimeout: 1000,
 	},
 };
 
@@ -184,6 +184,66 @@
 	server.closeAllConnections();
 });
 
+// Guards against a request that runs on for a caller who has left: a body that is not read stops the reading of its
+// connection, and the close with it.
+test('the close of a connection is seen while a pipelined request with a large body waits for its turn', async () => {
+	const forwarded: string[] = [];
+	const reasons: string[] = [];
+	const {server, deliverTokens} = await startGateway({
+		forwarder: {
+			async forward({path, signal}) {
+				forwarded.push(path);
+				await once(signal, 'abort');
+				reasons.push((signal.reason as Error).message);
+				return {
+					result: 'cut', events: 0, sends: 1, mayHaveRun: true,
+				} as unknown as ForwardReport;
+			},
+		},
+	});
+	deliverTokens();
+	const {port} = new URL(server.url);
+	const socket = connect(Number(port), '127.0.0.1');
+	socket.write('POST /one HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 0\r\n\r\n');
+	socket.write(`POST /two HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 500000\r\n\r\n${'x'.repeat(500_000)}`);
+	await wait(100);
+	socket.destroy();
+	await expect.poll(() => reasons).toEqual(['The caller disconnected']);
+	await wait(20);
+	expect(forwarded).toEqual(['/one']);
+	server.closeAllConnections();
+});
+
+// Guards against a request that waits for an earlier answer beyond its own time limit and is then forwarded.
+test('a pipelined request whose turn comes after its timeout is refused', async () => {
+	const forwarded: string[] = [];
+	const {server, deliverTokens} = await startGateway({
+		forwarder: {
+			async forward({answer, path}) {
+				forwarded.push(path);
+				await wait(timeoutMs + 100);
+				answer.start(200, ['Content-Length', '3']);
+				answer.end(Buffer.from('one'));
+				return {
+					result: 'served', events: 1, sends: 1, mayHaveRun: true,
+				} as unknown as ForwardReport;
+			},
+		},
+	});
+	deliverTokens();
+	const formatPost = (path: string) => `POST ${path} HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 2\r\n\r\nab`;
+	const {port} = new URL(server.url);
+	const socket = connect(Number(port), '127.0.0.1');
+	let text = '';
+	socket.on('data', data => {
+		text += String(data);
+	});
+	socket.write(formatPost('/one') + formatPost('/two'));
+	await expect.poll(() => text, {timeout: 3000}).toMatch(/ 200 .*one.* 503 .*timed out/su);
+	expect(forwarded).toEqual(['/one']);
+	server.closeAllConnections();
+});
+
 // Guards against a connection that is closed without an answer.
 test('a request that meets an unexpected error before it is forwarded is refused as not run', async () => {
 	const {server} = await startGateway({
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -64,6 +64,8 @@
 	readonly arrivedAt: number;
 	/** Set once the route and the customer are known. */
 	resolved?: ResolvedRequest;
+	/** Set if the body was read before the request was admitted. */
+	body?: Uint8Array;
 	/** Digest shared by all repeats of the request; set once the body has been read. */
 	digest?: string;
 	/** Set once the request is passed on, so that an upstream may run it. */
@@ -212,22 +214,6 @@
 		return elapsed === undefined ? undefined : {stoppingMs: Math.round(elapsed), onConnection};
 	}
 
-	/**
-	 * Waits until the answers to the earlier requests of a pipelining caller are sent, if the request may not be repeated: were
-	 * one of them cut, the connection would close with it, and an answer to this one could not be sent any more.
-	 */
-	async function waitForTurn(request: IncomingMessage, previousResponse: ServerResponse | undefined, {abortController, resolved}: RequestContext): Promise<void> {
-		const {kind, isResumable} = resolved!.route;
-		if (!previousResponse || kind === 'idempotent' || isResumable) {
-			return;
-		}
-
-		await waitUntilSent(request, previousResponse);
-		if (request.socket.destroyed) {
-			abortController.abort(new Error(connectionClosed));
-		}
-	}
-
 	function recordOutcome(request: ForwardRequest, report: ForwardReport, {reserveMs, arrival, unreadMs}: Pick<RequestContext, 'arrival' | 'unreadMs'> & {readonly reserveMs: number}): void {
 		const {route, customer, startedAt} = request;
 		events.write('requestEnded', {
@@ -284,6 +270,66 @@
 		return Math.min(route.timeout, metadata.timeoutMs ?? route.timeout);
 	}
 
+	function startRequestTimer({abortController}: RequestContext, timeoutMs: number): NodeJS.Timeout {
+		return setTimeout(() => {
+			abortController.abort(new Error(requestTimedOut));
+		}, computeTimerMs(timeoutMs));
+	}
+
+	// Returns undefined if the request was refused.
+	async function readBodyOrRefuse(request: IncomingMessage, {metadata}: ResolvedRequest, context: RequestContext): Promise<Uint8Array | undefined> {
+		const body = await waitUnlessAborted(readBody(request, findRouteTable()!.deployment.limits.bodyBytes), context.abortController.signal);
+		if (!body) {
+			refuseUnsent(context, metadata.id);
+			return undefined;
+		}
+
+		if (body.err) {
+			refuse(context, metadata.id, body.val);
+			return undefined;
+		}
+
+		return body.val;
+	}
+
+	/**
+	 * Waits until the answers to the earlier requests of a pipelining caller are sent, if the request may not be repeated: were
+	 * one of them cut, the connection would close with it, and an answer to this one could not be sent any more. The body is
+	 * read first, as an unread body stops the reading of the connection, and the close by the caller is then not seen. Returns
+	 * false if the request was refused.
+	 */
+	async function waitForTurn(request: IncomingMessage, previousResponse: ServerResponse | undefined, context: RequestContext): Promise<boolean> {
+		const {abortController, arrivedAt} = context;
+		const resolved = context.resolved!;
+		const {kind, isResumable} = resolved.route;
+		if (!previousResponse || previousResponse.writableFinished || kind === 'idempotent' || isResumable) {
+			return true;
+		}
+
+		const timer = startRequestTimer(context, arrivedAt + computeTimeoutMs(resolved) - clock.now());
+		try {
+			context.body = await readBodyOrRefuse(request, resolved, context);
+			if (context.body === undefined) {
+				return false;
+			}
+
+			await waitUnlessAborted(waitUntilSent(request, previousResponse), abortController.signal);
+		} finally {
+			clearTimeout(timer);
+		}
+
+		if (request.socket.destroyed) {
+			abortController.abort(new Error(connectionClosed));
+		}
+
+		if (abortController.signal.aborted) {
+			refuseUnsent(context, resolved.metadata.id);
+			return false;
+		}
+
+		return true;
+	}
+
 	async function serveWithAdmission(request: IncomingMessage, resolved: ResolvedRequest, context: RequestContext): Promise<void> {
 		const partCheck = await checkParts(resolved);
 		if (partCheck.err) {
@@ -314,24 +360,15 @@
 		const startedAt = clock.now();
 		const deadline = arrivedAt + computeTimeoutMs(resolved);
 		const timeoutMs = deadline - startedAt;
-		const timer = setTimeout(() => {
-			abortController.abort(new Error(requestTimedOut));
-		}, computeTimerMs(timeoutMs));
+		const timer = startRequestTimer(context, timeoutMs);
 		try {
-			const maxBodyBytes = findRouteTable()!.deployment.limits.bodyBytes;
-			const body = await waitUnlessAborted(readBody(request, maxBodyBytes), abortController.signal);
-			if (!body) {
-				refuseUnsent(context, metadata.id);
-				return;
-			}
-
-			if (body.err) {
-				refuse(context, metadata.id, body.val);
+			const body = context.body ?? await readBodyOrRefuse(request, resolved, context);
+			if (body === undefined) {
 				return;
 			}
 
 			const digest = computeRequestDigest({
-				host: request.headers.host, method: request.method, path: request.url, customer: customer?.id, body: body.val,
+				host: request.headers.host, method: request.method, path: request.url, customer: customer?.id, body,
 			});
 			context.digest = digest;
 			const quarantineCheck = quarantine.admit(digest);
@@ -368,7 +405,7 @@
 			}
 
 			await serveReserved(request, {
-				resolved, body: body.val, digest, origin: origin?.val, reservation: reservation.val, startedAt, deadline, reserveMs,
+				resolved, body, digest, origin: origin?.val, reservation: reservation.val, startedAt, deadline, reserveMs,
 			}, context);
 		} finally {
 			clearTimeout(timer);
@@ -507,8 +544,9 @@
 					refuse(context, wire.readRequestId(request.headers), resolved.val);
 				} else {
 					context.resolved = resolved.val;
-					await waitForTurn(request, previousResponse, context);
-					await serveWithAdmission(request, resolved.val, context);
+					if (await waitForTurn(request, previousResponse, context)) {
+						await serveWithAdmission(request, resolved.val, context);
+					}
 				}
 			} catch (error) {
 				events.write('requestFailed', {request: wire.readRequestId(request.headers), detail: (error as Error).stack ?? String(error)});
