Record and lend nothing after an uncaught exception

Other gateways could take over what a gateway appended after an uncaught exception, and borrow its tokens, for as long as its running requests went on, though its state is in doubt from the exception on.

Cause: only the release at the end of the stop was left out. The rounds of the budget manager, the recovery, the returns of loans and the recorder of the quarantines went on, and so did the loans to peers.

These loops now stop with the exception, the log of grants refuses all further appends of the process, and no tokens are lent, advertised or taken back. The running requests hold their tokens already and settle them in memory.

--- a/src/coordination/budgets/loan-lender.ts
+++ b/src/coordination/budgets/loan-lender.ts
@@ -19,6 +19,8 @@
 	readonly account: TokenAccount;
 	/** Returns the number of tokens that waiting requests of this gateway need. */
 	readonly countWanted: (customer: string) => number;
+	/** Returns true if tokens may be lent; they always may by default. */
+	readonly canLend?: () => boolean;
 	/** Returns true if this gateway can reach the log. */
 	readonly canClaim: () => boolean;
 	/** Claims tokens on behalf of another gateway. */
@@ -47,7 +49,9 @@
  * @returns The lender
  */
 export function createLoanLender(options: CreateLoanLenderOptions) {
-	const {incarnation, account, clock, events} = options;
+	const {
+		incarnation, account, clock, events, canLend = () => true,
+	} = options;
 	const answers = new Map<string, Promise<TokenLoan>>();
 	const totals = new LentTotals();
 
@@ -76,6 +80,10 @@
 	}
 
 	function makeLoan(request: TokenLoanRequest, requestedAt: number): number {
+		if (!canLend()) {
+			return 0;
+		}
+
 		const {customer, from, mayClaim} = request;
 		const borrower = findBorrower(request);
 		const lent = account.lend(customer, computeLoan({
@@ -100,7 +108,7 @@
 	async function claimAndLend(request: TokenLoanRequest): Promise<TokenLoan> {
 		const requestedAt = clock.now();
 		const uncovered = computeUncovered({needed: normalizeTokens(request.needed), unconfirmed: countUnconfirmed(request)});
-		if (request.mayClaim && countSpare(request.customer) < uncovered) {
+		if (canLend() && request.mayClaim && countSpare(request.customer) < uncovered) {
 			await options.claim(request.customer, uncovered);
 		}
 
--- a/src/coordination/budgets/token-lending.test.ts
+++ b/src/coordination/budgets/token-lending.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
 import type {EventLog} from '../../protocol/mod.js';
-import {createTokenAccount, type PeerView} from '../../state/mod.js';
+import {createTokenAccount, type PeerView, type TokenAccount} from '../../state/mod.js';
 import type {Clock} from '../../transport/mod.js';
 import {createTokenLending} from '../mod.js';
 
@@ -8,14 +8,21 @@
 /** A clock on which no wait for a reply ends. */
 const clock: Clock = {now: () => 0, sleep: async () => new Promise(() => undefined)}; // eslint-disable-line no-promise-executor-return
 
-type LendingOptions = {readonly unresponsive?: readonly string[]; readonly unheard?: readonly string[]};
+type LendingOptions = {
+	readonly unresponsive?: readonly string[];
+	readonly unheard?: readonly string[];
+	readonly account?: TokenAccount;
+	readonly canLend?: () => boolean;
+};
 
-function createLending({unresponsive = [], unheard = []}: LendingOptions) {
+function createLending({
+	unresponsive = [], unheard = [], account = createTokenAccount(), canLend,
+}: LendingOptions) {
 	const view: PeerView = {
 		daemon: 'e2', incarnation: 'i', address: 'e2', free: [], uses: [], version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [],
 	};
 	return createTokenLending({
-		daemon: 'e1', account: createTokenAccount(), events, listViews: () => [view], listUnresponsive: () => unresponsive,
+		daemon: 'e1', account, canLend, events, listViews: () => [view], listUnresponsive: () => unresponsive,
 		listUnheard: () => unheard.map(daemon => ({daemon, address: daemon})), countWanted: () => 0, requestLoan: async () => ({tokens: 0, isClaiming: false}), canClaim: () => true,
 		clock, incarnation: 'i', onCredited: () => undefined, listOwners: () => [], isOwner: () => true, claim: async () => undefined, onLent: () => undefined,
 	});
@@ -61,3 +68,20 @@
 test.each([{unclaimed: 50, isClaiming: true}, {unclaimed: 5000, isClaiming: false}])('remainders are borrowed if they are the last of a budget or its owner cannot claim: %o', async options => {
 	expect(await listAsked(options)).toEqual({asked: ['e2', 'e3', 'e4'], isOwnerClaiming: options.isClaiming});
 });
+
+test('a gateway that may no longer lend keeps its tokens, also if it was claiming for the borrower', async () => {
+	// Guards against loans from an account that is in doubt.
+	const account = createTokenAccount();
+	account.setGranted('c1', 500);
+	let mayLend = true;
+	const lending = createLending({account, canLend: () => mayLend});
+	const request = {
+		loan: 'l1', customer: 'c1', from: 'e2', fromIncarnation: 'i', needed: 100, wanted: 100, mayClaim: true,
+	};
+	expect(await lending.lend(request)).toMatchObject({tokens: 100});
+	const pending = lending.lend({...request, loan: 'l2', needed: 1000});
+	mayLend = false;
+	expect(await pending).toMatchObject({tokens: 0, total: 100});
+	expect(await lending.lend({...request, loan: 'l3'})).toMatchObject({tokens: 0, total: 100});
+	expect(account.countFreeTokens('c1')).toBe(400);
+});
--- a/src/coordination/store/mod.ts
+++ b/src/coordination/store/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './fenced-log.js';
 export * from './intents.js';
 export * from './keyed-follower.js';
 export * from './log-follower.js';
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -8,7 +8,7 @@
 import process from 'node:process';
 import {
 	CachedPromptSource, NearReceiverPolicy, OwnedShare, SubstitutedShare,
-	countPeerRoom, createAdmission, createBudgetOwners, createColdAdmission, createCrashDetector, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createNoticeRecorder, createPeerCatchUp,
+	countPeerRoom, createAdmission, createBudgetOwners, createColdAdmission, createCrashDetector, createFencedLog, createFleetRetryBudgets, createGossip, createLimitAdmission, createLimitRecorder, createMetrics, createNoticeRecorder, createPeerCatchUp,
 	createRelayedLog, createRequestForwarder, createRetryAfterEstimator, createStartReportClient,
 	createStorePathTracker, createTrafficCounter, createUpstreamEligibility, createUpstreamRegistry, decodePart, fanOut, isViewOutdated, monitorEventLoop,
 	type CatchUpAnswer, type CatchUpQuery, type HolderIdentity, type ProcessStats,
@@ -20,7 +20,7 @@
 	createPeerViews, createUpstreamDepartures, createUpstreamLimits, createUpstreamRests, type PeerView,
 } from '../state/mod.js';
 import {
-	computeMaxHeldBytes, createByteLimits, createFleetClient, createSystemClock, createUpstreamClient, openDatagramSocket, probeAddress, startCallerServer, startFleetServer,
+	computeMaxHeldBytes, createByteLimits, createFleetClient, createSystemClock, createUpstreamClient, joinSignals, openDatagramSocket, probeAddress, startCallerServer, startFleetServer,
 } from '../transport/mod.js';
 import type {RunningDaemon} from './core.js';
 import {formatGatewayMetrics} from './gateway-metrics.js';
@@ -112,9 +112,15 @@
 			},
 		}),
 	});
-	const logs = {deployment: withRelays(adapter.logs.deployment), upstreams: withRelays(adapter.logs.upstreams), grants: withRelays(adapter.logs.grants)};
+	/** Aborted by an unexpected error, after which the tokens and the quarantines of this gateway are in doubt. */
+	const failureController = new AbortController();
+	const hasFailed = () => failureController.signal.aborted;
+	const recordSignal = joinSignals([signal, failureController.signal]).signal;
+	setMaxListeners(0, recordSignal);
+	const logs = {
+		deployment: withRelays(adapter.logs.deployment), upstreams: withRelays(adapter.logs.upstreams), grants: createFencedLog(withRelays(adapter.logs.grants), {isFenced: hasFailed}),
+	};
 	const stopWindow = createStopWindow({noticeMs: stopNoticeMs, clock});
-	let hasFailed = false;
 
 	const state = createGatewayState({
 		adapter: {...adapter, logs}, self, upstreamHeartbeatMs: settings.upstreamHeartbeat, isFirstStart: settings.isFirstStart, clock, events,
@@ -188,6 +194,10 @@
 	const getDeploymentVersion = () => findRouteTable()?.version ?? 0;
 
 	function listFreeTokens() {
+		if (hasFailed()) {
+			return [];
+		}
+
 		return account.listCustomers()
 			.map(customer => ({customer, tokens: budgetManager.countSpare(customer)}))
 			.filter(({tokens}) => tokens > 0)
@@ -295,10 +305,10 @@
 	const listPresumedUpPeers = () => gatewayFleet.listPeers().map(({daemon}) => daemon).filter(daemon => gossip.isPresumedUp(daemon));
 	const owners = createBudgetOwners({clock, daemon: self.daemon, listPeers: listPresumedUpPeers});
 	const quarantines = createGatewayQuarantines({
-		daemon: self.daemon, log: logs.grants, follower: state.grantFollower, listPeers: listPresumedUpPeers, gossip, clock, events, signal,
+		daemon: self.daemon, log: logs.grants, follower: state.grantFollower, listPeers: listPresumedUpPeers, gossip, clock, events, signal: recordSignal,
 	});
 	const tokens = createGatewayTokens({
-		self, state, log: logs.grants, fleet, owners, gossip, peerViews, peerTimeoutMs, clock, events, signal, listPeers: listPresumedUpPeers, isFirstStart: settings.isFirstStart,
+		self, state, log: logs.grants, fleet, owners, gossip, peerViews, peerTimeoutMs, clock, events, signal: recordSignal, hasFailed, listPeers: listPresumedUpPeers, isFirstStart: settings.isFirstStart,
 	});
 	const {budgetManager} = tokens;
 	const retryBudgets = createFleetRetryBudgets({
@@ -389,7 +399,7 @@
 		routes(router) {
 			router.service(Relay, createRelayInterface(Object.values(adapter.logs), signal));
 			router.service(Gateway, createGatewayPeerInterface({
-				handleCatchUp, lend: tokens.lending.lend, receiveRepayment: tokens.loanReturns.receive, findStream: streams.findStream, reportGrants: tokens.recovery.report,
+				handleCatchUp, lend: tokens.lending.lend, receiveRepayment: repayment => !hasFailed() && tokens.loanReturns.receive(repayment), findStream: streams.findStream, reportGrants: tokens.recovery.report,
 			}));
 		},
 		onUnauthenticated() {
@@ -456,7 +466,7 @@
 			}
 
 			stopWindow.finish();
-			if (!hasFailed) {
+			if (!hasFailed()) {
 				await tokens.release(stopReserveMs / 2);
 			}
 
@@ -472,7 +482,7 @@
 			events.write('daemonStopped');
 		},
 		async stopAfterFailure() {
-			hasFailed = true;
+			failureController.abort();
 			stopWindow.begin(computeStopDurationMs());
 			stopWindow.refuseAll();
 			gossip.markChanged();
--- a/src/daemon/gateway-tokens.ts
+++ b/src/daemon/gateway-tokens.ts
@@ -30,6 +30,8 @@
 	readonly clock: Clock;
 	readonly events: EventLog;
 	readonly signal: AbortSignal;
+	/** Returns true once the tokens are in doubt after an unexpected error, so that none may be lent. */
+	readonly hasFailed: () => boolean;
 };
 
 /** The tokens of a gateway. */
@@ -62,7 +64,8 @@
 		daemon: self.daemon, incarnation: self.incarnation, account, events, clock,
 		listOwners: owners.listOwners,
 		isOwner: owners.isOwner,
-		canClaim: () => grantFollower.isUp() && recovery.checkComplete(),
+		canLend: () => !options.hasFailed(),
+		canClaim: () => !options.hasFailed() && grantFollower.isUp() && recovery.checkComplete(),
 		claim: async (customer, amount) => budgetManager.claimForPeer(customer, amount),
 		onLent(customer, amount) {
 			budgetManager.recordLent(customer, amount);
