Give a silent call up only for a retry that can finish in time

Callers near the end of a stream got a cut answer although their upstream would have gone on: its call was given up for a rerun that could not finish.

Cause: a retry only had to have the objective of the route left until the deadline or the end of a stop.

An answer that must be produced anew now needs as much time as the running call has had, if that is more. A stream that has begun needs the stall timeout, for which its next upstream may be silent too. Whether there is a candidate is already asked with the same query as the placement.

--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -20,7 +20,7 @@
 import type {UpstreamEligibility} from '../upstreams/upstream-eligibility.js';
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
 import type {ForwardReport, ForwardRequest, ForwardResult} from './forward-types.js';
-import {createRetryReservation, type ReachedUpstream} from './retry-reservation.js';
+import {computeRetryNeededMs, createRetryReservation, type ReachedUpstream} from './retry-reservation.js';
 import {
 	createUpstreamSender, type CreateUpstreamSenderOptions, type ForwardingState, type ForwardProgress, type SendOutcome,
 } from './upstream-sender.js';
@@ -89,8 +89,9 @@
 					service, generation, excluded: tried, origin: state.origin,
 				}).length > 0,
 				computeRemainingMs: () => Math.min(request.deadline - clock.now(), computeStopRemainingMs()),
+				computeNeededMs: runningMs => computeRetryNeededMs({objective: route.objective, runningMs, hasBegun: relay.eventCount > 0}),
 				// An answer later than the objective is no better than that of the silent upstream.
-				minRemainingMs: Math.max(minRemainingMs, route.objective),
+				minWaitRemainingMs: Math.max(minRemainingMs, route.objective),
 			}),
 		};
 		return state;
--- a/src/coordination/requests/retry-reservation.test.ts
+++ b/src/coordination/requests/retry-reservation.test.ts
@@ -1,6 +1,7 @@
 import {expect, test} from 'vitest';
 import {createRetryBudget} from '../load/mod.js';
-import {createRetryReservation, type CreateRetryReservationOptions} from './retry-reservation.js';
+import {minRemainingMs} from '../load/remaining-time.js';
+import {computeRetryNeededMs, createRetryReservation, type CreateRetryReservationOptions} from './retry-reservation.js';
 
 type Reached = 'none' | 'other' | 'chosen';
 
@@ -8,7 +9,7 @@
 	const budget = createRetryBudget({ratio: 0, burst: 2});
 	const conditions = {mayRetry: true, hasCandidate: true, remainingMs: 1000};
 	const reservation = createRetryReservation({
-		attempts: 2, findBudget: () => budget, minRemainingMs: 300,
+		attempts: 2, findBudget: () => budget, computeNeededMs: runningMs => Math.max(300, runningMs), minWaitRemainingMs: 300,
 		mayRetry: () => conditions.mayRetry,
 		hasCandidate: () => conditions.hasCandidate,
 		computeRemainingMs: () => conditions.remainingMs,
@@ -35,7 +36,7 @@
 	};
 }
 
-const written = {wasWritten: true};
+const written = {wasWritten: true, runningMs: 0};
 const ran = {wasRejected: false};
 const rejected = {wasRejected: true};
 
@@ -55,6 +56,25 @@
 	expect(empty()).toBe(1);
 });
 
+// Guards against a stream that is given up near its end for a rerun that cannot finish in time.
+test.each([
+	['an answer that must be produced anew, late', {objective: 300, runningMs: 4000, hasBegun: false}, 4000],
+	['an answer that must be produced anew, early', {objective: 800, runningMs: 500, hasBegun: false}, 800],
+	['a stream that goes on', {objective: 800, runningMs: 9000, hasBegun: true}, 2400],
+	['a stream that goes on, with a short objective', {objective: 100, runningMs: 9000, hasBegun: true}, 1200],
+	['any answer, without an objective to speak of', {objective: 1, runningMs: 0, hasBegun: false}, minRemainingMs],
+])('the time that a retry needs: %s', (_, options, expected) => {
+	expect(computeRetryNeededMs(options)).toBe(expected);
+});
+
+test('a call is not given up while less time is left than it has had', () => {
+	const {conditions, reservation} = createFixture();
+	reservation.tryBegin();
+	expect(reservation.tryReserve({wasWritten: true, runningMs: 1001})).toBe(false);
+	conditions.remainingMs = 1001;
+	expect(reservation.tryReserve({wasWritten: true, runningMs: 1001})).toBe(true);
+});
+
 test('no retry is reserved if the running call is the last attempt', () => {
 	const {reservation, call} = createFixture({attempts: 2});
 	call('chosen');
@@ -67,7 +87,7 @@
 	const {reservation, empty} = createFixture({attempts: 1});
 	empty();
 	reservation.tryBegin();
-	expect(reservation.tryReserve({wasWritten: false})).toBe(true);
+	expect(reservation.tryReserve({wasWritten: false, runningMs: 0})).toBe(true);
 	reservation.finish('none', rejected);
 	expect(reservation.tryBegin()).toBe(true);
 });
--- a/src/coordination/requests/retry-reservation.ts
+++ b/src/coordination/requests/retry-reservation.ts
@@ -4,7 +4,9 @@
  *
  * @module
  */
+import {minRemainingMs} from '../load/remaining-time.js';
 import type {RetryBudget} from '../load/retry-budget.js';
+import {computeStallTimeoutMs} from '../streams/stall-timeout.js';
 
 /** Options of {@linkcode createRetryReservation}. */
 export type CreateRetryReservationOptions = {
@@ -18,8 +20,27 @@
 	readonly hasCandidate: () => boolean;
 	/** Returns the time in which a retry would have to be answered, in milliseconds. */
 	readonly computeRemainingMs: () => number;
-	/** Time that a retry needs at least to be worth giving up a call. */
-	readonly minRemainingMs: number;
+	/** Time that a retry needs at least to be worth giving up a call that was written the given time ago, in milliseconds. */
+	readonly computeNeededMs: (runningMs: number) => number;
+	/** Time that must be left to wait for an upstream after a call was given up, in milliseconds. */
+	readonly minWaitRemainingMs: number;
+};
+
+/** Properties of the running call when it would be given up. */
+export type ReserveRetryOptions = {
+	readonly wasWritten: boolean;
+	/** Time since the call was written, in milliseconds; 0 if it was not. */
+	readonly runningMs: number;
+};
+
+/** Options of {@linkcode computeRetryNeededMs}. */
+export type ComputeRetryNeededOptions = {
+	/** Latency objective of the route, in milliseconds. */
+	readonly objective: number;
+	/** Time since the running call was written, in milliseconds. */
+	readonly runningMs: number;
+	/** True if the caller has got a part of the answer, with which another upstream goes on. */
+	readonly hasBegun: boolean;
 };
 
 /** Attempts and retries of one request. */
@@ -28,6 +49,25 @@
 /** What a call reached: no upstream, another one at the address, or the chosen one. */
 export type ReachedUpstream = 'none' | 'other' | 'chosen';
 
+/**
+ * Computes the time that a retry needs to be worth giving up a call.
+ *
+ * An answer that must be produced anew takes at least as long as the running
+ * call has had, as far as is known. A stream that has begun goes on from its last
+ * event, but its next upstream may be silent for the stall timeout as well.
+ *
+ * @example
+ * ```ts
+ * computeRetryNeededMs({objective: 300, runningMs: 4000, hasBegun: false}); // 4000
+ * ```
+ *
+ * @param options The objective, and what the running call has had and achieved
+ * @returns The time in milliseconds
+ */
+export function computeRetryNeededMs({objective, runningMs, hasBegun}: ComputeRetryNeededOptions): number {
+	return Math.max(minRemainingMs, objective, hasBegun ? computeStallTimeoutMs(objective) : runningMs);
+}
+
 /**
  * Creates the reservation of a request that was not sent yet.
  *
@@ -49,7 +89,7 @@
  */
 export function createRetryReservation(options: CreateRetryReservationOptions) {
 	const {
-		attempts, findBudget, mayRetry, hasCandidate, computeRemainingMs, minRemainingMs,
+		attempts, findBudget, mayRetry, hasCandidate, computeRemainingMs, computeNeededMs, minWaitRemainingMs,
 	} = options;
 	let sends = 0;
 	let deliveries = 0;
@@ -62,7 +102,7 @@
 	/** The last call that an upstream ran was given up. */
 	let wasGivenUp = false;
 
-	const hasTime = (): boolean => computeRemainingMs() >= minRemainingMs;
+	const hasTime = (runningMs: number): boolean => computeRemainingMs() >= computeNeededMs(runningMs);
 
 	function tryWithdraw(): boolean {
 		if (reservedFrom === undefined) {
@@ -108,8 +148,8 @@
 		 * returns false if there can be none. A call that was not written uses neither
 		 * an attempt nor a retry.
 		 */
-		tryReserve({wasWritten}: {readonly wasWritten: boolean}): boolean {
-			const isPossible = sends + (wasWritten ? 1 : 0) < attempts && hasTime() && mayRetry() && hasCandidate();
+		tryReserve({wasWritten, runningMs}: ReserveRetryOptions): boolean {
+			const isPossible = sends + (wasWritten ? 1 : 0) < attempts && hasTime(runningMs) && mayRetry() && hasCandidate();
 			const isReserved = isPossible && (!wasWritten || tryWithdraw());
 			isGivingUp ||= isReserved && wasWritten;
 			return isReserved;
@@ -120,7 +160,7 @@
 		 * it now: its call was given up for another upstream, whose place was taken by
 		 * other requests since.
 		 */
-		shouldWait: (): boolean => wasGivenUp && hasTime(),
+		shouldWait: (): boolean => wasGivenUp && computeRemainingMs() >= minWaitRemainingMs,
 
 		/** Gives back a retry that was not used. */
 		release(): void {
--- a/src/coordination/requests/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -299,7 +299,7 @@
 			const tracker = registry.trackRequest(id, request);
 			const partRun = partQuarantine.trackRun(request.parts);
 			const trackedRun = quarantine.trackRun(request.digest, {request: request.id, parts: formatPartIds(request.parts)});
-			const stallTimeout = createStallTimeout({objective: request.route.objective, tryReserveRetry: () => state.retries.tryReserve({wasWritten}), clock});
+			const stallTimeout = createStallTimeout({objective: request.route.objective, tryReserveRetry: () => state.retries.tryReserve({wasWritten, runningMs: wasWritten ? clock.now() - sentAt : 0}), clock});
 			const remaining = request.deadline - clock.now();
 			let isWithheld = false;
 			let wasWritten = false;
--- a/src/coordination/streams/stall-timeout.ts
+++ b/src/coordination/streams/stall-timeout.ts
@@ -25,6 +25,21 @@
 /** Time after which a retry is asked for again: an upstream or the retry budget may have become free. */
 const retryCheckIntervalMs = 250;
 
+/**
+ * Computes the time without progress after which a call may be given up.
+ *
+ * @example
+ * ```ts
+ * computeStallTimeoutMs(800); // 2400
+ * ```
+ *
+ * @param objective Latency objective of the route, in milliseconds
+ * @returns The time in milliseconds
+ */
+export function computeStallTimeoutMs(objective: number): number {
+	return Math.max(minStallTimeoutMs, objective * stallTimeoutObjectives);
+}
+
 /**
  * Starts the timeout of one call. The caller must call `clear` when the call ends.
  *
@@ -42,7 +57,7 @@
  * @returns The timeout, whose signal aborts the call
  */
 export function createStallTimeout({objective, clock, tryReserveRetry}: CreateStallTimeoutOptions) {
-	const timeoutMs = Math.max(minStallTimeoutMs, objective * stallTimeoutObjectives);
+	const timeoutMs = computeStallTimeoutMs(objective);
 	const controller = new AbortController();
 	let lastProgressAt = clock.now();
 	// The timer is rescheduled only when it fires, because a stream makes progress dozens of times a second.
