Connect again to an upstream that refused a connection only after a second

Upstreams that were gone got up to ten new connections a second from each request that waited for an upstream.

Cause: every 100 ms the request made all upstreams eligible again that it had not reached, those that had refused the connection as well as those from which it was withheld by a limit before it was written.

Those from which it was withheld are eligible again at the next check, the others after a second.

--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -41,6 +41,8 @@
 const bufferedHeaders = {mark: 'm', id: 'r1'};
 
 type FixtureOptions = {
+	/** Returns false if an upstream may not get a request that is about to be written. */
+	readonly admitsSend?: () => boolean;
 	/** Software version of each upstream; undefined if it registers none. */
 	readonly versions?: Readonly<Record<string, string | undefined>>;
 	/** Whether every answer says that all upstreams rest for 3 s. */
@@ -61,7 +63,7 @@
 	return count;
 }
 
-function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}, areAllAtRest = false, stopRemainingMs = Number.POSITIVE_INFINITY, startChecker}: FixtureOptions = {}) {
+function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}, areAllAtRest = false, stopRemainingMs = Number.POSITIVE_INFINITY, startChecker, admitsSend = () => true}: FixtureOptions = {}) {
 	const clock = createSystemClock();
 	const directory = createUpstreamDirectory();
 	for (const id of ['u1', 'u2', 'u3']) {
@@ -108,7 +110,8 @@
 	}
 
 	const rests = createUpstreamRests();
-	const eligibility = createUnlimitedEligibility({directory, clock, rests});
+	const unlimited = createUnlimitedEligibility({directory, clock, rests});
+	const eligibility: typeof unlimited = {...unlimited, admitSend: (...parameters) => admitsSend() && unlimited.admitSend(...parameters)};
 	const forwarder = createRequestForwarder({
 		eligibility,
 		wire, clock, events,
@@ -634,6 +637,28 @@
 	expect(countLeft(unanswered.retries)).toBe(10);
 });
 
+test('a request that waits for an upstream connects again to one that refused only after a second', async () => {
+	// Guards against ten new connections a second from each waiting request to upstreams that are gone.
+	const fixture = createFixture([{...firstHalf, isReset: false, hangs: true}, ...Array.from({length: 99}, () => ({fails: 'unsent'} as const))]);
+	expect(await fixture.forward({isResumable: true, objective: 100, attempts: 2}, 3000)).toMatchObject({result: 'cut', sends: 1});
+	expect(fixture.calls.length).toBeGreaterThan(3);
+	expect(fixture.calls.length).toBeLessThanOrEqual(5);
+});
+
+test('a request that waits for an upstream tries one again at once from which it was withheld', async () => {
+	// Guards against streams that wait longer than it takes until their upstream has a place again.
+	let sends = 0;
+	const fixture = createFixture([{...firstHalf, isReset: false, hangs: true}, secondHalf, secondHalf, secondHalf], {
+		admitsSend() {
+			sends += 1;
+			return sends === 1 || sends > 3;
+		},
+	});
+	const startedAt = performance.now();
+	expect(await fixture.forward({isResumable: true, objective: 100, attempts: 2})).toMatchObject({result: 'served', sends: 2});
+	expect(performance.now() - startedAt).toBeLessThan(2000);
+});
+
 test('a stream that was given up goes on although other upstreams reject it first', async () => {
 	// Guards against a stream that is cut because the upstream for which its call was given up had no room: it did not run there.
 	const rejection: UpstreamResponse = {status: 503, headers: {'not-run': '1'}, chunks: []};
--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -50,6 +50,8 @@
 const overloadedRetryAfterMs = 500;
 /** Time after which a request that waits for an upstream looks for one again. */
 const placementCheckIntervalMs = 100;
+/** Time after which a waiting request tries an upstream again that it could not connect to. */
+const reconnectDelayMs = 1000;
 
 /**
  * Creates a request forwarder.
@@ -81,7 +83,7 @@
 		const tried = new Set<string>();
 		const {service, generation, route} = request;
 		const state: ForwardingState = {
-			request, relay, progress, tried, unreached: new Set(), origin: request.origin, begunAt: undefined,
+			request, relay, progress, tried, unreached: new Map(), origin: request.origin, begunAt: undefined,
 			retries: createRetryReservation({
 				attempts: route.attempts, findBudget: () => findRetryBudget(service.id),
 				mayRetry: () => mayRetryElsewhere(request, relay),
@@ -195,8 +197,11 @@
 		let placement: Placement | undefined;
 		while (placement === undefined && retries.shouldWait() && !request.signal.aborted) {
 			await clock.sleep(placementCheckIntervalMs, request.signal);
-			for (const id of unreached) {
-				tried.delete(id);
+			for (const [id, mayReturnAt] of unreached) {
+				if (mayReturnAt <= clock.now()) {
+					unreached.delete(id);
+					tried.delete(id);
+				}
 			}
 
 			placement = request.signal.aborted ? undefined : tryBeginCall(state);
@@ -241,7 +246,8 @@
 			const reached = findReached(outcome);
 			retries.finish(reached, {wasRejected: outcome.kind === 'not-run'});
 			if (reached === 'none') {
-				unreached.add(id);
+				const wasWithheld = outcome.kind === 'not-run' && outcome.wasWithheld === true;
+				unreached.set(id, clock.now() + (wasWithheld ? 0 : reconnectDelayMs));
 			}
 
 			progress.sends += reached === 'chosen' ? 1 : 0;
--- a/src/coordination/requests/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -49,8 +49,8 @@
 
 /** Outcome of sending a request to one upstream. */
 export type SendOutcome =
-	/** `reached` is the upstream that received the request: none, another one at the same address, or the chosen one. */
-	| {readonly kind: 'not-run'; readonly detail: string; readonly reached: ReachedUpstream}
+	/** `reached` is the upstream that received the request: none, another one at the same address, or the chosen one. `wasWithheld` tells that it was connected to, and the request not written. */
+	| {readonly kind: 'not-run'; readonly detail: string; readonly reached: ReachedUpstream; readonly wasWithheld?: boolean}
 	| RelayOutcome;
 
 /** Fields of the report that are filled in while the request is being forwarded. */
@@ -63,8 +63,8 @@
 	readonly progress: ForwardProgress;
 	/** Ids of the upstreams that were chosen so far. */
 	readonly tried: Set<string>;
-	/** Ids of those that did not receive the request. */
-	readonly unreached: Set<string>;
+	/** Ids of those that did not receive the request, and when each may be chosen again, in milliseconds of the clock. */
+	readonly unreached: Map<string, number>;
 	readonly retries: RetryReservation;
 	/** Set once the stream has begun. */
 	origin: StreamOrigin | undefined;
@@ -343,7 +343,7 @@
 				}
 
 				if (isWithheld) {
-					return outcome;
+					return outcome.kind === 'not-run' ? {...outcome, wasWithheld: true} : outcome;
 				}
 
 				if (outcome.kind === 'broken' && !request.signal.aborted) {
