Promise no reuse of a connection with an idle timeout below a second

Callers were told `Keep-Alive: timeout=0` with such an idle timeout, which a caller may take for no limit and then send on a connection that closes.

Cause: the header states whole seconds, rounded down.

An answer now closes its connection then, unless the caller pipelines.

Before the change the new test waited in vain for the connection to be closed.

--- a/src/transport/caller-server.test.ts
+++ b/src/transport/caller-server.test.ts
@@ -105,6 +105,22 @@
 	server.closeAllConnections();
 });
 
+// Guards against a caller who is told to reuse a connection for 0 seconds, which some take as no limit.
+test('no reuse is promised for an idle timeout of less than a second', async () => {
+	const {server, responses, socket, received} = await createFixture();
+	server.setLimits({
+		headerBytes: 1000, bodyBytes: 1000, headerTimeout: 5000, idleTimeout: 999,
+	});
+	socket.write(requestText);
+	await expect.poll(() => responses.length).toBe(1);
+	complete(responses[0]!, 'first');
+	await expect.poll(() => received.hasEnded).toBe(true);
+	expect(received.text).toContain('first');
+	expect(received.text).toMatch(/^connection: close\r$/imu);
+	expect(received.text).not.toMatch(/^keep-alive:/imu);
+	server.closeAllConnections();
+});
+
 // Guards against the loss of requests that a caller sent before it received a response with `connection: close`.
 test('the close policy does not close the connection of a caller who pipelines', async () => {
 	const {server, state, responses, socket, received} = await createFixture();
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -94,6 +94,8 @@
  */
 const idleTimeoutMarginMs = 1000;
 const timeoutCheckIntervalMs = 1000;
+/** `Keep-Alive` states whole seconds, so that a shorter idle timeout would be announced as 0. */
+const minAnnouncedIdleTimeoutMs = 1000;
 /** Interval at which the server checks that the event loop runs; a delay of requests that is shorter is not seen. */
 const tickIntervalMs = 100;
 /** Limit on the headers of a request; applies before the limit of the deployment is known. */
@@ -181,6 +183,7 @@
 	const ticks = setInterval(readDelay.recordTick, tickIntervalMs).unref();
 	server.on('connection', readDelay.recordAccept);
 	let closesIdleAfterMs = server.keepAliveTimeout;
+	let canAnnounceIdleTimeout = true;
 	let shouldCloseAfterResponse = false;
 	let isDraining = false;
 	let requestCount = 0;
@@ -211,7 +214,7 @@
 			}
 
 			watchHeaders(response, () => {
-				if ((relay.wasRelayed(request.socket) || shouldClose?.()) && tracker.canCloseAfter(request, response)) {
+				if ((!canAnnounceIdleTimeout || relay.wasRelayed(request.socket) || shouldClose?.()) && tracker.canCloseAfter(request, response)) {
 					response.setHeader('connection', 'close');
 				}
 			});
@@ -237,6 +240,7 @@
 		setLimits(limits) {
 			server.headersTimeout = limits.headerTimeout;
 			server.keepAliveTimeout = limits.idleTimeout;
+			canAnnounceIdleTimeout = limits.idleTimeout >= minAnnouncedIdleTimeoutMs;
 			closesIdleAfterMs = limits.idleTimeout + idleTimeoutMarginMs;
 		},
 		requestConnectionClose() {
