Believe the crash of an upstream only of the start that crashed

An engine that crashed once and started again under its ID was taken for crashed at every later connection that was lost, and at every complete answer that ends with its connection, without a probe and for as long as the gateway ran. The requests concerned were counted as crashing upstreams, and sound ones were held by the whole fleet.

Cause: crashes were remembered by the ID of the upstream.

Change: crashes are remembered, and probes shared, by ID and time of the start. For an upstream that names no start nothing is remembered: each lost connection is probed, and a new process that listens is not taken for the old one.

--- a/src/coordination/quarantine/crash-detector.ts
+++ b/src/coordination/quarantine/crash-detector.ts
@@ -2,13 +2,16 @@
  * Detects whether an upstream's process ended while it ran a request.
  *
  * A lost connection alone does not show this: a network device may have reset
- * it. A process that has ended also refuses new connections, and the next
- * process at its address has another id.
+ * it. A process that has ended also refuses new connections, until the next one
+ * listens at its address. That one may have the same ID; the time of its start
+ * tells the two apart. Of an upstream that names no start no crash is
+ * remembered, and each lost connection is probed.
  *
  * @module
  */
 import type {UpstreamRegistration} from '../../protocol/mod.js';
 import type {ProbeResult} from '../../transport/mod.js';
+import {computeStartKey} from './part-keys.js';
 
 /** Options of {@linkcode createCrashDetector}. */
 export type CreateCrashDetectorOptions = {
@@ -21,8 +24,8 @@
 /** Detects crashes of upstreams. */
 export type CrashDetector = ReturnType<typeof createCrashDetector>;
 
-/** Number of crashed upstreams whose ids are kept. */
-const maxCrashedIds = 200;
+/** Number of starts of upstreams whose crashes are remembered. */
+const maxCrashedStarts = 200;
 
 /**
  * Creates a crash detector.
@@ -36,40 +39,45 @@
  * @returns The crash detector
  */
 export function createCrashDetector(options: CreateCrashDetectorOptions) {
-	const crashedIds = new Set<string>();
-	const pendingProbes = new Map<string, Promise<ProbeResult>>();
+	const crashedStarts = new Set<number>();
+	const pendingProbes = new Map<number, Promise<ProbeResult>>();
 
 	// Requests that lose their connections at the same time share one probe.
-	async function probeShared({id, address}: UpstreamRegistration): Promise<ProbeResult> {
-		const pending = pendingProbes.get(id) ?? options.probe(address);
-		pendingProbes.set(id, pending);
+	async function probeShared(start: number, address: string): Promise<ProbeResult> {
+		const pending = pendingProbes.get(start) ?? options.probe(address);
+		pendingProbes.set(start, pending);
 		try {
 			return await pending;
 		} finally {
-			pendingProbes.delete(id);
+			pendingProbes.delete(start);
 		}
 	}
 
-	function rememberCrash(id: string): void {
-		crashedIds.add(id);
-		if (crashedIds.size > maxCrashedIds) {
-			crashedIds.delete(crashedIds.values().next().value!);
+	function rememberCrash(start: number): void {
+		crashedStarts.add(start);
+		if (crashedStarts.size > maxCrashedStarts) {
+			crashedStarts.delete(crashedStarts.values().next().value!);
 		}
 	}
 
 	return {
 		/** Returns true if the process of an upstream has crashed, after the connection to it was lost. */
 		async hasCrashed(upstream: UpstreamRegistration): Promise<boolean> {
-			if (crashedIds.has(upstream.id)) {
+			const start = computeStartKey(upstream);
+			if (crashedStarts.has(start)) {
 				return true;
 			}
 
 			// Checked before the probe, because a crashed upstream may be removed from the list while the probe is pending.
-			if (!options.isExpectedUp(upstream.id) || await probeShared(upstream) !== 'refused') {
+			if (!options.isExpectedUp(upstream.id) || await probeShared(start, upstream.address) !== 'refused') {
 				return false;
 			}
 
-			rememberCrash(upstream.id);
+			// Without the time of its start, the next process under this ID cannot be told apart.
+			if (upstream.startedAt !== undefined) {
+				rememberCrash(start);
+			}
+
 			return true;
 		},
 	};
