End only the call whose retry cannot be reserved because of an exception

An unexpected error in the reservation of a retry for a silent call ended the whole gateway: all callers whose requests it ran lost their connections.

Cause: the stall timeout asks for the retry in the callback of a timer, whose exceptions nothing catches.

--- a/src/coordination/requests/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -299,7 +299,14 @@
 			const tracker = registry.trackRequest(id, request);
 			const partRun = partQuarantine.trackRun(request.parts);
 			const trackedRun = quarantine.trackRun(request.digest, {request: request.id, parts: formatPartIds(request.parts)});
-			const stallTimeout = createStallTimeout({objective: request.route.objective, tryReserveRetry: () => state.retries.tryReserve({wasWritten}), clock});
+			const stallTimeout = createStallTimeout({
+				objective: request.route.objective,
+				tryReserveRetry: () => state.retries.tryReserve({wasWritten}),
+				onError({message, stack}) {
+					events.write('requestFailed', {request: request.id, detail: stack ?? message});
+				},
+				clock,
+			});
 			const remaining = request.deadline - clock.now();
 			let isWithheld = false;
 			let wasWritten = false;
--- a/src/coordination/streams/stall-timeout.test.ts
+++ b/src/coordination/streams/stall-timeout.test.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
 import {expect, test} from 'vitest';
 import {createSystemClock} from '../../transport/mod.js';
@@ -5,12 +6,16 @@
 
 const clock = createSystemClock();
 
+function onError(error: Error): void {
+	throw error;
+}
+
 test('a call that makes no progress is ended once a retry is reserved, also if that takes several questions', async () => {
 	// Guards against a stream that stays at an upstream that no longer answers, because no other one was free at the moment of the
 	// only question.
 	let questions = 0;
 	const timeout = createStallTimeout({
-		objective: 100, clock, tryReserveRetry() {
+		objective: 100, clock, onError, tryReserveRetry() {
 			questions += 1;
 			return questions === 3;
 		},
@@ -27,7 +32,7 @@
 	// Guards against a call that is ended right after an event because its upstream was silent before.
 	let questions = 0;
 	const timeout = createStallTimeout({
-		objective: 100, clock, tryReserveRetry() {
+		objective: 100, clock, onError, tryReserveRetry() {
 			questions += 1;
 			return false;
 		},
@@ -47,7 +52,7 @@
 test('a stall timeout longer than a timer can wait is not checked at once, again and again', async () => {
 	let reads = 0;
 	const stallTimeout = createStallTimeout({
-		objective: 1e13, tryReserveRetry: () => true,
+		objective: 1e13, onError, tryReserveRetry: () => true,
 		clock: {
 			...clock,
 			now() {
@@ -61,3 +66,40 @@
 	expect(reads).toBe(1);
 	expect(stallTimeout.signal.aborted).toBe(false);
 });
+
+// Guards against the end of a gateway, with all that is under way, at an unexpected error of one request.
+test('an exception in the reservation of a retry ends the call and nothing else', async () => {
+	const uncaught: unknown[] = [];
+	const reported: Error[] = [];
+	const recordUncaught = (error: unknown) => {
+		uncaught.push(error);
+	};
+
+	const others = process.listeners('uncaughtException');
+	process.removeAllListeners('uncaughtException');
+	process.on('uncaughtException', recordUncaught);
+	const failure = new TypeError('Not iterable');
+	let questions = 0;
+	const timeout = createStallTimeout({
+		objective: 100, clock, tryReserveRetry() {
+			questions += 1;
+			throw failure;
+		},
+		onError(error) {
+			reported.push(error);
+		},
+	});
+	try {
+		await wait(1800);
+		expect(uncaught).toEqual([]);
+		expect([timeout.signal.aborted, timeout.signal.reason]).toEqual([true, failure]);
+		expect(reported).toEqual([failure]);
+		expect(questions).toBe(1);
+	} finally {
+		timeout.clear();
+		process.off('uncaughtException', recordUncaught);
+		for (const listener of others) {
+			process.on('uncaughtException', listener);
+		}
+	}
+});
--- a/src/coordination/streams/stall-timeout.ts
+++ b/src/coordination/streams/stall-timeout.ts
@@ -12,6 +12,8 @@
 	readonly objective: number;
 	/** Reserves a retry at another upstream; returns false while there can be none. */
 	readonly tryReserveRetry: () => boolean;
+	/** Called with an exception of `tryReserveRetry`, which ends the call. */
+	readonly onError: (error: Error) => void;
 	readonly clock: Clock;
 };
 
@@ -33,7 +35,7 @@
  *
  * @example
  * ```ts
- * const stallTimeout = createStallTimeout({objective: 800, tryReserveRetry: () => true, clock});
+ * const stallTimeout = createStallTimeout({objective: 800, tryReserveRetry: () => true, onError, clock});
  * stallTimeout.recordProgress();
  * stallTimeout.clear();
  * ```
@@ -41,17 +43,32 @@
  * @param options The objective, the clock and the reservation of a retry
  * @returns The timeout, whose signal aborts the call
  */
-export function createStallTimeout({objective, clock, tryReserveRetry}: CreateStallTimeoutOptions) {
+export function createStallTimeout({objective, clock, tryReserveRetry, onError}: CreateStallTimeoutOptions) {
 	const timeoutMs = Math.max(minStallTimeoutMs, objective * stallTimeoutObjectives);
 	const controller = new AbortController();
 	let lastProgressAt = clock.now();
+
+	// Nothing catches what a timer throws: it would end the process.
+	const findReason = (): Error | undefined => {
+		try {
+			return tryReserveRetry() ? new Error(`The upstream made no progress for ${timeoutMs} ms`) : undefined;
+		} catch (error) {
+			onError(error as Error);
+			return error as Error;
+		}
+	};
+
 	// The timer is rescheduled only when it fires, because a stream makes progress dozens of times a second.
 	const checkProgress = () => {
 		const remainingMs = lastProgressAt + timeoutMs - clock.now();
 		if (remainingMs > 0) {
 			timer = setTimeout(checkProgress, computeTimerMs(remainingMs));
-		} else if (tryReserveRetry()) {
-			controller.abort(new Error(`The upstream made no progress for ${timeoutMs} ms`));
+			return;
+		}
+
+		const reason = findReason();
+		if (reason) {
+			controller.abort(reason);
 		} else {
 			timer = setTimeout(checkProgress, retryCheckIntervalMs);
 		}
