Keep catching up with peers after a connection that cannot be abandoned

If the connection to a peer could not be abandoned, the exception of a task that nobody waits for ended the gateway. Where the process survived, the gateway would have queried no peer any more.

Cause: the handler of a failed query may throw itself, as it did for the address `x y:1` before addresses were checked by the client of the fleet, and the mark of a running query was taken back only after queries without an exception.

--- a/src/coordination/peers/peer-catch-up.test.ts
+++ b/src/coordination/peers/peer-catch-up.test.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {expect, test} from 'vitest';
 import type {EventLog} from '../../protocol/mod.js';
@@ -20,7 +21,9 @@
 
 function createFixture() {
 	const queries: Array<CatchUpQuery & {readonly address: string}> = [];
-	const state = {version: 0, abandoned: 0, isUnresponsive: false};
+	const state = {
+		version: 0, abandoned: 0, isUnresponsive: false, failsToAbandon: false,
+	};
 	const catchUp = createPeerCatchUp({
 		clock: {now: () => 0, sleep: async () => undefined}, events,
 		findVersion: () => state.version,
@@ -43,6 +46,9 @@
 		onReadParts: () => undefined,
 		abandonConnection() {
 			state.abandoned += 1;
+			if (state.failsToAbandon) {
+				throw new TypeError('Invalid URL');
+			}
 		},
 	});
 	return {state, queries, catchUp};
@@ -86,3 +92,32 @@
 	expect(queries.at(-1)?.address).toBe('e2:1');
 	expect(state.version).toBe(7);
 });
+
+// Guards against the end of a gateway, and against one that queries no peer any more, at the address that one peer has told.
+test('a connection that cannot be abandoned ends neither the process nor the catch-up', async () => {
+	const {state, queries, catchUp} = createFixture();
+	const unhandled: unknown[] = [];
+	const recordUnhandled = (error: unknown) => {
+		unhandled.push(error);
+	};
+
+	const others = process.listeners('unhandledRejection');
+	process.removeAllListeners('unhandledRejection');
+	process.on('unhandledRejection', recordUnhandled);
+	try {
+		Object.assign(state, {isUnresponsive: true, failsToAbandon: true});
+		catchUp.handleView(buildView('x y', 7));
+		await flushTasks();
+		Object.assign(state, {isUnresponsive: false, failsToAbandon: false});
+		catchUp.handleView(buildView('e2', 7));
+		await flushTasks();
+		expect(unhandled).toEqual([]);
+		expect(queries.map(({address}) => address)).toEqual(['x y:1', 'e2:1']);
+		expect(state.version).toBe(7);
+	} finally {
+		process.off('unhandledRejection', recordUnhandled);
+		for (const listener of others) {
+			process.on('unhandledRejection', listener);
+		}
+	}
+});
--- a/src/coordination/peers/peer-catch-up.ts
+++ b/src/coordination/peers/peer-catch-up.ts
@@ -95,12 +95,16 @@
 
 	async function catchUp(view: PeerView): Promise<void> {
 		isQuerying = true;
-		await clock.sleep(ownReadDelayMs);
-		if (wantsPrompts || view.version > findVersion()) {
-			await fetchFrom(view);
+		try {
+			await clock.sleep(ownReadDelayMs);
+			if (wantsPrompts || view.version > findVersion()) {
+				await fetchFrom(view);
+			}
+		} catch (error) {
+			events.write('peerSuspected', {peer: view.daemon, detail: (error as Error).message});
+		} finally {
+			isQuerying = false;
 		}
-
-		isQuerying = false;
 	}
 
 	return {
