Count the grants of customers who are named as a property of objects

Requests of a customer named `constructor` or `__proto__` got no tokens: the sum of the grants was not a number, and a claim for `__proto__` was neither written nor read back, so that other gateways did not count it.

Cause: amounts by customer were read as properties of plain objects, which inherit some, and set by assignment, which adds no property `__proto__`; the schema of a record drops that key too.

Change: only own properties count as amounts, objects are built from entries, and the schema keeps each key. Amounts that are no finite numbers or below zero are refused as before, which a test now states.

--- a/src/coordination/budgets/grant-writer.ts
+++ b/src/coordination/budgets/grant-writer.ts
@@ -6,7 +6,7 @@
  */
 import type {EventLog, KeyedLog} from '../../protocol/mod.js';
 import {
-	unstatedEpoch, type GrantRegistry, type HolderRecord, type RouteTable, type TokenAccount,
+	getTokens, unstatedEpoch, type GrantRegistry, type HolderRecord, type RouteTable, type TokenAccount,
 } from '../../state/mod.js';
 import type {Clock} from '../../transport/mod.js';
 import type {KeyedFollower} from '../store/keyed-follower.js';
@@ -142,26 +142,26 @@
 		}
 
 		restoreRates();
-		const granted: Record<string, number> = {};
-		const rates: Record<string, number> = {};
+		const granted = new Map<string, number>();
+		const rates = new Map<string, number>();
 		let hasChanged = !grants.isLogged(key) || isMissing() || (isEnding && !grants.get(key)!.hasEnded);
 		for (const customer of new Set([...account.listCustomers(), ...(table.deployment.customers ?? []).map(({id}) => id)])) {
 			const bought = table.findCustomer(customer)?.bought;
 			// Compares with the total in the log, because a decrease takes effect in the account before it is appended.
-			const recordedTotal = grants.get(key)?.granted[customer] ?? 0;
+			const recordedTotal = getTokens(grants.get(key)?.granted, customer);
 			grants.reserveForUnreadable(customer, bought ?? 0);
 			const nextTotal = bought === undefined ? account.get(customer).granted : computeGrantTotal(customer, bought);
 			hasChanged ||= nextTotal !== recordedTotal;
 			if (nextTotal > 0) {
-				granted[customer] = nextTotal;
+				granted.set(customer, nextTotal);
 				// The rate is negative when large reservations are settled with much smaller amounts.
-				rates[customer] = Math.max(0, Math.round(demand.findRate(customer) * millisecondsPerSecond));
+				rates.set(customer, Math.max(0, Math.round(demand.findRate(customer) * millisecondsPerSecond)));
 			}
 		}
 
 		return hasChanged
 			? {
-				...self, version: table.version, sequence: sequence + 1, granted, rates, hasEnded: isEnding, epoch: getEpoch(),
+				...self, version: table.version, sequence: sequence + 1, granted: Object.fromEntries(granted), rates: Object.fromEntries(rates), hasEnded: isEnding, epoch: getEpoch(),
 			}
 			: undefined;
 	}
@@ -170,7 +170,7 @@
 	// the log, and other gateways may claim the tokens.
 	function applyDecreases(record: HolderRecord): void {
 		for (const customer of account.listCustomers()) {
-			const next = record.granted[customer] ?? 0;
+			const next = getTokens(record.granted, customer);
 			if (next < account.get(customer).granted) {
 				account.setGranted(customer, next);
 			}
@@ -248,7 +248,7 @@
 			}
 
 			for (const customer of new Set([...account.listCustomers(), ...Object.keys(record.granted)])) {
-				account.setGranted(customer, record.granted[customer] ?? 0);
+				account.setGranted(customer, getTokens(record.granted, customer));
 			}
 
 			sequence = Math.max(sequence, record.sequence);
--- a/src/coordination/budgets/recovery-decisions.ts
+++ b/src/coordination/budgets/recovery-decisions.ts
@@ -7,7 +7,7 @@
  */
 import type {LogEpoch} from '../../protocol/mod.js';
 import {
-	anyHolder, type GrantRegistry, type HolderRecord, type KeyedHolder, type RecoveryRecord, type RouteTable,
+	anyHolder, getTokens, type GrantRegistry, type HolderRecord, type KeyedHolder, type RecoveryRecord, type RouteTable,
 } from '../../state/mod.js';
 
 /** What another gateway reports of the grants. */
@@ -122,14 +122,14 @@
 		};
 	}
 
-	const reserved: Record<string, number> = {};
+	const reserved = new Map<string, number>();
 	for (const {id, bought} of table?.deployment.customers ?? []) {
-		const earlier = stillMissing.length > 0 ? grants.getRecovery()!.reserved[id] ?? 0 : 0;
-		reserved[id] = earlier + Math.max(0, (bought ?? 0) - grants.sumGranted(id));
+		const earlier = stillMissing.length > 0 ? getTokens(grants.getRecovery()!.reserved, id) : 0;
+		reserved.set(id, earlier + Math.max(0, (bought ?? 0) - grants.sumGranted(id)));
 	}
 
 	return {
-		epoch, reserved, missing: [...new Set([...stillMissing, ...missing])], sequences,
+		epoch, reserved: Object.fromEntries(reserved), missing: [...new Set([...stillMissing, ...missing])], sequences,
 	};
 }
 
@@ -176,5 +176,5 @@
  */
 export function computeCovered(granted: number, customer: string, {recovery, key, logged}: ComputeCoveredOptions): number {
 	const isReservedFor = recovery.missing.includes(key) || recovery.missing.includes(anyHolder);
-	return isReservedFor ? granted : Math.min(granted, logged?.granted[customer] ?? 0);
+	return isReservedFor ? granted : Math.min(granted, getTokens(logged?.granted, customer));
 }
--- a/src/coordination/budgets/token-borrower.ts
+++ b/src/coordination/budgets/token-borrower.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type {GrantRegistry, TokenAccount} from '../../state/mod.js';
+import {getTokens, type GrantRegistry, type TokenAccount} from '../../state/mod.js';
 import type {Clock} from '../../transport/mod.js';
 import type {BudgetOwners} from './budget-owners.js';
 import type {Demand} from './demand.js';
@@ -73,7 +73,7 @@
 			return known.share;
 		}
 
-		const share = computeRateShare(demand.findRate(customer), grants.listRunning().map(({rates}) => rates?.[customer] ?? 0));
+		const share = computeRateShare(demand.findRate(customer), grants.listRunning().map(({rates}) => getTokens(rates, customer)));
 		shares.set(customer, {share, at: clock.now()});
 		return share;
 	}
--- a/src/state/grant-registry.test.ts
+++ b/src/state/grant-registry.test.ts
@@ -1,6 +1,8 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createGrantRegistry, type HolderRecord} from './mod.js';
+import {
+	createGrantRegistry, holderRecordSchema, recoveryRecordSchema, type HolderRecord,
+} from './mod.js';
 
 const customers = ['c1', 'c2'];
 
@@ -80,3 +82,28 @@
 	registry.put('e1', {...buildRecord('e1', {c1: 29}), sequence: 6});
 	expect(registry.sumGranted('c1')).toBe(29);
 });
+
+// Guards against a budget without a sum, or one whose grants nobody counts, because its customer has the name of a property
+// that objects inherit.
+test('the grants of customers who are named as a property of objects are counted as those of others', () => {
+	const registry = createGrantRegistry();
+	for (const customer of ['constructor', '__proto__', 'toString']) {
+		registry.put('e1', buildRecord('e1', {}));
+		expect(registry.sumGranted(customer, 'e1')).toBe(0);
+		const written = JSON.stringify(buildRecord('e1', Object.fromEntries([[customer, 300]])));
+		registry.put('e1', holderRecordSchema.parse(JSON.parse(written)));
+		expect([registry.sumGranted(customer), registry.sumGranted(customer, 'e1')]).toEqual([300, 0]);
+		registry.putRecovery(recoveryRecordSchema.parse(JSON.parse('{"epoch": 2, "reserved": {}, "missing": ["*"], "sequences": {}}')));
+		expect(registry.sumGranted(customer, 'e1')).toBe(0);
+		registry.putRecovery(recoveryRecordSchema.parse(JSON.parse(`{"epoch": 2, "reserved": {"${customer}": 70}, "missing": ["*"], "sequences": {}}`)));
+		expect(registry.sumGranted(customer, 'e1')).toBe(70);
+	}
+});
+
+test('a record with an amount that is no number or below zero is refused', () => {
+	const record = buildRecord('e1', {c1: 5});
+	expect(holderRecordSchema.safeParse(record).success).toBe(true);
+	for (const granted of [{c1: -1}, {c1: '5'}, {c1: Number.NaN}, {c1: Number.POSITIVE_INFINITY}, {c1: null}, [5], null, undefined, 'c1']) {
+		expect(holderRecordSchema.safeParse({...record, granted}).success, JSON.stringify(granted)).toBe(false);
+	}
+});
--- a/src/state/grant-registry.ts
+++ b/src/state/grant-registry.ts
@@ -17,6 +17,7 @@
  */
 import * as z from 'zod';
 import type {LogEpoch} from '../protocol/mod.js';
+import {customerTokensSchema, getTokens} from './customer-tokens.js';
 
 /** Schema of a holder's record. */
 export const holderRecordSchema = z.object({
@@ -36,9 +37,9 @@
 	/** Increases with each record of the incarnation. */
 	sequence: z.number().int(),
 	/** Total tokens granted to the incarnation, by customer. */
-	granted: z.record(z.string(), z.number().nonnegative()),
+	granted: customerTokensSchema,
 	/** Tokens per second requested by callers when the record was written, by customer; read by the daemon's next incarnation. */
-	rates: z.record(z.string(), z.number().nonnegative()).optional(),
+	rates: customerTokensSchema.optional(),
 	/** True if the incarnation has stopped; `granted` then holds only the tokens it used. */
 	hasEnded: z.boolean(),
 	/** Epoch of the log whose grants the writer knew completely; absent in records of versions that do not know epochs. */
@@ -53,7 +54,7 @@
 	/** Epoch of the log from which on the grants are complete. */
 	epoch: z.number().int(),
 	/** Tokens that may have been granted to the missing holders, by customer. */
-	reserved: z.record(z.string(), z.number().nonnegative()),
+	reserved: customerTokensSchema,
 	/** Keys of the holders whose last records are unknown. The tokens are available again when all have written a record. */
 	missing: z.array(z.string()),
 	/** Sequence numbers of the holders' records, by key. An append of an earlier epoch may take effect later and replace one of them. */
@@ -180,7 +181,7 @@
 	}
 
 	function countReserved(customer: string): number {
-		return listMissing().length > 0 ? recovery!.reserved[customer] ?? 0 : 0;
+		return listMissing().length > 0 ? getTokens(recovery!.reserved, customer) : 0;
 	}
 
 	return {
@@ -261,7 +262,7 @@
 
 		/** Returns the tokens of a customer's budget granted to all holders and reserved for missing ones, without those of `excludedKey`. */
 		sumGranted(customer: string, excludedKey?: string): number {
-			const excludedTokens = excludedKey === undefined ? 0 : holders.get(excludedKey)?.granted[customer] ?? 0;
+			const excludedTokens = excludedKey === undefined ? 0 : getTokens(holders.get(excludedKey)?.granted, customer);
 			return (grantedByCustomer.get(customer) ?? 0) - excludedTokens + countReserved(customer);
 		},
 
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -9,6 +9,7 @@
 export * from './evacuations.js';
 export * from './fleet-state.js';
 export * from './grant-holder.js';
+export * from './customer-tokens.js';
 export * from './grant-registry.js';
 export * from './ledger.js';
 export * from './only-origin.js';
