Let no exception in a round of loan returns end a gateway

An exception in a round that returns borrowed tokens ended the whole gateway, and one during a delivery would have kept its receiver from getting any further returns.

Cause: rounds run as tasks that nobody waits for, and the mark of a busy receiver was taken back only after deliveries without an exception.

--- a/src/coordination/budgets/loan-returns.ts
+++ b/src/coordination/budgets/loan-returns.ts
@@ -140,14 +140,16 @@
 	async function deliver(receiver: PeerView, repayment: Repayment, {isRepeated}: {readonly isRepeated: boolean}): Promise<void> {
 		busyReceivers.add(receiver.daemon);
 		unanswered.set(receiver.daemon, repayment);
-		for (let attempt = 1; attempt <= (isRepeated ? 1 : maxAttempts); attempt += 1) {
-			if (await tryDeliver(receiver, repayment, !isRepeated && attempt === 1)) {
-				unanswered.delete(receiver.daemon);
-				break;
+		try {
+			for (let attempt = 1; attempt <= (isRepeated ? 1 : maxAttempts); attempt += 1) {
+				if (await tryDeliver(receiver, repayment, !isRepeated && attempt === 1)) {
+					unanswered.delete(receiver.daemon);
+					break;
+				}
 			}
+		} finally {
+			busyReceivers.delete(receiver.daemon);
 		}
-
-		busyReceivers.delete(receiver.daemon);
 	}
 
 	// Tokens for an incarnation that has ended are lost: it may have accepted and spent them.
@@ -197,6 +199,15 @@
 		await Promise.all([...byReceiver].map(async ([receiver, amounts]) => repay(receiver, amounts)));
 	}
 
+	// Nobody waits for a round, so that an exception of it would end the process.
+	async function tryRound(round: () => Promise<void>): Promise<void> {
+		try {
+			await round();
+		} catch (error) {
+			events.write('loanUnanswered', {detail: (error as Error).message});
+		}
+	}
+
 	return {
 		/** Accepts tokens that another gateway returns. Returns false if they are addressed to another incarnation. */
 		receive: receiver.receive,
@@ -213,8 +224,8 @@
 			await clock.sleep(firstRoundDelayMs, signal);
 			while (!signal.aborted) {
 				await clock.sleep(roundIntervalMs, signal);
-				void retryUnanswered();
-				void repayTokens({computeAmount: options.computeReturned, findReceiver: findOwner});
+				void tryRound(retryUnanswered);
+				void tryRound(async () => repayTokens({computeAmount: options.computeReturned, findReceiver: findOwner}));
 			}
 		},
 	};
