Test forwarded requests at later starts of an upstream that crashed

The tests of the forwarder replaced the crash detector, so that none showed what its memory does to requests: a reset, or a whole answer that ends with its connection, counted as another crash after a restart under the same ID.

Change: the fixture uses the detector itself with a probe, and two tests send a request to a later start, with and without a start that is named.

Evidence: both tests fail with the detector that remembers crashes by ID (2 crashes in place of 1 and of 0).

--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -10,7 +10,7 @@
 } from '../../state/mod.js';
 import {createSystemClock, type CallFailure, type UpstreamCall} from '../../transport/mod.js';
 import {
-	CachedPromptSource, createPartQuarantine, createQuarantine, createRequestForwarder, createRetryBudget, createTrafficCounter, createUpstreamRegistry, type CreateRequestForwarderOptions, type ForwardRequest, type RetryBudget,
+	CachedPromptSource, createCrashDetector, createPartQuarantine, createQuarantine, createRequestForwarder, createRetryBudget, createTrafficCounter, createUpstreamRegistry, type CreateRequestForwarderOptions, type ForwardRequest, type RetryBudget,
 } from '../mod.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
@@ -138,7 +138,7 @@
 		computeStopRemainingMs: () => stopRemainingMs,
 		quarantine,
 		partQuarantine,
-		crashDetector: {hasCrashed: async ({id}) => crashed.has(id)},
+		crashDetector: createCrashDetector({isExpectedUp: () => true, probe: async address => crashed.has(address) ? 'refused' : 'open'}),
 		client: {
 			async call(call) {
 				calls.push(call);
@@ -751,6 +751,34 @@
 	}
 });
 
+// Guards against holding sound requests at all gateways because an earlier process of an upstream crashed.
+test.each([
+	['a reset', {fails: 'broken'}, 1],
+	['a whole answer that ends with its connection', {status: 200, headers: streamHeaders, chunks: ['id: 1\ndata: x\n\n']}, 0],
+] as const)('after a crash, %s is no crash at a later start under the same ID', async (_, response, crashes) => {
+	const parts = [{id: 'sound', digest: 'p1'}];
+	for (const startedAt of [1000, undefined]) {
+		const fixture = createFixture([{fails: 'broken'}, response]);
+		const {directory, crashed, quarantine, partQuarantine} = fixture;
+		for (const id of ['u2', 'u3']) {
+			directory.drop(id);
+		}
+
+		directory.put({...directory.get('u1')!, startedAt}, 1);
+		crashed.add('u1');
+		await fixture.forward({kind: 'stream', attempts: 1}, 5000, {parts});
+		expect(quarantine.listAll()).toMatchObject([{digest: 'd1', crashes: 1}]);
+		const partCrashes = partQuarantine.listAll().flatMap(part => part.crashes);
+
+		crashed.clear();
+		directory.put({...directory.get('u1')!, startedAt: startedAt && startedAt + 1000}, 2);
+		await fixture.forward({kind: 'stream', attempts: 1}, 5000, {parts});
+		expect(fixture.calls).toHaveLength(2);
+		expect(quarantine.listAll()).toMatchObject([{digest: 'd1', crashes}]);
+		expect(partQuarantine.listAll().flatMap(part => part.crashes)).toHaveLength(crashes * partCrashes.length);
+	}
+});
+
 // Guards against a request that waits for a connection while one of its parts is held back.
 test('a request with a held part is neither sent nor written, and is refused as not run', async () => {
 	const parts = [{id: 'bad', digest: 'p1'}];
