Let the last registration of an upstream count, whatever the times of its starts

What callers saw: an engine that wrote that it drains still got requests, and lost them when it ended, after one entry for its ID had named a later start: another writer's entry with the time in microseconds, or its own from before its host's clock went back.

Cause: the directory ignored every registration whose start was earlier than the known one, although records of the live log arrive in the order in which they were written.

Change: the directory stores each registration that it is given, and a different start is another start, to which no drain carries over. Only a record of a restored log is outdated by its start, now also if it drains. For the checks of versions any other start may have followed a start; before the registrations are read anew one that looks earlier decides nothing, and after that it counts as later.

--- a/src/coordination/streams/start-checker.test.ts
+++ b/src/coordination/streams/start-checker.test.ts
@@ -292,3 +292,18 @@
 	});
 	expect({accepted, wrong}).toEqual({accepted: 80, wrong: 0});
 });
+
+test('a later start whose time looks earlier counts as later', async () => {
+	// Guards against a version that a stream does not have: the clock of the upstream's host went back across a restart.
+	const {findVersion, directory, starts} = createFixture({
+		canRead: true,
+		onRead() {
+			directory.put({...registered, startedAt: 500, softwareVersion: 'v2'}, 1);
+		},
+	});
+	expect(await findVersion()).toBe(undefined);
+	const {starts: others} = createFixture();
+	others.recordVersion({id: 'u1', startedAt: 500}, 'v2');
+	expect(others.hasLaterVersion({id: 'u1', startedAt: 1000}, 'v1')).toBe(true);
+	expect(starts.hasLaterVersion({id: 'u1', startedAt: 1000}, 'v1')).toBe(false);
+});
--- a/src/coordination/streams/start-checker.ts
+++ b/src/coordination/streams/start-checker.ts
@@ -144,13 +144,18 @@
 	type Verdict = 'certain' | 'unknown' | 'undecided';
 
 	// A later start with the same version does not matter. One with another version may have begun the stream.
-	function decideByRegistration({softwareVersion}: StreamOrigin, start: KnownStart, begunAt: number): Verdict {
+	function decideByRegistration({softwareVersion}: StreamOrigin, start: KnownStart, {begunAt, hasReadViews}: {readonly begunAt: number; readonly hasReadViews: boolean}): Verdict {
 		if (starts.wasAlive(start, begunAt)) {
 			return 'certain';
 		}
 
 		const registration = directory.get(start.id);
-		if (registration?.startedAt === undefined || registration.startedAt <= start.startedAt) {
+		if (registration?.startedAt === undefined || registration.startedAt === start.startedAt) {
+			return 'undecided';
+		}
+
+		// The registration of the start may not have been read yet.
+		if (registration.startedAt < start.startedAt && !hasReadViews) {
 			return 'undecided';
 		}
 
@@ -182,12 +187,12 @@
 			return 'undecided';
 		}
 
-		const verdict = decideByRegistration(origin, start, begunAt);
+		const verdict = decideByRegistration(origin, start, {begunAt, hasReadViews: true});
 		return verdict === 'undecided' && !starts.isReplaced(start) && hasFollowedSince(begunAt) ? 'certain' : verdict;
 	}
 
 	async function decide(origin: StreamOrigin, start: KnownStart, begunAt: number): Promise<Verdict> {
-		const early = decideByRegistration(origin, start, begunAt);
+		const early = decideByRegistration(origin, start, {begunAt, hasReadViews: false});
 		if (early !== 'undecided') {
 			return early;
 		}
@@ -200,7 +205,7 @@
 		/** Returns a recorded origin with what this gateway knows by itself: without the start if the version is certain. */
 		describeOrigin(origin: StreamOrigin, begunAt: number): StreamOrigin {
 			const {service, softwareVersion, start} = origin;
-			return start !== undefined && decideByRegistration(origin, start, begunAt) === 'certain' ? {service, softwareVersion} : origin;
+			return start !== undefined && decideByRegistration(origin, start, {begunAt, hasReadViews: false}) === 'certain' ? {service, softwareVersion} : origin;
 		},
 
 		/** Returns true if the answer is known to come from a process of the stream's version. */
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -237,10 +237,7 @@
 		recordStart(registration, {mayBeOlder});
 		const known = directory.get(key);
 		const wasOnGrace = directory.computeRemainingGraceMs(key, clock.now()) > 0;
-		if (!directory.put(registration, clock.now())) {
-			return;
-		}
-
+		directory.put(registration, clock.now());
 		versionHistory.put(key, {key: registration.service, value: registration.softwareVersion}, clock.now());
 		if (known?.isDraining !== registration.isDraining || wasOnGrace) {
 			events.write('upstreamListed', {
--- a/src/state/upstream-directory.ts
+++ b/src/state/upstream-directory.ts
@@ -113,22 +113,17 @@
 
 	return {
 		/**
-		 * Stores a registration; returns false if it is of an earlier start than the
-		 * known one and was ignored. Registrations must be put in the order in which
-		 * they were written.
+		 * Stores a registration. Registrations must be put in the order in which they
+		 * were written: the last one counts, whatever the times of the starts are, as
+		 * the clock of an upstream's host may go back across a restart.
 		 */
-		put(upstream: UpstreamRegistration, now: number): boolean {
+		put(upstream: UpstreamRegistration, now: number): void {
 			const previous = registrations.get(upstream.id);
-			const order = previous ? compareStarts(upstream, previous.upstream) : 1;
-			if (order < 0) {
-				return false;
-			}
-
+			const isSameStart = previous !== undefined && compareStarts(upstream, previous.upstream) === 0;
 			const hasTakenAddress = takeAddress(upstream);
 			// Draining is final for one start: an older registration of it that is read late must not make the upstream live again.
-			const isDraining = upstream.isDraining || (order === 0 && previous?.upstream.isDraining === true);
+			const isDraining = upstream.isDraining || (isSameStart && previous.upstream.isDraining);
 			registrations.set(upstream.id, {upstream: {...upstream, isDraining}, warmAt: now + upstream.warmUp, hasTakenAddress});
-			return true;
 		},
 
 		/** Takes the addresses of registrations whose services the deployment names only now. */
@@ -144,13 +139,13 @@
 		 */
 		mayBeOutdated(upstream: Pick<UpstreamRegistration, 'id' | 'sequence' | 'isDraining' | 'startedAt'>): boolean {
 			const known = registrations.get(upstream.id)?.upstream ?? removed.get(upstream.id);
-			if (upstream.isDraining || !known) {
+			if (!known) {
 				return false;
 			}
 
-			// The sequence counts anew from each start.
+			// The sequence counts anew from each start. Draining is final for its own start only.
 			const order = compareStarts(upstream, known);
-			return order < 0 || (order === 0 && (upstream.sequence === undefined || known.sequence === undefined || upstream.sequence <= known.sequence));
+			return order < 0 || (order === 0 && !upstream.isDraining && (upstream.sequence === undefined || known.sequence === undefined || upstream.sequence <= known.sequence));
 		},
 
 		/**
--- a/src/state/upstream-starts.ts
+++ b/src/state/upstream-starts.ts
@@ -108,9 +108,13 @@
 			evictOldest(versions, maxStarts);
 		},
 
-		/** Returns true if a start of the upstream after `start` is known to have registered another version. */
+		/**
+		 * Returns true if a start of the upstream that may have followed `start` is known
+		 * to have registered another version. That is any other start: the clock of the
+		 * upstream's host may go back across a restart.
+		 */
 		hasLaterVersion: ({id, startedAt}: KnownStart, softwareVersion: string | undefined): boolean =>
-			[...histories.get(id)?.versions ?? []].some(([other, version]) => other > startedAt && version !== softwareVersion),
+			[...histories.get(id)?.versions ?? []].some(([other, version]) => other !== startedAt && version !== softwareVersion),
 
 		/** Records that a connection to an upstream was lost or refused, so that its process may have ended. */
 		recordDoubt(id: string, at: number): void {
