Give an address back when the registration that took it drains, moves or is removed

What callers saw: all requests to an engine stopped for good after an entry of another ID had named its address, if that entry was draining or was removed later: an engine does not write its own entry again while it does not change.

Cause: taking an address marked the earlier registration, and only an answer of another process at the address removed the mark. An entry that gets no requests itself has no such answer.

Change: the directory keeps the IDs at each address in the order of their last registration and derives from it whose address is taken: only by a later one that may get requests and whose service the deployment names. So a draining entry takes nothing, nothing stays marked after a move or a removal, and a service that is named only now takes no address from a later registration. takeAddresses() has nothing left to do and is removed, in the tests as well; what they expect is unchanged.

--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -193,7 +193,6 @@
 		const bought = listChangedPurchases(deployment, routeTable);
 		routeTable = createRouteTable(deployment);
 		deploymentRecord = text;
-		directory.takeAddresses();
 		routeHistory.replace(listRouteTargets(deployment), clock.now());
 		options.onDeployment(deployment);
 		events.write('deploymentAdopted', {version: deployment.version, source, bought: JSON.stringify(bought)});
--- a/src/state/upstream-directory.test.ts
+++ b/src/state/upstream-directory.test.ts
@@ -135,10 +135,8 @@
 	const directory = createUpstreamDirectory({isServiceNamed: service => named.has(service)});
 	directory.put(entry, 0);
 	directory.put({...entry, id: 'odd', service: 'unknown'}, 1);
-	directory.takeAddresses();
 	expect(directory.listLive('s', 2).map(({upstream}) => upstream.id)).toEqual(['u1']);
 	named.add('unknown');
-	directory.takeAddresses();
 	expect(directory.listLive('s', 2)).toEqual([]);
 	expect(directory.listLive('unknown', 2).map(({upstream}) => upstream.id)).toEqual(['odd']);
 });
@@ -149,8 +147,6 @@
 	directory.put(entry, 0);
 	directory.put({...entry, id: 'u2'}, 1);
 	named.add('s');
-	directory.takeAddresses();
-	directory.takeAddresses();
 	expect(directory.listLive('s', 2).map(({upstream}) => upstream.id)).toEqual(['u2']);
 });
 
@@ -166,3 +162,44 @@
 	directory.markAddressReused('u1');
 	expect(directory.listLive('s', 4)).toEqual([]);
 });
+
+test('a draining registration takes no address, and one that begins to drain gives it back', () => {
+	// Guards against another writer's entry that puts an upstream out of service while it gets no requests itself.
+	const directory = createUpstreamDirectory();
+	directory.put(entry, 0);
+	directory.put({...entry, id: 'odd', isDraining: true}, 1);
+	expect(directory.listLive('s', 2).map(({upstream}) => upstream.id)).toEqual(['u1']);
+	directory.put({...entry, id: 'u2'}, 3);
+	expect(directory.listLive('s', 4).map(({upstream}) => upstream.id)).toEqual(['u2']);
+	directory.put({...entry, id: 'u2', isDraining: true}, 5);
+	expect(directory.listLive('s', 6).map(({upstream}) => upstream.id)).toEqual(['u1']);
+});
+
+test('an address is given back if the upstream that took it is removed or moves', () => {
+	// Guards against an upstream that stays out of service for good: its own entry does not change and is not written again.
+	const directory = createUpstreamDirectory();
+	const listLiveIds = (now: number) => directory.listLive('s', now).map(({upstream}) => upstream.id).sort();
+	directory.put(entry, 0);
+	directory.put({...entry, id: 'u2'}, 1);
+	directory.put({...entry, id: 'u3'}, 2);
+	expect(listLiveIds(3)).toEqual(['u3']);
+	directory.put({...entry, id: 'u3', address: '127.0.0.1:2'}, 4);
+	expect(listLiveIds(5)).toEqual(['u2', 'u3']);
+	directory.drop('u2');
+	expect(listLiveIds(6)).toEqual(['u1', 'u3']);
+	directory.put({...entry, id: 'u2'}, 7);
+	directory.drop('u2', 20);
+	expect(listLiveIds(19)).toEqual(['u2', 'u3']);
+	expect(listLiveIds(20)).toEqual(['u1', 'u3']);
+});
+
+test('a registration whose service is named only now takes no address from one that was put later', () => {
+	// Guards against the entry of a process that has ended, which a new deployment puts back into service.
+	const named = new Set(['s']);
+	const directory = createUpstreamDirectory({isServiceNamed: service => named.has(service)});
+	directory.put({...entry, id: 'old', service: 'later'}, 0);
+	directory.put(entry, 1);
+	named.add('later');
+	expect(directory.listLive('s', 2).map(({upstream}) => upstream.id)).toEqual(['u1']);
+	expect(directory.listLive('later', 2)).toEqual([]);
+});
--- a/src/state/upstream-directory.ts
+++ b/src/state/upstream-directory.ts
@@ -9,10 +9,8 @@
 	upstream: UpstreamRegistration;
 	graceEndsAt?: number;
 	warmAt: number;
-	/** The upstream that has registered its address since or, as '', one that answered at it; undefined if there is none. */
-	addressTakenBy?: string;
-	/** True if its own address has been taken from earlier registrations. */
-	hasTakenAddress: boolean;
+	/** True if another upstream has answered at its address since. */
+	isAddressReused: boolean;
 };
 
 /** An upstream that accepts requests. */
@@ -61,40 +59,57 @@
 	const registrations = new Map<string, Registration>();
 	/** The last registrations of upstreams that were removed, the oldest first. */
 	const removed = new Map<string, RemovedRegistration>();
-	/** ID of the upstream that was the last to register each address. */
-	const idByAddress = new Map<string, string>();
+	/** IDs of the upstreams that are registered at each address, the last one to register last. */
+	const idsByAddress = new Map<string, Set<string>>();
 
-	function isLive(registration: Registration, now: number): boolean {
-		return !registration.upstream.isDraining && registration.addressTakenBy === undefined && (registration.graceEndsAt === undefined || now < registration.graceEndsAt);
-	}
-
-	function buildLiveUpstream({upstream, warmAt, graceEndsAt}: Registration): LiveUpstream {
-		return {upstream, warmAt, isOnGrace: graceEndsAt !== undefined};
+	function isAvailable({upstream, isAddressReused, graceEndsAt}: Registration, now: number): boolean {
+		return !upstream.isDraining && !isAddressReused && (graceEndsAt === undefined || now < graceEndsAt);
 	}
 
 	// Only one process listens at an address, so an earlier registration is of a process that has ended. A registration for
 	// a service that the deployment does not name may come from any writer: it must not put an upstream out of service.
-	function takeAddress({id, service, address}: UpstreamRegistration): boolean {
-		if (!isServiceNamed(service)) {
+	// Nor must one that gets no requests itself: its entry may be wrong, and the upstream that it names may be there.
+	function isAddressTaken({upstream: {id, address}}: Registration, now: number): boolean {
+		const ids = idsByAddress.get(address);
+		if (ids === undefined || ids.size <= 1) {
 			return false;
 		}
 
-		const previous = registrations.get(idByAddress.get(address) ?? id);
-		if (previous && previous.upstream.id !== id && previous.upstream.address === address) {
-			previous.addressTakenBy = id;
-		}
+		const list = [...ids];
+		return list.slice(list.indexOf(id) + 1).some(other => {
+			const registration = registrations.get(other)!;
+			return isAvailable(registration, now) && isServiceNamed(registration.upstream.service);
+		});
+	}
 
-		idByAddress.set(address, id);
-		return true;
+	function isLive(registration: Registration, now: number): boolean {
+		return isAvailable(registration, now) && !isAddressTaken(registration, now);
+	}
+
+	function buildLiveUpstream({upstream, warmAt, graceEndsAt}: Registration): LiveUpstream {
+		return {upstream, warmAt, isOnGrace: graceEndsAt !== undefined};
 	}
 
 	function removeAddress(id: string): void {
 		const address = registrations.get(id)?.upstream.address;
-		if (address !== undefined && idByAddress.get(address) === id) {
-			idByAddress.delete(address);
+		const ids = address === undefined ? undefined : idsByAddress.get(address);
+		if (address === undefined || ids === undefined) {
+			return;
+		}
+
+		ids.delete(id);
+		if (ids.size === 0) {
+			idsByAddress.delete(address);
 		}
 	}
 
+	function putAddress({id, address}: UpstreamRegistration): void {
+		removeAddress(id);
+		const ids = idsByAddress.get(address) ?? new Set();
+		ids.add(id);
+		idsByAddress.set(address, ids);
+	}
+
 	function remove(id: string): void {
 		const registration = registrations.get(id);
 		if (registration) {
@@ -120,17 +135,10 @@
 		put(upstream: UpstreamRegistration, now: number): void {
 			const previous = registrations.get(upstream.id);
 			const isSameStart = previous !== undefined && compareStarts(upstream, previous.upstream) === 0;
-			const hasTakenAddress = takeAddress(upstream);
+			putAddress(upstream);
 			// Draining is final for one start: an older registration of it that is read late must not make the upstream live again.
 			const isDraining = upstream.isDraining || (isSameStart && previous.upstream.isDraining);
-			registrations.set(upstream.id, {upstream: {...upstream, isDraining}, warmAt: now + upstream.warmUp, hasTakenAddress});
-		},
-
-		/** Takes the addresses of registrations whose services the deployment names only now. */
-		takeAddresses(): void {
-			for (const registration of registrations.values()) {
-				registration.hasTakenAddress ||= takeAddress(registration.upstream);
-			}
+			registrations.set(upstream.id, {upstream: {...upstream, isDraining}, warmAt: now + upstream.warmUp, isAddressReused: false});
 		},
 
 		/**
@@ -174,15 +182,8 @@
 		 */
 		markAddressReused(id: string): void {
 			const registration = registrations.get(id);
-			if (!registration) {
-				return;
-			}
-
-			registration.addressTakenBy = '';
-			for (const other of registrations.values()) {
-				if (other.addressTakenBy === id) {
-					delete other.addressTakenBy;
-				}
+			if (registration) {
+				registration.isAddressReused = true;
 			}
 		},
 
