Take an upstream for one without a report only if its answer says so

What callers saw: a stream that went on at an engine which had started again with another software version, because the answer of its overloaded report, 503 or 429, made the gateway believe that the engine offers no report.

Cause: every status but 200, and every malformed report, counted as no report.

Change: only 404, 405, 501 and a readable report without a start count as none; everything else is unanswered, which decides nothing. The wire format throws on a malformed report instead of reading it as one without a start. The test that expected "absent" for malformed reports and for 421 now expects "unanswered".

--- a/src/coordination/upstreams/start-report-client.test.ts
+++ b/src/coordination/upstreams/start-report-client.test.ts
@@ -28,11 +28,21 @@
 test('a report is read only if it names a start', async () => {
 	// Guards against a malformed report that is taken for a start or ends the gateway.
 	expect(await respond(200, '{"born":1765000000123,"seq":3}')).toEqual({kind: 'read', startedAt: 1_765_000_000_123});
-	for (const text of ['', 'null', '[]', '{"seq":3}', '{"born":"1"}', '{"born":1.5}', '{"born":1e400}', 'x'.repeat(300_000)]) {
-		expect(await respond(200, text)).toEqual({kind: 'absent'});
+	expect(await respond(200, '{"seq":3}')).toEqual({kind: 'absent'});
+	for (const text of ['', 'null', '[]', '{"born":"1"}', '{"born":1.5}', '{"born":1e400}', 'x'.repeat(300_000)]) {
+		expect(await respond(200, text)).toEqual({kind: 'unanswered'});
+	}
+});
+
+test('only a status that says that there is no report counts as one', async () => {
+	// Guards against an upstream that is overloaded or starting, whose answers are believed without a check.
+	for (const status of [404, 405, 501]) {
+		expect(await respond(status, '')).toEqual({kind: 'absent'});
 	}
 
-	expect(await respond(421, '')).toEqual({kind: 'absent'});
+	for (const status of [204, 302, 400, 421, 429, 500, 502, 503, 504]) {
+		expect(await respond(status, '{"seq":3}')).toEqual({kind: 'unanswered'});
+	}
 });
 
 test('a report that is cut, refused or late is unanswered', async () => {
--- a/src/coordination/upstreams/start-report-client.ts
+++ b/src/coordination/upstreams/start-report-client.ts
@@ -14,6 +14,8 @@
 };
 
 const okStatus = 200;
+/** Statuses of an upstream that offers no report. With any other it may offer one, as when it is overloaded. */
+const absentStatuses: ReadonlySet<number> = new Set([404, 405, 501]);
 /** Longer than a connection takes to open and a loaded upstream to answer; a caller waits for it. */
 const reportTimeoutMs = 600;
 /** An upstream resets connections beyond its limit, so that a second attempt may succeed on one that has become free. */
@@ -52,11 +54,15 @@
 	async function readStart(response: UpstreamResponse): Promise<ReportedStart> {
 		if (response.status !== okStatus) {
 			response.abandon();
-			return {kind: 'absent'};
+			return {kind: absentStatuses.has(response.status) ? 'absent' : 'unanswered'};
 		}
 
 		const text = await readText(response);
-		const startedAt = text === undefined ? undefined : wire.readReportedStart(text);
+		if (text === undefined) {
+			return {kind: 'unanswered'};
+		}
+
+		const startedAt = wire.readReportedStart(text);
 		return startedAt === undefined ? {kind: 'absent'} : {kind: 'read', startedAt};
 	}
 
@@ -74,7 +80,7 @@
 
 			return {kind: 'unanswered'};
 		} catch {
-			// The report was cut, or the address is none.
+			// The report was cut or is malformed, or the address is none.
 			return {kind: 'unanswered'};
 		} finally {
 			timeLimit.clear();
--- a/src/protocol/gateway-wire.ts
+++ b/src/protocol/gateway-wire.ts
@@ -97,7 +97,7 @@
 	readonly formatRetryAfter: (milliseconds: number) => readonly [string, string];
 	/** Path at which an upstream reports its start. */
 	readonly reportPath: string;
-	/** Reads the start that an upstream reports, in milliseconds of Unix time by its own clock; undefined if the report names none. */
+	/** Reads the start that an upstream reports, in milliseconds of Unix time by its own clock; undefined if the report names none. Throws if the report is malformed. */
 	readonly readReportedStart: (text: string) => number | undefined;
 	/** Path at which the load balancer checks whether this daemon accepts connections. */
 	readonly readinessPath: string;
