--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -204,7 +204,6 @@
 		const bought = listChangedPurchases(deployment, routeTable);
 		routeTable = createRouteTable(deployment);
 		deploymentRecord = text;
-		directory.takeAddresses();
 		routeHistory.replace(listRouteTargets(deployment), clock.now());
 		observeRoutes(deployment);
 		options.onDeployment(deployment);
@@ -249,10 +248,7 @@
 		recordStart(registration, {mayBeOlder});
 		const known = directory.get(key);
 		const wasOnGrace = directory.computeRemainingGraceMs(key, clock.now()) > 0;
-		if (!directory.put(registration, clock.now())) {
-			return;
-		}
-
+		directory.put(registration, clock.now());
 		versionHistory.put(key, {key: registration.service, value: registration.softwareVersion}, clock.now());
 		recordedOrigins.observeVersion(registration.service, registration.softwareVersion);
 		if (known?.isDraining !== registration.isDraining || wasOnGrace) {
