Bound the checks of starts by the deadline of the request

What callers saw: a caller whose deadline had passed, or who had gone, still held its request until an upstream's report had timed out, and a stream waited for two reports in a row where an upstream did not answer the first (602 to 1101 ms were measured instead of 600).

Cause: the sender waited for the checks without the signal or deadline of the request, and streams written after a report was requested asked again once that report had not been answered.

Change: the sender waits for each check no longer than the deadline and the caller allow. A report that is not answered counts for all that wait for it.

--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -509,6 +509,16 @@
 	expect(fixture.received.body).toBe('id: 2\ndata: b\n\n');
 });
 
+test('no check of a start outlasts the deadline of its request', async () => {
+	// Guards against callers who wait for the report of another upstream, and requests that are held, after their time has ended.
+	const respondLate = async () => wait(3000, undefined as never, {ref: false});
+	for (const startChecker of [{isOfVersion: respondLate}, {checkOrigin: respondLate}, {settleDoubt: respondLate}]) {
+		const fixture = createFixture([firstHalf, secondHalf], {startChecker});
+		const report = await Promise.race([fixture.forward({isResumable: true}, 200), wait(1500)]);
+		expect(report, Object.keys(startChecker)[0]).toBeDefined();
+	}
+});
+
 test('a stream whose version turns out unknown when it breaks is cut and recorded so', async () => {
 	// Guards against a stream that goes on with the version of an earlier start.
 	const fixture = createFixture([firstHalf, secondHalf], {
--- a/src/coordination/requests/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -8,7 +8,7 @@
 } from '../../protocol/mod.js';
 import {findKnownStart, type StreamOrigin} from '../../state/mod.js';
 import {
-	createTimeoutSignal, type CallFailure, type Clock, type UpstreamResponse, type UpstreamClient,
+	createTimeoutSignal, waitUnlessAborted, type CallFailure, type Clock, type UpstreamResponse, type UpstreamClient,
 } from '../../transport/mod.js';
 import type {AnswerRelay, RelayOutcome} from '../streams/answer-relay.js';
 import type {CrashDetector} from '../quarantine/crash-detector.js';
@@ -171,6 +171,16 @@
 		}
 	}
 
+	// Nobody waits for a check once the caller has gone or the deadline has passed; returns undefined then.
+	async function waitForCheck<Value>({signal, deadline}: ForwardRequest, check: Promise<Value>): Promise<Value | undefined> {
+		const timeLimit = createTimeoutSignal(deadline - clock.now(), [signal]);
+		try {
+			return await waitUnlessAborted(check, timeLimit.signal);
+		} finally {
+			timeLimit.clear();
+		}
+	}
+
 	async function receive(state: ForwardingState, answer: UpstreamResponse, options: ReceiveOptions): Promise<SendOutcome> {
 		const {request, relay, progress} = state;
 		const {
@@ -212,7 +222,7 @@
 			return {kind: 'broken', detail: 'The answer lacks the upstream signature or has a content encoding', wasConnectionLost: false};
 		}
 
-		if (state.origin !== undefined && answer.status < 300 && !await startChecker.isOfVersion({registered, sentAt, origin: state.origin})) {
+		if (state.origin !== undefined && answer.status < 300 && !await waitForCheck(request, startChecker.isOfVersion({registered, sentAt, origin: state.origin}))) {
 			answer.abandon();
 			return {kind: 'broken', detail: 'The upstream may have started again with another software version', wasConnectionLost: false};
 		}
@@ -268,7 +278,12 @@
 				return;
 			}
 
-			const {origin, isUnread} = await startChecker.checkOrigin(state.origin, state.begunAt);
+			const checked = await waitForCheck(state.request, startChecker.checkOrigin(state.origin, state.begunAt));
+			if (!checked) {
+				return;
+			}
+
+			const {origin, isUnread} = checked;
 			state.origin = origin;
 			if (!isUnread) {
 				recordStream(state.request, origin);
@@ -282,7 +297,7 @@
 		async excludeDoubtful({request, origin, tried}: ForwardingState): Promise<void> {
 			const eligible = origin === undefined ? [] : eligibility.listEligible(request.service, origin).filter(({upstream}) => !tried.has(upstream.id));
 			await Promise.all(eligible.map(async ({upstream}) => {
-				if (!await startChecker.settleDoubt(upstream)) {
+				if (!await waitForCheck(request, startChecker.settleDoubt(upstream))) {
 					tried.add(upstream.id);
 				}
 			}));
--- a/src/coordination/streams/start-checker.test.ts
+++ b/src/coordination/streams/start-checker.test.ts
@@ -307,3 +307,11 @@
 	expect(others.hasLaterVersion({id: 'u1', startedAt: 1000}, 'v1')).toBe(true);
 	expect(starts.hasLaterVersion({id: 'u1', startedAt: 1000}, 'v1')).toBe(false);
 });
+
+test('a report that is not answered serves all that wait for it', async () => {
+	// Guards against a stream that waits for two timeouts of the report, its own and that of the one before.
+	const {isOfVersion, state} = createFixture();
+	const early = isOfVersion(90);
+	expect(await Promise.all([early, isOfVersion(110)])).toEqual([false, false]);
+	expect(state.reports).toBe(1);
+});
--- a/src/coordination/streams/start-checker.ts
+++ b/src/coordination/streams/start-checker.ts
@@ -92,7 +92,8 @@
 			}
 
 			const reported = await pending.result;
-			if (pending.sentAt >= since) {
+			// A report that was not answered would not be answered now either, and a caller waits.
+			if (pending.sentAt >= since || reported.kind === 'unanswered') {
 				return reported;
 			}
 		}
