Believe a version by a later start only if that start ran when the stream had begun

A stream could go on at another version: a start of an upstream registered just before the store went down, and the next one, of another version, started and ended during the outage. A stream that this one began was taken for one of the registered start, whose version is that of the start before. The check looked for a later start of the same version and not for when that start ran.

The later start now has to be known to run after the stream's request was written. Else the upstream's report or a read of registrations that were followed without interruption decides, as for any other start.

--- a/src/coordination/streams/start-checker.test.ts
+++ b/src/coordination/streams/start-checker.test.ts
@@ -285,6 +285,17 @@
 	}), {numRuns: 300});
 }, 60_000);
 
+test('no version is believed that a process had which started and ended during an outage of the store', async () => {
+	// Guards against a stream that is taken for one of a registered later start of the same version.
+	const {wrong} = await simulate({
+		lives: [
+			{downMs: 100, upMs: 1643, isRelease: false}, {downMs: 306, upMs: 4559, isRelease: false}, {downMs: 193, upMs: 1000, isRelease: false}, {downMs: 100, upMs: 1000, isRelease: true},
+		],
+		outages: [{gapMs: 5502, ms: 2099}], reportMs: 0, streams: [{at: 6894, answerMs: 130, resumedMs: 577}],
+	});
+	expect(wrong).toBe(0);
+});
+
 test('most streams are believed while no process starts again', async () => {
 	const streams = Array.from({length: 40}, (_, index) => ({at: 1000 + (index * 50), answerMs: 10, resumedMs: 500}));
 	const {accepted, wrong} = await simulate({
--- a/src/coordination/streams/start-checker.ts
+++ b/src/coordination/streams/start-checker.ts
@@ -160,7 +160,12 @@
 			return 'undecided';
 		}
 
-		return isLaterOfVersion(start, registration.startedAt, softwareVersion) ? 'certain' : 'unknown';
+		if (!isLaterOfVersion(start, registration.startedAt, softwareVersion)) {
+			return 'unknown';
+		}
+
+		// A start after the registered one may have begun the stream, and have ended without having registered.
+		return starts.wasAlive({id: start.id, startedAt: registration.startedAt}, begunAt) ? 'certain' : 'undecided';
 	}
 
 	async function decideByReport(origin: StreamOrigin, start: KnownStart, begunAt: number): Promise<Verdict> {
