Take an error of the gateway for no lost connection, and avoid no upstream for a start that is not known

Only what fails while the answer is read counts so now; anything else ends the call, abandons the answer and is reported. An error after the caller has left is as before.

An answer that is not used because its process may be of another version marked the upstream as unresponsive, so that it got no requests for a while. It no longer does.

Both tests fail before: nothing was abandoned, and the upstream was recorded as unresponsive.

--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -51,6 +51,8 @@
 	readonly stopRemainingMs?: number;
 	/** What is found of the starts of upstreams; by default that every registration holds. */
 	readonly startChecker?: Partial<CreateRequestForwarderOptions['startChecker']>;
+	/** Called when the origin of a stream is recorded. */
+	readonly onRecord?: () => void;
 };
 
 /** Empties a retry budget and returns what was left in it. */
@@ -63,7 +65,7 @@
 	return count;
 }
 
-function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}, areAllAtRest = false, stopRemainingMs = Number.POSITIVE_INFINITY, startChecker, admitsSend = () => true}: FixtureOptions = {}) {
+function createFixture(responses: UpstreamResponse[], {versions = {u1: 'v1', u2: 'v1', u3: 'v1'}, areAllAtRest = false, stopRemainingMs = Number.POSITIVE_INFINITY, startChecker, admitsSend = () => true, onRecord = () => undefined}: FixtureOptions = {}) {
 	const clock = createSystemClock();
 	const directory = createUpstreamDirectory();
 	for (const id of ['u1', 'u2', 'u3']) {
@@ -84,6 +86,8 @@
 	/** Upstreams whose answers were read for what they say of themselves. */
 	const noticed: string[] = [];
 	const recorded: Array<StreamOrigin & {readonly stream: string}> = [];
+	/** Names of the events, addresses of the abandoned answers, and upstreams that were recorded as unresponsive. */
+	const [written, abandoned, unresponsive]: [string[], string[], string[]] = [[], [], []];
 	const received = {
 		status: 0, body: '', isCut: false, hasEnded: false, refused: undefined as Failure | undefined,
 	};
@@ -112,12 +116,29 @@
 	const rests = createUpstreamRests();
 	const unlimited = createUnlimitedEligibility({directory, clock, rests});
 	const eligibility: typeof unlimited = {...unlimited, admitSend: (...parameters) => admitsSend() && unlimited.admitSend(...parameters)};
+	const registry = createUpstreamRegistry({
+		eligibility, directory, clock, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
+	});
 	const forwarder = createRequestForwarder({
 		eligibility,
-		wire, clock, events,
-		registry: createUpstreamRegistry({
-			eligibility, directory, clock, failureDomain: 'd', sumPeerUse: upstream => ({upstream, inFlight: 0, waitingTokens: 0}),
-		}),
+		wire, clock,
+		events: {
+			write(name) {
+				written.push(name);
+			},
+			counts: new Map(),
+		},
+		registry: {
+			...registry,
+			trackRequest(id, options) {
+				return {
+					...registry.trackRequest(id, options),
+					recordUnresponsive() {
+						unresponsive.push(id);
+					},
+				};
+			},
+		},
 		limitRecorder: {recordAnswer: () => undefined},
 		noticeRecorder: {
 			recordAnswer({id}) {
@@ -132,6 +153,7 @@
 		},
 		streamRecorder: {
 			recordEvents(stream, origin) {
+				onRecord();
 				recorded.push({stream, ...origin});
 			},
 		},
@@ -168,7 +190,10 @@
 
 				const headers = response.headers ?? bufferedHeaders;
 				return Ok({
-					status: response.status, headers, rawHeaders: Object.entries(headers).flat(), chunks: readChunks(response, call.signal), abandon: () => undefined,
+					status: response.status, headers, rawHeaders: Object.entries(headers).flat(), chunks: readChunks(response, call.signal),
+					abandon() {
+						abandoned.push(call.address);
+					},
 				});
 			},
 			close: async () => undefined,
@@ -216,7 +241,7 @@
 	}
 
 	return {
-		forward, calls, noticed, recorded, received, retries, directory, crashed, quarantine, partQuarantine,
+		forward, calls, noticed, recorded, written, abandoned, unresponsive, received, retries, directory, crashed, quarantine, partQuarantine,
 	};
 }
 
@@ -845,3 +870,24 @@
 	expect(fixture.calls.length).toBe(1);
 	expect(fixture.quarantine.listAll()).toEqual([]);
 });
+
+test('an exception while a stream is passed on ends its call, is reported, and is not taken for a lost connection', async () => {
+	// Guards against an engine that is suspected of a crash, and goes on running a request, because of an error of the gateway.
+	const fixture = createFixture([{status: 200, headers: streamHeaders, chunks: ['id: 1\ndata: a\n\n']}], {
+		onRecord() {
+			throw new TypeError('The record is broken');
+		},
+	});
+	const report = await fixture.forward({isResumable: true, attempts: 1});
+	expect(report.reason).toContain('Unexpected error');
+	expect([fixture.written.includes('requestFailed'), fixture.abandoned.length]).toEqual([true, 1]);
+});
+
+test('an upstream whose answer may be of another start is not avoided', async () => {
+	// Guards against a sound upstream that gets no requests for seconds because one stream could not go on there.
+	const second: UpstreamResponse = {status: 200, headers: streamHeaders, chunks: ['id: 2\ndata: b\n\n']};
+	const fixture = createFixture([second, second], {versions: {u1: 'v1'}, startChecker: {isOfVersion: async () => false}});
+	const resumed = {resumes: 'r0', lastEventId: '1', origin: {service: 's', softwareVersion: 'v1'}};
+	expect(await fixture.forward({isResumable: true, attempts: 1}, 5000, resumed)).toMatchObject({result: 'failed', upstream: 'u1'});
+	expect(fixture.unresponsive).toEqual([]);
+});
--- a/src/coordination/requests/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -224,7 +224,9 @@
 
 		if (state.origin !== undefined && answer.status < 300 && !await waitForCheck(request, startChecker.isOfVersion({registered, sentAt, origin: state.origin}))) {
 			answer.abandon();
-			return {kind: 'broken', detail: 'The upstream may have started again with another software version', wasConnectionLost: false};
+			return {
+				kind: 'broken', detail: 'The upstream may have started again with another software version', wasConnectionLost: false, isOfOtherStart: true,
+			};
 		}
 
 		return relay.relay(answer, {
@@ -368,7 +370,7 @@
 					return outcome.kind === 'not-run' ? {...outcome, wasWithheld: true} : outcome;
 				}
 
-				if (outcome.kind === 'broken' && !request.signal.aborted) {
+				if (outcome.kind === 'broken' && !outcome.isOfOtherStart && !request.signal.aborted) {
 					tracker.recordUnresponsive();
 				} else if (outcome.kind === 'not-run' && outcome.reached === 'none') {
 					tracker.recordUnresponsive();
--- a/src/coordination/streams/answer-relay.ts
+++ b/src/coordination/streams/answer-relay.ts
@@ -23,8 +23,11 @@
 export type RelayOutcome =
 	| {readonly kind: 'complete'}
 	| {readonly kind: 'failed'; readonly deliver: () => void}
-	/** `wasConnectionLost` is true if the connection ended before the answer was complete. */
-	| {readonly kind: 'broken'; readonly detail: string; readonly wasConnectionLost: boolean};
+	/**
+	 * `wasConnectionLost` is true if the connection ended before the answer was complete, `isOfOtherStart` if a sound answer
+	 * cannot be used because another process of the upstream may have sent it.
+	 */
+	| {readonly kind: 'broken'; readonly detail: string; readonly wasConnectionLost: boolean; readonly isOfOtherStart?: boolean};
 
 /** Options of {@linkcode AnswerRelay.relay}. */
 export type RelayOptions = {
@@ -45,6 +48,22 @@
 
 const minServerErrorStatus = 500;
 
+/** An upstream's answer could not be read to its end. */
+class ReadError extends Error {
+	override get name() {
+		return 'ReadError';
+	}
+}
+
+/** @internal Tells errors of reading the answer from those of passing it on. */
+async function * readChunks({chunks}: UpstreamResponse): AsyncIterableIterator<Uint8Array> {
+	try {
+		yield * chunks;
+	} catch (error) {
+		throw new ReadError((error as Error).message, {cause: error});
+	}
+}
+
 /** Relays the answers to one request, possibly from several upstreams, to its caller. */
 export abstract class AnswerRelay {
 	// The server error that is held back while other upstreams are tried.
@@ -81,6 +100,15 @@
 	/** True if the request can still be restarted or resumed at another upstream. */
 	abstract canRetry(): boolean;
 
+	/** Returns the outcome of an answer that could not be read to its end; throws any other error, which does not show that the connection was lost. */
+	protected classifyError(error: unknown): RelayOutcome {
+		if (error instanceof ReadError || this.request.signal.aborted) {
+			return {kind: 'broken', detail: (error as Error).message, wasConnectionLost: true};
+		}
+
+		throw error;
+	}
+
 	/** Ends an answer that exceeded a limit. */
 	protected breakAnswer(answer: UpstreamResponse, limit: 'event' | 'response', {bytes, maxBytes}: {readonly bytes: number; readonly maxBytes: number}): RelayOutcome {
 		answer.abandon();
@@ -98,7 +126,7 @@
 		let bytes = 0;
 		let isForwarded = false;
 		try {
-			for await (const chunk of answer.chunks) {
+			for await (const chunk of readChunks(answer)) {
 				bytes += chunk.length;
 				options.onProgress(chunk.length);
 				if (bytes > maxResponseBytes) {
@@ -130,7 +158,7 @@
 				}
 			}
 		} catch (error) {
-			return {kind: 'broken', detail: (error as Error).message, wasConnectionLost: true};
+			return this.classifyError(error);
 		}
 
 		if (isForwarded) {
@@ -231,7 +259,7 @@
 
 		const splitter = createEventSplitter();
 		try {
-			for await (const chunk of answer.chunks) {
+			for await (const chunk of readChunks(answer)) {
 				options.onProgress(chunk.length);
 				const events = splitter.push(chunk);
 				assembly.holder.set(splitter.getHeldBytes());
@@ -247,7 +275,7 @@
 				}
 			}
 		} catch (error) {
-			return {kind: 'broken', detail: (error as Error).message, wasConnectionLost: true};
+			return this.classifyError(error);
 		}
 
 		if (splitter.getRemainder().length > 0) {
