Forget slow claims by time, so that grants shrink again after a slow store

Cause: the duration of claims, by which grants are sized, was the longest one less 15% for each later claim. A grant covers twelve claims, so these held up to 5 s of demand in place of a share of what was left. The fault is a measurement that ages with the events that it makes rare.

Change: the slowest claim of the 5 s before the last one counts. Time, not the number of claims, ends it. FL1201 tells the last claim (`ms`) and the expected one (`expectedMs`) apart; before, `ms` was the estimate.

Other estimates were tried: 15% a claim and a decay by time, or a decay alone, fail the tests of a store that stays slow.

--- a/src/coordination/budgets/grant-writer.ts
+++ b/src/coordination/budgets/grant-writer.ts
@@ -11,6 +11,7 @@
 import type {Clock} from '../../transport/mod.js';
 import type {KeyedFollower} from '../store/keyed-follower.js';
 import type {BudgetOwners} from './budget-owners.js';
+import {createClaimDuration} from './claim-duration.js';
 import type {Demand} from './demand.js';
 import {computeGrant, type GrantTargetPolicy} from './grant-size.js';
 
@@ -43,8 +44,6 @@
 /** Writes the grants record of one gateway. */
 export type GrantWriter = ReturnType<typeof createGrantWriter>;
 
-/** Share of the previous claim duration that remains after a faster claim: one claim without a collision does not show that others take as little. */
-const durationDecay = 0.85;
 /** Attempts to append a record against concurrent writers before it is left to the next round. */
 const maxAppendAttempts = 6;
 const millisecondsPerSecond = 1000;
@@ -82,8 +81,9 @@
 	} = options;
 	const key = formatHolderKey(self);
 	let sequence = 0;
-	/** Duration of the last claim, or of slower ones before it, decayed. */
-	let claimDurationMs = 0;
+	const claimDuration = createClaimDuration(clock);
+	/** Duration of the last claim. */
+	let lastClaimMs = 0;
 	/** Appends of the last claim, including those that another writer preceded. */
 	let claimAttempts = 0;
 	let roundStartedAt: number | undefined;
@@ -117,7 +117,7 @@
 			wanted: isOwner || waitingClaims.has(customer) ? demand.countWanted(customer) : 0,
 			// Tokens of a budget that another gateway owns are borrowed on demand, not claimed ahead.
 			rate: isOwner ? demand.findRate(customer) : 0,
-			claimDurationMs,
+			claimDurationMs: claimDuration.getMs(),
 			available: bought - grants.sumGranted(customer, key),
 			ungranted: bought - grants.sumGranted(customer),
 			bought,
@@ -197,7 +197,8 @@
 		const outcome = await log.append({key, value}, {expectedEnd: nextOffset});
 		switch (outcome.kind) {
 			case 'appended': {
-				claimDurationMs = Math.max(clock.now() - (roundStartedAt ?? clock.now()), claimDurationMs * durationDecay);
+				lastClaimMs = clock.now() - (roundStartedAt ?? clock.now());
+				claimDuration.record(lastClaimMs);
 				follower.recordEpoch(outcome.epoch);
 				follower.applyOwnRecord({key, value, offset: outcome.offset}, outcome.epoch);
 				return 'done';
@@ -253,7 +254,7 @@
 
 			sequence = Math.max(sequence, record.sequence);
 			events.write('grantClaimed', {
-				sequence: record.sequence, version: record.version, granted: JSON.stringify(record.granted), ms: Math.round(claimDurationMs), attempts: claimAttempts,
+				sequence: record.sequence, version: record.version, granted: JSON.stringify(record.granted), ms: Math.round(lastClaimMs), expectedMs: Math.round(claimDuration.getMs()), attempts: claimAttempts,
 			});
 		},
 
@@ -270,7 +271,7 @@
 		renew: renewGrants,
 
 		/** Returns the milliseconds that recent claims took, or that the running one has taken if that is more. */
-		getClaimDurationMs: (): number => Math.max(claimDurationMs, roundStartedAt === undefined ? 0 : clock.now() - roundStartedAt),
+		getClaimDurationMs: (): number => Math.max(claimDuration.getMs(), roundStartedAt === undefined ? 0 : clock.now() - roundStartedAt),
 
 		/** Releases all unused tokens, when the gateway stops. */
 		async releaseUnused(): Promise<void> {
