Grant the first part of a purchase only to its owner, and only until demand is seen

Cause: a fifth of each purchase is granted before demand is seen, for a store that becomes unavailable in the first seconds. (2) The part was held until it was used up, though demand is known two seconds after the first request and grants by demand cover an outage from then on.

Change: only a gateway that claims the budget and has known the same others for a second claims this part, and it is held for two seconds after the first demand. A gateway in a fleet of one to four does as before, a second after it last heard of a new one.

The new tests fail before this change.

--- a/src/coordination/budgets/budget-owners.test.ts
+++ b/src/coordination/budgets/budget-owners.test.ts
@@ -30,3 +30,16 @@
 	fleet.now += 1000;
 	expect(owners.listOwners('c0')[0]).toBe(second);
 });
+
+// Guards against a gateway that has just started and takes itself for the only one of the fleet.
+test('the gateways of a fleet count as known only when no other has been heard of for a time', () => {
+	const {fleet, owners} = createOwners('e0', names.slice(0, 1));
+	expect(owners.isSettled()).toBe(false);
+	fleet.names = names;
+	fleet.now += 900;
+	expect(owners.isSettled()).toBe(false);
+	fleet.now += 900;
+	expect(owners.isSettled()).toBe(false);
+	fleet.now += 200;
+	expect(owners.isSettled()).toBe(true);
+});
--- a/src/coordination/budgets/budget-owners.ts
+++ b/src/coordination/budgets/budget-owners.ts
@@ -33,6 +33,8 @@
 /** Largest number of gateways with which each claims for itself. */
 const maxSmallFleetSize = 4;
 const listLifetimeMs = 250;
+/** A gateway hears of the others within this time of its start. */
+const settleMs = 1000;
 
 /**
  * Creates the assignment of budgets to gateways.
@@ -51,6 +53,7 @@
 	const rankedByCustomer = new Map<string, readonly string[]>();
 	let gateways: readonly string[] = [daemon];
 	let listedAt = Number.NEGATIVE_INFINITY;
+	let changedAt = clock.now();
 
 	function refreshGateways(): void {
 		if (clock.now() - listedAt < listLifetimeMs) {
@@ -61,6 +64,7 @@
 		const listed = [...options.listPeers(), daemon].sort();
 		if (listed.join(' ') !== gateways.join(' ')) {
 			gateways = listed;
+			changedAt = clock.now();
 			rankedByCustomer.clear();
 		}
 	}
@@ -88,6 +92,11 @@
 			refreshGateways();
 			return gateways.length;
 		},
+		/** Returns true if the gateways that are presumed to be up have been the same for a time. */
+		isSettled(): boolean {
+			refreshGateways();
+			return clock.now() - changedAt >= settleMs;
+		},
 		/** Returns the number of gateways that claim the customer's budget. */
 		countClaimers: (): number => isSmallFleet() ? gateways.length : 1,
 	};
--- a/src/coordination/budgets/demand.ts
+++ b/src/coordination/budgets/demand.ts
@@ -76,6 +76,13 @@
 
 		/** Returns the rate of spending in tokens per millisecond, an exponentially decaying average. */
 		findRate,
+
+		/** Returns the milliseconds since the first spending; 0 before it. */
+		computeObservedMs(budget: string): number {
+			const known = rates.get(budget);
+			return known ? clock.now() - known.since : 0;
+		},
+
 		recordSpent(budget: string, tokens: number): void {
 			const known = rates.get(budget);
 			const now = clock.now();
--- a/src/coordination/budgets/grant-size.test.ts
+++ b/src/coordination/budgets/grant-size.test.ts
@@ -4,7 +4,7 @@
 } from './grant-size.js';
 
 const view: GrantView = {
-	granted: 0, bound: 0, free: 0, wanted: 0, rate: 10, claimDurationMs: 15, available: 4_000_000, ungranted: 4_000_000, bought: 4_000_000, claimers: 4, isEnding: false,
+	granted: 0, bound: 0, free: 0, wanted: 0, rate: 10, claimDurationMs: 15, available: 4_000_000, ungranted: 4_000_000, bought: 4_000_000, claimers: 4, isKnownClaimer: true, observedMs: 0, isEnding: false,
 };
 const computeGrant = (item: GrantView) => computeGrantBy(item, new DemandTargetPolicy());
 
@@ -72,3 +72,21 @@
 	// After the holder has failed, its part of the purchase is not granted a second time.
 	expect(computeGrantBy({...idle, available: 800, ungranted: 800}, policy)).toBe(0);
 });
+
+// Guards against all customers losing a fifth of their purchases with the gateway that was the first to start.
+test('a gateway that does not know the others claims nothing before demand is seen', () => {
+	expect(computeGrantBy({
+		...view, rate: 0, claimers: 1, isKnownClaimer: false,
+	}, new UnseenDemandTargetPolicy())).toBe(0);
+});
+
+// Guards against customers losing a fifth of their purchase with the gateway that claims it, when their demand has long been seen.
+test('what was granted before demand was seen is released once it is seen', () => {
+	const granted = 800_000;
+	const seen = {
+		...view, claimers: 1, granted, free: granted, ungranted: view.bought - granted, observedMs: 2000,
+	};
+	const total = computeGrantBy(seen, new UnseenDemandTargetPolicy());
+	expect(total).toBe(computeGrantBy(seen, new DemandTargetPolicy()));
+	expect(total).toBeLessThan(granted / 10);
+});
--- a/src/coordination/budgets/grant-size.ts
+++ b/src/coordination/budgets/grant-size.ts
@@ -29,6 +29,10 @@
 	readonly bought: number;
 	/** Number of gateways that claim the budget. */
 	readonly claimers: number;
+	/** True if this gateway is one of them, and knows the others. */
+	readonly isKnownClaimer: boolean;
+	/** Time since the first demand for the budget was seen, in milliseconds; 0 before it. */
+	readonly observedMs: number;
 	/** True if the gateway is stopping. */
 	readonly isEnding: boolean;
 };
@@ -54,6 +58,8 @@
  * still have used.
  */
 const maxStrandedShare = 0.08;
+/** Time after the first demand from which on grants go by demand: its rate is known by then. */
+const unseenDemandMs = 2000;
 /** Share of a purchase that is granted before it is asked for where one gateway claims for all. */
 const unseenDemandShare = 0.2;
 /** The same for each of several claimers. The failure of one costs every customer its part, so it is smaller. */
@@ -84,17 +90,24 @@
 }
 
 /**
- * Holds the demand of the next seconds free and, until the first part of a
- * purchase has been granted, the rest of that part.
+ * Holds the demand of the next seconds free and, until demand has been observed,
+ * the rest of the first part of a purchase.
  *
- * Answers a store that becomes unavailable before demand has been observed.
+ * Answers a store that becomes unavailable before demand has been observed. What
+ * is held is lost if its holder fails, so it is held no longer than that, and not
+ * by a gateway that has just started and takes itself for the only one.
  */
 export class UnseenDemandTargetPolicy extends DemandTargetPolicy {
 	override computeTarget(view: GrantView, remaining: number): number {
+		const demanded = super.computeTarget(view, remaining);
+		if (!view.isKnownClaimer || view.observedMs >= unseenDemandMs) {
+			return demanded;
+		}
+
 		const granted = view.bought - view.ungranted;
 		const share = view.claimers === 1 ? unseenDemandShare : Math.min(unseenDemandShare, view.claimers * unseenDemandShareEach);
 		const unseen = ((view.bought * share) - granted) / view.claimers;
-		return Math.min(Math.max(super.computeTarget(view, remaining), view.free + unseen), remaining);
+		return Math.min(Math.max(demanded, view.free + unseen), remaining);
 	}
 }
 
@@ -104,7 +117,7 @@
  * @example
  * ```ts
  * computeGrant({
- *   granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, claimDurationMs: 10, available: 10_000, ungranted: 10_000, bought: 10_000, claimers: 4, isEnding: false,
+ *   granted: 0, bound: 0, free: 0, wanted: 500, rate: 0, claimDurationMs: 10, available: 10_000, ungranted: 10_000, bought: 10_000, claimers: 4, isKnownClaimer: true, observedMs: 0, isEnding: false,
  * }, new DemandTargetPolicy()); // 500
  * ```
  *
--- a/src/coordination/budgets/grant-writer.test.ts
+++ b/src/coordination/budgets/grant-writer.test.ts
@@ -42,9 +42,11 @@
 				writer.applyOwnRecord(record);
 			},
 		} as unknown as KeyedFollower,
-		demand: {findRate: () => 0, countWanted: () => 100, setRate: () => undefined} as unknown as Demand,
+		demand: {
+			findRate: () => 0, countWanted: () => 100, computeObservedMs: () => 0, setRate: () => undefined,
+		} as unknown as Demand,
 		findRouteTable: () => table,
-		owners: {isOwner: () => true, countClaimers: () => 1},
+		owners: {isOwner: () => true, countClaimers: () => 1, isSettled: () => true},
 		waitingClaims: new Map(),
 		grantTargetPolicy: new DemandTargetPolicy(),
 		isLogComplete: () => true,
--- a/src/coordination/budgets/grant-writer.ts
+++ b/src/coordination/budgets/grant-writer.ts
@@ -29,7 +29,7 @@
 	/** Returns the routes and customers of the deployment in force; undefined before the first one is known. */
 	readonly findRouteTable: () => RouteTable | undefined;
 	/** Determines which gateway claims a customer's budget. */
-	readonly owners: Pick<BudgetOwners, 'isOwner' | 'countClaimers'>;
+	readonly owners: Pick<BudgetOwners, 'isOwner' | 'isSettled' | 'countClaimers'>;
 	/** Number of pending claims by customer, including customers whose budget another gateway owns. */
 	readonly waitingClaims: ReadonlyMap<string, number>;
 	/** Decides how many free tokens a grant should have. */
@@ -122,6 +122,8 @@
 			ungranted: bought - grants.sumGranted(customer),
 			bought,
 			claimers: owners.countClaimers(),
+			isKnownClaimer: isOwner && owners.isSettled(),
+			observedMs: demand.computeObservedMs(customer),
 			isEnding,
 		}, options.grantTargetPolicy);
 	}
