Grant the demand that is seen in addition to the part for demand that is not

With the part at the owner, its free tokens covered the demand target, so it claimed nothing before the outage.

The owner now holds both until demand has been seen for two seconds: the rest of the part, and the demand of the next seconds as at any other time.

--- a/src/coordination/budgets/grant-size.test.ts
+++ b/src/coordination/budgets/grant-size.test.ts
@@ -90,3 +90,13 @@
 	expect(total).toBe(computeGrantBy(seen, new DemandTargetPolicy()));
 	expect(total).toBeLessThan(granted / 10);
 });
+
+// Guards against refusals when the store becomes unavailable two seconds after demand that is higher than was expected.
+test('demand that is seen is granted in addition to the part for demand that is not', () => {
+	const granted = 800_000;
+	const seen = {
+		...view, claimers: 1, granted, bound: 20_000, free: granted - 20_000, ungranted: view.bought - granted, observedMs: 500,
+	};
+	const demanded = computeGrantBy({...seen, granted: 20_000, free: 0}, new DemandTargetPolicy()) - seen.bound;
+	expect(computeGrantBy(seen, new UnseenDemandTargetPolicy())).toBe(granted + demanded);
+});
--- a/src/coordination/budgets/grant-size.ts
+++ b/src/coordination/budgets/grant-size.ts
@@ -77,6 +77,11 @@
 
 /** Decides how many free tokens a grant should have. */
 export abstract class GrantTargetPolicy {
+	/** Returns the number of free tokens below which the grant is increased. */
+	computeRenewBelow(view: GrantView, remaining: number): number {
+		return this.computeTarget(view, remaining) * renewBelowShare;
+	}
+
 	/** Returns the number of tokens to hold free, at most `remaining`. */
 	abstract computeTarget(view: GrantView, remaining: number): number;
 }
@@ -99,15 +104,22 @@
  */
 export class UnseenDemandTargetPolicy extends DemandTargetPolicy {
 	override computeTarget(view: GrantView, remaining: number): number {
-		const demanded = super.computeTarget(view, remaining);
-		if (!view.isKnownClaimer || view.observedMs >= unseenDemandMs) {
-			return demanded;
+		return Math.min(super.computeTarget(view, remaining) + this.#computeUnseen(view), remaining);
+	}
+
+	// A part that is held for demand that is not seen yet does not replace what is held for the demand that is.
+	override computeRenewBelow(view: GrantView, remaining: number): number {
+		return Math.min((super.computeTarget(view, remaining) * renewBelowShare) + this.#computeUnseen(view), remaining);
+	}
+
+	#computeUnseen({isKnownClaimer, observedMs, bought, ungranted, free, claimers}: GrantView): number {
+		if (!isKnownClaimer || observedMs >= unseenDemandMs) {
+			return 0;
 		}
 
-		const granted = view.bought - view.ungranted;
-		const share = view.claimers === 1 ? unseenDemandShare : Math.min(unseenDemandShare, view.claimers * unseenDemandShareEach);
-		const unseen = ((view.bought * share) - granted) / view.claimers;
-		return Math.min(Math.max(demanded, view.free + unseen), remaining);
+		const share = claimers === 1 ? unseenDemandShare : Math.min(unseenDemandShare, claimers * unseenDemandShareEach);
+		const granted = bought - ungranted;
+		return Math.max(0, free + (((bought * share) - granted) / claimers));
 	}
 }
 
@@ -139,7 +151,7 @@
 
 	const remaining = Math.max(0, available - bound);
 	const targetFree = policy.computeTarget(view, remaining);
-	const isLow = free < wanted || free < targetFree * renewBelowShare;
+	const isLow = free < wanted || free < policy.computeRenewBelow(view, remaining);
 	const isIdle = free > targetFree * reduceAboveFactor && granted > bound;
 	if (!isLow && !isIdle) {
 		return granted;
