Give a stream up only for an upstream whose events will be believed

Their engines are silent for 3 s, the calls are given up after 2.4 s, begin at a second engine, and are cut 0.1 s later.

Cause: a continued stream's events are passed on only if it is certain which start of the upstream answers. The running call was given up all the same: before it is known that the next may go on. For the same reason no stream at all went on at such engines, though the store was up and they registered.

A stream that breaks goes on at other upstreams before those that do not answer. An answer whose upstream does not report waits up to 2.5 s for its next registration: a start that registered before the request was written and again after it has answered it.

The new tests of the checker and the forwarder fail before this change.

--- a/src/coordination/requests/request-forwarder.test.ts
+++ b/src/coordination/requests/request-forwarder.test.ts
@@ -149,7 +149,7 @@
 			},
 		},
 		startChecker: {
-			isOfVersion: async () => true, checkOrigin: async origin => ({origin, isUnread: false}), settleDoubt: async () => true, recordLost: () => undefined, ...startChecker,
+			isOfVersion: async () => true, checkOrigin: async origin => ({origin, isUnread: false}), settleDoubt: async () => true, canConfirm: () => true, queryStart: async () => undefined, recordLost: () => undefined, ...startChecker,
 		},
 		streamRecorder: {
 			recordEvents(stream, origin) {
@@ -594,6 +594,31 @@
 	};
 }
 
+test('a stream is not given up for upstreams whose events would not be believed', async () => {
+	// Guards against streams that are cut at their second engine because that does not answer the request for its report.
+	const queried: string[] = [];
+	const fixture = createFixture([createSilent(1), createSilent(2)], {
+		startChecker: {
+			isOfVersion: async () => false,
+			canConfirm: () => undefined,
+			async queryStart({id}) {
+				queried.push(id);
+			},
+		},
+	});
+	await fixture.forward({isResumable: true, objective: 300}, 3500);
+	expect(fixture.calls.length).toBe(1);
+	expect(fixture.received).toMatchObject({body: 'id: 1\ndata: a\n\nid: 2\ndata: a\n\n', isCut: false});
+	expect(queried.length).toBeGreaterThan(0);
+});
+
+test('a stream that breaks goes on at an upstream whose events are believed before others', async () => {
+	const fixture = createFixture([firstHalf, secondHalf], {startChecker: {canConfirm: ({id}) => id !== 'u2'}});
+	await fixture.forward({isResumable: true});
+	expect(fixture.calls.length).toBe(2);
+	expect(fixture.calls[1]!.address).not.toBe('u2');
+});
+
 test('a stream whose upstreams are silent in both of its attempts ends whole', async () => {
 	// Guards against a stream that is cut because its last attempt is given up: an engine that is short of memory preempts a
 	// request for seconds and then goes on.
--- a/src/coordination/requests/request-forwarder.ts
+++ b/src/coordination/requests/request-forwarder.ts
@@ -81,15 +81,16 @@
 		};
 		const relay = createRelay(request);
 		const tried = new Set<string>();
-		const {service, generation, route} = request;
+		const {service, route} = request;
 		const state: ForwardingState = {
 			request, relay, progress, tried, unreached: new Map(), origin: request.origin, begunAt: undefined,
 			retries: createRetryReservation({
 				attempts: route.attempts, findBudget: () => findRetryBudget(service.id),
 				mayRetry: () => mayRetryElsewhere(request, relay),
-				hasCandidate: () => registry.listCandidates({
-					service, generation, excluded: tried, origin: state.origin,
-				}).length > 0,
+				hasCandidate() {
+					const placement = pickConfirmable(state);
+					return placement !== undefined && sender.mayContinue(placement.candidate.id, state.origin);
+				},
 				computeRemainingMs: () => Math.min(request.deadline - clock.now(), computeStopRemainingMs()),
 				computeNeededMs: runningMs => computeRetryNeededMs({objective: route.objective, runningMs, hasBegun: relay.eventCount > 0}),
 				// An answer later than the objective is no better than that of the silent upstream.
@@ -186,8 +187,14 @@
 			: finishUnanswered(state, {detail, retryAfterMs: overloadedRetryAfterMs, type: 'unexpected-error'});
 	}
 
-	function tryBeginCall({request, tried, retries, origin}: ForwardingState): Placement | undefined {
-		const placement = requestPlacement.pick(request, tried, origin);
+	// An upstream whose events are not believed costs the stream an attempt.
+	function pickConfirmable({request, tried, origin}: Pick<ForwardingState, 'request' | 'tried' | 'origin'>): Placement | undefined {
+		return requestPlacement.pick(request, new Set([...tried, ...sender.listUnconfirmable({request, origin})]), origin);
+	}
+
+	function tryBeginCall(state: ForwardingState): Placement | undefined {
+		const {request, retries} = state;
+		const placement = pickConfirmable(state) ?? requestPlacement.pick(request, state.tried, state.origin);
 		return placement !== undefined && hasTimeLeft(request.deadline, clock.now()) && retries.tryBegin() ? placement : undefined;
 	}
 
--- a/src/coordination/requests/upstream-sender.ts
+++ b/src/coordination/requests/upstream-sender.ts
@@ -42,7 +42,7 @@
 	readonly partQuarantine: Pick<PartQuarantine, 'trackRun' | 'admitSend'>;
 	readonly crashDetector: CrashDetector;
 	readonly streamRecorder: Pick<StreamRecorder, 'recordEvents'>;
-	readonly startChecker: Pick<StartChecker, 'isOfVersion' | 'checkOrigin' | 'settleDoubt' | 'recordLost'>;
+	readonly startChecker: Pick<StartChecker, 'isOfVersion' | 'checkOrigin' | 'settleDoubt' | 'canConfirm' | 'queryStart' | 'recordLost'>;
 	readonly events: EventLog;
 	readonly clock: Clock;
 };
@@ -305,6 +305,30 @@
 			}));
 		},
 
+		/** Lists the upstreams that may get a request and whose events would not be believed to go on with its stream. */
+		listUnconfirmable({request, origin}: Pick<ForwardingState, 'request' | 'origin'>): string[] {
+			const eligible = origin === undefined ? [] : eligibility.listEligible(request.service, origin);
+			return eligible.filter(({upstream}) => startChecker.canConfirm(upstream) === false).map(({upstream}) => upstream.id);
+		},
+
+		/**
+		 * Returns true if the events of an upstream would be believed to go on with a
+		 * stream; asks the upstream if that is not known, so that a later call knows.
+		 */
+		mayContinue(id: string, origin: StreamOrigin | undefined): boolean {
+			const upstream = registry.get(id);
+			if (upstream === undefined || origin === undefined) {
+				return upstream !== undefined;
+			}
+
+			const canConfirm = startChecker.canConfirm(upstream);
+			if (canConfirm === undefined) {
+				void startChecker.queryStart(upstream);
+			}
+
+			return canConfirm === true;
+		},
+
 		/** Sends a request to one upstream. */
 		async send(state: ForwardingState, {candidate: {id}, fetchFrom}: Placement): Promise<SendOutcome> {
 			const {request, relay} = state;
--- a/src/coordination/streams/start-checker.test.ts
+++ b/src/coordination/streams/start-checker.test.ts
@@ -18,9 +18,11 @@
 	readonly hasFollowed?: boolean;
 	/** Called when the registrations are read. */
 	readonly onRead?: (fixture: {readonly directory: ReturnType<typeof createUpstreamDirectory>}) => void;
+	/** Called after each pause. */
+	readonly onSleep?: (fixture: {readonly starts: ReturnType<typeof createUpstreamStarts>; readonly state: {readonly now: number}}) => void;
 };
 
-function createFixture({reported = {kind: 'unanswered'}, canRead = false, hasFollowed = true, onRead}: FixtureOptions = {}) {
+function createFixture({reported = {kind: 'unanswered'}, canRead = false, hasFollowed = true, onRead, onSleep}: FixtureOptions = {}) {
 	const state = {now: 100, reports: 0, differences: 0};
 	const starts = createUpstreamStarts();
 	const directory = createUpstreamDirectory();
@@ -37,7 +39,13 @@
 			return canRead;
 		},
 		hasFollowedSince: () => hasFollowed,
-		clock: {now: () => state.now, sleep: async () => undefined},
+		clock: {
+			now: () => state.now,
+			async sleep(delayMs) {
+				state.now += delayMs;
+				onSleep?.({starts, state});
+			},
+		},
 		events: {
 			write() {
 				state.differences += 1;
@@ -326,3 +334,36 @@
 	expect(await Promise.all([early, isOfVersion(110)])).toEqual([false, false]);
 	expect(state.reports).toBe(1);
 });
+
+// Guards against streams that end because their next upstream does not answer the request for its report, though it runs.
+test('an answer continues a stream if its upstream registers again after the request was written', async () => {
+	const {isOfVersion} = createFixture({
+		onSleep({starts, state}) {
+			if (state.now >= 1200) {
+				starts.recordAlive({id: 'u1', startedAt: 1000}, 1100);
+			}
+		},
+	});
+	expect(await isOfVersion()).toBe(true);
+});
+
+test('an answer of an upstream that neither reports nor registers again continues no stream', async () => {
+	const {isOfVersion, state} = createFixture();
+	expect(await isOfVersion()).toBe(false);
+	expect(state.now).toBeLessThan(3000);
+	expect(await createFixture({hasFollowed: false}).isOfVersion()).toBe(false);
+});
+
+// Guards against a running call that is given up for an upstream whose events nobody will believe.
+test('an upstream can be confirmed if it answers with its report, and not while it does not answer', async () => {
+	const offered = createFixture({reported: {kind: 'read', startedAt: 1000}});
+	expect(offered.checker.canConfirm(registered)).toBe(undefined);
+	await offered.checker.queryStart(registered);
+	expect(offered.checker.canConfirm(registered)).toBe(true);
+	const silent = createFixture();
+	await silent.checker.queryStart(registered);
+	expect(silent.checker.canConfirm(registered)).toBe(false);
+	silent.state.now += 1000;
+	expect(silent.checker.canConfirm(registered)).toBe(undefined);
+	expect(silent.checker.canConfirm({...registered, startedAt: undefined})).toBe(true);
+});
--- a/src/coordination/streams/start-checker.ts
+++ b/src/coordination/streams/start-checker.ts
@@ -54,6 +54,12 @@
 
 type Query = {readonly sentAt: number; readonly result: Promise<ReportedStart>};
 
+/** Time for which an answer waits until its upstream registers again: upstreams do so each 1.2 s, and registrations are read each 0.5 s. */
+const registrationWaitMs = 2500;
+const registrationCheckIntervalMs = 100;
+/** Time after which an upstream whose report was not answered is asked again before a stream may go on there. */
+const reportRetryDelayMs = 1000;
+
 /**
  * Creates a checker.
  *
@@ -68,10 +74,15 @@
  */
 export function createStartChecker({starts, directory, fetchStart, readViews, hasFollowedSince, clock, events}: CreateStartCheckerOptions) {
 	const pendingQueries = new Map<string, Query>();
+	/** When the last report of each upstream was not answered, until one is. */
+	const unansweredAt = new Map<string, number>();
 
 	async function query({id, address}: Pick<UpstreamRegistration, 'id' | 'address'>, sentAt: number): Promise<ReportedStart> {
 		const reported = await fetchStart(address);
-		if (reported.kind !== 'unanswered') {
+		if (reported.kind === 'unanswered') {
+			unansweredAt.set(id, clock.now());
+		} else {
+			unansweredAt.delete(id);
 			starts.recordReport(id, {isOffered: reported.kind === 'read'});
 		}
 
@@ -122,6 +133,22 @@
 		return registration?.startedAt === reportedAt && registration.softwareVersion === softwareVersion && !starts.hasLaterVersion({id, startedAt}, softwareVersion);
 	}
 
+	/**
+	 * Waits until the start registers again, which shows that it ran after `sentAt`; false if another start registers, if
+	 * registrations cannot be read, or after some seconds.
+	 */
+	async function waitForRegistration(start: KnownStart, sentAt: number): Promise<boolean> {
+		const waitUntil = clock.now() + registrationWaitMs;
+		while (hasFollowedSince(sentAt) && directory.get(start.id)?.startedAt === start.startedAt && clock.now() < waitUntil) {
+			await clock.sleep(registrationCheckIntervalMs);
+			if (starts.wasAlive(start, sentAt)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	// Without a report, a connection that was lost or refused is the only sign of a new start that has not registered.
 	async function isOfVersion({registered, sentAt, origin: {softwareVersion}}: ContinuedAnswer): Promise<boolean> {
 		const start = findKnownStart(registered);
@@ -131,7 +158,7 @@
 
 		const reported = await queryShared(registered, sentAt);
 		if (reported.kind !== 'read') {
-			return reported.kind === 'absent' && !starts.isInDoubt(start);
+			return (reported.kind === 'absent' && !starts.isInDoubt(start)) || waitForRegistration(start, sentAt);
 		}
 
 		if (reported.startedAt === start.startedAt) {
@@ -234,6 +261,30 @@
 			};
 		},
 
+		/**
+		 * Returns whether an upstream that goes on with a stream can be asked which start
+		 * answers; undefined if that is not known.
+		 */
+		canConfirm(upstream: Pick<UpstreamRegistration, 'id' | 'startedAt'>): boolean | undefined {
+			const start = findKnownStart(upstream);
+			if (start === undefined) {
+				return true;
+			}
+
+			const failedAt = unansweredAt.get(start.id);
+			if (failedAt !== undefined) {
+				return clock.now() - failedAt < reportRetryDelayMs ? false : undefined;
+			}
+
+			const hasReport = starts.hasReport(start.id);
+			return hasReport === false ? !starts.isInDoubt(start) : hasReport;
+		},
+
+		/** Asks an upstream for its start, so that it becomes known whether it can be asked. */
+		async queryStart(upstream: Pick<UpstreamRegistration, 'id' | 'address'>): Promise<void> {
+			await queryShared(upstream, Number.NEGATIVE_INFINITY);
+		},
+
 		/**
 		 * Asks an upstream for its start if a connection to it was lost since that was
 		 * known. Returns false if no stream may go on there now.
--- a/src/daemon/byte-limits.test.ts
+++ b/src/daemon/byte-limits.test.ts
@@ -95,7 +95,7 @@
 		limitRecorder: {recordAnswer: () => undefined},
 		noticeRecorder: {recordAnswer: () => undefined},
 		startChecker: {
-			isOfVersion: async () => true, checkOrigin: async origin => ({origin, isUnread: false}), settleDoubt: async () => true, recordLost: () => undefined,
+			isOfVersion: async () => true, checkOrigin: async origin => ({origin, isUnread: false}), settleDoubt: async () => true, canConfirm: () => true, queryStart: async () => undefined, recordLost: () => undefined,
 		},
 		streamRecorder: {recordEvents: () => undefined},
 		traffic: createTrafficCounter('d'),
--- a/src/state/upstream-starts.ts
+++ b/src/state/upstream-starts.ts
@@ -25,8 +25,8 @@
 	readonly replaced: Set<number>;
 	/** Software version that each start registered. */
 	readonly versions: Map<number, string | undefined>;
-	/** The process that answers cannot be asked for its start. */
-	hasNoReport: boolean;
+	/** Whether the process that answers can be asked for its start; undefined if it was not asked. */
+	hasReport: boolean | undefined;
 };
 
 /** Maximum number of upstreams that are remembered; the one that was recorded first is evicted first. */
@@ -73,7 +73,7 @@
 
 	function ensureHistory(id: string): StartHistory {
 		const history = histories.get(id) ?? {
-			aliveAt: new Map(), doubtedAt: Number.NEGATIVE_INFINITY, replaced: new Set(), versions: new Map(), hasNoReport: false,
+			aliveAt: new Map(), doubtedAt: Number.NEGATIVE_INFINITY, replaced: new Set(), versions: new Map(), hasReport: undefined,
 		};
 		histories.delete(id);
 		histories.set(id, history);
@@ -130,9 +130,12 @@
 
 		/** Records whether the upstream can be asked for its start. */
 		recordReport(id: string, {isOffered}: {readonly isOffered: boolean}): void {
-			ensureHistory(id).hasNoReport = !isOffered;
+			ensureHistory(id).hasReport = isOffered;
 		},
 
+		/** Returns whether the upstream can be asked for its start; undefined if it has not answered yet. */
+		hasReport: (id: string): boolean | undefined => histories.get(id)?.hasReport,
+
 		/** Returns true if a start is known to have run at `since` or later. */
 		wasAlive: (start: KnownStart, since: number): boolean => findAliveAt(start) >= since,
 
@@ -147,7 +150,7 @@
 		 */
 		mayMatch(registration: Pick<UpstreamRegistration, 'id' | 'startedAt'>): boolean {
 			const start = findKnownStart(registration);
-			return start === undefined || !(isReplaced(start) || (histories.get(start.id)?.hasNoReport === true && isInDoubt(start)));
+			return start === undefined || !(isReplaced(start) || (histories.get(start.id)?.hasReport === false && isInDoubt(start)));
 		},
 	};
 }
