--- a/src/coordination/streams/start-checker.ts
+++ b/src/coordination/streams/start-checker.ts
@@ -74,15 +74,12 @@
  */
 export function createStartChecker({starts, directory, fetchStart, readViews, hasFollowedSince, clock, events}: CreateStartCheckerOptions) {
 	const pendingQueries = new Map<string, Query>();
-	/** When the last report of each upstream was not answered, until one is. */
-	const unansweredAt = new Map<string, number>();
 
 	async function query({id, address}: Pick<UpstreamRegistration, 'id' | 'address'>, sentAt: number): Promise<ReportedStart> {
 		const reported = await fetchStart(address);
 		if (reported.kind === 'unanswered') {
-			unansweredAt.set(id, clock.now());
+			starts.recordReportFailure(id, clock.now());
 		} else {
-			unansweredAt.delete(id);
 			starts.recordReport(id, {isOffered: reported.kind === 'read'});
 		}
 
@@ -271,7 +268,7 @@
 				return true;
 			}
 
-			const failedAt = unansweredAt.get(start.id);
+			const failedAt = starts.getReportFailedAt(start.id);
 			if (failedAt !== undefined) {
 				return clock.now() - failedAt < reportRetryDelayMs ? false : undefined;
 			}
@@ -282,7 +279,12 @@
 
 		/** Asks an upstream for its start, so that it becomes known whether it can be asked. */
 		async queryStart(upstream: Pick<UpstreamRegistration, 'id' | 'address'>): Promise<void> {
-			await queryShared(upstream, Number.NEGATIVE_INFINITY);
+			try {
+				await queryShared(upstream, Number.NEGATIVE_INFINITY);
+			} catch (error) {
+				// Nobody waits for the answer, and an unhandled rejection would end the process.
+				events.write('requestFailed', {detail: (error as Error).stack});
+			}
 		},
 
 		/**
--- a/src/state/upstream-starts.ts
+++ b/src/state/upstream-starts.ts
@@ -27,6 +27,8 @@
 	readonly versions: Map<number, string | undefined>;
 	/** Whether the process that answers can be asked for its start; undefined if it was not asked. */
 	hasReport: boolean | undefined;
+	/** When it last left the request for its report unanswered; undefined once it has answered. */
+	reportFailedAt: number | undefined;
 };
 
 /** Maximum number of upstreams that are remembered; the one that was recorded first is evicted first. */
@@ -73,7 +75,7 @@
 
 	function ensureHistory(id: string): StartHistory {
 		const history = histories.get(id) ?? {
-			aliveAt: new Map(), doubtedAt: Number.NEGATIVE_INFINITY, replaced: new Set(), versions: new Map(), hasReport: undefined,
+			aliveAt: new Map(), doubtedAt: Number.NEGATIVE_INFINITY, replaced: new Set(), versions: new Map(), hasReport: undefined, reportFailedAt: undefined,
 		};
 		histories.delete(id);
 		histories.set(id, history);
@@ -130,9 +132,19 @@
 
 		/** Records whether the upstream can be asked for its start. */
 		recordReport(id: string, {isOffered}: {readonly isOffered: boolean}): void {
-			ensureHistory(id).hasReport = isOffered;
+			const history = ensureHistory(id);
+			history.hasReport = isOffered;
+			history.reportFailedAt = undefined;
 		},
 
+		/** Records that the upstream has not answered the request for its report. */
+		recordReportFailure(id: string, at: number): void {
+			ensureHistory(id).reportFailedAt = at;
+		},
+
+		/** Returns when the upstream last left the request for its report unanswered; undefined if it has answered since. */
+		getReportFailedAt: (id: string): number | undefined => histories.get(id)?.reportFailedAt,
+
 		/** Returns whether the upstream can be asked for its start; undefined if it has not answered yet. */
 		hasReport: (id: string): boolean | undefined => histories.get(id)?.hasReport,
 
