Close stale connections unread as soon as several in a row had no caller left

Cause: an iteration of the event loop accepts one connection, so connections that come faster than they are handled wait in the system's queue until their callers leave after a second, and the gateway then handles only such ones. Stale connections were closed unread only while the event loop lags, and with few running requests it does not: the lag of the loop does not tell how long connections wait.

Change: three accepted connections in a row whose callers had left show that those behind them are stale too, whatever the lag. Closing one unread takes a small part of the time, so that fresh ones are reached; a connection whose caller still waits ends it.

The new tests fail before this change.

--- a/src/transport/backlog-drain.test.ts
+++ b/src/transport/backlog-drain.test.ts
@@ -81,3 +81,34 @@
 		}
 	}
 });
+
+// Guards against a gateway that says ready and reads only connections whose callers have left, for seconds.
+test('connections are closed after three in a row whose callers had left, though the event loop does not lag', () => {
+	const {drain} = createFixture();
+	for (const hasCallerLeft of [true, true, false, true, true]) {
+		drain.recordAccepted({hasCallerLeft});
+		expect(drain.shouldClose()).toBe(false);
+	}
+
+	drain.recordAccepted({hasCallerLeft: true});
+	expect(drain.shouldClose()).toBe(true);
+});
+
+test('a drain begins again with the next connection whose caller had left, and not after one whose caller waits', () => {
+	const {state, drain} = createFixture();
+	for (let connection = 0; connection < 3; connection += 1) {
+		drain.recordAccepted({hasCallerLeft: true});
+	}
+
+	state.now = 200;
+	expect(drain.shouldClose()).toBe(true);
+	state.now = 600;
+	expect(drain.shouldClose()).toBe(false);
+	drain.recordAccepted({hasCallerLeft: true});
+	expect(drain.shouldClose()).toBe(true);
+	state.now = 1000;
+	expect(drain.shouldClose()).toBe(false);
+	drain.recordAccepted({hasCallerLeft: false});
+	drain.recordAccepted({hasCallerLeft: true});
+	expect(drain.shouldClose()).toBe(false);
+});
--- a/src/transport/backlog-drain.ts
+++ b/src/transport/backlog-drain.ts
@@ -27,6 +27,8 @@
 const maxDrainMs = 250;
 /** Time without an empty backlog after which a drain begins: half of the second that callers wait for a new connection. */
 const maxBacklogMs = 500;
+/** Accepted connections in a row whose callers had left, after which those behind them are closed. Callers leave for reasons of their own as well, but seldom so many. */
+const minAbandonedInRow = 3;
 
 /**
  * Creates a drain that is not active.
@@ -46,6 +48,7 @@
 	let waitingSince: number | undefined;
 	let endsAt: number | undefined;
 	let hasAccepted = false;
+	let abandonedInRow = 0;
 
 	// An iteration of the event loop without a connection shows that none waits. One iteration may be incomplete when the check begins.
 	function check(): void {
@@ -82,9 +85,22 @@
 	}
 
 	return {
-		/** Begins to close connections; to be called when a connection was accepted whose caller had left. */
+		/** Begins to close connections; to be called when the caller of a relayed connection had left. */
 		begin,
 
+		/**
+		 * Records whether the caller of a connection had left when it was accepted. Several
+		 * in a row show that connections wait for longer than callers do, also while the
+		 * event loop does not lag: each of its iterations accepts one connection, and
+		 * handling that may take as long as the next ones need to arrive.
+		 */
+		recordAccepted({hasCallerLeft}: {readonly hasCallerLeft: boolean}): void {
+			abandonedInRow = hasCallerLeft ? abandonedInRow + 1 : 0;
+			if (hasCallerLeft && (abandonedInRow >= minAbandonedInRow || shouldDrain())) {
+				begin();
+			}
+		},
+
 		/** Returns true if the next connection is to be closed unread; to be called for each one. */
 		shouldClose(): boolean {
 			hasAccepted = true;
--- a/src/transport/caller-relay.ts
+++ b/src/transport/caller-relay.ts
@@ -113,14 +113,9 @@
 	});
 
 	async function watchAbandoned(socket: Socket): Promise<void> {
-		if (!await hasCallerLeft(socket)) {
-			return;
-		}
-
-		abandonedCount += 1;
-		if (shouldDrain()) {
-			backlogDrain.begin();
-		}
+		const hasLeft = await hasCallerLeft(socket);
+		abandonedCount += hasLeft ? 1 : 0;
+		backlogDrain.recordAccepted({hasCallerLeft: hasLeft});
 	}
 
 	server.on('connection', watchAbandoned);
