Bound the memory of request bodies

Callers saw a gateway that ended, or that used more than its host has: 200 connections with bodies of 1 MB that stop short of their end took 287 MB of 178 (chunked or with a length), and 40 connections with chunks of one byte ended the process. One caller within all limits was enough: a body of 4,194,304 bytes in chunks of one byte ended it.

Cause: readBody kept each piece as an object of its own, and went on collecting after the request was refused; no account knew of bodies.

Change: a body is copied to blocks that are used again, dropped as soon as its request is refused, and counted in an account of an eighth of the memory. The largest body is cut first, with 503, so that small ones are served; a body whose stated length would be cut is refused before it is sent, one over the limit when that is known. Once passed on, a body is not cut, and such bodies get half of the account.

With a buffer that doubled instead of blocks the first still took 284 MB, as dropped buffers wait for the garbage collector.

--- a/src/daemon/caller-interface.test.ts
+++ b/src/daemon/caller-interface.test.ts
@@ -5,7 +5,7 @@
 import {expect, test} from 'vitest';
 import {createMetrics, type LogFollower, type RequestRouter} from '../coordination/mod.js';
 import {Ok, createEventLog, entrySettingsSchema} from '../protocol/mod.js';
-import {createSystemClock, startHttpServer} from '../transport/mod.js';
+import {createByteLimits, createSystemClock, startHttpServer} from '../transport/mod.js';
 import {createCallerInterface} from './caller-interface.js';
 import {waitUntilIdle} from './wait-until-idle.js';
 
@@ -29,6 +29,7 @@
 			id: 'entry-1', role: 'entry', incarnation: 'i-1', isLeaving: false,
 		},
 		isRefusingNew: () => false,
+		requestLimits: createByteLimits(),
 		settings: entrySettingsSchema.shape.requests.parse({}),
 		follower: {isReady: () => true, state: () => ({configuration})} as unknown as LogFollower,
 		router: {
--- a/src/daemon/caller-interface.ts
+++ b/src/daemon/caller-interface.ts
@@ -16,7 +16,7 @@
 } from '../protocol/mod.js';
 import type {AnswerEnd} from '../state/mod.js';
 import {
-	readBody, sendFailure, sendJson, waitUntilSent, type Clock,
+	readBody, sendFailure, sendJson, waitUntilSent, type ByteLimits, type Clock,
 } from '../transport/mod.js';
 import {createCallerIdentity, type Caller} from './caller-identity.js';
 import {
@@ -35,6 +35,8 @@
 	readonly metrics: Metrics;
 	readonly clock: Clock;
 	readonly events: EventLog;
+	/** Account of the bodies. */
+	readonly requestLimits: Pick<ByteLimits, 'openHolder'>;
 };
 
 /** Clock times of the first and the latest chunk, and the longest time between two chunks. */
@@ -44,6 +46,8 @@
 /** Length of the prompt prefix by which similar prompts are routed to the same upstream daemon. */
 const prefixCharacters = 512;
 const keepAliveIntervalMs = 5000;
+/** Time after which a caller whose body does not fit into the memory may try again. */
+const bodyRetryAfterMs = 1000;
 
 /**
  * Creates the routes for callers.
@@ -204,6 +208,17 @@
 		endStream(response, result, caller);
 	}
 
+	async function readHeldBody(request: IncomingMessage, response: ServerResponse): Promise<Result<Uint8Array, Failure>> {
+		const controller = new AbortController();
+		const holder = options.requestLimits.openHolder('body', () => {
+			controller.abort();
+		});
+		response.once('close', holder.close);
+		const body = await readBody(request, settings.largestBody, {signal: controller.signal, holder});
+		const wasCut = controller.signal.aborted || (body.ok && !holder.tryProtect());
+		return wasCut ? Err(createFailure('overloaded', 'Request bodies take the memory of this daemon', {retryAfterMs: bodyRetryAfterMs})) : body;
+	}
+
 	async function handleChat(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const caller = identifyCaller(request, response);
 		if (caller.err) {
@@ -211,7 +226,7 @@
 			return;
 		}
 
-		const body = await readBody(request, settings.largestBody);
+		const body = await readHeldBody(request, response);
 		const chat = body.andThen(bytes => parseJson(bytes)).andThen(value => parseChat(value));
 		const call = chat.andThen(value => buildChatCall(caller.val, value));
 		if (chat.err || call.err) {
@@ -260,7 +275,7 @@
 			return;
 		}
 
-		const body = await readBody(request, settings.largestBody);
+		const body = await readHeldBody(request, response);
 		const call = body.andThen(bytes => buildServiceCall(caller.val, name, bytes));
 		if (call.err) {
 			refuse(response, call.val, caller.val);
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -9,7 +9,7 @@
 } from '../coordination/mod.js';
 import {Peer, type EntrySettings} from '../protocol/mod.js';
 import {createGrantHolder} from '../state/mod.js';
-import {startHttpServer} from '../transport/mod.js';
+import {createByteLimits, startHttpServer} from '../transport/mod.js';
 import {createCallerInterface} from './caller-interface.js';
 import {createCore, type RunningDaemon} from './core.js';
 import {createOperatorInterface} from './operator-interface.js';
@@ -72,8 +72,9 @@
 		policy: policies.routingPolicy ?? new PrefixRoutingPolicy(),
 		retries: createRetryBudget({ratio: settings.requests.retryShare}),
 	});
+	const requestLimits = createByteLimits({events});
 	const callerInterface = createCallerInterface({
-		self, settings: settings.requests, isRefusingNew: () => isRefusingNew, follower, router, metrics, clock, events,
+		self, settings: settings.requests, isRefusingNew: () => isRefusingNew, follower, router, metrics, clock, events, requestLimits,
 	});
 	const operatorInterface = createOperatorInterface({
 		operatorKey: core.operatorKey, follower, writer, membership, events, metrics, holder,
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -299,7 +299,9 @@
 			streams.recorder.merge(announcement);
 		},
 	});
-	const byteLimits = createByteLimits({events, maxHeldBytes: computeMaxHeldBytes(settings.capacity?.memoryBytes)});
+	const maxHeldBytes = computeMaxHeldBytes(settings.capacity?.memoryBytes);
+	const byteLimits = createByteLimits({events, maxHeldBytes});
+	const requestLimits = createByteLimits({events, maxHeldBytes});
 	const upstreamClient = createUpstreamClient({connectTimeoutMs, maxConnections: maxUpstreamConnections, limits: byteLimits});
 	const streamFleet = createFleetClient(settings.fleetKey);
 	const streams = createGatewayStreams({
@@ -358,7 +360,7 @@
 		getDeploymentVersion,
 	});
 	const callerInterface = createGatewayInterface({
-		wire: adapter.wire, findRouteTable, syncViews: async unreadMs => state.syncViews(unreadMs, signal), budgetManager, forwarder, streamResolver: streams.resolver, metrics, clock, events, stopWindow, admission, quarantine: quarantines.requests, partQuarantine: quarantines.parts, byteLimits,
+		wire: adapter.wire, findRouteTable, syncViews: async unreadMs => state.syncViews(unreadMs, signal), budgetManager, forwarder, streamResolver: streams.resolver, metrics, clock, events, stopWindow, admission, quarantine: quarantines.requests, partQuarantine: quarantines.parts, byteLimits, requestLimits,
 		computeStopRetryAfterMs: () => retryAfterEstimator.estimate(peerViews.list(), {ownRemainingMs: stopWindow.computeRemainingMs()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve, {
@@ -390,6 +392,7 @@
 			countResting: () => rests.count(clock.now()),
 			traffic,
 			byteLimits,
+			requestLimits,
 			streamRecorder: streams.recorder,
 			load: loadControl,
 			callerServerStatistics: callerServer.getStatistics(),
--- a/src/daemon/gateway-interface.test.ts
+++ b/src/daemon/gateway-interface.test.ts
@@ -10,7 +10,7 @@
 	Ok, type Deployment, type EventLog, type GatewayWire,
 } from '../protocol/mod.js';
 import {createRouteTable, type TokenReservation} from '../state/mod.js';
-import {createSystemClock, startCallerServer} from '../transport/mod.js';
+import {createByteLimits, createSystemClock, startCallerServer} from '../transport/mod.js';
 import {createGatewayInterface} from './gateway-interface.js';
 import {createStopWindow} from './stop-window.js';
 
@@ -78,7 +78,7 @@
 	} as unknown as Admission;
 	const callerInterface = createGatewayInterface({
 		wire, findRouteTable: () => createRouteTable(deployment), syncViews: async () => undefined, budgetManager, admission, quarantine: {admit: () => Ok(undefined)}, partQuarantine: {admit: () => Ok(undefined), tryTrial: async () => false}, forwarder: forwarder as RequestForwarder, streamResolver: undefined as unknown as StreamResolver,
-		metrics: createMetrics(), clock, events, stopWindow: createStopWindow({noticeMs: 1, clock}), computeStopRetryAfterMs: () => 100,
+		metrics: createMetrics(), clock, events, stopWindow: createStopWindow({noticeMs: 1, clock}), requestLimits: createByteLimits(), computeStopRetryAfterMs: () => 100,
 	});
 	const server = await startCallerServer({host: '127.0.0.1', port: 0}, callerInterface.serve);
 	return {
--- a/src/daemon/gateway-interface.ts
+++ b/src/daemon/gateway-interface.ts
@@ -14,7 +14,7 @@
 } from '../protocol/mod.js';
 import type {RouteTable, StreamOrigin, TokenReservation} from '../state/mod.js';
 import {
-	computeTimerMs, readPendingInput, readBody, waitUnlessAborted, waitUntilSent, type ByteLimits, type Clock, type ReceivedRequest,
+	computeTimerMs, readBody, readDeclaredBytes, readPendingInput, waitUnlessAborted, waitUntilSent, type ByteHolder, type ByteLimits, type Clock, type ReceivedRequest,
 } from '../transport/mod.js';
 import {createCallerAnswer} from './caller-answer.js';
 import {computeRequestDigest} from './request-digest.js';
@@ -37,7 +37,10 @@
 	readonly admission: Admission;
 	readonly quarantine: Pick<Quarantine, 'admit'>;
 	readonly partQuarantine: Pick<PartQuarantine, 'admit' | 'tryTrial'>;
+	/** Account of the responses. */
 	readonly byteLimits?: ByteLimits;
+	/** Account of the requests. */
+	readonly requestLimits: Pick<ByteLimits, 'openHolder' | 'canHold'>;
 	/** Returns the time after which a caller refused by a stopping gateway may retry, in milliseconds. */
 	readonly computeStopRetryAfterMs: () => number;
 };
@@ -66,6 +69,8 @@
 	resolved?: ResolvedRequest;
 	/** Set if the body was read before the request was admitted. */
 	body?: Uint8Array;
+	/** Account of the body; set once it is being read. */
+	bodyHolder?: ByteHolder;
 	/** Digest shared by all repeats of the request; set once the body has been read. */
 	digest?: string;
 	/** Set once the request is passed on, so that an upstream may run it. */
@@ -153,7 +158,7 @@
  */
 export function createGatewayInterface(options: CreateGatewayInterfaceOptions) {
 	const {
-		wire, findRouteTable, syncViews, budgetManager, forwarder, streamResolver, metrics, clock, events, stopWindow, admission, quarantine, partQuarantine, byteLimits, computeStopRetryAfterMs,
+		wire, findRouteTable, syncViews, budgetManager, forwarder, streamResolver, metrics, clock, events, stopWindow, admission, quarantine, partQuarantine, byteLimits, requestLimits, computeStopRetryAfterMs,
 	} = options;
 	const runningRequests = new Set<IncomingMessage>();
 	const requestCounts = new WeakMap<Socket, number>();
@@ -278,7 +283,20 @@
 
 	// Returns undefined if the request was refused.
 	async function readBodyOrRefuse(request: IncomingMessage, {metadata}: ResolvedRequest, context: RequestContext): Promise<Uint8Array | undefined> {
-		const body = await waitUnlessAborted(readBody(request, findRouteTable()!.deployment.limits.bodyBytes), context.abortController.signal);
+		const {signal} = context.abortController;
+		const maxBytes = findRouteTable()!.deployment.limits.bodyBytes;
+		const declaredBytes = readDeclaredBytes(request);
+		// A body that would be cut when it has arrived is refused before it is sent.
+		if (declaredBytes <= maxBytes && !requestLimits.canHold(declaredBytes)) {
+			refuse(context, metadata.id, createFailure('overloaded', 'This gateway has no memory for a body of this size', {retryAfterMs: notReadyRetryAfterMs}));
+			return undefined;
+		}
+
+		const holder = requestLimits.openHolder('body', detail => {
+			context.abortController.abort(new Error(detail));
+		});
+		context.bodyHolder = holder;
+		const body = await waitUnlessAborted(readBody(request, maxBytes, {signal, holder}), signal);
 		if (!body) {
 			refuseUnsent(context, metadata.id);
 			return undefined;
@@ -452,6 +470,12 @@
 				return;
 			}
 
+			// Once the request may have run, it can no longer be refused to free its body.
+			if (!context.bodyHolder!.tryProtect()) {
+				refuse(context, resolved.metadata.id, createFailure('overloaded', 'The bodies of running requests take the memory of this gateway', {retryAfterMs: notReadyRetryAfterMs}));
+				return;
+			}
+
 			const forwardRequest = buildForwardRequest(request, reserved, context);
 			context.isForwarded = true;
 			used = reservation?.amount ?? 0;
@@ -553,6 +577,7 @@
 				context.hasFailed = true;
 				failExchange(context, error);
 			} finally {
+				context.bodyHolder?.close();
 				await waitUntilSent(request, response);
 				recordUnanswered(request, response, context);
 				request.socket.off('end', abortRequest);
--- a/src/daemon/gateway-metrics.ts
+++ b/src/daemon/gateway-metrics.ts
@@ -30,7 +30,10 @@
 	/** Returns the number of upstreams that rest. */
 	readonly countResting: () => number;
 	readonly traffic: Pick<TrafficCounter, 'list'>;
+	/** Account of the responses. */
 	readonly byteLimits: Pick<ByteLimits, 'countHeld' | 'countMaxHeld' | 'listCuts'>;
+	/** Account of the requests. */
+	readonly requestLimits: Pick<ByteLimits, 'countHeld' | 'countMaxHeld' | 'countCut'>;
 	readonly streamRecorder: Pick<StreamRecorder, 'count' | 'countEvictions'>;
 	readonly load: Pick<GatewayLoadControl, 'listShares' | 'listNotReadyReasons'>;
 	/** Connections and requests of this gateway's callers. */
@@ -47,7 +50,7 @@
  * @example
  * ```ts
  * response.end(formatGatewayMetrics({
- * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, byteLimits, streamRecorder, load, callerServerStatistics, unanswered: new Map(), readinessResponses: 2,
+ * 	metrics, events, runningRequests: 3, deploymentVersion: 7, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting: () => 0, traffic, byteLimits, requestLimits, streamRecorder, load, callerServerStatistics, unanswered: new Map(), readinessResponses: 2,
  * }));
  * ```
  *
@@ -56,7 +59,7 @@
  */
 export function formatGatewayMetrics(options: FormatGatewayMetricsOptions): string {
 	const {
-		metrics, events, runningRequests, deploymentVersion, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, byteLimits, streamRecorder, load, callerServerStatistics, unanswered, readinessResponses,
+		metrics, events, runningRequests, deploymentVersion, account, lending, admission, quarantine, partQuarantine, upstreamLimits, departures, countResting, traffic, byteLimits, requestLimits, streamRecorder, load, callerServerStatistics, unanswered, readinessResponses,
 	} = options;
 	const lines = [
 		`fireflylane_requests_running ${runningRequests}`,
@@ -80,6 +83,9 @@
 		`fireflylane_stream_records_evicted_total ${streamRecorder.countEvictions()}`,
 		`fireflylane_held_bytes ${byteLimits.countHeld()}`,
 		`fireflylane_held_bytes_max ${byteLimits.countMaxHeld()}`,
+		`fireflylane_held_request_bytes ${requestLimits.countHeld()}`,
+		`fireflylane_held_request_bytes_max ${requestLimits.countMaxHeld()}`,
+		`fireflylane_requests_cut_total ${requestLimits.countCut('held')}`,
 		`fireflylane_readiness_answers_total ${readinessResponses}`,
 		`fireflylane_loans_late_tokens_total ${lending.getLateTokens()}`,
 	];
--- a/src/transport/byte-limits.test.ts
+++ b/src/transport/byte-limits.test.ts
@@ -36,3 +36,31 @@
 	expect(limits.countHeld()).toBe(0);
 	expect(limits.listCuts()).toContainEqual(['held', 1]);
 });
+
+test('protected holders are not cut and get half of the limit, but one always its own', () => {
+	// Guards against a body that is freed while its request runs, and against large bodies that leave no room for others.
+	const cut: string[] = [];
+	const limits = createByteLimits({maxHeldBytes: 100});
+	const open = (name: string, bytes: number) => {
+		const holder = limits.openHolder('body', () => {
+			cut.push(name);
+		});
+		holder.set(bytes);
+		return holder;
+	};
+
+	const large = open('large', 60);
+	const small = open('small', 10);
+	expect([large.tryProtect(), small.tryProtect()]).toEqual([true, false]);
+	open('last', 35);
+	expect(cut).toEqual(['last']);
+	large.close();
+	expect(small.tryProtect()).toBe(true);
+	expect(limits.countHeld()).toBe(10);
+});
+
+test('bytes can be held if they fit, or if a larger holder would be cut', () => {
+	const limits = createByteLimits({maxHeldBytes: 100});
+	limits.openHolder('body', () => undefined).set(70);
+	expect([30, 31, 69, 70].map(bytes => limits.canHold(bytes))).toEqual([true, true, true, false]);
+});
--- a/src/transport/byte-limits.ts
+++ b/src/transport/byte-limits.ts
@@ -1,6 +1,7 @@
 /**
  * Limits on the bytes that a process holds for its callers and upstreams: an
- * account of the held bytes, and a count of what was cut by a limit.
+ * account of the held bytes, and a count of what was cut by a limit. Requests
+ * and responses have an account each, so that one does not displace the other.
  *
  * @module
  */
@@ -9,13 +10,21 @@
 /** Which limit a response or connection exceeded. */
 export type ByteLimit = 'event' | 'response' | 'unusable' | 'held';
 
-/** Where bytes are held: received from an upstream and not yet relayed, being assembled, or written and not yet sent to the caller. */
-export type HeldPart = 'received' | 'assembled' | 'unsent';
+/**
+ * Where bytes are held. Of responses: received from an upstream and not yet relayed, being assembled, or written and not
+ * yet sent to the caller. Of requests: a body, or what a connection has sent ahead of the answers.
+ */
+export type HeldPart = 'received' | 'assembled' | 'unsent' | 'body' | 'ahead';
 
 /** One holder of bytes. */
 export type ByteHolder = {
 	/** Sets how many bytes the holder holds; has no effect once it is closed or cut. */
 	readonly set: (bytes: number) => void;
+	/**
+	 * Protects the holder from being cut. Returns false, and changes nothing, if the protected holders would have more than
+	 * half of the limit, unless there is no other one: the rest is left to those that come later.
+	 */
+	readonly tryProtect: () => boolean;
 	/** Ends the holding. */
 	readonly close: () => void;
 };
@@ -48,7 +57,10 @@
 	event: 'eventTooLong', response: 'responseTooLong', unusable: 'unusableBytes', held: 'heldBytesExceeded',
 } as const satisfies Record<ByteLimit, EventName>;
 
-type HolderState = {bytes: number; readonly part: HeldPart; readonly cut: (detail: string) => void; isOpen: boolean};
+/** Part of the limit that protected holders may have together. */
+const maxProtectedShare = 1 / 2;
+
+type HolderState = {bytes: number; readonly part: HeldPart; readonly cut: (detail: string) => void; isOpen: boolean; isProtected: boolean};
 
 /**
  * Computes the limit on held bytes of a host.
@@ -83,6 +95,7 @@
 	const holders = new Set<HolderState>();
 	const cuts = new Map<ByteLimit, number>(Object.keys(cutEvents).map(limit => [limit as ByteLimit, 0]));
 	let heldBytes = 0;
+	let protectedBytes = 0;
 	let maxSeenBytes = 0;
 
 	function recordCut(limit: ByteLimit, fields: Readonly<Record<string, string | number | undefined>>): void {
@@ -94,6 +107,7 @@
 		if (state.isOpen) {
 			state.isOpen = false;
 			heldBytes -= state.bytes;
+			protectedBytes -= state.isProtected ? state.bytes : 0;
 			holders.delete(state);
 		}
 	}
@@ -101,7 +115,7 @@
 	function findLargest(): HolderState | undefined {
 		let largest: HolderState | undefined;
 		for (const state of holders) {
-			if (state.bytes > (largest?.bytes ?? 0)) {
+			if (!state.isProtected && state.bytes > (largest?.bytes ?? 0)) {
 				largest = state;
 			}
 		}
@@ -118,7 +132,7 @@
 			recordCut('held', {
 				part, bytes, totalBytes, maxBytes: maxHeldBytes,
 			});
-			largest.cut(`The process held ${totalBytes} bytes, and this response the most of them`);
+			largest.cut(`The process held ${totalBytes} bytes, and this holder the most of them`);
 		}
 	}
 
@@ -126,7 +140,7 @@
 		/** Opens a holder. `cut` is called if the process holds too much and this holder holds the most; it must discard what is held. */
 		openHolder(part: HeldPart, cut: (detail: string) => void): ByteHolder {
 			const state: HolderState = {
-				bytes: 0, part, cut, isOpen: true,
+				bytes: 0, part, cut, isOpen: true, isProtected: false,
 			};
 			holders.add(state);
 			return {
@@ -136,6 +150,7 @@
 					}
 
 					heldBytes += bytes - state.bytes;
+					protectedBytes += state.isProtected ? bytes - state.bytes : 0;
 					state.bytes = bytes;
 					if (heldBytes > maxHeldBytes) {
 						cutLargest();
@@ -143,12 +158,26 @@
 
 					maxSeenBytes = Math.max(maxSeenBytes, heldBytes);
 				},
+				tryProtect() {
+					if (!state.isOpen || (protectedBytes > 0 && protectedBytes + state.bytes > maxHeldBytes * maxProtectedShare)) {
+						return false;
+					}
+
+					state.isProtected = true;
+					protectedBytes += state.bytes;
+					return true;
+				},
 				close() {
 					closeHolder(state);
 				},
 			};
 		},
 
+		/** Returns whether bytes fit, or a larger holder would be cut for them. */
+		canHold(bytes: number): boolean {
+			return heldBytes + bytes <= maxHeldBytes || bytes < (findLargest()?.bytes ?? 0);
+		},
+
 		/** Counts and logs what was cut by a limit. */
 		recordCut,
 
@@ -163,6 +192,9 @@
 		/** Returns the largest number of bytes that were held at any time, after cuts. */
 		countMaxHeld: () => maxSeenBytes,
 
+		/** Returns how often a limit cut a holder. */
+		countCut: (limit: ByteLimit): number => cuts.get(limit)!,
+
 		/** Lists how often each limit cut a response or closed a connection. */
 		listCuts: (): ReadonlyArray<readonly [ByteLimit, number]> => [...cuts],
 	};
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -3,16 +3,13 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Server} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import restana from 'restana';
-import {
-	Err, Ok, createFailure, formatProblem, type Failure, type Result,
-} from '../protocol/mod.js';
+import {createFailure, formatProblem, type Failure} from '../protocol/mod.js';
 
 /** An address to listen on. */
 export type ListenAddress = {readonly host: string; readonly port: number};
@@ -195,33 +192,3 @@
 	await nextTurn();
 	await nextTurn();
 }
-
-/**
- * Reads the body of a request.
- *
- * The remainder of an oversized body is read and discarded, so that the caller
- * receives the response instead of a connection reset.
- *
- * @example
- * ```ts
- * const body = await readBody(request, 1_048_576);
- * ```
- *
- * @param request The request
- * @param maxBytes Maximum size of the body
- * @returns The bytes, or `body-too-large`
- */
-export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, Failure>> {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	for await (const chunk of request as AsyncIterable<Uint8Array>) {
-		size += chunk.length;
-		if (size <= maxBytes) {
-			chunks.push(chunk);
-		}
-	}
-
-	return size > maxBytes
-		? Err(createFailure('body-too-large', `The request body has ${size} bytes, the limit is ${maxBytes}`))
-		: Ok(Buffer.concat(chunks));
-}
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -21,6 +21,7 @@
 export * from './log-client.js';
 export * from './probe-address.js';
 export * from './read-delay.js';
+export * from './request-body.js';
 export * from './service-client.js';
 export * from './socket-counters.js';
 export * from './upstream-client.js';
--- a/src/transport/upstream-client.test.ts
+++ b/src/transport/upstream-client.test.ts
@@ -317,6 +317,7 @@
 				set() {
 					throw new RangeError('test');
 				},
+				tryProtect: () => true,
 				close: () => undefined,
 			}),
 		},
