Close connections whose answered request never ends

Callers who stop short of the end of a body kept their connection for ever: after the refusal at the route's timeout all 400 of 400 connections stayed open, each with its descriptor.

Cause: the idle timeout runs only between requests, and nothing bounds the rest of a body once its request is answered.

Change: the rest gets the time that the deployment gives headers, and is discarded meanwhile, as a close with unread bytes would reset the connection and could lose the answer. Then the connection is closed.

--- a/src/transport/caller-server.test.ts
+++ b/src/transport/caller-server.test.ts
@@ -157,6 +157,32 @@
 });
 
 // Guards against a request that runs although its response will be discarded, which its caller may send again elsewhere.
+test('a connection whose answered request is never received completely is closed, and one whose request is stays open', async () => {
+	// Guards against connections that are kept for ever for the rest of a refused body.
+	const server = await startCallerServer({host: '127.0.0.1', port: 0}, async (_request, response) => {
+		response.end('refused');
+	});
+	server.setLimits({
+		headerBytes: 16_384, bodyBytes: 10_000, headerTimeout: 300, idleTimeout: 60_000,
+	});
+	const [stopping, late] = [await open(server.url), await open(server.url)];
+	let text = '';
+	late.on('data', data => {
+		text += String(data);
+	});
+	stopping.resume();
+	for (const socket of [stopping, late]) {
+		socket.write('POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhello');
+	}
+
+	await expect.poll(() => text).toContain('refused');
+	late.write('world');
+	await once(stopping, 'close');
+	late.write(requestText);
+	await expect.poll(() => text.match(/refused/g)).toHaveLength(2);
+	server.closeAllConnections();
+});
+
 test('a request that crosses a response with connection: close is not served', async () => {
 	const {server, state, responses, socket, received} = await createFixture();
 	state.shouldClose = true;
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -127,6 +127,22 @@
 	return response !== undefined && response.headersSent && response.getHeader('connection') === 'close';
 }
 
+/**
+ * @internal Closes the connection of an answered request unless the rest of its body arrives in time. Closing it at once
+ * would reset it, so that a caller who still sends the body could lose the answer.
+ */
+function closeUnlessComplete(request: IncomingMessage, timeoutMs: number): void {
+	const {socket} = request;
+	const timer = setTimeout(() => {
+		if (!request.complete) {
+			socket.destroy();
+		}
+	}, timeoutMs);
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+}
+
 /** @internal Adds alternating header names and values, which replace headers of these names that were set before. */
 function appendHeaders(response: ServerResponse, list: readonly string[]): void {
 	const names = list.filter((_item, index) => index % 2 === 0);
@@ -230,6 +246,10 @@
 				if (isDraining) {
 					setImmediate(tracker.closeIfIdle, request.socket);
 				}
+
+				if (!request.complete) {
+					closeUnlessComplete(request, server.headersTimeout);
+				}
 			});
 			void serve(request, response, {unreadMs});
 		},
