Serve a bounded number of requests that are sent ahead

Callers saw a gateway that ended: 100 connections that send 100 KB of short requests ahead and read no answer ended it within 3 s (on a route with the usual headers, with no header but Host, and with metrics at their address), 200 connections at the readiness path of the callers' address too.

Cause: the HTTP server of Node.js parses all that it has read at once, up to 64 KB or 2,000 short requests, each with a response, timers and log lines, and stops only once unread answers fill its buffers. Nothing bounded the requests of a connection, nor those of all connections.

Change: what a connection sends is passed to the parser up to the next end of headers. From 8 unanswered requests on (1 at the status addresses) the rest stays with the caller's system; the time that it waits counts as time the caller has waited. What is held back, each unanswered request beyond the first and unfinished headers count in the account of requests; the connection that holds most is closed if all hold too much.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -86,7 +86,7 @@
 	const fleetServer = await core.startFleet(connect => {
 		connect.service(Peer, createPeerInterface({self, follower, loans}));
 	});
-	const callerServer = await startHttpServer(settings.listen.callers, callerInterface.addRoutes);
+	const callerServer = await startHttpServer(settings.listen.callers, callerInterface.addRoutes, {requestLimits});
 	const operatorServer = await startHttpServer(settings.listen.operators, operatorInterface.addRoutes);
 	const enrolment = core.enrol({address: fleetServer.address, serves: [], work: 'none'});
 	const stopSnapshots = startSnapshotter({
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -364,6 +364,7 @@
 		computeStopRetryAfterMs: () => retryAfterEstimator.estimate(peerViews.list(), {ownRemainingMs: stopWindow.computeRemainingMs()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve, {
+		requestLimits, maxUnanswered: settings.maxUnansweredRequests,
 		onRelayError(address, error) {
 			events.write('handOverFailed', {address, reason: 'broken', detail: error.message});
 		},
@@ -374,7 +375,7 @@
 	}
 
 	const statusServers = await startStatusServers(settings, {
-		readinessPath: adapter.wire.readinessPath, quarantine: quarantines.requests, partQuarantine: quarantines.parts, events,
+		readinessPath: adapter.wire.readinessPath, quarantine: quarantines.requests, partQuarantine: quarantines.parts, events, requestLimits,
 		isReady: loadControl.isReady,
 		onReadinessCheck: loadControl.recordReadinessCheck,
 		formatMetrics: readinessResponses => formatGatewayMetrics({
--- a/src/daemon/status-servers.ts
+++ b/src/daemon/status-servers.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type {EventLog, GatewaySettings} from '../protocol/mod.js';
-import {startHttpServer} from '../transport/mod.js';
+import {startHttpServer, type ByteLimits} from '../transport/mod.js';
 import {addQuarantineRoutes, type AddQuarantineRoutesOptions} from './quarantine-interface.js';
 
 /** Options of {@linkcode startStatusServers}. */
@@ -18,6 +18,8 @@
 	readonly quarantine: AddQuarantineRoutesOptions['quarantine'];
 	readonly partQuarantine: AddQuarantineRoutesOptions['partQuarantine'];
 	readonly events: EventLog;
+	/** Account of requests. */
+	readonly requestLimits: Pick<ByteLimits, 'openHolder'>;
 };
 
 /** The running servers. */
@@ -38,7 +40,7 @@
  * @throws {Error} If a server cannot listen on its address
  */
 export async function startStatusServers({listen, operatorKey}: GatewaySettings, options: StartStatusServersOptions) {
-	const {quarantine, partQuarantine, events} = options;
+	const {quarantine, partQuarantine, events, requestLimits} = options;
 	let readinessResponses = 0;
 	const readiness = await startHttpServer(listen.readiness, service => {
 		service.get(options.readinessPath, (_request, response) => {
@@ -48,7 +50,7 @@
 			response.statusCode = isReady ? 200 : 503;
 			response.end();
 		});
-	});
+	}, {maxUnanswered: 1, requestLimits});
 	const metrics = await startHttpServer(listen.metrics, service => {
 		addQuarantineRoutes(service, {
 			operatorKey, quarantine, partQuarantine, events,
@@ -57,7 +59,7 @@
 			response.setHeader('content-type', 'text/plain; version=0.0.4');
 			response.end(options.formatMetrics(readinessResponses));
 		});
-	});
+	}, {maxUnanswered: 1, requestLimits});
 
 	return {
 		readinessUrl: readiness.url,
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -64,6 +64,8 @@
 	coldOverage: z.number().min(1).default(1),
 	/** Requests to a cold upstream allowed in addition to that multiple in any second, fleet-wide. */
 	coldSlack: z.number().nonnegative().default(0),
+	/** Number of unanswered requests of a caller's connection at which no further ones are read. Read at the start. */
+	maxUnansweredRequests: z.number().int().positive().default(8),
 	/** Without it, only the lag of the event loop counts as overload. Read at the start. */
 	capacity: capacitySchema.optional(),
 });
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -6,10 +6,12 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import restana from 'restana';
 import type {CallerLimits} from '../protocol/mod.js';
+import {createByteLimits, type ByteLimits} from './byte-limits.js';
 import {createSystemClock} from './clock.js';
 import {createCallerRelay, type CallerRelay, type RelayPolicy} from './caller-relay.js';
 import {createConnectionTracker} from './connection-tracker.js';
 import {listen, type ListenAddress} from './http-server.js';
+import {installPipelineLimit} from './pipeline-limit.js';
 import {createReadDelayEstimator} from './read-delay.js';
 
 /** How a request was received. */
@@ -86,6 +88,10 @@
 export type StartCallerServerOptions = {
 	/** Called when another server broke a connection that was relayed to it. */
 	readonly onRelayError?: (address: string, error: Error) => void;
+	/** Number of unanswered requests of a connection at which no further ones are read; default 8. */
+	readonly maxUnanswered?: number;
+	/** Account of what callers send ahead of the answers; by default one of its own. */
+	readonly requestLimits?: Pick<ByteLimits, 'openHolder'>;
 };
 
 /**
@@ -186,14 +192,15 @@
  *
  * @param address Where to listen
  * @param serve Handles requests; must not reject
- * @param options The callback for failed relays
+ * @param options The callback for failed relays, and the limits on requests
  * @returns The running server
  * @throws {Error} If the server cannot listen on the address
  */
-export async function startCallerServer(address: ListenAddress, serve: ServeCaller, {onRelayError}: StartCallerServerOptions = {}): Promise<CallerServer> {
+export async function startCallerServer(address: ListenAddress, serve: ServeCaller, {onRelayError, maxUnanswered, requestLimits = createByteLimits()}: StartCallerServerOptions = {}): Promise<CallerServer> {
 	const server = createServer({
 		requestTimeout: 0, connectionsCheckingInterval: timeoutCheckIntervalMs, maxHeaderSize: initialMaxHeaderBytes, noDelay: true,
 	});
+	const pipelines = installPipelineLimit(server, {maxUnanswered, limits: requestLimits});
 	const tracker = createConnectionTracker(server);
 	const readDelay = createReadDelayEstimator({clock: createSystemClock(), tickIntervalMs});
 	const ticks = setInterval(readDelay.recordTick, tickIntervalMs).unref();
@@ -222,7 +229,7 @@
 		prioRequestsProcessing: false,
 		defaultRoute(request, response) {
 			requestCount += 1;
-			const unreadMs = readDelay.estimateMs(request.socket);
+			const unreadMs = Math.max(readDelay.estimateMs(request.socket), pipelines.computeWaitMs(request.socket));
 			const previousResponse = tracker.trackRequest(request, response);
 			// The response to a request after one with `connection: close` would be discarded; the caller knows that it was not served.
 			if (hasSentClose(previousResponse) || (shouldCloseAfterResponse && !setConnectionClose(response, previousResponse))) {
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -10,6 +10,8 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import restana from 'restana';
 import {createFailure, formatProblem, type Failure} from '../protocol/mod.js';
+import {createByteLimits, type ByteLimits} from './byte-limits.js';
+import {installPipelineLimit} from './pipeline-limit.js';
 
 /** An address to listen on. */
 export type ListenAddress = {readonly host: string; readonly port: number};
@@ -26,6 +28,14 @@
 /** A function that adds routes to a restana service. */
 export type AddRoutes = (service: restana.Service<restana.Protocol.HTTP>) => void;
 
+/** Options of {@linkcode startHttpServer}. */
+export type StartHttpServerOptions = {
+	/** Requests of one connection that are served at the same time; default 8. */
+	readonly maxUnanswered?: number;
+	/** Account of what callers send ahead of the answers; by default one of its own. */
+	readonly requestLimits?: Pick<ByteLimits, 'openHolder'>;
+};
+
 /** How long `close` waits for open connections before it closes them. */
 const closeTimeoutMs = 500;
 
@@ -52,11 +62,13 @@
  *
  * @param address Where to listen; with port 0 the system picks a free port
  * @param addRoutes Adds the routes
+ * @param options The account of requests
  * @returns The running server
  * @throws {Error} If the server cannot listen on the address
  */
-export async function startHttpServer(address: ListenAddress, addRoutes: AddRoutes): Promise<HttpServer> {
+export async function startHttpServer(address: ListenAddress, addRoutes: AddRoutes, {maxUnanswered, requestLimits = createByteLimits()}: StartHttpServerOptions = {}): Promise<HttpServer> {
 	const server = createServer();
+	installPipelineLimit(server, {maxUnanswered, limits: requestLimits});
 	const service = restana({
 		server,
 		prioRequestsProcessing: false,
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -19,6 +19,7 @@
 export * from './host-list-client.js';
 export * from './http-server.js';
 export * from './log-client.js';
+export * from './pipeline-limit.js';
 export * from './probe-address.js';
 export * from './read-delay.js';
 export * from './request-body.js';
