Pass on small bodies while large ones run

A request with a small body or none would have been refused with 503 while bodies of half of the account were under way, as the part that is not cut was bounded alike for all (found by reading). Only bodies of more than a 128th of the account leave half of it to others now.

--- a/src/transport/byte-limits.ts
+++ b/src/transport/byte-limits.ts
@@ -21,8 +21,8 @@
 	/** Sets how many bytes the holder holds; has no effect once it is closed or cut. */
 	readonly set: (bytes: number) => void;
 	/**
-	 * Protects the holder from being cut. Returns false, and changes nothing, if the protected holders would have more than
-	 * half of the limit, unless there is no other one: the rest is left to those that come later.
+	 * Protects the holder from being cut. Returns false, and changes nothing, if the protected holders would have too much:
+	 * a large holder leaves half of the limit to small ones, but may always be the only one.
 	 */
 	readonly tryProtect: () => boolean;
 	/** Ends the holding. */
@@ -57,8 +57,10 @@
 	event: 'eventTooLong', response: 'responseTooLong', unusable: 'unusableBytes', held: 'heldBytesExceeded',
 } as const satisfies Record<ByteLimit, EventName>;
 
-/** Part of the limit that protected holders may have together. */
-const maxProtectedShare = 1 / 2;
+/** Part of the limit from which a holder is large. */
+const largeShare = 1 / 128;
+/** Part of the limit that is protected at most once a large holder is protected. */
+const maxLargeShare = 1 / 2;
 
 type HolderState = {bytes: number; readonly part: HeldPart; readonly cut: (detail: string) => void; isOpen: boolean; isProtected: boolean};
 
@@ -123,6 +125,11 @@
 		return largest;
 	}
 
+	function canProtect(bytes: number): boolean {
+		const isLarge = bytes > maxHeldBytes * largeShare;
+		return bytes === 0 || protectedBytes === 0 || protectedBytes + bytes <= maxHeldBytes * (isLarge ? maxLargeShare : 1);
+	}
+
 	// A holder leaves the account before it is cut, because cutting it may close or change other holders.
 	function cutLargest(): void {
 		for (let largest = findLargest(); largest && heldBytes > maxHeldBytes; largest = findLargest()) {
@@ -159,7 +166,7 @@
 					maxSeenBytes = Math.max(maxSeenBytes, heldBytes);
 				},
 				tryProtect() {
-					if (!state.isOpen || (protectedBytes > 0 && protectedBytes + state.bytes > maxHeldBytes * maxProtectedShare)) {
+					if (!state.isOpen || !canProtect(state.bytes)) {
 						return false;
 					}
 
