Forget the wait of requests sent ahead once they are read

The first request on a connection after some that had waited unparsed would have counted as old as the last read, seconds on a connection that was idle, and been refused as timed out (found by reading). What arrived during the wait is read within two turns of the event loop, so the wait is forgotten then. The new test in pipeline-limit.test.ts holds it.

--- a/src/transport/pipeline-limit.test.ts
+++ b/src/transport/pipeline-limit.test.ts
@@ -91,6 +91,23 @@
 	expect(waits.at(-1)).toBeGreaterThan(400);
 });
 
+test('a request that arrives long after the others were answered has not waited', async () => {
+	// Guards against a request that is refused because earlier ones on its connection had waited.
+	const waits: number[] = [];
+	const {socket, pipelines} = await startServer((request, response) => {
+		waits.push(pipelines.computeWaitMs(request.socket));
+		setTimeout(() => response.end('done'), 20);
+	});
+	socket.resume();
+	socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(2 * maxUnanswered));
+	await expect.poll(() => waits.length).toBe(2 * maxUnanswered);
+	await wait(200);
+	socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+	await expect.poll(() => waits.length).toBe((2 * maxUnanswered) + 1);
+	expect(waits.at(-2)).toBeGreaterThan(0);
+	expect(waits.at(-1)).toBe(0);
+});
+
 test('the connection that holds most is closed when all hold too much', async () => {
 	const limits = createByteLimits({maxHeldBytes: 50_000});
 	const {server, socket} = await startServer(() => undefined, limits);
--- a/src/transport/pipeline-limit.ts
+++ b/src/transport/pipeline-limit.ts
@@ -7,6 +7,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {ByteHolder, ByteLimits} from './byte-limits.js';
 
 /** Options of {@linkcode installPipelineLimit}. */
@@ -105,7 +106,7 @@
 	let headerBytes = 0;
 	/** True while the connection is not read because of the limit. The HTTP server stops the reading for reasons of its own. */
 	let isHolding = false;
-	/** Whether the connection was not read for a time since the last read. */
+	/** Whether bytes may be read now that arrived while the connection was not read. */
 	let wasHeld = false;
 	let lastReadAt = 0;
 	/** Earliest time at which the bytes being parsed can have arrived; undefined if they have not waited. */
@@ -175,11 +176,22 @@
 
 	socket.removeListener('data', parse!);
 	socket.on('data', receive);
+	/** What arrived while the connection was not read has been read soon after. */
+	async function forgetHold(): Promise<void> {
+		await nextTurn();
+		await nextTurn();
+		wasHeld = backlog !== undefined;
+	}
+
 	socket.on('resume', () => {
 		if (isHolding) {
 			socket.pause();
-		} else {
-			parseBacklog();
+			return;
+		}
+
+		parseBacklog();
+		if (wasHeld && !backlog) {
+			void forgetHold();
 		}
 	});
 	socket.once('close', () => {
