Free connections of callers who send or read nothing

Callers could not reach a gateway whose descriptors were used up: 500 connections that send one byte took 531 descriptors of 400, as nothing bounded them. Connections whose answers nobody reads were kept for ever.

Cause: neither the number of callers' connections nor the time for which an answer waits to be read had a limit.

Change: beyond three quarters of the host's descriptors, less 200, the connection that has been idle for longest is closed, so that new callers come in beside a crowd that sends nothing. A connection whose caller reads nothing for a minute while an answer waits is closed; a caller who reads slowly keeps it. They share the connection's state and so this commit.

The tests of the two limits in caller-server.test.ts need their options, so they could not be run before.

--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -20,7 +20,7 @@
 	createPeerViews, createUpstreamDepartures, createUpstreamLimits, createUpstreamRests, type PeerView,
 } from '../state/mod.js';
 import {
-	computeMaxHeldBytes, createByteLimits, createFleetClient, createSystemClock, createUpstreamClient, joinSignals, openDatagramSocket, probeAddress, startCallerServer, startFleetServer,
+	computeMaxConnections, computeMaxHeldBytes, createByteLimits, createFleetClient, createSystemClock, createUpstreamClient, joinSignals, openDatagramSocket, probeAddress, startCallerServer, startFleetServer,
 } from '../transport/mod.js';
 import type {RunningDaemon} from './core.js';
 import {formatGatewayMetrics} from './gateway-metrics.js';
@@ -364,7 +364,10 @@
 		computeStopRetryAfterMs: () => retryAfterEstimator.estimate(peerViews.list(), {ownRemainingMs: stopWindow.computeRemainingMs()}),
 	});
 	const callerServer = await startCallerServer(settings.listen.callers, callerInterface.serve, {
-		requestLimits, maxUnanswered: settings.maxUnansweredRequests,
+		requestLimits, maxUnanswered: settings.maxUnansweredRequests, maxConnections: computeMaxConnections(settings.capacity?.descriptors),
+		onEvict(evicted) {
+			events.write('connectionsEvicted', evicted);
+		},
 		onRelayError(address, error) {
 			events.write('handOverFailed', {address, reason: 'broken', detail: error.message});
 		},
--- a/src/transport/caller-server.test.ts
+++ b/src/transport/caller-server.test.ts
@@ -183,6 +183,75 @@
 	server.closeAllConnections();
 });
 
+test('a connection beyond the limit closes the one that has been idle for longest', async () => {
+	// Guards against callers who are kept out by connections that send nothing.
+	const evicted: string[] = [];
+	const responses: ServerResponse[] = [];
+	const server = await startCallerServer({host: '127.0.0.1', port: 0}, async (request, response) => {
+		if (request.url === '/wait') {
+			responses.push(response);
+		} else {
+			response.end('served');
+		}
+	}, {
+		maxConnections: 3,
+		onEvict({reason}) {
+			evicted.push(reason);
+		},
+	});
+	const [busy, used, unused] = [await open(server.url), await open(server.url), await open(server.url)];
+	busy.write('GET /wait HTTP/1.1\r\nHost: a\r\n\r\n');
+	used.write(requestText);
+	await once(used, 'data');
+	unused.resume();
+	const last = await open(server.url);
+	await once(unused, 'close');
+	last.write(requestText);
+	expect(String(await once(last, 'data'))).toContain('served');
+	used.resume();
+	await open(server.url);
+	await once(used, 'close');
+	responses[0]!.end('served');
+	expect(String(await once(busy, 'data'))).toContain('served');
+	expect(evicted).toEqual(['too-many', 'too-many']);
+	server.closeAllConnections();
+});
+
+test('a connection whose caller reads nothing is closed, and one whose caller reads slowly is not', {timeout: 20_000}, async () => {
+	// Guards against connections that are kept for ever for answers that nobody reads.
+	const answerBytes = 12_582_912;
+	const evicted: string[] = [];
+	const server = await startCallerServer({host: '127.0.0.1', port: 0}, async (_request, response) => {
+		for (let written = 0; written < answerBytes; written += 65_536) {
+			response.write(new Uint8Array(65_536));
+		}
+
+		response.end();
+	}, {
+		unreadTimeoutMs: 1000,
+		onEvict({reason}) {
+			evicted.push(reason);
+		},
+	});
+	const [unread, slow] = [await open(server.url), await open(server.url)];
+	let received = 0;
+	unread.pause();
+	unread.on('error', () => undefined);
+	unread.write(requestText);
+	slow.on('data', data => {
+		received += data.length;
+		slow.pause();
+		setTimeout(() => {
+			slow.resume();
+		}, 3);
+	});
+	slow.write(requestText);
+	await expect.poll(() => received, {timeout: 15_000}).toBeGreaterThan(answerBytes);
+	await expect.poll(() => evicted, {timeout: 5000}).toEqual(['unread']);
+	expect(server.getStatistics().open).toBe(1);
+	server.closeAllConnections();
+});
+
 test('a request that crosses a response with connection: close is not served', async () => {
 	const {server, state, responses, socket, received} = await createFixture();
 	state.shouldClose = true;
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -84,10 +84,19 @@
 	readonly abandoned: number;
 };
 
+/** Why a connection was closed: there are too many, or its caller does not read. */
+export type EvictionReason = 'too-many' | 'unread';
+
 /** Options of {@linkcode startCallerServer}. */
 export type StartCallerServerOptions = {
 	/** Called when another server broke a connection that was relayed to it. */
 	readonly onRelayError?: (address: string, error: Error) => void;
+	/** Maximum number of open connections: beyond it, the one that has been idle for longest is closed. Default none. */
+	readonly maxConnections?: number | undefined;
+	/** Time after which a connection is closed whose caller reads nothing although an answer waits, in milliseconds; default 60,000. */
+	readonly unreadTimeoutMs?: number;
+	/** Called when connections are closed because of these two limits. */
+	readonly onEvict?: (evicted: {readonly reason: EvictionReason; readonly connections: number}) => void;
 	/** Number of unanswered requests of a connection at which no further ones are read; default 8. */
 	readonly maxUnanswered?: number;
 	/** Account of what callers send ahead of the answers; by default one of its own. */
@@ -100,10 +109,17 @@
  */
 const idleTimeoutMarginMs = 1000;
 const timeoutCheckIntervalMs = 1000;
+const unreadCheckIntervalMs = 5000;
 /** `Keep-Alive` states whole seconds, so that a shorter idle timeout would be announced as 0. */
 const minAnnouncedIdleTimeoutMs = 1000;
 /** Interval at which the server checks that the event loop runs; a delay of requests that is shorter is not seen. */
 const tickIntervalMs = 100;
+/** Longer than any caller waits for an answer. */
+const defaultUnreadTimeoutMs = 60_000;
+/** Descriptors that are not for sockets. */
+const reservedDescriptors = 200;
+/** Part of the others for callers; the rest is for upstreams and other daemons. */
+const callerDescriptorShare = 3 / 4;
 /** Limit on the headers of a request; applies before the limit of the deployment is known. */
 const initialMaxHeaderBytes = 65_536;
 
@@ -180,6 +196,21 @@
 	}) as typeof writeHead;
 }
 
+/**
+ * Computes the limit on callers' connections of a host.
+ *
+ * @example
+ * ```ts
+ * computeMaxConnections(4100); // 2925
+ * ```
+ *
+ * @param descriptors Maximum number of open descriptors of the process; undefined if the settings do not name it
+ * @returns The limit, or undefined for none
+ */
+export function computeMaxConnections(descriptors: number | undefined): number | undefined {
+	return descriptors === undefined ? undefined : Math.max(1, Math.floor((descriptors - reservedDescriptors) * callerDescriptorShare));
+}
+
 /**
  * Starts the server.
  *
@@ -196,13 +227,27 @@
  * @returns The running server
  * @throws {Error} If the server cannot listen on the address
  */
-export async function startCallerServer(address: ListenAddress, serve: ServeCaller, {onRelayError, maxUnanswered, requestLimits = createByteLimits()}: StartCallerServerOptions = {}): Promise<CallerServer> {
+export async function startCallerServer(address: ListenAddress, serve: ServeCaller, options: StartCallerServerOptions = {}): Promise<CallerServer> {
+	const {
+		onRelayError, onEvict, maxUnanswered, maxConnections = Number.POSITIVE_INFINITY, unreadTimeoutMs = defaultUnreadTimeoutMs, requestLimits = createByteLimits(),
+	} = options;
 	const server = createServer({
 		requestTimeout: 0, connectionsCheckingInterval: timeoutCheckIntervalMs, maxHeaderSize: initialMaxHeaderBytes, noDelay: true,
 	});
 	const pipelines = installPipelineLimit(server, {maxUnanswered, limits: requestLimits});
 	const tracker = createConnectionTracker(server);
 	const readDelay = createReadDelayEstimator({clock: createSystemClock(), tickIntervalMs});
+	server.on('connection', () => {
+		if (tracker.countOpen() > maxConnections && tracker.closeLongestIdle()) {
+			onEvict?.({reason: 'too-many', connections: 1});
+		}
+	});
+	const unreadChecks = setInterval(() => {
+		const closed = tracker.closeUnread(unreadTimeoutMs);
+		if (closed > 0) {
+			onEvict?.({reason: 'unread', connections: closed});
+		}
+	}, Math.min(unreadCheckIntervalMs, unreadTimeoutMs)).unref();
 	const ticks = setInterval(readDelay.recordTick, tickIntervalMs).unref();
 	server.on('connection', readDelay.recordAccept);
 	let closesIdleAfterMs = server.keepAliveTimeout;
@@ -293,6 +338,7 @@
 		countBytes: tracker.countBytes,
 		closeAllConnections() {
 			clearInterval(ticks);
+			clearInterval(unreadChecks);
 			server.close();
 			relay.close();
 			server.closeAllConnections();
--- a/src/transport/connection-tracker.ts
+++ b/src/transport/connection-tracker.ts
@@ -11,6 +11,8 @@
 	bytesRead: number;
 	/** The latest response, until it has been sent; earlier responses on the connection are sent before it. */
 	latestResponse: ServerResponse | undefined;
+	/** Bytes that had been sent when it was last seen that others wait to be sent, and the time at which this was first so; undefined if none wait. */
+	unread: {readonly sentBytes: number; readonly since: number} | undefined;
 	/** True if the caller has sent a request before the response to the previous one was complete. */
 	hasPipelined: boolean;
 };
@@ -45,13 +47,19 @@
 	const closedBytes = {received: 0, sent: 0};
 	/** Connections without a request, with the times at which they were accepted; the oldest comes first. */
 	const awaiting = new Map<Socket, number>();
+	/** Connections without an unanswered request; the one that has been idle for longest comes first. */
+	const idle = new Set<Socket>();
 	server.on('connection', (socket: Socket) => {
 		acceptedCount += 1;
+		idle.add(socket);
 		awaiting.set(socket, performance.now());
-		connections.set(socket, {bytesRead: 0, latestResponse: undefined, hasPipelined: false});
+		connections.set(socket, {
+			bytesRead: 0, latestResponse: undefined, unread: undefined, hasPipelined: false,
+		});
 		socket.once('close', () => {
 			connections.delete(socket);
 			awaiting.delete(socket);
+			idle.delete(socket);
 			closedBytes.received += socket.bytesRead;
 			closedBytes.sent += socket.bytesWritten;
 		});
@@ -75,6 +83,19 @@
 		}
 	}
 
+	// Returns how long nothing has been sent although something waits to be.
+	function computeUnreadMs(socket: Socket, state: ConnectionState): number {
+		const now = performance.now();
+		const sentBytes = socket.bytesWritten - socket.writableLength;
+		if (socket.writableLength === 0) {
+			state.unread = undefined;
+		} else if (state.unread?.sentBytes !== sentBytes) {
+			state.unread = {sentBytes, since: now};
+		}
+
+		return state.unread ? now - state.unread.since : 0;
+	}
+
 	return {
 		countOpen: (): number => connections.size,
 		/** Returns the number of connections accepted since the start. */
@@ -104,6 +125,7 @@
 		 */
 		trackRequest({socket}: IncomingMessage, response: ServerResponse): ServerResponse | undefined {
 			awaiting.delete(socket);
+			idle.delete(socket);
 			const state = connections.get(socket);
 			if (!state) {
 				return undefined;
@@ -116,6 +138,9 @@
 				if (state.latestResponse === response) {
 					state.latestResponse = undefined;
 					state.bytesRead = socket.bytesRead;
+					if (connections.has(socket)) {
+						idle.add(socket);
+					}
 				}
 			});
 			return previousResponse;
@@ -136,6 +161,23 @@
 
 		closeIfIdle,
 
+		/** Closes the connection that has been idle for longest, which may be one just accepted; returns false if none is idle. */
+		closeLongestIdle(): boolean {
+			const [socket] = idle;
+			socket?.destroy();
+			return socket !== undefined;
+		},
+
+		/** Closes the connections whose callers have read nothing for a time although something waits to be sent; returns their number. To be called often. */
+		closeUnread(maxUnreadMs: number): number {
+			const unread = [...connections].filter(([socket, state]) => computeUnreadMs(socket, state) > maxUnreadMs);
+			for (const [socket] of unread) {
+				socket.destroy();
+			}
+
+			return unread.length;
+		},
+
 		/** Closes all idle connections. */
 		closeIdle(): void {
 			for (const socket of connections.keys()) {
