Bound the connections at the addresses for readiness and metrics

Callers, the load balancer and upstreams could not reach a gateway whose descriptors were used up: 500 connections that send one byte to the address for readiness, or to that for metrics, took 531 descriptors of 400.

Cause: bounded the connections at the callers' address only.

Change: 64 at each of the two; beyond them the connection that has been idle for longest is closed, so that a load balancer that connects anew is answered beside the crowd.

The crowds and bounds were written before this change and not changed since. Both tests failed on (531 of 400) and pass now. A third, of 500 large answers that nobody reads, passed on too.

--- a/src/daemon/status-servers.ts
+++ b/src/daemon/status-servers.ts
@@ -22,6 +22,9 @@
 	readonly requestLimits: Pick<ByteLimits, 'openHolder'>;
 };
 
+/** Callers of these servers, load balancers and scrapers, have a connection or two each. */
+const maxConnections = 64;
+
 /** The running servers. */
 export type StatusServers = Awaited<ReturnType<typeof startStatusServers>>;
 
@@ -42,6 +45,14 @@
 export async function startStatusServers({listen, operatorKey}: GatewaySettings, options: StartStatusServersOptions) {
 	const {quarantine, partQuarantine, events, requestLimits} = options;
 	let readinessResponses = 0;
+	const limits = {
+		maxUnanswered: 1,
+		requestLimits,
+		maxConnections,
+		onEvict() {
+			events.write('connectionsEvicted', {reason: 'too-many', connections: 1});
+		},
+	};
 	const readiness = await startHttpServer(listen.readiness, service => {
 		service.get(options.readinessPath, (_request, response) => {
 			readinessResponses += 1;
@@ -50,7 +61,7 @@
 			response.statusCode = isReady ? 200 : 503;
 			response.end();
 		});
-	}, {maxUnanswered: 1, requestLimits});
+	}, limits);
 	const metrics = await startHttpServer(listen.metrics, service => {
 		addQuarantineRoutes(service, {
 			operatorKey, quarantine, partQuarantine, events,
@@ -59,7 +70,7 @@
 			response.setHeader('content-type', 'text/plain; version=0.0.4');
 			response.end(options.formatMetrics(readinessResponses));
 		});
-	}, {maxUnanswered: 1, requestLimits});
+	}, limits);
 
 	return {
 		readinessUrl: readiness.url,
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -4,13 +4,14 @@
  * @module
  */
 import {
-	createServer, type IncomingMessage, type ServerResponse,
+	createServer, type IncomingMessage, type Server as HttpServerOfNode, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Server} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import restana from 'restana';
 import {createFailure, formatProblem, type Failure} from '../protocol/mod.js';
 import {createByteLimits, type ByteLimits} from './byte-limits.js';
+import {createConnectionTracker} from './connection-tracker.js';
 import {installPipelineLimit} from './pipeline-limit.js';
 
 /** An address to listen on. */
@@ -34,11 +35,30 @@
 	readonly maxUnanswered?: number;
 	/** Account of what callers send ahead of the answers; by default one of its own. */
 	readonly requestLimits?: Pick<ByteLimits, 'openHolder'>;
+	/** Maximum number of open connections: beyond it, the one that has been idle for longest is closed. Default none. */
+	readonly maxConnections?: number;
+	/** Called for each connection that is closed because of this limit. */
+	readonly onEvict?: () => void;
 };
 
 /** How long `close` waits for open connections before it closes them. */
 const closeTimeoutMs = 500;
 
+/** @internal Closes a connection for each one that exceeds the maximum. */
+function limitConnections(server: HttpServerOfNode, {maxConnections, onEvict}: Pick<StartHttpServerOptions, 'maxConnections' | 'onEvict'>): void {
+	if (maxConnections === undefined) {
+		return;
+	}
+
+	const tracker = createConnectionTracker(server);
+	server.on('request', tracker.trackRequest);
+	server.on('connection', () => {
+		if (tracker.countOpen() > maxConnections && tracker.closeLongestIdle()) {
+			onEvict?.();
+		}
+	});
+}
+
 /** @internal Listens on an address and returns the server's URL. */
 export async function listen(server: Server, address: ListenAddress): Promise<string> {
 	await new Promise<void>((resolve, reject) => {
@@ -62,13 +82,15 @@
  *
  * @param address Where to listen; with port 0 the system picks a free port
  * @param addRoutes Adds the routes
- * @param options The account of requests
+ * @param options The limits on requests and connections
  * @returns The running server
  * @throws {Error} If the server cannot listen on the address
  */
-export async function startHttpServer(address: ListenAddress, addRoutes: AddRoutes, {maxUnanswered, requestLimits = createByteLimits()}: StartHttpServerOptions = {}): Promise<HttpServer> {
+export async function startHttpServer(address: ListenAddress, addRoutes: AddRoutes, options: StartHttpServerOptions = {}): Promise<HttpServer> {
+	const {maxUnanswered, requestLimits = createByteLimits()} = options;
 	const server = createServer();
 	installPipelineLimit(server, {maxUnanswered, limits: requestLimits});
+	limitConnections(server, options);
 	const service = restana({
 		server,
 		prioRequestsProcessing: false,
