Close connections that wait for their callers when there are too many

Callers were shut out of a gateway by 500 connections whose requests wait for the rest of a body: each new connection was closed unread until the timeout of the crowd's route had passed, 60 s of tries in the test.

Cause: beyond the limit on connections only an idle one was closed. With none idle but the one that had just come, that one was closed.

Change: the connection that has waited for its caller for longest is closed: an idle one, and after a second also one that waits for the rest of a body, or for the reading of an answer that is written to its end. A request that is being served keeps its connection.

--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -91,7 +91,7 @@
 export type StartCallerServerOptions = {
 	/** Called when another server broke a connection that was relayed to it. */
 	readonly onRelayError?: (address: string, error: Error) => void;
-	/** Maximum number of open connections: beyond it, the one that has been idle for longest is closed. Default none. */
+	/** Maximum number of open connections: beyond it, the one that has waited for its caller for longest is closed. Default none. */
 	readonly maxConnections?: number | undefined;
 	/** Time after which a connection is closed whose caller reads nothing although an answer waits, in milliseconds; default 60,000. */
 	readonly unreadTimeoutMs?: number;
@@ -238,7 +238,7 @@
 	const tracker = createConnectionTracker(server);
 	const readDelay = createReadDelayEstimator({clock: createSystemClock(), tickIntervalMs});
 	server.on('connection', () => {
-		if (tracker.countOpen() > maxConnections && tracker.closeLongestIdle()) {
+		if (tracker.countOpen() > maxConnections && tracker.closeLongestWaiting()) {
 			onEvict?.({reason: 'too-many', connections: 1});
 		}
 	});
--- a/src/transport/connection-tracker.ts
+++ b/src/transport/connection-tracker.ts
@@ -5,12 +5,20 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {findWaitingSince} from './connection-eviction.js';
 
 type ConnectionState = {
 	/** Value of `socket.bytesRead` when the latest response had been sent. */
 	bytesRead: number;
 	/** The latest response, until it has been sent; earlier responses on the connection are sent before it. */
 	latestResponse: ServerResponse | undefined;
+	latestRequest: IncomingMessage | undefined;
+	/** When the headers of the latest request were received; 0 without one. */
+	receivedAt: number;
+	/** When the connection was accepted, or the latest response was sent. */
+	idleSince: number;
+	/** When it was first seen that bytes wait to be sent; undefined if none wait. */
+	unreadSince: number | undefined;
 	/** Bytes that had been sent when it was last seen that others wait to be sent, and the time at which this was first so; undefined if none wait. */
 	unread: {readonly sentBytes: number; readonly since: number} | undefined;
 	/** True if the caller has sent a request before the response to the previous one was complete. */
@@ -20,6 +28,17 @@
 /** Time within which the first request of a new connection is expected. */
 const maxAwaitingMs = 500;
 
+/** @internal Returns the first connection that a condition accepts. */
+function findFirst(sockets: Iterable<Socket>, isAccepted: (socket: Socket) => boolean): Socket | undefined {
+	for (const socket of sockets) {
+		if (isAccepted(socket)) {
+			return socket;
+		}
+	}
+
+	return undefined;
+}
+
 /** Tracks the open connections of a server. */
 export type ConnectionTracker = ReturnType<typeof createConnectionTracker>;
 
@@ -49,17 +68,21 @@
 	const awaiting = new Map<Socket, number>();
 	/** Connections without an unanswered request; the one that has been idle for longest comes first. */
 	const idle = new Set<Socket>();
+	/** Connections with an unanswered request; the one whose latest request came first comes first. */
+	const busy = new Set<Socket>();
 	server.on('connection', (socket: Socket) => {
 		acceptedCount += 1;
 		idle.add(socket);
-		awaiting.set(socket, performance.now());
+		const acceptedAt = performance.now();
+		awaiting.set(socket, acceptedAt);
 		connections.set(socket, {
-			bytesRead: 0, latestResponse: undefined, unread: undefined, hasPipelined: false,
+			bytesRead: 0, latestResponse: undefined, latestRequest: undefined, receivedAt: 0, idleSince: acceptedAt, unreadSince: undefined, unread: undefined, hasPipelined: false,
 		});
 		socket.once('close', () => {
 			connections.delete(socket);
 			awaiting.delete(socket);
 			idle.delete(socket);
+			busy.delete(socket);
 			closedBytes.received += socket.bytesRead;
 			closedBytes.sent += socket.bytesWritten;
 		});
@@ -96,6 +119,33 @@
 		return state.unread ? now - state.unread.since : 0;
 	}
 
+	function updateUnreadSince(socket: Socket, state: ConnectionState, now: number): void {
+		state.unreadSince = socket.writableLength === 0 ? undefined : state.unreadSince ?? now;
+	}
+
+	function computeWaitingSince(socket: Socket, now: number): number | undefined {
+		const state = connections.get(socket)!;
+		updateUnreadSince(socket, state, now);
+		return findWaitingSince({
+			idleSince: state.latestResponse ? undefined : state.idleSince,
+			receivedAt: state.receivedAt,
+			isComplete: state.latestRequest?.complete ?? true,
+			isAnswered: state.latestResponse?.writableEnded ?? false,
+			unreadSince: state.unreadSince,
+		}, now);
+	}
+
+	function findLongestWaiting(): Socket | undefined {
+		const now = performance.now();
+		const [longestIdle] = idle;
+		const longestBusy = findFirst(busy, socket => computeWaitingSince(socket, now) !== undefined);
+		if (!longestIdle || !longestBusy) {
+			return longestIdle ?? longestBusy;
+		}
+
+		return computeWaitingSince(longestIdle, now)! < computeWaitingSince(longestBusy, now)! ? longestIdle : longestBusy;
+	}
+
 	return {
 		countOpen: (): number => connections.size,
 		/** Returns the number of connections accepted since the start. */
@@ -123,7 +173,8 @@
 		 * sent. Returns the previous response on the connection if it has not been
 		 * sent yet, which happens if the caller pipelines its requests.
 		 */
-		trackRequest({socket}: IncomingMessage, response: ServerResponse): ServerResponse | undefined {
+		trackRequest(request: IncomingMessage, response: ServerResponse): ServerResponse | undefined {
+			const {socket} = request;
 			awaiting.delete(socket);
 			idle.delete(socket);
 			const state = connections.get(socket);
@@ -131,13 +182,20 @@
 				return undefined;
 			}
 
+			busy.delete(socket);
+			busy.add(socket);
 			const previousResponse = state.latestResponse;
 			state.hasPipelined ||= previousResponse !== undefined;
 			state.latestResponse = response;
+			state.latestRequest = request;
+			state.receivedAt = performance.now();
 			response.once('close', () => {
 				if (state.latestResponse === response) {
 					state.latestResponse = undefined;
+					state.latestRequest = undefined;
 					state.bytesRead = socket.bytesRead;
+					state.idleSince = performance.now();
+					busy.delete(socket);
 					if (connections.has(socket)) {
 						idle.add(socket);
 					}
@@ -161,9 +219,12 @@
 
 		closeIfIdle,
 
-		/** Closes the connection that has been idle for longest, which may be one just accepted; returns false if none is idle. */
-		closeLongestIdle(): boolean {
-			const [socket] = idle;
+		/**
+		 * Closes the connection that has waited for its caller for longest, which may be one just accepted; returns false if
+		 * all are being served.
+		 */
+		closeLongestWaiting(): boolean {
+			const socket = findLongestWaiting();
 			socket?.destroy();
 			return socket !== undefined;
 		},
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -35,7 +35,7 @@
 	readonly maxUnanswered?: number;
 	/** Account of what callers send ahead of the answers; by default one of its own. */
 	readonly requestLimits?: Pick<ByteLimits, 'openHolder'>;
-	/** Maximum number of open connections: beyond it, the one that has been idle for longest is closed. Default none. */
+	/** Maximum number of open connections: beyond it, the one that has waited for its caller for longest is closed. Default none. */
 	readonly maxConnections?: number;
 	/** Called for each connection that is closed because of this limit. */
 	readonly onEvict?: () => void;
@@ -53,7 +53,7 @@
 	const tracker = createConnectionTracker(server);
 	server.on('request', tracker.trackRequest);
 	server.on('connection', () => {
-		if (tracker.countOpen() > maxConnections && tracker.closeLongestIdle()) {
+		if (tracker.countOpen() > maxConnections && tracker.closeLongestWaiting()) {
 			onEvict?.();
 		}
 	});
