Bound what a daemon holds for the calls of other daemons

A gateway and a relay used 498 MB, of 178, when 20 connections at the address for other daemons sent 20 MB each as the body of a call that does not end.

Cause: the RPC library collects a body to its end before it looks at it, also before it calls the interceptor that checks the fleet's key, and no account knew of it. On the platform there is no key, so anybody who reaches the address could send such bodies.

Change: what is received of calls, and 4 KB for each, counts in the account of requests; the connection whose calls hold most is closed. Where there is a key, a call without it is refused before its body is read.

The tests of fleet-server and session-tracker are of the new code.

--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -406,6 +406,7 @@
 	});
 	const peerServer = await startFleetServer(settings.listen.peers, {
 		fleetKey: settings.fleetKey,
+		requestLimits,
 		routes(router) {
 			router.service(Relay, createRelayInterface(Object.values(adapter.logs), signal));
 			router.service(Gateway, createGatewayPeerInterface({
--- a/src/daemon/relay-daemon.ts
+++ b/src/daemon/relay-daemon.ts
@@ -10,7 +10,7 @@
 	Relay, createId, type EventLog, type KeyedLog, type RelaySettings,
 } from '../protocol/mod.js';
 import type {HolderRecord} from '../state/mod.js';
-import {createSystemClock, startFleetServer} from '../transport/mod.js';
+import {createByteLimits, createSystemClock, startFleetServer} from '../transport/mod.js';
 import type {RunningDaemon} from './core.js';
 import {createRelayInterface} from './relay-interface.js';
 
@@ -48,6 +48,7 @@
 	};
 	const server = await startFleetServer(settings.listen, {
 		fleetKey: settings.fleetKey,
+		requestLimits: createByteLimits({events}),
 		routes(router) {
 			router.service(Relay, createRelayInterface([logs.deployment, logs.upstreams, logs.grants], signal));
 		},
--- a/src/transport/byte-limits.ts
+++ b/src/transport/byte-limits.ts
@@ -12,9 +12,9 @@
 
 /**
  * Where bytes are held. Of responses: received from an upstream and not yet relayed, being assembled, or written and not
- * yet sent to the caller. Of requests: a body, or what a connection has sent ahead of the answers.
+ * yet sent to the caller. Of requests: a body, what a connection has sent ahead of the answers, or the calls of another daemon.
  */
-export type HeldPart = 'received' | 'assembled' | 'unsent' | 'body' | 'ahead';
+export type HeldPart = 'received' | 'assembled' | 'unsent' | 'body' | 'ahead' | 'call';
 
 /** One holder of bytes. */
 export type ByteHolder = {
--- a/src/transport/fleet-server.test.ts
+++ b/src/transport/fleet-server.test.ts
@@ -1,6 +1,8 @@
 import {once} from 'node:events';
+import {connect as connectHttp2, constants} from 'node:http2';
 import {connect} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
+import {Code} from '@connectrpc/connect';
 import {expect, test} from 'vitest';
 import {Upstream} from '../protocol/mod.js';
 import {createFleetClient} from './fleet-client.js';
@@ -83,3 +85,26 @@
 	socket.destroy();
 	expect(socket.destroyed).toBe(true);
 });
+
+test('a call without the fleet key fails as unauthenticated', {timeout: 5000}, async () => {
+	// Guards against peers with a wrong key that look like peers that are lost.
+	const server = await startServer(() => undefined);
+	const client = createFleetClient('another-key');
+	await expect(client.connect(server.address).upstream.fence({requestId: 'r-1', attempt: 1, from: 'entry-1'}, {timeoutMs: 2000})).rejects.toMatchObject({code: Code.Unauthenticated});
+	client.close();
+	await server.close();
+});
+
+test('the body of a call without the fleet key is not read', {timeout: 5000}, async () => {
+	// Guards against memory that anybody who reaches the address can fill.
+	const server = await startServer(() => undefined);
+	const session = connectHttp2(`http://${server.address}`);
+	session.on('error', () => undefined);
+	const call = session.request({[constants.HTTP2_HEADER_METHOD]: 'POST', [constants.HTTP2_HEADER_PATH]: '/fireflylane.Upstream/Fence', 'content-type': 'application/proto'});
+	call.on('error', () => undefined);
+	call.write(new Uint8Array(10_000_000));
+	const [headers] = await once(call, 'response') as [Record<string, unknown>];
+	await once(session, 'close');
+	expect(headers[constants.HTTP2_HEADER_STATUS]).toBe(401);
+	await server.close();
+});
--- a/src/transport/fleet-server.ts
+++ b/src/transport/fleet-server.ts
@@ -3,14 +3,16 @@
  *
  * @module
  */
-import {createServer, type ServerHttp2Session} from 'node:http2';
-import type {AddressInfo, Socket} from 'node:net';
 import {
-	Code, ConnectError, type ConnectRouter, type Interceptor,
-} from '@connectrpc/connect';
+	constants, createServer, type Http2ServerRequest, type Http2ServerResponse, type Http2Session, type ServerHttp2Session,
+} from 'node:http2';
+import type {AddressInfo, Socket} from 'node:net';
+import type {ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {isSameSecret} from '../protocol/mod.js';
+import {createByteLimits, type ByteLimits} from './byte-limits.js';
 import type {ListenAddress} from './http-server.js';
+import {createSessionTracker} from './session-tracker.js';
 
 /** Header that carries the fleet's key between daemons. */
 export const fleetKeyHeader = 'x-fleet-key';
@@ -19,8 +21,10 @@
 export type StartFleetServerOptions = {
 	readonly fleetKey: string;
 	readonly routes: (router: ConnectRouter) => void;
-	/** Called for each call without the fleet's key. */
+	/** Called for each connection that is closed because of a call without the fleet's key. */
 	readonly onUnauthenticated: () => void;
+	/** Account of the calls that are received and served; by default one of its own. */
+	readonly requestLimits?: Pick<ByteLimits, 'openHolder'>;
 };
 
 /** A running fleet server. */
@@ -37,15 +41,42 @@
  */
 const closeTimeoutMs = 300;
 
-/** @internal Rejects calls without the fleet's key. */
-function createKeyVerifier(options: StartFleetServerOptions): Interceptor {
-	return next => async request => {
-		if (!isSameSecret(request.header.get(fleetKeyHeader) ?? '', options.fleetKey)) {
-			options.onUnauthenticated();
-			throw new ConnectError('The call carries no valid fleet key', Code.Unauthenticated);
+type ServeCall = (request: Http2ServerRequest, response: Http2ServerResponse) => void;
+
+/**
+ * @internal Refuses a call and closes its connection once the answer is sent. Further calls on the connection are not
+ * answered: many can have been received at once.
+ */
+function refuseCall({stream}: Http2ServerRequest): void {
+	const {session} = stream;
+	stream.respond({[constants.HTTP2_HEADER_STATUS]: constants.HTTP_STATUS_UNAUTHORIZED}, {endStream: true});
+	stream.once('close', () => {
+		session?.destroy();
+	});
+	stream.close();
+}
+
+/**
+ * @internal Serves calls with the fleet's key. The others are refused before their body is read: the library reads a body
+ * to its end before it calls an interceptor.
+ */
+function requireKey(serve: ServeCall, {fleetKey, onUnauthenticated}: Pick<StartFleetServerOptions, 'fleetKey' | 'onUnauthenticated'>): ServeCall {
+	const refused = new WeakSet<Http2Session>();
+	return (request, response) => {
+		const {session} = request.stream;
+		if (!session || refused.has(session)) {
+			request.stream.close();
+			return;
+		}
+
+		if (isSameSecret(String(request.headers[fleetKeyHeader] ?? ''), fleetKey)) {
+			serve(request, response);
+			return;
 		}
 
-		return next(request);
+		refused.add(session);
+		onUnauthenticated();
+		refuseCall(request);
 	};
 }
 
@@ -63,15 +94,20 @@
  * @throws {Error} If the server cannot listen on the address
  */
 export async function startFleetServer(listenAddress: ListenAddress, options: StartFleetServerOptions): Promise<FleetServer> {
+	const {requestLimits = createByteLimits()} = options;
 	const sessions = new Set<ServerHttp2Session>();
 	const sockets = new Set<Socket>();
-	const server = createServer(connectNodeAdapter({routes: options.routes, interceptors: [createKeyVerifier(options)]}));
+	const tracker = createSessionTracker({limits: requestLimits});
+	const server = createServer({
+		Http2ServerRequest: tracker.requestClass, // eslint-disable-line @typescript-eslint/naming-convention
+	}, requireKey(connectNodeAdapter({routes: options.routes}), options));
 	server.on('connection', (socket: Socket) => {
 		sockets.add(socket);
 		socket.on('close', () => {
 			sockets.delete(socket);
 		});
 	});
+	server.on('session', tracker.track);
 	server.on('session', session => {
 		sessions.add(session);
 		session.on('close', () => {
--- /dev/null
+++ b/src/transport/session-tracker.test.ts
@@ -0,0 +1,87 @@
+import {once} from 'node:events';
+import {
+	connect, constants, createServer, type ClientHttp2Session,
+} from 'node:http2';
+import type {AddressInfo} from 'node:net';
+import {expect, test} from 'vitest';
+import {createByteLimits} from './byte-limits.js';
+import {createSessionTracker} from './session-tracker.js';
+
+const maxHeldBytes = 100_000;
+/** Below the limit on unread bytes by flow control, so that all are received. */
+const largeBytes = 60_000;
+
+async function createFixture() {
+	const limits = createByteLimits({maxHeldBytes});
+	const tracker = createSessionTracker({limits});
+	const server = createServer({
+		Http2ServerRequest: tracker.requestClass, // eslint-disable-line @typescript-eslint/naming-convention
+	}, (request, response) => {
+		request.resume();
+		request.once('end', () => {
+			response.end('served');
+		});
+		request.on('error', () => undefined);
+	});
+	server.on('session', tracker.track);
+	server.on('sessionError', () => undefined);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const sessions: ClientHttp2Session[] = [];
+	return {
+		limits,
+
+		async open(): Promise<ClientHttp2Session> {
+			const session = connect(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+			session.on('error', () => undefined);
+			sessions.push(session);
+			await once(session, 'remoteSettings');
+			return session;
+		},
+
+		close(): void {
+			for (const session of sessions) {
+				session.destroy();
+			}
+
+			server.close();
+		},
+	};
+}
+
+function call(session: ClientHttp2Session) {
+	const stream = session.request({[constants.HTTP2_HEADER_METHOD]: 'POST'});
+	stream.on('error', () => undefined);
+	return stream;
+}
+
+test('the connection whose calls hold most is closed, and others are served', {timeout: 5000}, async () => {
+	// Guards against bodies without end that take all memory.
+	const fixture = await createFixture();
+	const [first, second, other] = [await fixture.open(), await fixture.open(), await fixture.open()];
+	const closed = Promise.race([once(first, 'close'), once(second, 'close')]);
+	for (const session of [first, second]) {
+		call(session).write(new Uint8Array(largeBytes));
+	}
+
+	await closed;
+	expect([first, second].filter(({destroyed}) => destroyed).length).toBe(1);
+	const served = call(other);
+	served.end('body');
+	expect(String(await once(served, 'data'))).toBe('served');
+	expect(fixture.limits.countHeld()).toBeLessThanOrEqual(maxHeldBytes);
+	fixture.close();
+});
+
+test('what a call holds is given back at its end', {timeout: 5000}, async () => {
+	// Guards against an account that fills up with calls that have ended.
+	const fixture = await createFixture();
+	const session = await fixture.open();
+	const served = call(session);
+	served.end(new Uint8Array(largeBytes));
+	served.resume();
+	await once(served, 'close');
+	await expect.poll(() => fixture.limits.countHeld()).toBe(0);
+	expect(fixture.limits.countMaxHeld()).toBeGreaterThan(largeBytes);
+	fixture.close();
+});
