Bound the connections at the addresses for daemons

Callers and upstreams could not reach a gateway whose descriptors were used up: 500 HTTP/2 connections without a call at the address for other daemons took 531 descriptors of 400; at a relay the same.

Cause: nothing bounded the connections there.

Change: 256 at most. Beyond it the connection without a call in service whose last call ended first is closed, so that daemons get in beside a crowd; they connect anew with their next call. A call that is received completely keeps its connection.

--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -407,6 +407,9 @@
 	const peerServer = await startFleetServer(settings.listen.peers, {
 		fleetKey: settings.fleetKey,
 		requestLimits,
+		onEvict() {
+			events.write('connectionsEvicted', {reason: 'too-many', connections: 1});
+		},
 		routes(router) {
 			router.service(Relay, createRelayInterface(Object.values(adapter.logs), signal));
 			router.service(Gateway, createGatewayPeerInterface({
--- a/src/daemon/relay-daemon.ts
+++ b/src/daemon/relay-daemon.ts
@@ -49,6 +49,9 @@
 	const server = await startFleetServer(settings.listen, {
 		fleetKey: settings.fleetKey,
 		requestLimits: createByteLimits({events}),
+		onEvict() {
+			events.write('connectionsEvicted', {reason: 'too-many', connections: 1});
+		},
 		routes(router) {
 			router.service(Relay, createRelayInterface([logs.deployment, logs.upstreams, logs.grants], signal));
 		},
--- a/src/protocol/event-catalogue.ts
+++ b/src/protocol/event-catalogue.ts
@@ -60,7 +60,7 @@
 	requestEnded: {number: 1408, text: 'request ended'},
 	requestFailed: {number: 1409, text: 'request failed with an unexpected error'},
 	requestUnanswered: {number: 1425, text: 'request ended without a whole answer'},
-	connectionsEvicted: {number: 1426, text: 'connections of callers closed to free them'},
+	connectionsEvicted: {number: 1426, text: 'connections closed to free them'},
 	requestSuspected: {number: 1412, text: 'request suspected of crashing upstreams'},
 	partSuspected: {number: 1417, text: 'part of a prompt suspected of crashing upstreams'},
 	loopStalled: {number: 1413, text: 'event loop stalled'},
--- a/src/transport/fleet-server.ts
+++ b/src/transport/fleet-server.ts
@@ -25,6 +25,8 @@
 	readonly onUnauthenticated: () => void;
 	/** Account of the calls that are received and served; by default one of its own. */
 	readonly requestLimits?: Pick<ByteLimits, 'openHolder'>;
+	/** Called for each connection that is closed because there are too many. */
+	readonly onEvict?: () => void;
 };
 
 /** A running fleet server. */
@@ -40,6 +42,8 @@
  * between two failure domains, and short compared with the time limit of a stop.
  */
 const closeTimeoutMs = 300;
+/** Each of a few hundred daemons has one connection to another. */
+const maxSessions = 256;
 
 type ServeCall = (request: Http2ServerRequest, response: Http2ServerResponse) => void;
 
@@ -94,10 +98,10 @@
  * @throws {Error} If the server cannot listen on the address
  */
 export async function startFleetServer(listenAddress: ListenAddress, options: StartFleetServerOptions): Promise<FleetServer> {
-	const {requestLimits = createByteLimits()} = options;
+	const {requestLimits = createByteLimits(), onEvict = () => undefined} = options;
 	const sessions = new Set<ServerHttp2Session>();
 	const sockets = new Set<Socket>();
-	const tracker = createSessionTracker({limits: requestLimits});
+	const tracker = createSessionTracker({limits: requestLimits, maxSessions, onEvict});
 	const server = createServer({
 		Http2ServerRequest: tracker.requestClass, // eslint-disable-line @typescript-eslint/naming-convention
 	}, requireKey(connectNodeAdapter({routes: options.routes}), options));
--- a/src/transport/session-tracker.test.ts
+++ b/src/transport/session-tracker.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {
-	connect, constants, createServer, type ClientHttp2Session,
+	connect, constants, createServer, type ClientHttp2Session, type Http2ServerRequest,
 } from 'node:http2';
 import type {AddressInfo} from 'node:net';
 import {expect, test} from 'vitest';
@@ -11,15 +11,25 @@
 /** Below the limit on unread bytes by flow control, so that all are received. */
 const largeBytes = 60_000;
 
-async function createFixture() {
+async function createFixture(maxSessions: number) {
 	const limits = createByteLimits({maxHeldBytes});
-	const tracker = createSessionTracker({limits});
+	const evictions: number[] = [];
+	const received: Http2ServerRequest[] = [];
+	const tracker = createSessionTracker({
+		limits, maxSessions,
+		onEvict() {
+			evictions.push(1);
+		},
+	});
 	const server = createServer({
 		Http2ServerRequest: tracker.requestClass, // eslint-disable-line @typescript-eslint/naming-convention
 	}, (request, response) => {
+		received.push(request);
 		request.resume();
 		request.once('end', () => {
-			response.end('served');
+			if (request.url !== '/wait') {
+				response.end('served');
+			}
 		});
 		request.on('error', () => undefined);
 	});
@@ -29,7 +39,7 @@
 	await once(server, 'listening');
 	const sessions: ClientHttp2Session[] = [];
 	return {
-		limits,
+		limits, evictions, received, tracker,
 
 		async open(): Promise<ClientHttp2Session> {
 			const session = connect(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
@@ -49,15 +59,15 @@
 	};
 }
 
-function call(session: ClientHttp2Session) {
-	const stream = session.request({[constants.HTTP2_HEADER_METHOD]: 'POST'});
+function call(session: ClientHttp2Session, path = '/') {
+	const stream = session.request({[constants.HTTP2_HEADER_METHOD]: 'POST', [constants.HTTP2_HEADER_PATH]: path});
 	stream.on('error', () => undefined);
 	return stream;
 }
 
 test('the connection whose calls hold most is closed, and others are served', {timeout: 5000}, async () => {
 	// Guards against bodies without end that take all memory.
-	const fixture = await createFixture();
+	const fixture = await createFixture(10);
 	const [first, second, other] = [await fixture.open(), await fixture.open(), await fixture.open()];
 	const closed = Promise.race([once(first, 'close'), once(second, 'close')]);
 	for (const session of [first, second]) {
@@ -75,7 +85,7 @@
 
 test('what a call holds is given back at its end', {timeout: 5000}, async () => {
 	// Guards against an account that fills up with calls that have ended.
-	const fixture = await createFixture();
+	const fixture = await createFixture(10);
 	const session = await fixture.open();
 	const served = call(session);
 	served.end(new Uint8Array(largeBytes));
@@ -85,3 +95,19 @@
 	expect(fixture.limits.countMaxHeld()).toBeGreaterThan(largeBytes);
 	fixture.close();
 });
+
+test('beyond the limit the connection is closed that has been without a call for longest', {timeout: 5000}, async () => {
+	// Guards against descriptors that run out, and against closing a connection whose call is being served.
+	const fixture = await createFixture(2);
+	const busy = await fixture.open();
+	call(busy, '/wait').end();
+	await expect.poll(() => fixture.received[0]?.readableEnded).toBe(true);
+	const unused = await fixture.open();
+	const closed = once(unused, 'close');
+	const last = await fixture.open();
+	await closed;
+	expect(fixture.evictions.length).toBe(1);
+	expect([busy, last].map(({destroyed}) => destroyed)).toEqual([false, false]);
+	expect(fixture.tracker.count()).toBe(2);
+	fixture.close();
+});
--- a/src/transport/session-tracker.ts
+++ b/src/transport/session-tracker.ts
@@ -1,5 +1,6 @@
 /**
- * Tracks what a server holds for the calls of its HTTP/2 connections.
+ * Tracks the HTTP/2 connections of a server: what it holds for their calls, and
+ * which of them may be closed to make room for another.
  *
  * @module
  */
@@ -12,12 +13,18 @@
 export type CreateSessionTrackerOptions = {
 	/** Account of what is held; the connection that holds most is closed. */
 	readonly limits: Pick<ByteLimits, 'openHolder'>;
+	/** Maximum number of connections; beyond it, one that serves no call is closed. */
+	readonly maxSessions: number;
+	/** Called for each connection that is closed because of this maximum. */
+	readonly onEvict: () => void;
 };
 
 type SessionState = {
 	readonly holder: ByteHolder;
 	/** Bytes held for its calls. */
 	bytes: number;
+	/** Number of calls that were received completely and have not ended. */
+	serving: number;
 };
 
 /** Tracks the connections of a server. */
@@ -33,15 +40,16 @@
  *
  * @example
  * ```ts
- * const tracker = createSessionTracker({limits});
+ * const tracker = createSessionTracker({limits, maxSessions: 250, onEvict});
  * const server = createServer({Http2ServerRequest: tracker.requestClass}, serve);
  * server.on('session', tracker.track);
  * ```
  *
- * @param options The limits
+ * @param options The limits and the eviction callback
  * @returns The tracker
  */
-export function createSessionTracker({limits}: CreateSessionTrackerOptions) {
+export function createSessionTracker({limits, maxSessions, onEvict}: CreateSessionTrackerOptions) {
+	/** The connection comes first whose last call ended first, or that had none for longest. */
 	const sessions = new Map<Http2Session, SessionState>();
 
 	function addBytes(state: SessionState | undefined, bytes: number): void {
@@ -51,6 +59,23 @@
 		}
 	}
 
+	function recordEnd(session: Http2Session, state: SessionState): void {
+		state.serving -= 1;
+		if (sessions.delete(session)) {
+			sessions.set(session, state);
+		}
+	}
+
+	function findUnused(): Http2Session | undefined {
+		for (const [session, {serving}] of sessions) {
+			if (serving === 0) {
+				return session;
+			}
+		}
+
+		return undefined;
+	}
+
 	/** A request whose pieces are counted as they are received, whether or not its reader keeps them. */
 	class TrackedRequest extends Http2ServerRequest {
 		readonly #state: SessionState | undefined;
@@ -64,6 +89,14 @@
 			this.#addBytes(bytesPerCall);
 			stream.once('close', () => {
 				this.#addBytes(-this.#bytes);
+				if (this.#state && session && this.readableEnded) {
+					recordEnd(session, this.#state);
+				}
+			});
+			this.once('end', () => {
+				if (this.#state) {
+					this.#state.serving += 1;
+				}
 			});
 		}
 
@@ -85,16 +118,25 @@
 		/** Class of the requests of the server. */
 		requestClass: TrackedRequest,
 
-		/** Tracks a connection that was just accepted. */
+		/** Tracks a connection that was just accepted, and closes another if there are too many. */
 		track(session: ServerHttp2Session): void {
 			const holder = limits.openHolder('call', () => {
 				session.destroy();
 			});
-			sessions.set(session, {holder, bytes: 0});
+			sessions.set(session, {holder, bytes: 0, serving: 0});
 			session.once('close', () => {
 				sessions.delete(session);
 				holder.close();
 			});
+			const evicted = sessions.size > maxSessions ? findUnused() : undefined;
+			if (evicted) {
+				sessions.delete(evicted);
+				evicted.destroy();
+				onEvict();
+			}
 		},
+
+		/** Returns the number of connections. */
+		count: (): number => sessions.size,
 	};
 }
