--- a/src/transport/fleet-server.ts
+++ b/src/transport/fleet-server.ts
@@ -68,7 +68,7 @@
 	const refused = new WeakSet<Http2Session>();
 	return (request, response) => {
 		const {session} = request.stream;
-		if (!session || refused.has(session)) {
+		if (!session || session.destroyed || refused.has(session)) {
 			request.stream.close();
 			return;
 		}
--- a/src/transport/session-tracker.test.ts
+++ b/src/transport/session-tracker.test.ts
@@ -111,3 +111,19 @@
 	expect(fixture.tracker.count()).toBe(2);
 	fixture.close();
 });
+
+test('a connection whose call was cancelled before its end serves no call', {timeout: 5000}, async () => {
+	// Guards against connections that can never be closed because a call is taken to be in service.
+	const fixture = await createFixture(1);
+	const first = await fixture.open();
+	const cancelled = call(first);
+	cancelled.write('body');
+	await expect.poll(() => fixture.limits.countHeld()).toBeGreaterThan(0);
+	cancelled.close(constants.NGHTTP2_CANCEL);
+	await expect.poll(() => fixture.limits.countHeld()).toBe(0);
+	const closed = once(first, 'close');
+	await fixture.open();
+	await closed;
+	expect(fixture.tracker.count()).toBe(1);
+	fixture.close();
+});
--- a/src/transport/session-tracker.ts
+++ b/src/transport/session-tracker.ts
@@ -87,17 +87,19 @@
 			const {session} = stream;
 			this.#state = session && sessions.get(session);
 			this.#addBytes(bytesPerCall);
-			stream.once('close', () => {
-				this.#addBytes(-this.#bytes);
-				if (this.#state && session && this.readableEnded) {
-					recordEnd(session, this.#state);
-				}
-			});
+			let isServed = false;
 			this.once('end', () => {
-				if (this.#state) {
+				if (this.#state && !stream.closed) {
+					isServed = true;
 					this.#state.serving += 1;
 				}
 			});
+			stream.once('close', () => {
+				this.#addBytes(-this.#bytes);
+				if (isServed) {
+					recordEnd(session!, this.#state!);
+				}
+			});
 		}
 
 		override push(chunk: Uint8Array | null, encoding?: BufferEncoding): boolean { // eslint-disable-line @typescript-eslint/no-restricted-types
