Count bodies of daemons' calls only until they are complete

Cause: the bytes of a body were counted until its call ended, though they belong to the call's handler once they are read.

Change: they are counted until the body is complete. The new test fails before (the connection was closed) and passes now.

--- a/src/transport/session-tracker.test.ts
+++ b/src/transport/session-tracker.test.ts
@@ -127,3 +127,17 @@
 	expect(fixture.tracker.count()).toBe(1);
 	fixture.close();
 });
+
+test('a body that is received completely is no longer counted while its call is served', {timeout: 5000}, async () => {
+	// Guards against a peer that is cut off because it has many long calls in service.
+	const fixture = await createFixture(1);
+	const session = await fixture.open();
+	for (let sent = 0; sent < 4; sent += 1) {
+		call(session, '/wait').end(new Uint8Array(largeBytes));
+		await expect.poll(() => fixture.received[sent]?.readableEnded).toBe(true);
+	}
+
+	expect(session.destroyed).toBe(false);
+	expect(fixture.limits.countHeld()).toBeLessThan(largeBytes);
+	fixture.close();
+});
--- a/src/transport/session-tracker.ts
+++ b/src/transport/session-tracker.ts
@@ -21,7 +21,7 @@
 
 type SessionState = {
 	readonly holder: ByteHolder;
-	/** Bytes held for its calls. */
+	/** Bytes held for its calls, of bodies those that are not received completely. */
 	bytes: number;
 	/** Number of calls that were received completely and have not ended. */
 	serving: number;
@@ -89,6 +89,7 @@
 			this.#addBytes(bytesPerCall);
 			let isServed = false;
 			this.once('end', () => {
+				this.#addBytes(bytesPerCall - this.#bytes);
 				if (this.#state && !stream.closed) {
 					isServed = true;
 					this.#state.serving += 1;
