Share the metrics only among callers who ask at the same time

Change: a computed text is shared within one iteration of the event loop, and a caller who asks again gets a new one.

--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -378,7 +378,7 @@
 	}
 
 	const statusServers = await startStatusServers(settings, {
-		readinessPath: adapter.wire.readinessPath, quarantine: quarantines.requests, partQuarantine: quarantines.parts, clock, events, requestLimits,
+		readinessPath: adapter.wire.readinessPath, quarantine: quarantines.requests, partQuarantine: quarantines.parts, events, requestLimits,
 		isReady: loadControl.isReady,
 		onReadinessCheck: loadControl.recordReadinessCheck,
 		formatMetrics: readinessResponses => formatGatewayMetrics({
--- a/src/daemon/status-servers.ts
+++ b/src/daemon/status-servers.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import type {EventLog, GatewaySettings} from '../protocol/mod.js';
-import {startHttpServer, type ByteLimits, type Clock} from '../transport/mod.js';
-import {createCachedText} from './cached-text.js';
+import {startHttpServer, type ByteLimits} from '../transport/mod.js';
 import {addQuarantineRoutes, type AddQuarantineRoutesOptions} from './quarantine-interface.js';
+import {createSharedText} from './shared-text.js';
 
 /** Options of {@linkcode startStatusServers}. */
 export type StartStatusServersOptions = {
@@ -18,7 +18,6 @@
 	readonly formatMetrics: (readinessResponses: number) => string;
 	readonly quarantine: AddQuarantineRoutesOptions['quarantine'];
 	readonly partQuarantine: AddQuarantineRoutesOptions['partQuarantine'];
-	readonly clock: Pick<Clock, 'now'>;
 	readonly events: EventLog;
 	/** Account of requests. */
 	readonly requestLimits: Pick<ByteLimits, 'openHolder'>;
@@ -26,8 +25,6 @@
 
 /** Callers of these servers, load balancers and scrapers, have a connection or two each. */
 const maxConnections = 64;
-/** Much shorter than the interval of any scraper. */
-const maxMetricsAgeMs = 100;
 
 /** The running servers. */
 export type StatusServers = Awaited<ReturnType<typeof startStatusServers>>;
@@ -66,16 +63,14 @@
 			response.end();
 		});
 	}, limits);
-	const metricsText = createCachedText({
-		compute: () => options.formatMetrics(readinessResponses), maxAgeMs: maxMetricsAgeMs, clock: options.clock,
-	});
+	const getMetrics = createSharedText(() => options.formatMetrics(readinessResponses));
 	const metrics = await startHttpServer(listen.metrics, service => {
 		addQuarantineRoutes(service, {
 			operatorKey, quarantine, partQuarantine, events,
 		});
 		service.get('/metrics', (_request, response) => {
 			response.setHeader('content-type', 'text/plain; version=0.0.4');
-			response.end(metricsText.get());
+			response.end(getMetrics());
 		});
 	}, limits);
 
