Claim tokens by the gateways that the log shows when it is read

Cause: a gateway decides how much to claim before and after it reads the log of grants, and kept its list of gateways for 250 ms. One that had started a second ago and knew of no other asked for the part of the only gateway, read of three others in the same claim, and claimed 200,000 of 1,000,000 tokens all the same. It returned them half a second later; until then, and until they had read that, the others claimed nothing.

Change: the gateways are listed again after the log has been read, before the claim is computed.

--- a/src/coordination/budgets/budget-manager.test.ts
+++ b/src/coordination/budgets/budget-manager.test.ts
@@ -130,7 +130,7 @@
 		});
 		const manager = createBudgetManager({
 			self, log: fake.open(), follower, grants: grantRegistry, account, findRouteTable: () => table, borrow: lending.borrow, loans: lending, loanPolicy: new ReturnedLoanPolicy(), grantTargetPolicy, owners: {
-				isOwner: () => mode === 'each' || index === 0, isSmallFleet: () => mode === 'each', countGateways: () => 3, countClaimers: () => mode === 'each' ? 3 : 1, isSettled: () => true,
+				isOwner: () => mode === 'each' || index === 0, isSmallFleet: () => mode === 'each', countGateways: () => 3, countClaimers: () => mode === 'each' ? 3 : 1, isSettled: () => true, refresh: () => undefined,
 			}, clock, events, signal: stopper.signal, isLogComplete: () => recovery.checkComplete(),
 		});
 		const recovery = createGrantRecovery({
@@ -721,7 +721,7 @@
 		loanPolicy: new ReturnedLoanPolicy(),
 		grantTargetPolicy: new DemandTargetPolicy(),
 		owners: {
-			isOwner: () => true, isSmallFleet: () => true, countGateways: () => 4, countClaimers: () => 4, isSettled: () => true,
+			isOwner: () => true, isSmallFleet: () => true, countGateways: () => 4, countClaimers: () => 4, isSettled: () => true, refresh: () => undefined,
 		},
 		async borrow(id, {needed}) {
 			if (tokensElsewhere) {
@@ -887,7 +887,7 @@
 		loanPolicy: new ReturnedLoanPolicy(),
 		grantTargetPolicy: new DemandTargetPolicy(),
 		owners: {
-			isOwner: () => false, isSmallFleet: () => false, countGateways: () => 31, countClaimers: () => 1, isSettled: () => true,
+			isOwner: () => false, isSmallFleet: () => false, countGateways: () => 31, countClaimers: () => 1, isSettled: () => true, refresh: () => undefined,
 		},
 		borrow: async () => ({tokens: 0, isComplete: true, isOwnerClaiming}),
 	});
--- a/src/coordination/budgets/budget-manager.ts
+++ b/src/coordination/budgets/budget-manager.ts
@@ -35,7 +35,7 @@
 	/** State of the loans; without it, none are expected to arrive late. */
 	readonly loans?: LoanProgress;
 	/** Determines which gateway claims a customer's budget. */
-	readonly owners: Pick<BudgetOwners, 'isOwner' | 'isSmallFleet' | 'isSettled' | 'countClaimers' | 'countGateways'>;
+	readonly owners: Pick<BudgetOwners, 'isOwner' | 'isSmallFleet' | 'isSettled' | 'countClaimers' | 'countGateways' | 'refresh'>;
 	/** Decides how much is borrowed from owners. */
 	readonly loanPolicy: LoanPolicy;
 };
--- a/src/coordination/budgets/budget-owners.ts
+++ b/src/coordination/budgets/budget-owners.ts
@@ -55,11 +55,7 @@
 	let listedAt = Number.NEGATIVE_INFINITY;
 	let changedAt = clock.now();
 
-	function refreshGateways(): void {
-		if (clock.now() - listedAt < listLifetimeMs) {
-			return;
-		}
-
+	function refresh(): void {
 		listedAt = clock.now();
 		const listed = [...options.listPeers(), daemon].sort();
 		if (listed.join(' ') !== gateways.join(' ')) {
@@ -69,8 +65,14 @@
 		}
 	}
 
+	function refreshOutdated(): void {
+		if (clock.now() - listedAt >= listLifetimeMs) {
+			refresh();
+		}
+	}
+
 	function isSmallFleet(): boolean {
-		refreshGateways();
+		refreshOutdated();
 		return gateways.length <= maxSmallFleetSize;
 	}
 
@@ -81,6 +83,8 @@
 	}
 
 	return {
+		/** Lists the gateways again, to be called when the log that they are recorded in has been read. */
+		refresh,
 		/** Returns true if each gateway claims for itself. */
 		isSmallFleet,
 		/** Returns true if this gateway claims the customer's budget. */
@@ -89,12 +93,12 @@
 		listOwners: (customer: string): readonly string[] => isSmallFleet() ? [] : rankGateways(customer),
 		/** Returns the number of gateways that are presumed to be up, including this one. */
 		countGateways(): number {
-			refreshGateways();
+			refreshOutdated();
 			return gateways.length;
 		},
 		/** Returns true if the gateways that are presumed to be up have been the same for a time. */
 		isSettled(): boolean {
-			refreshGateways();
+			refreshOutdated();
 			return clock.now() - changedAt >= settleMs;
 		},
 		/** Returns the number of gateways that claim the customer's budget. */
--- a/src/coordination/budgets/grant-writer.ts
+++ b/src/coordination/budgets/grant-writer.ts
@@ -29,7 +29,7 @@
 	/** Returns the routes and customers of the deployment in force; undefined before the first one is known. */
 	readonly findRouteTable: () => RouteTable | undefined;
 	/** Determines which gateway claims a customer's budget. */
-	readonly owners: Pick<BudgetOwners, 'isOwner' | 'isSettled' | 'countClaimers'>;
+	readonly owners: Pick<BudgetOwners, 'isOwner' | 'isSettled' | 'countClaimers' | 'refresh'>;
 	/** Number of pending claims by customer, including customers whose budget another gateway owns. */
 	readonly waitingClaims: ReadonlyMap<string, number>;
 	/** Decides how many free tokens a grant should have. */
@@ -187,6 +187,7 @@
 			return 'done';
 		}
 
+		owners.refresh();
 		const record = buildNextRecord();
 		const nextOffset = follower.getNextOffset();
 		if (!record || nextOffset === undefined) {
