Read the grants when a gateway is heard from that they do not show

Cause: gateways read the log of grants every two seconds, and count as others only those that it shows. The first gateway of a fleet to start reads it before the others have written to it. It heard from them by gossip half a second later, but went on as the only one until its next read, or its next claim.

Change: gossip reports a gateway that begins to be heard from. The grants are read then, if they do not show it and were read 250 ms ago or earlier.

--- a/src/coordination/peers/gossip.test.ts
+++ b/src/coordination/peers/gossip.test.ts
@@ -7,6 +7,7 @@
 import {
 	NearReceiverPolicy, UniformReceiverPolicy, createGossip, decodeGossip, encodeGossip, fanOut, listStreams, type ReceiverPolicy, type ReceiverPolicyOptions, type StreamAnnouncement,
 } from '../mod.js';
+import {encodeEntry} from './gossip-codec.js';
 
 const events: EventLog = {write: () => undefined, counts: new Map()};
 /** One-way delay between two hosts. */
@@ -69,6 +70,10 @@
 	};
 }
 
+const createView = (daemon: string): PeerView => ({
+	daemon, incarnation: 'i', address: `${daemon}:1`, version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [], free: [], uses: [],
+});
+
 /** Runs gateways whose requests at upstreams change every 50 ms. */
 async function runFleet(count: number, {durationMs, lossRate = 0, createPolicy = createNearPolicy}: {readonly durationMs: number} & Partial<Pick<Fixture, 'lossRate' | 'createPolicy'>>) {
 	const time = createVirtualTime();
@@ -219,9 +224,7 @@
 		},
 		receiverPolicy: new UniformReceiverPolicy({fanOut, failureDomain: 'd', random: () => 0}),
 		listPeers: () => [],
-		getOwnView: (): PeerView => ({
-			daemon: 'g0', incarnation: 'i', address: 'g0:1', version: 1, isLeaving: false, hasRoom: true, crashes: [], parts: [], domains: [], limits: [], free: [], uses: [],
-		}),
+		getOwnView: () => createView('g0'),
 		send() {
 			sent += 1;
 			if (sent < 3) {
@@ -244,3 +247,33 @@
 	expect(sent).toBeGreaterThan(3);
 	expect(lines.toSorted()).toEqual(['peerNewsLost', 'peerNewsLost', 'peerNewsUnreadable', 'peerNewsUnreadable']);
 });
+
+test('a gateway that begins to be heard from is reported once, and again after it was not heard from', async () => {
+	// Guards against a fleet in which a gateway goes on as the only one although others have told of themselves.
+	const time = createVirtualTime();
+	const views = createPeerViews();
+	const reported: string[] = [];
+	const gossip = createGossip({
+		clock: time, daemon: 'g0', views, events,
+		receiverPolicy: new UniformReceiverPolicy({fanOut, failureDomain: 'd', random: () => 0}),
+		listPeers: () => [],
+		getOwnView: () => createView('g0'),
+		send: () => undefined,
+		onPeerBack(peer) {
+			reported.push(peer);
+		},
+		onView: () => undefined,
+		onStream: () => undefined,
+		onPrompt: () => undefined,
+	});
+	const receive = (sequence: number) => {
+		gossip.handleMessage(encodeGossip([encodeEntry(createView('g1'), {sequence, shouldIncludeFreeTokens: false})], []));
+	};
+
+	receive(1);
+	receive(2);
+	expect(reported).toEqual(['g1']);
+	views.dropStale(time.now() + 1);
+	receive(3);
+	expect(reported).toEqual(['g1', 'g1']);
+});
--- a/src/coordination/peers/gossip.ts
+++ b/src/coordination/peers/gossip.ts
@@ -33,6 +33,8 @@
 	readonly getOwnView: () => PeerView;
 	readonly send: (message: Uint8Array, receivers: readonly GossipPeer[]) => void;
 	readonly receiverPolicy: ReceiverPolicy;
+	/** Called when a gateway begins to be heard from, whether or not the log shows it yet. */
+	readonly onPeerBack?: (peer: string) => void;
 	/** Called with each view received. */
 	readonly onView: (view: PeerView) => void;
 	/** Called with each prompt placed by another gateway. */
@@ -92,6 +94,7 @@
 	function storeView(view: PeerView, entrySequence: number): void {
 		if (!views.has(view.daemon)) {
 			events.write('peerBack', {peer: view.daemon, incarnation: view.incarnation});
+			options.onPeerBack?.(view.daemon);
 		}
 
 		views.put(view, {sequence: entrySequence, now: clock.now()});
--- a/src/daemon/gateway-daemon.ts
+++ b/src/daemon/gateway-daemon.ts
@@ -281,6 +281,9 @@
 				traffic.record('gossip', {bytes: message.length, failureDomain});
 			}
 		},
+		onPeerBack(peer) {
+			state.syncGateway(peer, signal);
+		},
 		onView(view) {
 			retryAfterEstimator.recordView(view);
 			catchUp.handleView(view);
--- a/src/daemon/gateway-state.test.ts
+++ b/src/daemon/gateway-state.test.ts
@@ -441,3 +441,22 @@
 	expect(unreadable.every(({detail}) => typeof detail === 'string' && detail.length <= 200)).toBe(true);
 	stop();
 });
+
+test('a gateway that is heard from before its record was read is looked up in the log', async () => {
+	// Guards against a gateway that takes itself for the only one until the next read of the grants, seconds after its start.
+	const {time, logs, state, stop} = createFixture([]);
+	const listDaemons = () => state.grantRegistry.listRunning().map(({daemon}) => daemon);
+	const {signal} = new AbortController();
+	await time.runUntil(500);
+	logs.grants.records.push({
+		key: 'g2/i', offset: 0, value: JSON.stringify({
+			role: 'gateway', daemon: 'g2', incarnation: 'i', address: '127.0.0.1:1', newsAddress: '127.0.0.1:2', failureDomain: 'd', version: 1, sequence: 1, granted: {}, hasEnded: false,
+		}),
+	});
+	await time.runUntil(1000);
+	expect(listDaemons()).toEqual([]);
+	state.syncGateway('g2', signal);
+	await time.runUntil(1010);
+	expect(listDaemons()).toEqual(['g2']);
+	stop();
+});
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -85,6 +85,8 @@
 const maxReadsToSync = 2;
 /** Interval between reads of the grants; a claim triggers its own read. */
 const grantReadIntervalMs = 2000;
+/** Age from which on the grants are read again for a gateway that they do not show: of a large fleet that starts, many are heard from at once. */
+const minGrantAgeMs = 250;
 /** Maximum number of customers in one log line, which keeps the line under 4 KB. */
 const maxLoggedCustomers = 100;
 /** Maximum length of the reason why a record is unreadable, in characters; it may quote the record. */
@@ -434,6 +436,14 @@
 			return outcomes?.every(Boolean) ?? false;
 		},
 
+		/** Reads the grants now if they do not show a gateway that is heard from. */
+		syncGateway(daemon: string, signal: AbortSignal): void {
+			const isKnown = grantRegistry.listRunning().some(holder => holder.daemon === daemon);
+			if (!isKnown && (grantFollower.computeStalenessMs() ?? 0) >= minGrantAgeMs) {
+				void grantFollower.catchUp(signal);
+			}
+		},
+
 		/** Returns true if the registrations of upstreams were read without interruption since a time, in milliseconds of the clock. */
 		hasFollowedSince: (time: number): boolean => followedSince !== undefined && followedSince <= time,
 
