--- a/src/coordination/peers/gossip.test.ts
+++ b/src/coordination/peers/gossip.test.ts
@@ -249,7 +249,7 @@
 });
 
 test('a gateway that begins to be heard from is reported once, and again after it was not heard from', async () => {
-	// Guards against a fleet in which a gateway goes on as the only one although others have told of themselves.
+	// Guards against a fleet in which a gateway goes on as the only one although others have announced themselves.
 	const time = createVirtualTime();
 	const views = createPeerViews();
 	const reported: string[] = [];
--- a/src/daemon/gateway-state.ts
+++ b/src/daemon/gateway-state.ts
@@ -85,7 +85,7 @@
 const maxReadsToSync = 2;
 /** Interval between reads of the grants; a claim triggers its own read. */
 const grantReadIntervalMs = 2000;
-/** Age from which on the grants are read again for a gateway that they do not show: of a large fleet that starts, many are heard from at once. */
+/** Minimum age of the last read of the grants before they are read for an unknown gateway: when a large fleet starts, one read finds many of them. */
 const minGrantAgeMs = 250;
 /** Maximum number of customers in one log line, which keeps the line under 4 KB. */
 const maxLoggedCustomers = 100;
