Review: stand-ins outlast a request that the gateway gives up

Cause: the handler of the stand-in engine did not catch ECONNRESET while it read a body. If the gateway gave the request up, the script ended with exit code 1, left its gateway running and wrote no result.

Changed: a stand-in closes a connection that breaks under it. An error that nothing catches ends all that the script started and gives exit code 2.

--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -59,6 +59,21 @@
 	return ports;
 }
 
+/** Calls a handler; if the other side breaks its connection meanwhile, closes it as well. */
+function handleRequest(handler) {
+	return async (message, response) => {
+		try {
+			await handler(message, response);
+		} catch (error) {
+			if (error.code !== 'ECONNRESET') {
+				throw error;
+			}
+
+			response.destroy();
+		}
+	};
+}
+
 async function readBody(message) {
 	const chunks = [];
 	for await (const chunk of message) {
@@ -119,7 +134,7 @@
 		response.end(JSON.stringify(document));
 	}
 
-	const server = createServer(async (message, response) => {
+	const server = createServer(handleRequest(async (message, response) => {
 		const url = new URL(message.url, 'http://store');
 		const topic = getTopic(url.searchParams.get('topic'));
 		const body = await readBody(message);
@@ -170,7 +185,7 @@
 		}
 
 		sendJson(response, 404, {});
-	});
+	}));
 	server.keepAliveTimeout = 60_000;
 	const port = await listen(server);
 	return {
@@ -192,7 +207,7 @@
 export async function startEngine({id, store, service, answer, version = 'v1', slots = 64}) {
 	const runs = [];
 	const bornAt = Date.now();
-	const server = createServer(async (message, response) => {
+	const server = createServer(handleRequest(async (message, response) => {
 		if (message.url === '/-/report') {
 			response.end(JSON.stringify({born: bornAt, seq: 1}));
 			return;
@@ -215,7 +230,7 @@
 		});
 		response.setHeader('Fireflylane-Server-Stamp', `stamp-of-${id}`);
 		await answer(message, response, body);
-	});
+	}));
 	server.keepAliveTimeout = 60_000;
 	server.maxHeadersCount = 0;
 	const port = await listen(server);
@@ -375,21 +390,38 @@
 	const record = openRecord(folder);
 	const temporary = createFolder();
 	const opened = [];
-	let result = 2;
-	try {
-		result = await play({record, folder: temporary.folder, opened}) ? 0 : 1;
-	} catch (error) {
-		record(`the case could not run: ${error.stack}`);
+	const state = {isOver: false};
+
+	async function finish(result) {
+		if (state.isOver) {
+			return;
+		}
+
+		state.isOver = true;
+		for (const item of opened.toReversed()) {
+			await (item.kill ?? item.close)();
+		}
+
+		temporary.remove();
+		record(['result: the rule held', 'result: the rule was broken', 'result: the case could not run'][result]);
+		process.stdout.write(readFileSync(path.join(folder, 'record.txt')));
+		process.exit(result); // eslint-disable-line unicorn/no-process-exit
 	}
 
-	for (const item of opened.reverse()) {
-		await (item.kill ?? item.close)();
+	// A fault of the script or of a stand-in says nothing about the rule.
+	async function giveUp(error) {
+		if (!state.isOver) {
+			record(`the case could not run: ${error?.stack ?? error}`);
+			await finish(2);
+		}
 	}
 
-	temporary.remove();
-	record(['result: the rule held', 'result: the rule was broken', 'result: the case could not run'][result]);
-	process.stdout.write(readFileSync(path.join(folder, 'record.txt')));
-	process.exit(result); // eslint-disable-line unicorn/no-process-exit
+	process.on('uncaughtException', giveUp);
+	try {
+		await finish(await play({record, folder: temporary.folder, opened}) ? 0 : 1);
+	} catch (error) {
+		await giveUp(error);
+	}
 }
 
 /** Starts gateways on a store with a configuration and waits until they are ready. */
